--- /dev/null
+++ b/cmd/peridotchute/main.go
@@ -0,0 +1,4 @@
+// Command peridotchute is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/common/admin/admin.go
@@ -0,0 +1,114 @@
+// Package admin serves the administration listener that every process has:
+// health, readiness, metrics and a dump of the process's state.
+package admin
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"sort"
+	"sync"
+
+	"github.com/gorilla/mux"
+)
+
+// Dumper contributes one section to the state dump. The returned value is
+// written as JSON and must hold no secrets.
+type Dumper interface {
+	DumpState() any
+}
+
+// DumpFunc adapts a function to Dumper.
+type DumpFunc func() any
+
+// DumpState calls the function.
+func (f DumpFunc) DumpState() any { return f() }
+
+// Check reports why the process is not ready, or nil when it is.
+type Check func() error
+
+// Server collects the sections and checks of one process.
+type Server struct {
+	mu       sync.Mutex
+	sections map[string]Dumper
+	checks   map[string]Check
+	router   *mux.Router
+}
+
+// NewServer returns a server with the common routes.
+func NewServer() *Server {
+	s := &Server{sections: map[string]Dumper{}, checks: map[string]Check{}, router: mux.NewRouter()}
+	s.router.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
+	s.router.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	s.router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
+	s.router.HandleFunc("/debug/state", s.dump).Methods(http.MethodGet)
+	return s
+}
+
+// Router returns the router, so that a daemon can add its own routes.
+func (s *Server) Router() *mux.Router { return s.router }
+
+// AddSection adds a named section to the dump.
+func (s *Server) AddSection(name string, d Dumper) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sections[name] = d
+}
+
+// AddCheck adds a named readiness check.
+func (s *Server) AddCheck(name string, c Check) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checks[name] = c
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// readiness is the body of /readyz.
+type readiness struct {
+	Ready  bool      `json:"ready"`
+	Checks []failing `json:"failing,omitempty"`
+}
+
+type failing struct {
+	Check  string `json:"check"`
+	Reason string `json:"reason"`
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	var bad []failing
+	for name, check := range s.checks {
+		if err := check(); err != nil {
+			bad = append(bad, failing{Check: name, Reason: err.Error()})
+		}
+	}
+	s.mu.Unlock()
+	sort.Slice(bad, func(i, j int) bool { return bad[i].Check < bad[j].Check })
+	status := http.StatusOK
+	if len(bad) > 0 {
+		status = http.StatusServiceUnavailable
+	}
+	WriteJSON(w, status, readiness{Ready: len(bad) == 0, Checks: bad})
+}
+
+func (s *Server) dump(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	out := make(map[string]any, len(s.sections))
+	for name, section := range s.sections {
+		out[name] = section.DumpState()
+	}
+	s.mu.Unlock()
+	WriteJSON(w, http.StatusOK, out)
+}
+
+// WriteJSON sends v as an indented JSON body with the given status.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v)
+}
--- /dev/null
+++ b/common/daemon/daemon.go
@@ -0,0 +1,95 @@
+// Package daemon is the thin shell around each long-running program: its
+// command line, its settings file, its log and its graceful shutdown.
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"peridotchute.example/common/settings"
+)
+
+// Exit codes of the daemons.
+const (
+	ExitFailure     = 1 // the process failed while starting or running
+	ExitBadSettings = 2 // the settings file is wrong; no port was opened
+)
+
+// StopTimeout bounds a graceful shutdown; streams in progress may take minutes.
+const StopTimeout = 15 * time.Minute
+
+// Command returns the cobra command of a daemon whose settings have type S.
+// options wires the process from its checked settings.
+func Command[S any](name, short string, options func(S) fx.Option) *cobra.Command {
+	var path string
+	var checkOnly bool
+	cmd := &cobra.Command{
+		Use:           name,
+		Short:         short,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.Load[S](path)
+			if err != nil {
+				return err
+			}
+			if checkOnly {
+				fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
+				return nil
+			}
+			return Run(options(s))
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments")
+	cmd.Flags().BoolVar(&checkOnly, "check-settings", false, "check the settings file and exit")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+// Main runs a command and exits with the documented code.
+func Main(cmd *cobra.Command) {
+	err := cmd.Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var bad *settings.Error
+	if errors.As(err, &bad) {
+		os.Exit(ExitBadSettings)
+	}
+	os.Exit(ExitFailure)
+}
+
+// Run starts the application, waits for SIGTERM or SIGINT, and stops it
+// gracefully. It returns the error of starting or stopping.
+func Run(options ...fx.Option) error {
+	app := fx.New(append(options, Logging(), fx.StopTimeout(StopTimeout))...)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	app.Run()
+	return nil
+}
+
+// Logging provides the process's logger and silences fx's own log.
+func Logging() fx.Option {
+	return fx.Options(
+		fx.Provide(NewLogger),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+}
+
+// NewLogger returns the JSON logger on standard error.
+func NewLogger() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return log
+}
--- /dev/null
+++ b/common/ring/ring.go
@@ -0,0 +1,114 @@
+// Package ring provides the bounded rings that join the goroutines of a
+// process. Every ring states what happens when it is full and counts it.
+package ring
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+)
+
+// Policy says what Offer does when the ring is full.
+type Policy int
+
+// The policies of a full ring.
+const (
+	// Reject refuses the new element.
+	Reject Policy = iota
+	// DropOldest discards the element waiting longest.
+	DropOldest
+)
+
+// Ring is a bounded first-in first-out queue, safe for concurrent use.
+type Ring[T any] struct {
+	mu      sync.Mutex
+	items   []T
+	head    int
+	size    int
+	policy  Policy
+	ready   chan struct{}
+	dropped atomic.Uint64
+}
+
+// New returns a ring of the given capacity (elements, at least 1).
+func New[T any](capacity int, policy Policy) *Ring[T] {
+	return &Ring[T]{
+		items:  make([]T, max(capacity, 1)),
+		policy: policy,
+		ready:  make(chan struct{}, 1),
+	}
+}
+
+// Offer adds v without blocking. It reports false when v was refused; an
+// element discarded to make room is counted by Dropped.
+func (r *Ring[T]) Offer(v T) bool {
+	r.mu.Lock()
+	if r.size == len(r.items) {
+		r.dropped.Add(1)
+		if r.policy == Reject {
+			r.mu.Unlock()
+			return false
+		}
+		r.takeLocked()
+	}
+	r.items[(r.head+r.size)%len(r.items)] = v
+	r.size++
+	r.mu.Unlock()
+	r.signal()
+	return true
+}
+
+// Take returns the oldest element, waiting until there is one or ctx ends.
+func (r *Ring[T]) Take(ctx context.Context) (T, error) {
+	for {
+		if v, ok := r.tryTake(); ok {
+			return v, nil
+		}
+		select {
+		case <-r.ready:
+		case <-ctx.Done():
+			var zero T
+			return zero, ctx.Err()
+		}
+	}
+}
+
+// Len returns the number of waiting elements.
+func (r *Ring[T]) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.size
+}
+
+// Dropped returns how many elements were refused or discarded.
+func (r *Ring[T]) Dropped() uint64 { return r.dropped.Load() }
+
+func (r *Ring[T]) tryTake() (T, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.size == 0 {
+		var zero T
+		return zero, false
+	}
+	v := r.takeLocked()
+	if r.size > 0 {
+		r.signal()
+	}
+	return v, true
+}
+
+func (r *Ring[T]) takeLocked() T {
+	var zero T
+	v := r.items[r.head]
+	r.items[r.head] = zero
+	r.head = (r.head + 1) % len(r.items)
+	r.size--
+	return v
+}
+
+func (r *Ring[T]) signal() {
+	select {
+	case r.ready <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,142 @@
+// Package config defines the declared configuration: what operators serve,
+// where they serve it, and which work is non-idempotent.
+package config
+
+import (
+	"time"
+
+	"peridotchute.example/common/wire"
+)
+
+// Configuration is everything that operators declare. It changes only as a
+// whole, by an accepted version.
+type Configuration struct {
+	Version  uint64    `json:"version"` // set by acceptance; 0 in a declaration
+	ChangeID string    `json:"change_id,omitempty"`
+	Regions  []Region  `json:"regions" validate:"required,dive"`
+	Pools    []Pool    `json:"pools" validate:"required,dive"`
+	Models   []Model   `json:"models" validate:"dive"`
+	Adapters []Adapter `json:"adapters,omitempty" validate:"dive"`
+	Services []Service `json:"services,omitempty" validate:"dive"`
+	Teams    []Team    `json:"teams" validate:"required,dive"`
+	Policy   Policy    `json:"policy"`
+}
+
+// Region is a region with its availability zones.
+type Region struct {
+	Name  string   `json:"name" validate:"required"`
+	Zones []string `json:"zones" validate:"required"`
+	Store bool     `json:"store,omitempty"` // the weight store stands here
+}
+
+// Pool is a group of like backend servers.
+type Pool struct {
+	Name         string `json:"name" validate:"required"`
+	MemoryBytes  int64  `json:"memory_bytes,omitempty" validate:"gte=0"` // accelerator memory for weights, per server
+	Accelerators int    `json:"accelerators,omitempty" validate:"gte=0"` // per server
+	Fencing      bool   `json:"fencing,omitempty"`                       // engines refuse old fencing numbers
+}
+
+// Model is a declared model. A change of Version is rolled out with both
+// versions resident until the old one has drained.
+type Model struct {
+	Name        string   `json:"name" validate:"required"`
+	Version     string   `json:"version" validate:"required"`
+	Pool        string   `json:"pool" validate:"required"`
+	MemoryBytes int64    `json:"memory_bytes" validate:"gt=0"`
+	Replicas    int      `json:"replicas,omitempty" validate:"gte=0"` // least number kept resident; 0 means 1
+	Target      Target   `json:"target"`
+	Tools       []string `json:"non_idempotent_tools,omitempty"` // requests that name one of these tools are actions
+}
+
+// Adapter is a declared adapter of a model.
+type Adapter struct {
+	Name        string `json:"name" validate:"required"`
+	Version     string `json:"version" validate:"required"`
+	Model       string `json:"model" validate:"required"`
+	MemoryBytes int64  `json:"memory_bytes" validate:"gt=0"`
+	Replicas    int    `json:"replicas,omitempty" validate:"gte=0"`
+}
+
+// Target is a model's latency target, in milliseconds; zero means none.
+type Target struct {
+	FirstTokenMS int `json:"first_token_ms,omitempty" validate:"gte=0"`
+	TokenMS      int `json:"token_ms,omitempty" validate:"gte=0"`
+}
+
+// Service is a plain service beside the model engines.
+type Service struct {
+	Name    string   `json:"name" validate:"required"`
+	Pool    string   `json:"pool" validate:"required"`
+	Actions []Action `json:"actions,omitempty" validate:"dive"`
+	Repeat  []Action `json:"idempotent,omitempty" validate:"dive"` // safe to repeat in spite of its method
+}
+
+// Action declares calls by method and path. A path ending in /* covers what is below it.
+type Action struct {
+	Method string `json:"method" validate:"required"`
+	Path   string `json:"path" validate:"required"`
+}
+
+// Team is a caller with its keys and limits.
+type Team struct {
+	Name          string   `json:"name" validate:"required"`
+	KeyHashes     []string `json:"key_hashes" validate:"required"` // SHA-256 of each key, hexadecimal
+	RatePerSecond float64  `json:"rate_per_second,omitempty" validate:"gte=0"`
+	Concurrency   int      `json:"concurrency,omitempty" validate:"gte=0"`
+	Priority      int      `json:"priority,omitempty" validate:"gte=0"` // 0 is served first
+}
+
+// Policy weighs what the deployment's decisions aim at.
+type Policy struct {
+	AttainmentWeight    float64 `json:"attainment_weight" validate:"gte=0"`
+	MoveWeight          float64 `json:"move_weight" validate:"gte=0"`
+	LoadsPerSecond      float64 `json:"loads_per_second" validate:"gte=0"`      // weight store, whole deployment
+	ConcurrentLoads     int     `json:"concurrent_loads" validate:"gte=0"`      // weight store, whole deployment
+	AdapterLoads        int     `json:"adapter_loads" validate:"gte=0"`         // adapters in flight before loads slow down
+	LinkBytesPerSecond  int64   `json:"link_bytes_per_second" validate:"gte=0"` // cap on traffic between regions
+	OutcomeRetentionSec int     `json:"outcome_retention_s" validate:"gte=0"`
+	DefaultDeadlineMS   int     `json:"default_deadline_ms" validate:"gte=0"`
+	MaxBodyBytes        int64   `json:"max_body_bytes" validate:"gte=0"`
+}
+
+// Defaults of Policy.
+const (
+	DefaultMaxBodyBytes = 8 << 20
+	DefaultDeadline     = 60 * time.Second
+	DefaultRetention    = 24 * time.Hour
+)
+
+// BodyLimit returns the longest accepted request body in bytes.
+func (p Policy) BodyLimit() int64 {
+	if p.MaxBodyBytes > 0 {
+		return p.MaxBodyBytes
+	}
+	return DefaultMaxBodyBytes
+}
+
+// Deadline returns the deadline of a request that names none.
+func (p Policy) Deadline() time.Duration {
+	if p.DefaultDeadlineMS > 0 {
+		return time.Duration(p.DefaultDeadlineMS) * time.Millisecond
+	}
+	return DefaultDeadline
+}
+
+// Retention returns how long the outcome of an action is kept.
+func (p Policy) Retention() time.Duration {
+	if p.OutcomeRetentionSec > 0 {
+		return time.Duration(p.OutcomeRetentionSec) * time.Second
+	}
+	return DefaultRetention
+}
+
+// Artifact returns the model's current artifact.
+func (m Model) Artifact() wire.Artifact {
+	return wire.Artifact{Kind: wire.KindModel, Name: m.Name, Version: m.Version}
+}
+
+// Artifact returns the adapter's current artifact.
+func (a Adapter) Artifact() wire.Artifact {
+	return wire.Artifact{Kind: wire.KindAdapter, Name: a.Name, Version: a.Version}
+}
--- /dev/null
+++ b/config/index.go
@@ -0,0 +1,152 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"peridotchute.example/common/wire"
+)
+
+// Index answers the questions that are asked for each request. It is built
+// once for each version and never changes.
+type Index struct {
+	Configuration *Configuration
+	models        map[string]Model
+	adapters      map[string]Adapter
+	services      map[string]Service
+	pools         map[string]Pool
+	teams         map[string]Team // by key hash
+	regions       map[string]string
+}
+
+// NewIndex builds the index of a configuration.
+func NewIndex(c *Configuration) *Index {
+	x := &Index{
+		Configuration: c,
+		models:        make(map[string]Model, len(c.Models)),
+		adapters:      make(map[string]Adapter, len(c.Adapters)),
+		services:      make(map[string]Service, len(c.Services)),
+		pools:         make(map[string]Pool, len(c.Pools)),
+		teams:         map[string]Team{},
+		regions:       map[string]string{},
+	}
+	for _, m := range c.Models {
+		x.models[m.Name] = m
+	}
+	for _, a := range c.Adapters {
+		x.adapters[a.Name] = a
+	}
+	for _, s := range c.Services {
+		x.services[s.Name] = s
+	}
+	for _, p := range c.Pools {
+		x.pools[p.Name] = p
+	}
+	for _, t := range c.Teams {
+		for _, h := range t.KeyHashes {
+			x.teams[strings.ToLower(h)] = t
+		}
+	}
+	for _, r := range c.Regions {
+		for _, z := range r.Zones {
+			x.regions[z] = r.Name
+		}
+	}
+	return x
+}
+
+// Model returns the named model.
+func (x *Index) Model(name string) (Model, bool) { m, ok := x.models[name]; return m, ok }
+
+// Adapter returns the named adapter.
+func (x *Index) Adapter(name string) (Adapter, bool) { a, ok := x.adapters[name]; return a, ok }
+
+// Service returns the named plain service.
+func (x *Index) Service(name string) (Service, bool) { s, ok := x.services[name]; return s, ok }
+
+// Pool returns the named pool.
+func (x *Index) Pool(name string) (Pool, bool) { p, ok := x.pools[name]; return p, ok }
+
+// RegionOf returns the region of an availability zone, or "" when unknown.
+func (x *Index) RegionOf(zone string) string { return x.regions[zone] }
+
+// TeamOf returns the team that holds the key. Keys are compared by their
+// hashes, so the comparison reveals nothing about the key.
+func (x *Index) TeamOf(key string) (Team, bool) {
+	t, ok := x.teams[HashKey(key)]
+	return t, ok
+}
+
+// HashKey returns the form in which a key is declared.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Served is what a model name in a request resolves to.
+type Served struct {
+	Artifact wire.Artifact // the artifact to be resident
+	Base     wire.Artifact // its base model; equal to Artifact for a model
+	Model    Model         // the base model's declaration
+	Bytes    int64         // accelerator memory of Artifact alone
+}
+
+// Resolve finds the model or adapter that a request names.
+func (x *Index) Resolve(name string) (Served, bool) {
+	if m, ok := x.models[name]; ok {
+		return Served{Artifact: m.Artifact(), Base: m.Artifact(), Model: m, Bytes: m.MemoryBytes}, true
+	}
+	a, ok := x.adapters[name]
+	if !ok {
+		return Served{}, false
+	}
+	m, ok := x.models[a.Model]
+	if !ok {
+		return Served{}, false
+	}
+	return Served{Artifact: a.Artifact(), Base: m.Artifact(), Model: m, Bytes: a.MemoryBytes}, true
+}
+
+// BytesOf returns the declared size of an artifact's current declaration by
+// name, whatever its version; false when it is not declared.
+func (x *Index) BytesOf(a wire.Artifact) (int64, bool) {
+	if a.Kind == wire.KindModel {
+		m, ok := x.models[a.Name]
+		return m.MemoryBytes, ok
+	}
+	ad, ok := x.adapters[a.Name]
+	return ad.MemoryBytes, ok
+}
+
+// NonIdempotent reports whether a call of a service must run at most once:
+// when it is declared so, or, undeclared, when its method is not idempotent
+// by RFC 9110, section 9.2.2.
+func (s Service) NonIdempotent(method, path string) bool {
+	for _, a := range s.Actions {
+		if a.matches(method, path) {
+			return true
+		}
+	}
+	for _, a := range s.Repeat {
+		if a.matches(method, path) {
+			return false
+		}
+	}
+	switch method {
+	case "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE":
+		return false
+	}
+	return true
+}
+
+func (a Action) matches(method, path string) bool {
+	if !strings.EqualFold(a.Method, method) {
+		return false
+	}
+	prefix, wild := strings.CutSuffix(a.Path, "/*")
+	if wild {
+		return path == prefix || strings.HasPrefix(path, prefix+"/")
+	}
+	return a.Path == path
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is under construction.
+package entry
--- /dev/null
+++ b/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration is under construction.
+package integration
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator is under construction.
+package operator
--- /dev/null
+++ b/rpc/messages.go
@@ -0,0 +1,179 @@
+package rpc
+
+import (
+	"time"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/config"
+	"peridotchute.example/engine"
+)
+
+// Method names.
+const (
+	MethodHello     = "member.hello"
+	MethodReport    = "member.report" // notification
+	MethodOffer     = "config.offer"
+	MethodFetch     = "config.fetch"
+	MethodBar       = "action.bar"
+	MethodOutcome   = "action.outcome"
+	MethodOrder     = "order.submit"
+	MethodInventory = "inventory.get"
+	MethodDrain     = "drain.begin"
+)
+
+// Role is what a process is.
+type Role string
+
+// The roles of processes.
+const (
+	RoleEntry Role = "entry"
+	RoleSide  Role = "side"
+)
+
+// Identity is how a process presents itself.
+type Identity struct {
+	Name        string `json:"name"`        // of its VM
+	Incarnation string `json:"incarnation"` // new at every start
+	Role        Role   `json:"role"`
+	Zone        string `json:"zone"`
+	Pool        string `json:"pool,omitempty"`
+	DataAddress string `json:"data_address,omitempty"`
+	RPCAddress  string `json:"rpc_address,omitempty"`
+}
+
+// Hello opens a connection. Key is the deployment key.
+type Hello struct {
+	Identity      Identity `json:"identity"`
+	Key           string   `json:"key"`
+	ConfigVersion uint64   `json:"config_version"`
+}
+
+// HelloReply answers Hello. Key proves that the listener knows it as well.
+type HelloReply struct {
+	Identity      Identity `json:"identity"`
+	Key           string   `json:"key"`
+	ConfigVersion uint64   `json:"config_version"`
+}
+
+// State is a side process's willingness to serve.
+type State string
+
+// The states of a side process.
+const (
+	StateServing  State = "serving"
+	StateDraining State = "draining" // finishes its work, takes no more
+)
+
+// Report is the periodic load report of a side process.
+type Report struct {
+	Name          string `json:"name"`
+	Incarnation   string `json:"incarnation"`
+	Seq           uint64 `json:"seq"` // counts from 1 in each incarnation
+	State         State  `json:"state"`
+	InFlight      int    `json:"in_flight"`
+	QueueDelayMS  int64  `json:"queue_delay_ms"`
+	Residence     uint64 `json:"residence"` // digest of what is resident; fetch the inventory when it changes
+	Cache         uint64 `json:"cache,omitempty"`
+	FreeBytes     int64  `json:"free_bytes"`
+	ConfigVersion uint64 `json:"config_version"`
+}
+
+// Offer tells the highest configuration version that a peer knows.
+type Offer struct {
+	Version uint64 `json:"version"`
+}
+
+// OfferReply tells the receiver's own highest version.
+type OfferReply struct {
+	Version uint64 `json:"version"`
+}
+
+// Fetch asks for the configuration when the peer's is higher than Since.
+type Fetch struct {
+	Since uint64 `json:"since"`
+}
+
+// FetchReply carries the configuration, or none when there is nothing newer.
+type FetchReply struct {
+	Configuration *config.Configuration `json:"configuration,omitempty"`
+}
+
+// ActionState is a side process's record of one action.
+type ActionState string
+
+// The states of an action at its side process.
+const (
+	ActionBarred  ActionState = "barred"  // the attempt never started and never will
+	ActionRunning ActionState = "running" // started, not ended
+	ActionDone    ActionState = "done"    // ended; the answer is stored
+	ActionAbsent  ActionState = "absent"  // this incarnation knows nothing of it
+	ActionUnknown ActionState = "unknown" // started, and its end cannot be known
+)
+
+// Bar asks a side process never to start an attempt.
+type Bar struct {
+	Claim wire.Claim `json:"claim"`
+}
+
+// ActionReply answers Bar and OutcomeQuery.
+type ActionReply struct {
+	State  ActionState   `json:"state"`
+	Answer *StoredAnswer `json:"answer,omitempty"`
+}
+
+// OutcomeQuery asks what became of an action.
+type OutcomeQuery struct {
+	Claim wire.Claim `json:"claim"`
+}
+
+// StoredAnswer is a whole answer kept for repeats of the same action.
+type StoredAnswer struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type"`
+	Body        []byte `json:"body"`
+}
+
+// OrderKind is what an order changes.
+type OrderKind = engine.Verb
+
+// Order is a plan holder's order to a side process. A side process refuses a
+// term or sequence lower than one it has already seen for the same cell.
+type Order struct {
+	Cell     string        `json:"cell"`
+	Term     uint64        `json:"term"`
+	Sequence uint64        `json:"sequence"`
+	TTL      time.Duration `json:"ttl"` // from receipt, ns
+	Kind     OrderKind     `json:"kind"`
+	Artifact wire.Artifact `json:"artifact"`
+	Role     engine.Role   `json:"role,omitempty"`
+}
+
+// OrderReply says whether an order was taken, and why not.
+type OrderReply struct {
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason,omitempty"`
+}
+
+// InventoryQuery asks for the ledger's view.
+type InventoryQuery struct{}
+
+// InventoryReply is the ledger's view of one backend server.
+type InventoryReply struct {
+	Identity      Identity          `json:"identity"`
+	Residence     uint64            `json:"residence"` // digest of Residents
+	Residents     []engine.Resident `json:"residents"`
+	Pending       []engine.Resident `json:"pending,omitempty"` // reserved, not confirmed
+	MemoryBytes   int64             `json:"memory_bytes"`
+	FreeBytes     int64             `json:"free_bytes"`
+	Fenced        uint64            `json:"fenced"` // highest term seen
+	EngineRole    engine.Role       `json:"engine_role"`
+	ConfigVersion uint64            `json:"config_version"`
+}
+
+// Drain asks a side process to take no new work.
+type Drain struct{}
+
+// DrainReply answers when nothing is in progress any more.
+type DrainReply struct {
+	InFlight int `json:"in_flight"`
+}
--- /dev/null
+++ b/rpc/rpc.go
@@ -0,0 +1,223 @@
+// Package rpc carries the control calls between the system's own processes:
+// JSON-RPC 2.0 over TCP, opened by a hello in which both ends show that they
+// know the deployment key. Either end may call the other on one connection.
+package rpc
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"peridotchute.example/common/fault"
+)
+
+// CallTimeout bounds a control call whose context has no deadline.
+const CallTimeout = 5 * time.Second
+
+// helloTimeout bounds the opening of a connection.
+const helloTimeout = 3 * time.Second
+
+// Handler answers one method. The returned value is sent as the result.
+type Handler func(ctx context.Context, p *Peer, params json.RawMessage) (any, error)
+
+// Handlers are the methods that a process answers. They are registered before
+// the first connection and read-only afterwards.
+type Handlers struct {
+	byMethod map[string]Handler
+}
+
+// NewHandlers returns an empty set.
+func NewHandlers() *Handlers { return &Handlers{byMethod: map[string]Handler{}} }
+
+// Handle registers a typed handler for a method.
+func Handle[Req, Resp any](h *Handlers, method string, f func(context.Context, *Peer, Req) (Resp, error)) {
+	h.byMethod[method] = func(ctx context.Context, p *Peer, params json.RawMessage) (any, error) {
+		var req Req
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return f(ctx, p, req)
+	}
+}
+
+// Local describes this process to its peers.
+type Local struct {
+	Identity      Identity
+	Key           string        // deployment key
+	ConfigVersion func() uint64 // version in force now
+	TLS           *tls.Config   // nil for plain TCP
+}
+
+// Peer is an authenticated connection to another process.
+type Peer struct {
+	Identity Identity
+	Version  uint64 // configuration version told in its hello
+	conn     *jsonrpc2.Conn
+}
+
+// Done is closed when the connection has ended.
+func (p *Peer) Done() <-chan struct{} { return p.conn.DisconnectNotify() }
+
+// Close ends the connection.
+func (p *Peer) Close() error { return p.conn.Close() }
+
+// Call sends a request and decodes its answer. KindRefused means that the peer
+// answered with an error; KindUnknown that the request may have been handled.
+func Call[Req, Resp any](ctx context.Context, p *Peer, method string, req Req) (Resp, error) {
+	var resp Resp
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, CallTimeout)
+		defer cancel()
+	}
+	err := p.conn.Call(ctx, method, req, &resp)
+	if err == nil {
+		return resp, nil
+	}
+	var refused *jsonrpc2.Error
+	if errors.As(err, &refused) {
+		return resp, fault.New(fault.KindRefused, method, p.Identity.Name, err)
+	}
+	return resp, fault.New(fault.KindUnknown, method, p.Identity.Name, err)
+}
+
+// Notify sends a message that has no answer.
+func Notify[Req any](ctx context.Context, p *Peer, method string, req Req) error {
+	if err := p.conn.Notify(ctx, method, req); err != nil {
+		return fault.New(fault.KindUnavailable, method, p.Identity.Name, err)
+	}
+	return nil
+}
+
+// Dial connects to address and exchanges hellos.
+func Dial(ctx context.Context, address string, local Local, handlers *Handlers) (*Peer, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	conn, err := dial(ctx, address, local.TLS)
+	if err != nil {
+		return nil, fault.New(fault.KindUnavailable, "rpc.dial", address, err)
+	}
+	s := &session{local: local, handlers: handlers, ready: make(chan struct{})}
+	s.peer.conn = jsonrpc2.NewConn(context.Background(), stream(conn), jsonrpc2.AsyncHandler(s))
+	hello := Hello{Identity: local.Identity, Key: local.Key, ConfigVersion: local.version()}
+	var reply HelloReply
+	if err := s.peer.conn.Call(ctx, MethodHello, hello, &reply); err != nil {
+		_ = s.peer.conn.Close()
+		return nil, fault.New(fault.KindUnavailable, MethodHello, address, err)
+	}
+	if !sameKey(reply.Key, local.Key) {
+		_ = s.peer.conn.Close()
+		return nil, fault.Newf(fault.KindRefused, MethodHello, address, "peer does not know the deployment key")
+	}
+	s.admit(reply.Identity, reply.ConfigVersion)
+	return &s.peer, nil
+}
+
+func dial(ctx context.Context, address string, conf *tls.Config) (net.Conn, error) {
+	if conf == nil {
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}
+	return (&tls.Dialer{Config: conf}).DialContext(ctx, "tcp", address)
+}
+
+func stream(conn net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+}
+
+func (l Local) version() uint64 {
+	if l.ConfigVersion == nil {
+		return 0
+	}
+	return l.ConfigVersion()
+}
+
+func sameKey(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
+
+// session is one connection before and after its hello.
+type session struct {
+	local    Local
+	handlers *Handlers
+	onPeer   func(*Peer)
+	peer     Peer
+	once     sync.Once
+	ready    chan struct{} // closed after the hello
+}
+
+func (s *session) admit(id Identity, version uint64) {
+	s.once.Do(func() {
+		s.peer.Identity = id
+		s.peer.Version = version
+		close(s.ready)
+	})
+}
+
+func (s *session) admitted() bool {
+	select {
+	case <-s.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// Handle answers one request. Nothing but a hello is answered before the peer
+// has shown the deployment key.
+func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	result, err := s.dispatch(ctx, conn, req)
+	if req.Notif {
+		return
+	}
+	if err == nil {
+		_ = conn.Reply(ctx, req.ID, result)
+		return
+	}
+	var known *jsonrpc2.Error
+	if !errors.As(err, &known) {
+		known = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, known)
+}
+
+func (s *session) dispatch(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	if req.Method == MethodHello {
+		return s.hello(conn, params)
+	}
+	if !s.admitted() {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "hello first"}
+	}
+	handler, ok := s.handlers.byMethod[req.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
+	}
+	return handler(ctx, &s.peer, params)
+}
+
+func (s *session) hello(conn *jsonrpc2.Conn, params json.RawMessage) (any, error) {
+	var hello Hello
+	if err := json.Unmarshal(params, &hello); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	if !sameKey(hello.Key, s.local.Key) {
+		time.AfterFunc(helloTimeout, func() { _ = conn.Close() })
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "wrong deployment key"}
+	}
+	s.peer.conn = conn
+	s.admit(hello.Identity, hello.ConfigVersion)
+	if s.onPeer != nil {
+		s.onPeer(&s.peer)
+	}
+	return HelloReply{Identity: s.local.Identity, Key: s.local.Key, ConfigVersion: s.local.version()}, nil
+}
--- /dev/null
+++ b/rpc/server.go
@@ -0,0 +1,91 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"peridotchute.example/common/fault"
+)
+
+// Server accepts control connections.
+type Server struct {
+	local    Local
+	handlers *Handlers
+	onPeer   func(*Peer)
+
+	mu    sync.Mutex
+	ln    net.Listener
+	conns map[*jsonrpc2.Conn]struct{}
+}
+
+// NewServer returns a server; onPeer, which may be nil, is called for each
+// authenticated connection.
+func NewServer(local Local, handlers *Handlers, onPeer func(*Peer)) *Server {
+	return &Server{local: local, handlers: handlers, onPeer: onPeer, conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Start listens on address and accepts in the background until Stop.
+func (s *Server) Start(address string) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.New(fault.KindUnavailable, "listen.rpc", address, err)
+	}
+	if s.local.TLS != nil {
+		ln = tls.NewListener(ln, s.local.TLS)
+	}
+	s.mu.Lock()
+	s.ln = ln
+	s.mu.Unlock()
+	go s.accept(ln)
+	return nil
+}
+
+// Address returns the address listened on.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ln.Addr().String()
+}
+
+// Stop closes the listener and every connection.
+func (s *Server) Stop() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	if s.ln == nil {
+		return nil
+	}
+	return s.ln.Close()
+}
+
+func (s *Server) accept(ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		s.open(conn)
+	}
+}
+
+func (s *Server) open(conn net.Conn) {
+	ses := &session{local: s.local, handlers: s.handlers, onPeer: s.onPeer, ready: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := jsonrpc2.NewConn(context.Background(), stream(conn), jsonrpc2.AsyncHandler(ses))
+	s.conns[c] = struct{}{}
+	go s.forget(c)
+}
+
+func (s *Server) forget(c *jsonrpc2.Conn) {
+	<-c.DisconnectNotify()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
--- /dev/null
+++ b/side/doc.go
@@ -0,0 +1,2 @@
+// Package side is under construction.
+package side
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is under construction.
+package standin
