Settings of the entry, side and stand-in processes

Addresses are checked as IP and port by a rule of our own, since the library's own rule admits host names.

--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"reflect"
 	"strings"
@@ -105,6 +106,9 @@
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 		return name
 	})
+	if err := v.RegisterValidation("ip_port", isIPPort); err != nil {
+		return &Error{Problems: []Problem{{File: file, Message: err.Error()}}}
+	}
 	err := v.Struct(target)
 	if err == nil {
 		return nil
@@ -126,11 +130,16 @@
 	return out
 }
 
+func isIPPort(f validator.FieldLevel) bool {
+	_, err := netip.ParseAddrPort(f.Field().String())
+	return err == nil
+}
+
 func describe(f validator.FieldError) string {
 	switch f.Tag() {
 	case "required":
 		return "missing"
-	case "hostname_port", "ip_port":
+	case "ip_port":
 		return fmt.Sprintf("%q is not an address of the form IP:port", f.Value())
 	default:
 		return fmt.Sprintf("%v breaks the rule %s=%s", f.Value(), f.Tag(), f.Param())
--- a/entry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package entry is under construction.
-package entry
--- a/side/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package side is under construction.
-package side
