--- a/integration/doc.go
+++ b/integration/doc.go
@@ -1,2 +1,2 @@
-// Package integration is under construction.
+// Package integration tests the daemons as real processes behind fault proxies.
 package integration
