--- a/integration/cluster/await.go
+++ b/integration/cluster/await.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// ready waits for a process, and stops waiting when it has ended.
-func ready(p *Process, cond func() error) error {
+// awaitReady waits for a process, and stops waiting when it has ended.
+func awaitReady(p *Process, cond func() error) error {
 	var gone error
 	err := Await(func() error {
 		if !p.Running() {
--- a/integration/cluster/process_test.go
+++ b/integration/cluster/process_test.go
@@ -59,3 +59,11 @@
 	assert.Equal(t, len(out.String()), tailBytes)
 	assert.Assert(t, strings.HasSuffix(out.String(), "xend"))
 }
+
+func TestWaitingEndsWithTheProcess(t *testing.T) {
+	p := &Process{Name: "failing", Path: "/bin/sh", Args: []string{"-c", "echo no address >&2; exit 1"}}
+	assert.NilError(t, p.Start())
+	err := awaitReady(p, func() error { return assertErr("not ready") })
+	assert.ErrorContains(t, err, "failing ended with code 1")
+	assert.ErrorContains(t, err, "no address")
+}
