Report every problem of a settings file at its own line

The first occurrence of a key gave the line, so the second listener's bad address was reported at the first one, and the decoder stopped at the first unknown field. Cause: text search, and DisallowUnknownFields. A walk over the tokens now gives each value's place; unknown and repeated keys and broken rules are reported together with their remedy. Nesting is bounded before any parser recurses.

--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -8,9 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -19,22 +21,28 @@
 
 // Problem is one thing wrong with a file.
 type Problem struct {
-	File    string
-	Line    int // counts from 1; 0 when the file as a whole is meant
-	Field   string
-	Message string
+	File    string `json:"file"`
+	Line    int    `json:"line,omitempty"` // counts from 1; 0 when the file as a whole is meant
+	Field   string `json:"field,omitempty"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy,omitempty"`
+	Fatal   bool   `json:"fatal,omitempty"` // nothing after it could be checked
 }
 
-// String formats the problem as file:line: field: message.
+// String formats the problem as file:line: field: message (remedy).
 func (p Problem) String() string {
 	where := p.File
 	if p.Line > 0 {
 		where = fmt.Sprintf("%s:%d", p.File, p.Line)
 	}
-	if p.Field == "" {
-		return where + ": " + p.Message
+	text := p.Message
+	if p.Field != "" {
+		text = fmt.Sprintf("field %q: %s", p.Field, p.Message)
 	}
-	return fmt.Sprintf("%s: field %q: %s", where, p.Field, p.Message)
+	if p.Remedy != "" {
+		text += " (" + p.Remedy + ")"
+	}
+	return where + ": " + text
 }
 
 // Error lists everything wrong with a file.
@@ -64,85 +72,116 @@
 }
 
 // Decode decodes JSON with comments into target and checks its validate tags.
-// file is used in messages only. Any error is of type *Error.
+// Every unknown or repeated key and every broken rule is reported at once;
+// text that cannot be decoded is reported alone. file is used in messages
+// only. Any error is of type *Error.
 func Decode(file string, raw []byte, target any) error {
-	standard, err := hujson.Standardize(bytes.Clone(raw))
+	text, err := standardize(raw)
 	if err != nil {
-		return &Error{Problems: []Problem{{File: file, Message: err.Error()}}}
+		return &Error{Problems: []Problem{{File: file, Line: syntaxLine(err), Message: err.Error(), Remedy: "correct the syntax", Fatal: true}}}
 	}
-	dec := json.NewDecoder(bytes.NewReader(standard))
-	dec.DisallowUnknownFields()
+	dec := json.NewDecoder(bytes.NewReader(text))
 	if err := dec.Decode(target); err != nil {
-		return &Error{Problems: []Problem{decodeProblem(file, standard, dec, err)}}
+		return &Error{Problems: []Problem{decodeProblem(file, text, dec, err)}}
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return &Error{Problems: []Problem{{File: file, Line: lineAt(standard, dec.InputOffset()), Message: "more than one JSON value"}}}
+		line := lineAt(text, dec.InputOffset())
+		return &Error{Problems: []Problem{{File: file, Line: line, Message: "more than one JSON value", Remedy: "keep one", Fatal: true}}}
 	}
-	return check(file, standard, target)
+	return check(file, text, target)
+}
+
+// standardize removes comments and trailing commas; every byte offset stays.
+func standardize(raw []byte) ([]byte, error) {
+	if err := checkDepth(raw); err != nil {
+		return nil, err
+	}
+	return hujson.Standardize(bytes.Clone(raw))
+}
+
+// syntaxLine returns the line that a parser's error names, or 0.
+func syntaxLine(err error) int {
+	var line int
+	if _, scan := fmt.Sscanf(err.Error(), "hujson: line %d,", &line); scan != nil {
+		return 0
+	}
+	return line
 }
 
 func decodeProblem(file string, text []byte, dec *json.Decoder, err error) Problem {
-	p := Problem{File: file, Line: lineAt(text, dec.InputOffset()), Message: err.Error()}
+	p := Problem{File: file, Line: lineAt(text, dec.InputOffset()), Message: err.Error(), Fatal: true}
 	var wrongType *json.UnmarshalTypeError
-	var syntax *json.SyntaxError
-	switch {
-	case errors.As(err, &wrongType):
+	if errors.As(err, &wrongType) {
 		p.Line = lineAt(text, wrongType.Offset)
 		p.Field = wrongType.Field
 		p.Message = fmt.Sprintf("want %s, have %s", wrongType.Type, wrongType.Value)
-	case errors.As(err, &syntax):
-		p.Line = lineAt(text, syntax.Offset)
-	case strings.HasPrefix(err.Error(), "json: unknown field "):
-		p.Field = strings.Trim(strings.TrimPrefix(err.Error(), "json: unknown field "), `"`)
-		p.Line = lineOfKey(text, p.Field)
-		p.Message = "unknown field"
+		p.Remedy = fmt.Sprintf("give a value of type %s", wrongType.Type)
 	}
 	return p
 }
 
 func check(file string, text []byte, target any) error {
+	root := positions(text)
+	if root == nil {
+		return &Error{Problems: []Problem{{File: file, Message: "cannot be read", Fatal: true}}}
+	}
+	problems := strays(file, text, root, reflect.TypeOf(target), "")
+	broken, err := brokenRules(file, target)
+	if err != nil {
+		return &Error{Problems: []Problem{{File: file, Message: err.Error(), Fatal: true}}}
+	}
+	locate(text, root, broken)
+	problems = append(problems, broken...)
+	if len(problems) == 0 {
+		return nil
+	}
+	return &Error{Problems: problems}
+}
+
+// brokenRules checks the validate tags of target.
+func brokenRules(file string, target any) ([]Problem, error) {
 	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		return name
-	})
+	v.RegisterTagNameFunc(fieldName)
 	if err := v.RegisterValidation("ip_port", isIPPort); err != nil {
-		return &Error{Problems: []Problem{{File: file, Message: err.Error()}}}
+		return nil, err
 	}
 	err := v.Struct(target)
 	if err == nil {
-		return nil
+		return nil, nil
 	}
 	var invalid validator.ValidationErrors
 	if !errors.As(err, &invalid) {
-		return &Error{Problems: []Problem{{File: file, Message: err.Error()}}}
+		return nil, err
 	}
-	out := &Error{}
+	var out []Problem
 	for _, f := range invalid {
 		_, path, _ := strings.Cut(f.Namespace(), ".")
-		out.Problems = append(out.Problems, Problem{
-			File:    file,
-			Line:    lineOfKey(text, f.Field()),
-			Field:   path,
-			Message: describe(f),
-		})
-	}
-	return out
+		p := Problem{File: file, Field: path}
+		p.Message, p.Remedy = describe(f)
+		out = append(out, p)
+	}
+	return out, nil
 }
 
+// isIPPort is the rule ip_port: an IP number and a port.
 func isIPPort(f validator.FieldLevel) bool {
 	_, err := netip.ParseAddrPort(f.Field().String())
 	return err == nil
 }
 
-func describe(f validator.FieldError) string {
+// describe returns what is wrong with a field and its remedy.
+func describe(f validator.FieldError) (message, remedy string) {
 	switch f.Tag() {
 	case "required":
-		return "missing"
+		return "missing", "add it"
 	case "ip_port":
-		return fmt.Sprintf("%q is not an address of the form IP:port", f.Value())
+		return fmt.Sprintf("%q is not an address of the form IP:port", f.Value()), "give an address such as 10.0.0.7:8080"
+	case "file":
+		return fmt.Sprintf("%q cannot be read as a file", f.Value()), "give the path of a readable file"
+	case "url":
+		return fmt.Sprintf("%q is not a URL", f.Value()), "give a URL such as http://10.0.0.9:8000"
 	default:
-		return fmt.Sprintf("%v breaks the rule %s=%s", f.Value(), f.Tag(), f.Param())
+		return fmt.Sprintf("%v breaks the rule %s=%s", f.Value(), f.Tag(), f.Param()), "give a value that keeps the rule"
 	}
 }
 
@@ -151,12 +190,4 @@
 	return 1 + bytes.Count(text[:offset], []byte("\n"))
 }
 
-// lineOfKey returns the line of the first object key with this name, or the
-// last line of the text when the key is absent.
-func lineOfKey(text []byte, key string) int {
-	i := bytes.Index(text, []byte(`"`+key+`"`))
-	if i < 0 {
-		i = len(bytes.TrimRight(text, "\n"))
-	}
-	return lineAt(text, int64(i))
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
