--- a/integration/proxy/proxy.go
+++ b/integration/proxy/proxy.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -18,61 +19,114 @@
 type Server struct {
 	api *toxiproxy.ApiServer
 
-	mu    sync.Mutex
-	links map[string]*Link
+	mu      sync.Mutex
+	proxies map[key]*toxiproxy.Proxy
+}
+
+// key names a proxy by the processes at its ends and the channel between them.
+type key struct {
+	from, to, channel string
 }
 
 // NewServer returns a server with no proxies.
 func NewServer() *Server {
 	metrics := toxiproxy.NewMetricsContainer(prometheus.NewRegistry())
-	return &Server{api: toxiproxy.NewServer(metrics, zerolog.Nop()), links: map[string]*Link{}}
+	return &Server{api: toxiproxy.NewServer(metrics, zerolog.Nop()), proxies: map[key]*toxiproxy.Proxy{}}
 }
 
-// Open starts a proxy before upstream and returns its address. Opening a name
-// again returns the same proxy.
-func (s *Server) Open(name, upstream string) (string, error) {
+// Open starts a proxy before upstream and returns its address. Opening the
+// same channel again returns the same proxy.
+func (s *Server) Open(from, to, channel, upstream string) (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l, ok := s.links[name]; ok {
-		return l.proxy.Listen, nil
+	k := key{from, to, channel}
+	if p, ok := s.proxies[k]; ok {
+		return p.Listen, nil
 	}
-	p := toxiproxy.NewProxy(s.api, name, "127.0.0.1:0", upstream)
+	p := toxiproxy.NewProxy(s.api, from+">"+to+"/"+channel, "127.0.0.1:0", upstream)
 	if err := p.Start(); err != nil {
-		return "", fmt.Errorf("proxy %s before %s: %w", name, upstream, err)
+		return "", fmt.Errorf("proxy from %s to %s before %s: %w", from, to, upstream, err)
 	}
-	s.links[name] = &Link{proxy: p}
+	s.proxies[k] = p
 	return p.Listen, nil
 }
 
-// Link returns the proxy with this name, nil when there is none.
-func (s *Server) Link(name string) *Link {
+// Between returns the link from one process to another, with all of its
+// channels that were opened. Connections are opened by the first process.
+func (s *Server) Between(from, to string) *Link {
+	return s.link(func(k key) bool { return k.from == from && k.to == to })
+}
+
+// Channel returns one channel of the link from one process to another.
+func (s *Server) Channel(from, to, channel string) *Link {
+	return s.link(func(k key) bool { return k == key{from, to, channel} })
+}
+
+// Around returns every link of one process, to and from it.
+func (s *Server) Around(name string) *Link {
+	return s.link(func(k key) bool { return k.from == name || k.to == name })
+}
+
+func (s *Server) link(member func(key) bool) *Link {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.links[name]
+	l := &Link{}
+	for k, p := range s.proxies {
+		if member(k) {
+			l.proxies = append(l.proxies, p)
+		}
+	}
+	return l
 }
 
 // Close stops every proxy and cuts its connections.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, l := range s.links {
-		l.proxy.Stop()
+	for _, p := range s.proxies {
+		p.Stop()
 	}
 }
 
-// Link is one proxy. The faults apply to connections in progress and new ones.
+// Link is a set of proxies that suffer the same faults, on connections in
+// progress and new ones.
 type Link struct {
-	proxy *toxiproxy.Proxy
+	proxies []*toxiproxy.Proxy
+}
+
+// errNoProxy means that the processes have no proxy between them (yet).
+var errNoProxy = errors.New("no proxy was opened on this link")
+
+// each applies f to every proxy of the link.
+func (l *Link) each(f func(*toxiproxy.Proxy) error) error {
+	if len(l.proxies) == 0 {
+		return errNoProxy
+	}
+	var errs []error
+	for _, p := range l.proxies {
+		errs = append(errs, f(p))
+	}
+	return errors.Join(errs...)
 }
 
 // Cut closes all connections and refuses new ones until Restore.
-func (l *Link) Cut() { l.proxy.Stop() }
+func (l *Link) Cut() error {
+	return l.each(func(p *toxiproxy.Proxy) error {
+		p.Stop()
+		return nil
+	})
+}
 
 // Restore accepts connections again after Cut, at the same address.
-func (l *Link) Restore() error { return l.proxy.Start() }
-
-// Heal removes every fault.
-func (l *Link) Heal(ctx context.Context) { l.proxy.Toxics.ResetToxics(ctx) }
+func (l *Link) Restore() error { return l.each((*toxiproxy.Proxy).Start) }
+
+// Heal removes every fault but Cut.
+func (l *Link) Heal(ctx context.Context) error {
+	return l.each(func(p *toxiproxy.Proxy) error {
+		p.Toxics.ResetToxics(ctx)
+		return nil
+	})
+}
 
 // direction of the bytes that a fault applies to.
 type direction string
@@ -104,8 +158,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = l.proxy.Toxics.AddToxicJson(bytes.NewReader(raw))
-	return err
+	return l.each(func(p *toxiproxy.Proxy) error {
+		_, err := p.Toxics.AddToxicJson(bytes.NewReader(raw))
+		return err
+	})
 }
 
 // Slow delays the bytes of both directions by d each.
--- a/integration/proxy/proxy_test.go
+++ b/integration/proxy/proxy_test.go
@@ -33,9 +33,9 @@
 	defer upstream.Close()
 	s := NewServer()
 	defer s.Close()
-	address, err := s.Open("a-b", strings.TrimPrefix(upstream.URL, "http://"))
+	address, err := s.Open("a", "b", "data", strings.TrimPrefix(upstream.URL, "http://"))
 	assert.NilError(t, err)
-	link := s.Link("a-b")
+	link := s.Between("a", "b")
 	whole := func() {
 		t.Helper()
 		n, err := get(address)
@@ -53,12 +53,14 @@
 		assert.NilError(t, fault())
 		_, err := get(address)
 		assert.Assert(t, err != nil)
-		link.Heal(context.Background())
+		assert.NilError(t, link.Heal(context.Background()))
 		whole()
 	}
-	link.Cut()
+	assert.NilError(t, link.Cut())
 	_, err = get(address)
 	assert.Assert(t, err != nil)
 	assert.NilError(t, link.Restore())
 	whole()
+	assert.ErrorContains(t, s.Between("b", "a").Cut(), "no proxy")
+	assert.NilError(t, s.Around("b").Cut())
 }
--- /dev/null
+++ b/rpc/count.go
@@ -0,0 +1,31 @@
+package rpc
+
+import (
+	"expvar"
+	"net"
+)
+
+// Metrics of all control connections of this process, in bytes before TLS.
+var (
+	bytesRead    = expvar.NewInt("rpc_bytes_read")
+	bytesWritten = expvar.NewInt("rpc_bytes_written")
+)
+
+// countedConn adds what passes through a connection to the metrics.
+type countedConn struct {
+	net.Conn
+}
+
+// Read reads from the connection and counts the bytes.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	bytesRead.Add(int64(n))
+	return n, err
+}
+
+// Write writes to the connection and counts the bytes.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	bytesWritten.Add(int64(n))
+	return n, err
+}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -128,7 +128,7 @@
 }
 
 func stream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+	return jsonrpc2.NewBufferedStream(countedConn{conn}, jsonrpc2.VSCodeObjectCodec{})
 }
 
 func (l Local) version() uint64 {
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -47,3 +47,12 @@
 	_, err = Call[Offer, OfferReply](context.Background(), p, MethodOffer, Offer{})
 	assert.Equal(t, fault.KindOf(err), fault.KindRefused)
 }
+
+func TestBytesOfConnectionsAreCounted(t *testing.T) {
+	address := startServer(t, "k")
+	read, written := bytesRead.Value(), bytesWritten.Value()
+	_, err := Dial(context.Background(), address, Local{Identity: Identity{Name: "counted"}, Key: "k"}, NewHandlers())
+	assert.NilError(t, err)
+	assert.Assert(t, bytesRead.Value() > read)
+	assert.Assert(t, bytesWritten.Value() > written)
+}
