Check a declared configuration as a whole; difference, effects and digest

Difference, moves and memory of a change and the digest that names it are pure functions for the plan. Pools may declare their number of servers for the time before any is known.

--- a/config/config.go
+++ b/config/config.go
@@ -11,7 +11,7 @@
 // Configuration is everything that operators declare. It changes only as a
 // whole, by an accepted version.
 type Configuration struct {
-	Version  uint64    `json:"version"` // set by acceptance; 0 in a declaration
+	Version  uint64    `json:"version"` // set by acceptance; in a declaration the version it was edited from, or 0
 	ChangeID string    `json:"change_id,omitempty"`
 	Regions  []Region  `json:"regions" validate:"required,dive"`
 	Pools    []Pool    `json:"pools" validate:"required,dive"`
@@ -32,9 +32,10 @@
 // Pool is a group of like backend servers.
 type Pool struct {
 	Name         string `json:"name" validate:"required"`
-	MemoryBytes  int64  `json:"memory_bytes,omitempty" validate:"gte=0"` // accelerator memory for weights, per server
-	Accelerators int    `json:"accelerators,omitempty" validate:"gte=0"` // per server
-	Fencing      bool   `json:"fencing,omitempty"`                       // engines refuse old fencing numbers
+	MemoryBytes  int64  `json:"memory_bytes,omitempty" validate:"gte=0,lte=562949953421312"` // accelerator memory for weights, per server
+	Accelerators int    `json:"accelerators,omitempty" validate:"gte=0"`                     // per server
+	Servers      int    `json:"servers,omitempty" validate:"gte=0,lte=10000"`                // backend servers to count on when none is known yet
+	Fencing      bool   `json:"fencing,omitempty"`                                           // engines refuse old fencing numbers
 }
 
 // Model is a declared model. A change of Version is rolled out with both
@@ -43,8 +44,8 @@
 	Name        string   `json:"name" validate:"required"`
 	Version     string   `json:"version" validate:"required"`
 	Pool        string   `json:"pool" validate:"required"`
-	MemoryBytes int64    `json:"memory_bytes" validate:"gt=0"`
-	Replicas    int      `json:"replicas,omitempty" validate:"gte=0"` // least number kept resident; 0 means 1
+	MemoryBytes int64    `json:"memory_bytes" validate:"gt=0,lte=562949953421312"`
+	Replicas    int      `json:"replicas,omitempty" validate:"gte=0,lte=10000"` // least number kept resident; 0 means 1
 	Target      Target   `json:"target"`
 	Tools       []string `json:"non_idempotent_tools,omitempty"` // requests that name one of these tools are actions
 }
@@ -54,8 +55,8 @@
 	Name        string `json:"name" validate:"required"`
 	Version     string `json:"version" validate:"required"`
 	Model       string `json:"model" validate:"required"`
-	MemoryBytes int64  `json:"memory_bytes" validate:"gt=0"`
-	Replicas    int    `json:"replicas,omitempty" validate:"gte=0"`
+	MemoryBytes int64  `json:"memory_bytes" validate:"gt=0,lte=562949953421312"`
+	Replicas    int    `json:"replicas,omitempty" validate:"gte=0,lte=10000"`
 }
 
 // Target is a model's latency target, in milliseconds; zero means none.
--- /dev/null
+++ b/config/effect.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"fmt"
+
+	"peridotchute.example/common/wire"
+)
+
+// Move is the loads or unloads of one artifact that a change causes.
+type Move struct {
+	Artifact wire.Artifact `json:"artifact"`
+	Pool     string        `json:"pool"`
+	Unload   bool          `json:"unload,omitempty"`
+	Servers  int           `json:"servers"` // how many servers load or unload it
+	Bytes    int64         `json:"bytes"`   // each
+}
+
+// PoolMemory is the accelerator memory that a pool's artifacts take, in bytes.
+type PoolMemory struct {
+	Pool     string `json:"pool"`
+	Servers  int    `json:"servers"`  // 0 when unknown
+	Capacity int64  `json:"capacity"` // of all servers
+	Before   int64  `json:"before"`
+	During   int64  `json:"during"` // while old and new versions are both resident
+	After    int64  `json:"after"`
+}
+
+// Effects are what accepting a configuration causes.
+type Effects struct {
+	Moves    []Move       `json:"moves"`
+	Memory   []PoolMemory `json:"memory"`
+	Warnings []string     `json:"warnings"`
+}
+
+// placed is an artifact with what its residence costs.
+type placed struct {
+	artifact wire.Artifact
+	pool     string
+	servers  int
+	bytes    int64
+}
+
+// EffectsOf returns the moves, memory and warnings of a change from one
+// checked configuration to another. from may be nil.
+func EffectsOf(from, to *Configuration, fleet Fleet) Effects {
+	if from == nil {
+		from = &Configuration{}
+	}
+	before, after := residence(from), residence(to)
+	e := Effects{Moves: []Move{}, Memory: []PoolMemory{}, Warnings: []string{}}
+	e.moves(before, after)
+	for _, p := range to.Pools {
+		e.Memory = append(e.Memory, poolMemory(p, before, after, fleet))
+	}
+	e.warn(from, to)
+	return e
+}
+
+func residence(c *Configuration) []placed {
+	var out []placed
+	pools := map[string]string{}
+	for _, m := range c.Models {
+		pools[m.Name] = m.Pool
+		out = append(out, placed{artifact: m.Artifact(), pool: m.Pool, servers: replicas(m.Replicas), bytes: m.MemoryBytes})
+	}
+	for _, a := range c.Adapters {
+		out = append(out, placed{artifact: a.Artifact(), pool: pools[a.Model], servers: replicas(a.Replicas), bytes: a.MemoryBytes})
+	}
+	return out
+}
+
+// place is where an artifact stands.
+type place struct {
+	artifact wire.Artifact
+	pool     string
+}
+
+func byPlace(all []placed) map[place]placed {
+	out := make(map[place]placed, len(all))
+	for _, p := range all {
+		out[place{p.artifact, p.pool}] = p
+	}
+	return out
+}
+
+func (e *Effects) moves(before, after []placed) {
+	old, next := byPlace(before), byPlace(after)
+	for _, p := range after {
+		if n := p.servers - old[place{p.artifact, p.pool}].servers; n > 0 {
+			e.Moves = append(e.Moves, Move{Artifact: p.artifact, Pool: p.pool, Servers: n, Bytes: p.bytes})
+		}
+	}
+	for _, p := range before {
+		if n := p.servers - next[place{p.artifact, p.pool}].servers; n > 0 {
+			e.Moves = append(e.Moves, Move{Artifact: p.artifact, Pool: p.pool, Unload: true, Servers: n, Bytes: p.bytes})
+		}
+	}
+}
+
+func poolMemory(p Pool, before, after []placed, fleet Fleet) PoolMemory {
+	n, _ := fleet.servers(p)
+	m := PoolMemory{Pool: p.Name, Servers: n, Capacity: int64(n) * p.MemoryBytes}
+	old := byPlace(before)
+	for _, b := range before {
+		if b.pool == p.Name {
+			m.Before += b.bytes * int64(b.servers)
+		}
+	}
+	m.During = m.Before
+	for _, a := range after {
+		if a.pool != p.Name {
+			continue
+		}
+		m.After += a.bytes * int64(a.servers)
+		if added := a.servers - old[place{a.artifact, a.pool}].servers; added > 0 {
+			m.During += a.bytes * int64(added)
+		}
+	}
+	return m
+}
+
+func (e *Effects) warnf(format string, args ...any) {
+	e.Warnings = append(e.Warnings, fmt.Sprintf(format, args...))
+}
+
+func (e *Effects) warn(from, to *Configuration) {
+	for _, m := range e.Memory {
+		switch {
+		case m.Servers == 0 && m.After > 0:
+			e.warnf("pool %q: no backend server is known and none is declared, so its memory could not be checked", m.Pool)
+		case m.Capacity > 0 && m.During > m.Capacity:
+			e.warnf("pool %q: old and new versions need %d bytes together, %d are there: versions change one after another as memory is freed", m.Pool, m.During, m.Capacity)
+		}
+	}
+	e.warnRemoved(from, to)
+	if len(to.Regions) > 1 && !hasStore(to) {
+		e.warnf("no region is marked as the weight store's, so loads do not prefer its region")
+	}
+}
+
+func (e *Effects) warnRemoved(from, to *Configuration) {
+	for _, c := range Diff(from, to) {
+		switch {
+		case c.Kind == Removed && (c.Section == "models" || c.Section == "adapters"):
+			e.warnf("%s %q is no longer reachable", c.Section[:len(c.Section)-1], c.Name)
+		case c.Kind == Removed && c.Section == "teams":
+			e.warnf("callers of team %q are refused", c.Name)
+		case c.Section == "services" && (c.Field == "actions" || c.Field == "idempotent"):
+			e.warnf("service %q: which calls are non-idempotent changes: %s -> %s", c.Name, c.From, c.To)
+		}
+	}
+}
+
+func hasStore(c *Configuration) bool {
+	for _, r := range c.Regions {
+		if r.Store {
+			return true
+		}
+	}
+	return false
+}
