--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin is under construction.
-package standin
