--- a/common/daemon/listen.go
+++ b/common/daemon/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -21,13 +22,14 @@
 	Name    string // shown in errors and events
 	Address string // IP:port
 	Handler http.Handler
+	TLS     *tls.Config   // nil for plain HTTP
 	Drain   time.Duration // longest wait for requests in progress at shutdown
 }
 
 // Serve opens the listener with the application and shuts it down gracefully
 // with it.
 func Serve(lc fx.Lifecycle, log logrus.FieldLogger, l Listener) {
-	server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: l.TLS}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			ln, err := net.Listen("tcp", l.Address)
@@ -49,7 +51,12 @@
 }
 
 func serve(server *http.Server, ln net.Listener, log logrus.FieldLogger, l Listener) {
-	err := server.Serve(ln)
+	var err error
+	if l.TLS != nil {
+		err = server.ServeTLS(ln, "", "") // the certificate comes from TLSConfig
+	} else {
+		err = server.Serve(ln)
+	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		event.Log(log, event.ListenerFailed, event.Subject(l.Name), event.Err(err))
 	}
