Memory ledger with lost and late orders, and the side process's memory

Memory must never be overcommitted, whatever happens to orders. An order whose answer is lost counts as done and as not done until it has settled and an inventory asked for after that shows which. Restarted processes reserve nothing until orders of their predecessor have settled, which a fencing number acknowledged by the engine cuts short.

Ruled out: releasing by time alone, since it says nothing of what the engine holds.

--- /dev/null
+++ b/common/event/policy.go
@@ -0,0 +1,14 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Events 400 to 499: memory, routing, limits and placement.
+var (
+	ArtifactLoaded   = define(400, "artifact loaded", logrus.InfoLevel, "An engine holds one more artifact.")
+	ArtifactUnloaded = define(401, "artifact unloaded", logrus.InfoLevel, "An engine has let an artifact go, by order or to make room.")
+	OrderFailed      = define(402, "engine order failed", logrus.WarnLevel, "The engine refused an order or could not be reached. The order had no effect; it is given again when needed.")
+	OrderLost        = define(403, "engine order lost", logrus.WarnLevel, "No answer to an order came, so it counts as done and as not done until it has settled. Look at the engine when this repeats.")
+	OrderRefused     = define(404, "plan order refused", logrus.InfoLevel, "A plan holder's order was too old, has expired, or would have taken memory that is in use.")
+	InventoryFailed  = define(405, "inventory failed", logrus.WarnLevel, "The engine did not tell what it holds. Nothing is loaded before it has.")
+	MemoryOver       = define(406, "memory over capacity", logrus.ErrorLevel, "The engine's inventory shows more than memory_bytes. Check the setting, and whether something else gives orders to the engine.")
+)
--- /dev/null
+++ b/side/memory/memory_test.go
@@ -0,0 +1,206 @@
+package memory
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/wire"
+	"peridotchute.example/config"
+	"peridotchute.example/engine"
+	"peridotchute.example/rpc"
+	standin "peridotchute.example/standin/engine"
+)
+
+const (
+	modelBytes   = 40
+	adapterBytes = 5
+	testSettle   = 50 * time.Millisecond
+)
+
+// lossy loses answers to orders after their effect, and delays others.
+type lossy struct {
+	engine.Client
+	mu   sync.Mutex
+	rnd  *rand.Rand
+	loss float64
+}
+
+func (l *lossy) Order(ctx context.Context, o engine.Order) error {
+	l.mu.Lock()
+	lost := l.rnd.Float64() < l.loss
+	late := time.Duration(l.rnd.IntN(20)) * time.Millisecond
+	l.mu.Unlock()
+	if !lost {
+		return l.Client.Order(ctx, o)
+	}
+	go func() {
+		time.Sleep(late)
+		_ = l.Client.Order(context.WithoutCancel(ctx), o)
+	}()
+	return fault.Newf(fault.KindUnknown, "test.order", "", "answer lost")
+}
+
+func declared(version string) *config.Configuration {
+	c := &config.Configuration{Version: 1}
+	for i := range 4 {
+		name := fmt.Sprintf("m%d", i)
+		c.Models = append(c.Models, config.Model{Name: name, Version: version, MemoryBytes: modelBytes})
+		for j := range 3 {
+			c.Adapters = append(c.Adapters, config.Adapter{Name: fmt.Sprintf("a%d-%d", i, j), Version: version, Model: name, MemoryBytes: adapterBytes})
+		}
+	}
+	return c
+}
+
+type bench struct {
+	engine *standin.Engine
+	client *lossy
+	holder *config.Holder
+	memory *Memory
+	stop   func()
+}
+
+func newBench(t *testing.T, fencing bool, loss float64) *bench {
+	t.Helper()
+	b := &bench{engine: standin.New(standin.Options{MemoryBytes: 100, Fencing: fencing}), holder: config.NewHolder()}
+	srv := httptest.NewServer(b.engine)
+	t.Cleanup(srv.Close)
+	b.client = &lossy{Client: engine.NewHTTPClient(srv.URL), rnd: rand.New(rand.NewPCG(1, 2)), loss: loss}
+	b.holder.Offer(declared("1"))
+	b.start(t, fencing)
+	return b
+}
+
+// start runs a new side process's memory over the same engine.
+func (b *bench) start(t *testing.T, fencing bool) {
+	t.Helper()
+	if b.stop != nil {
+		b.stop()
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b.memory = New(Options{Engine: b.client, Capacity: 100, Fencing: fencing, Settle: testSettle, Holder: b.holder, Log: log})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.memory.Run(ctx)
+	}()
+	b.stop = func() { cancel(); <-done }
+	t.Cleanup(b.stop)
+}
+
+func (b *bench) acquire(ctx context.Context, name string) (func(), error) {
+	served, _ := b.holder.Current().Resolve(name)
+	return b.memory.Acquire(ctx, served.Artifact, served.Base, served.Bytes)
+}
+
+// eventually acquires, trying again while the memory says not now.
+func (b *bench) eventually(t *testing.T, name string) func() {
+	t.Helper()
+	var release func()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var err error
+		if release, err = b.acquire(context.Background(), name); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+	return release
+}
+
+func (b *bench) assertNoBreach(t *testing.T) {
+	t.Helper()
+	got := b.engine.Breaches()
+	assert.Equal(t, got.Overcommits, 0)
+	assert.Equal(t, got.InUseUnloads, 0)
+	assert.Assert(t, got.PeakBytes <= 100, "peak %d", got.PeakBytes)
+}
+
+func TestEveryArtifactIsReachableWithinTheCapacity(t *testing.T) {
+	b := newBench(t, false, 0)
+	for i := range 4 {
+		for j := range 3 {
+			b.eventually(t, fmt.Sprintf("a%d-%d", i, j))()
+		}
+	}
+	b.assertNoBreach(t)
+}
+
+func TestWhatIsInUseIsNotUnloaded(t *testing.T) {
+	b := newBench(t, false, 0)
+	releaseFirst := b.eventually(t, "m0")
+	releaseSecond := b.eventually(t, "m1")
+	_, err := b.acquire(context.Background(), "m2")
+	assert.Assert(t, fault.Is(err, fault.KindRefused), "%v", err)
+	releaseFirst()
+	b.eventually(t, "m2")()
+	assert.Assert(t, b.memory.usable(wire.Artifact{Kind: wire.KindModel, Name: "m1", Version: "1"}))
+	releaseSecond()
+	b.assertNoBreach(t)
+}
+
+func TestConcurrentRequestsWithLostOrdersAndRestartsNeverOvercommit(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fencing=%v", fencing), func(t *testing.T) {
+			b := newBench(t, fencing, 0.15)
+			for round := range 3 {
+				var group sync.WaitGroup
+				for worker := range 8 {
+					group.Go(func() { b.hammer(uint64(round), uint64(worker)) })
+				}
+				group.Wait()
+				b.start(t, fencing)
+				next := declared(fmt.Sprint(round + 2))
+				next.Version = uint64(round + 2)
+				b.holder.Offer(next)
+			}
+			b.eventually(t, "a3-2")()
+			b.assertNoBreach(t)
+		})
+	}
+}
+
+func (b *bench) hammer(round, worker uint64) {
+	rnd := rand.New(rand.NewPCG(round, worker))
+	for range 40 {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		release, err := b.acquire(ctx, fmt.Sprintf("a%d-%d", rnd.IntN(4), rnd.IntN(3)))
+		if err == nil {
+			time.Sleep(time.Duration(rnd.IntN(3)) * time.Millisecond)
+			release()
+		} else {
+			time.Sleep(5 * time.Millisecond)
+		}
+		cancel()
+	}
+}
+
+func TestOrdersOfAnOlderPlanAreRefused(t *testing.T) {
+	b := newBench(t, false, 0)
+	order := rpc.Order{Cell: "c", Term: 2, Sequence: 1, TTL: time.Minute, Kind: engine.VerbLoad, Artifact: wire.Artifact{Kind: wire.KindModel, Name: "m0", Version: "1"}}
+	b.eventually(t, "m1")()
+	assert.Assert(t, b.memory.Submit(order).Accepted)
+	assert.Assert(t, !b.memory.Submit(order).Accepted, "same sequence")
+	older := order
+	older.Term, older.Sequence = 1, 9
+	assert.Assert(t, !b.memory.Submit(older).Accepted)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.memory.usable(order.Artifact) {
+			return poll.Success()
+		}
+		return poll.Continue("not loaded yet")
+	}, poll.WithTimeout(time.Minute))
+	assert.Equal(t, b.memory.Inventory().Fenced, uint64(2))
+}
