State machine of an action for entry and side process, with a checker

Cause: at most once has to hold under any interleaving of two entries, a restarting side process, lost write answers and late writes. Change: idempotency.Step for the entry, idempotency.Mark for the side process; a world of two servers, a table and several requests drives them at random and a checker reads the history. standin/plain records every call that it ran.

--- a/rpc/messages.go
+++ b/rpc/messages.go
@@ -6,6 +6,7 @@
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
 	"peridotchute.example/engine"
+	"peridotchute.example/idempotency"
 )
 
 // Method names.
@@ -98,41 +99,24 @@
 	Configuration *config.Configuration `json:"configuration,omitempty"`
 }
 
-// ActionState is a side process's record of one action.
-type ActionState string
-
-// The states of an action at its side process.
-const (
-	ActionBarred  ActionState = "barred"  // the attempt never started and never will
-	ActionRunning ActionState = "running" // started, not ended
-	ActionDone    ActionState = "done"    // ended; the answer is stored
-	ActionAbsent  ActionState = "absent"  // this incarnation knows nothing of it
-	ActionUnknown ActionState = "unknown" // started, and its end cannot be known
-)
-
 // Bar asks a side process never to start an attempt.
 type Bar struct {
 	Claim wire.Claim `json:"claim"`
 }
 
-// ActionReply answers Bar and OutcomeQuery.
+// ActionReply answers Bar and OutcomeQuery. Answer is set for
+// idempotency.VerdictDone unless it is no longer kept.
 type ActionReply struct {
-	State  ActionState   `json:"state"`
-	Answer *StoredAnswer `json:"answer,omitempty"`
+	Verdict idempotency.Verdict `json:"verdict"`
+	Answer  *wire.Answer        `json:"answer,omitempty"`
 }
 
-// OutcomeQuery asks what became of an action.
+// OutcomeQuery asks what became of an action. A claim with attempt 0 and no
+// incarnation asks for any attempt of the key.
 type OutcomeQuery struct {
 	Claim wire.Claim `json:"claim"`
 }
 
-// StoredAnswer is a whole answer kept for repeats of the same action.
-type StoredAnswer struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"content_type"`
-	Body        []byte `json:"body"`
-}
-
 // OrderKind is what an order changes.
 type OrderKind = engine.Verb
 
--- /dev/null
+++ b/standin/plain/plain.go
@@ -0,0 +1,151 @@
+// Package plain is the stand-in of a plain service, such as a till or a booking
+// system. It keeps every call that it ran, so that tests can count them.
+package plain
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Call is one call that the service ran.
+type Call struct {
+	Key    string    `json:"key"` // of HeaderKey
+	Method string    `json:"method"`
+	Path   string    `json:"path"`
+	Digest string    `json:"digest"` // SHA-256 of the body, hexadecimal
+	At     time.Time `json:"at"`     // when the call took effect
+}
+
+// HeaderKey names the action to the service. The service does not remove
+// duplicates by it; it only records it.
+const HeaderKey = "Peridotchute-Action"
+
+// Receipt is the body of an answer.
+type Receipt struct {
+	Number int    `json:"number"` // of the call, counts from 1
+	Digest string `json:"digest"`
+}
+
+// Behaviour sets how calls are answered.
+type Behaviour struct {
+	DelayMS    int  `json:"delay_ms"`    // between the effect and the answer
+	BeforeMS   int  `json:"before_ms"`   // between the request and the effect
+	Status     int  `json:"status"`      // 0 means 200
+	Cut        bool `json:"cut"`         // the connection is cut after the effect
+	Pieces     int  `json:"pieces"`      // the answer is flushed in so many pieces, DelayMS apart
+	PieceBytes int  `json:"piece_bytes"` // length of each piece
+}
+
+// Service is the stand-in. Its zero value is not usable; see New.
+type Service struct {
+	mu        sync.Mutex
+	calls     []Call
+	behaviour Behaviour
+	router    *mux.Router
+}
+
+// New returns a service that answers at once.
+func New() *Service {
+	s := &Service{router: mux.NewRouter()}
+	s.router.HandleFunc("/control/calls", s.list).Methods(http.MethodGet)
+	s.router.HandleFunc("/control/behaviour", s.set).Methods(http.MethodPut)
+	s.router.PathPrefix("/").HandlerFunc(s.run)
+	return s
+}
+
+// ServeHTTP runs a call or answers a control request.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// Calls returns the calls that ran, in order.
+func (s *Service) Calls() []Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Call(nil), s.calls...)
+}
+
+// Set changes how calls are answered.
+func (s *Service) Set(b Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behaviour = b
+}
+
+func (s *Service) list(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Calls())
+}
+
+func (s *Service) set(w http.ResponseWriter, r *http.Request) {
+	var b Behaviour
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(b)
+}
+
+// run takes a call. Once the body is read, the call takes effect whether or not
+// the client stays.
+func (s *Service) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	b := s.behaviour
+	s.mu.Unlock()
+	time.Sleep(time.Duration(b.BeforeMS) * time.Millisecond)
+	receipt := s.record(r, body)
+	if b.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	if b.Pieces > 0 {
+		stream(w, b)
+		return
+	}
+	time.Sleep(time.Duration(b.DelayMS) * time.Millisecond)
+	w.Header().Set("Content-Type", "application/json")
+	if b.Status != 0 {
+		w.WriteHeader(b.Status)
+	}
+	_ = json.NewEncoder(w).Encode(receipt)
+}
+
+func (s *Service) record(r *http.Request, body []byte) Receipt {
+	sum := sha256.Sum256(body)
+	call := Call{
+		Key:    r.Header.Get(HeaderKey),
+		Method: r.Method,
+		Path:   r.URL.Path,
+		Digest: hex.EncodeToString(sum[:]),
+		At:     time.Now(),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, call)
+	return Receipt{Number: len(s.calls), Digest: call.Digest}
+}
+
+// stream sends the answer in pieces whose bytes tell their place.
+func stream(w http.ResponseWriter, b Behaviour) {
+	flusher := http.NewResponseController(w)
+	piece := make([]byte, max(b.PieceBytes, 1))
+	for i := range b.Pieces {
+		for j := range piece {
+			piece[j] = byte('a' + i%26)
+		}
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+		_ = flusher.Flush()
+		time.Sleep(time.Duration(b.DelayMS) * time.Millisecond)
+	}
+}
