Accept, read and list configurations in the platform's service

Cause: operators need a place where exactly one of two changes wins, and the processes a newest version that never goes back. Ruled out: one record per version by put-if-absent as the moment of acceptance (a writer that dies between record and head blocks its version); whole configurations in the row (a table row holds 400 KB). Digest no longer tells an empty section from an absent one. Conclusion: two operators at once 200 times give one winner each.

--- a/config/diff.go
+++ b/config/diff.go
@@ -129,10 +129,15 @@
 }
 
 // Digest returns the SHA-256 of the configuration's JSON, hexadecimal. It
-// covers the version and leaves the change id out.
+// covers the version and leaves the change id out; an empty section and an
+// absent one are the same.
 func Digest(c *Configuration) string {
 	plain := *c
 	plain.ChangeID = ""
+	plain.Regions = nonNil(c.Regions)
+	plain.Pools = nonNil(c.Pools)
+	plain.Models = nonNil(c.Models)
+	plain.Teams = nonNil(c.Teams)
 	raw, err := json.Marshal(plain)
 	if err != nil {
 		panic("config: not encodable: " + err.Error()) // floats come from JSON, which has no NaN
@@ -140,3 +145,10 @@
 	sum := sha256.Sum256(raw)
 	return hex.EncodeToString(sum[:])
 }
+
+func nonNil[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
--- /dev/null
+++ b/config/publish/publish_test.go
@@ -0,0 +1,173 @@
+package publish_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/config"
+	"peridotchute.example/config/publish"
+	"peridotchute.example/platform"
+	"peridotchute.example/standin/faults"
+	"peridotchute.example/standin/objects"
+	"peridotchute.example/standin/table"
+)
+
+// deployment is a platform of stand-ins.
+type deployment struct {
+	table    *table.Server
+	objects  *objects.Server
+	tableURL string
+	objURL   string
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{table: table.New(), objects: objects.New()}
+	ts := httptest.NewServer(d.table)
+	t.Cleanup(ts.Close)
+	os := httptest.NewServer(d.objects)
+	t.Cleanup(os.Close)
+	d.tableURL, d.objURL = ts.URL, os.URL
+	return d
+}
+
+// store returns a store that knows nothing yet, as in a process just started.
+func (d *deployment) store() *publish.Store {
+	return publish.New(
+		platform.NewTable(platform.TableSettings{URL: d.tableURL, Name: "t"}),
+		platform.NewObjects(platform.ObjectSettings{URL: d.objURL, Bucket: "b"}),
+	)
+}
+
+func declared(models ...string) *config.Configuration {
+	c := &config.Configuration{Models: []config.Model{}}
+	for _, name := range models {
+		c.Models = append(c.Models, config.Model{Name: name, Version: "1", Pool: "p", MemoryBytes: 1})
+	}
+	return c
+}
+
+func change(base uint64, id string, models ...string) publish.Change {
+	return publish.Change{Base: base, Declared: declared(models...), ChangeID: id, Author: "ada", At: time.Unix(1, 0)}
+}
+
+func TestReadBeforeTheFirstAcceptance(t *testing.T) {
+	_, err := newDeployment(t).store().Read(context.Background())
+	assert.Assert(t, fault.Is(err, fault.KindNotFound), "%v", err)
+}
+
+func TestEveryVersionIsReadByANewProcess(t *testing.T) {
+	ctx := context.Background()
+	d := newDeployment(t)
+	writer := d.store()
+	for v := range uint64(70) {
+		accepted, err := writer.Accept(ctx, change(v, fmt.Sprint("c", v), "common", fmt.Sprint("m", v)))
+		assert.NilError(t, err)
+		got, err := d.store().Read(ctx)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, accepted)
+	}
+	old, err := d.store().Version(ctx, 34)
+	assert.NilError(t, err)
+	assert.Equal(t, old.Models[1].Name, "m33")
+	history, err := d.store().History(ctx, 3)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history), 3)
+	assert.Equal(t, history[0].Version, uint64(70))
+	assert.Equal(t, history[2].ChangeID, "c67")
+}
+
+func TestOneOfTwoOperatorsWins(t *testing.T) {
+	ctx := context.Background()
+	d := newDeployment(t)
+	one, two := d.store(), d.store()
+	for v := range uint64(200) {
+		var errs [2]error
+		var wg sync.WaitGroup
+		for i, s := range []*publish.Store{one, two} {
+			wg.Go(func() {
+				_, errs[i] = s.Accept(ctx, change(v, fmt.Sprintf("c%d-%d", v, i), fmt.Sprintf("m%d-%d", v, i)))
+			})
+		}
+		wg.Wait()
+		assert.Assert(t, (errs[0] == nil) != (errs[1] == nil), "version %d: %v, %v", v, errs[0], errs[1])
+		lost := errors.Join(errs[0], errs[1])
+		assert.Assert(t, fault.Is(lost, fault.KindConflict), "%v", lost)
+		var conflict *publish.Conflict
+		assert.Assert(t, errors.As(lost, &conflict))
+		assert.Equal(t, conflict.Current.Version, v+1)
+		assert.Assert(t, len(conflict.Changes) > 0)
+	}
+}
+
+func TestLostAnswersAreReadBack(t *testing.T) {
+	ctx := context.Background()
+	d := newDeployment(t)
+	s := d.store()
+	for v := range uint64(3) {
+		c := change(v, fmt.Sprint("c", v), fmt.Sprint("m", v))
+		d.table.Set(faults.Settings{LoseNext: 2, Match: "PutItem"}) // of the record and of the head
+		accepted, err := s.Accept(ctx, c)
+		assert.NilError(t, err)
+		assert.Equal(t, accepted.Version, v+1)
+		assert.Equal(t, d.table.Settings().LoseNext, 0)
+		again, err := d.store().Accept(ctx, c)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, accepted)
+	}
+	_, err := s.Accept(ctx, change(2, "c2", "other"))
+	assert.Assert(t, fault.Is(err, fault.KindInvalid), "%v", err)
+}
+
+func TestStaleReadsNeverGoBack(t *testing.T) {
+	ctx := context.Background()
+	d := newDeployment(t)
+	s := d.store()
+	_, err := s.Accept(ctx, change(0, "c0", "m0"))
+	assert.NilError(t, err)
+	d.table.SetReplica(table.Replica{Frozen: true})
+	_, err = s.Accept(ctx, change(1, "c1", "m1"))
+	assert.NilError(t, err)
+	got, err := s.Read(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Version, uint64(2))
+	_, err = s.Accept(ctx, change(2, "c2", "m2"))
+	assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
+}
+
+func TestObjectStoreDown(t *testing.T) {
+	ctx := context.Background()
+	d := newDeployment(t)
+	s := d.store()
+	_, err := s.Accept(ctx, change(0, "c0", "m0"))
+	assert.NilError(t, err)
+	d.objects.Set(faults.Settings{Down: true})
+	_, err = s.Accept(ctx, change(1, "c1", "m1"))
+	assert.NilError(t, err)
+	got, err := d.store().Read(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Version, uint64(2))
+	assert.Equal(t, got.Models[0].Name, "m1")
+}
+
+func TestLargeConfigurationGoesToTheObjectStore(t *testing.T) {
+	ctx := context.Background()
+	d := newDeployment(t)
+	var names []string
+	for i := range 8000 {
+		names = append(names, fmt.Sprintf("model-with-a-long-name-%d", i))
+	}
+	accepted, err := d.store().Accept(ctx, change(0, "large", names...))
+	assert.NilError(t, err)
+	got, err := d.store().Read(ctx)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, accepted)
+}
