--- a/admission/admission.go
+++ b/admission/admission.go
@@ -16,22 +16,22 @@
 
 // State is what the door knows when a request arrives.
 type State struct {
-	InFlight     int           // requests of all teams in progress
-	Limit        int           // most requests in progress; 0 means no limit
 	Queued       int           // requests waiting
-	QueueLimit   int           // most requests waiting
-	TeamInFlight int           // of the request's team
+	QueueLimit   int           // most requests waiting; 0 means no limit
+	FlowQueued   int           // of them, of the request's team and model
+	FlowLimit    int           // most of one team and model; 0 means no limit
+	TeamInFlight int           // of the request's team, waiting or in progress
 	TeamLimit    int           // 0 means no limit
-	TeamTokens   float64       // left in the team's rate bucket; negative means none
-	TeamRate     float64       // tokens a second; 0 means no limit
-	QueueDelay   time.Duration // expected wait
-	Servers      int           // servers that could take the request
+	TeamRate     float64       // requests a second; 0 means no limit
+	TeamWait     time.Duration // until the team's rate allows the request
+	Full         bool          // every server that could take the request is at its limit
+	Wait         time.Duration // expected until the first token
 }
 
 // Request is what matters of a request at the door.
 type Request struct {
 	Priority int           // 0 is served first
-	Deadline time.Duration // left
+	Deadline time.Duration // left until the caller gives up
 }
 
 // Verdict is the decision with its reason. RetryAfter is set when Reject.
@@ -41,21 +41,29 @@
 	RetryAfter time.Duration
 }
 
+// leastRetry is the shortest time after which trying again makes sense.
+const leastRetry = time.Second
+
 // Decide lets a request in, queues it, or rejects it with the time after
 // which trying again makes sense.
 func Decide(s State, r Request, _ time.Time) Verdict {
 	switch {
 	case s.TeamLimit > 0 && s.TeamInFlight >= s.TeamLimit:
-		return Verdict{Action: Reject, Reason: "team concurrency limit", RetryAfter: time.Second}
-	case s.TeamRate > 0 && s.TeamTokens < 1:
-		wait := time.Duration((1 - s.TeamTokens) / s.TeamRate * float64(time.Second))
-		return Verdict{Action: Reject, Reason: "team rate limit", RetryAfter: wait}
-	case s.Limit > 0 && s.InFlight >= s.Limit && s.Queued >= s.QueueLimit:
-		return Verdict{Action: Reject, Reason: "queue full", RetryAfter: max(s.QueueDelay, time.Second)}
-	case s.QueueDelay > r.Deadline:
-		return Verdict{Action: Reject, Reason: "deadline cannot be met", RetryAfter: max(s.QueueDelay-r.Deadline, time.Second)}
-	case s.Limit > 0 && s.InFlight >= s.Limit:
-		return Verdict{Action: Queue, Reason: "at the concurrency limit"}
+		return reject("team concurrency limit", leastRetry)
+	case s.TeamRate > 0 && s.TeamWait > 0:
+		return reject("team rate limit", s.TeamWait)
+	case s.Wait > r.Deadline:
+		return reject("deadline cannot be met", s.Wait-r.Deadline)
+	case !s.Full:
+		return Verdict{Action: Admit, Reason: "below every limit"}
+	case s.QueueLimit > 0 && s.Queued >= s.QueueLimit:
+		return reject("queue full", s.Wait)
+	case s.FlowLimit > 0 && s.FlowQueued >= s.FlowLimit:
+		return reject("queue of the team and model full", s.Wait)
 	}
-	return Verdict{Action: Admit, Reason: "below every limit"}
+	return Verdict{Action: Queue, Reason: "servers at their limit"}
+}
+
+func reject(reason string, after time.Duration) Verdict {
+	return Verdict{Action: Reject, Reason: reason, RetryAfter: max(after, leastRetry)}
 }
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,178 @@
+package admission
+
+// Flow is what a fair share is given to.
+type Flow struct {
+	Team  string
+	Model string
+}
+
+// Waiting is a bounded queue that shares its turns fairly: first by priority,
+// then between teams, and within a team between models; first come, first
+// served within a flow. It is not safe for concurrent use.
+type Waiting[T any] struct {
+	levels []level[T] // in order of priority
+	size   int
+	flows  map[Flow]int
+}
+
+type level[T any] struct {
+	priority int
+	teams    []*teamQueue[T] // the next turn is the first one's
+}
+
+type teamQueue[T any] struct {
+	team   string
+	models []*modelQueue[T] // the next turn is the first one's
+}
+
+type modelQueue[T any] struct {
+	model string
+	items []T
+}
+
+// NewWaiting returns an empty queue.
+func NewWaiting[T any]() *Waiting[T] { return &Waiting[T]{flows: map[Flow]int{}} }
+
+// Len returns how many are waiting.
+func (q *Waiting[T]) Len() int { return q.size }
+
+// FlowLen returns how many are waiting in one flow, over all priorities.
+func (q *Waiting[T]) FlowLen(f Flow) int { return q.flows[f] }
+
+// Push adds an element at the end of its flow.
+func (q *Waiting[T]) Push(f Flow, priority int, item T) {
+	t := q.level(priority).queueOf(f.Team)
+	m := t.queueOf(f.Model)
+	m.items = append(m.items, item)
+	q.size++
+	q.flows[f]++
+}
+
+// Pop removes the first element in turn that ready accepts. ready is asked
+// once a flow, about its oldest element.
+func (q *Waiting[T]) Pop(ready func(T) bool) (T, bool) {
+	for i := range q.levels {
+		item, flow, ok := q.levels[i].pop(ready)
+		if !ok {
+			continue
+		}
+		q.removed(flow)
+		return item, true
+	}
+	var zero T
+	return zero, false
+}
+
+// Remove takes out the elements that match, for instance those whose caller
+// has left, and returns how many.
+func (q *Waiting[T]) Remove(match func(T) bool) int {
+	removed := 0
+	for i := range q.levels {
+		for _, t := range q.levels[i].teams {
+			for _, m := range t.models {
+				kept := m.items[:0]
+				for _, item := range m.items {
+					if !match(item) {
+						kept = append(kept, item)
+						continue
+					}
+					removed++
+					q.removed(Flow{Team: t.team, Model: m.model})
+				}
+				clear(m.items[len(kept):])
+				m.items = kept
+			}
+		}
+		q.levels[i].prune()
+	}
+	return removed
+}
+
+func (q *Waiting[T]) removed(f Flow) {
+	q.size--
+	if q.flows[f]--; q.flows[f] == 0 {
+		delete(q.flows, f)
+	}
+}
+
+func (q *Waiting[T]) level(priority int) *level[T] {
+	at := 0
+	for at < len(q.levels) && q.levels[at].priority < priority {
+		at++
+	}
+	if at == len(q.levels) || q.levels[at].priority != priority {
+		q.levels = append(q.levels, level[T]{})
+		copy(q.levels[at+1:], q.levels[at:])
+		q.levels[at] = level[T]{priority: priority}
+	}
+	return &q.levels[at]
+}
+
+func (l *level[T]) queueOf(team string) *teamQueue[T] {
+	for _, t := range l.teams {
+		if t.team == team {
+			return t
+		}
+	}
+	t := &teamQueue[T]{team: team}
+	l.teams = append(l.teams, t)
+	return t
+}
+
+func (t *teamQueue[T]) queueOf(model string) *modelQueue[T] {
+	for _, m := range t.models {
+		if m.model == model {
+			return m
+		}
+	}
+	m := &modelQueue[T]{model: model}
+	t.models = append(t.models, m)
+	return m
+}
+
+// pop takes from the first team whose turn finds a ready element; that team
+// and model then go to the end of their lines.
+func (l *level[T]) pop(ready func(T) bool) (T, Flow, bool) {
+	for ti, t := range l.teams {
+		for mi, m := range t.models {
+			if !ready(m.items[0]) {
+				continue
+			}
+			item := m.items[0]
+			m.items = m.items[1:]
+			t.models = toEnd(t.models, mi)
+			l.teams = toEnd(l.teams, ti)
+			l.prune()
+			return item, Flow{Team: t.team, Model: m.model}, true
+		}
+	}
+	var zero T
+	return zero, Flow{}, false
+}
+
+func toEnd[E any](s []E, i int) []E {
+	e := s[i]
+	copy(s[i:], s[i+1:])
+	s[len(s)-1] = e
+	return s
+}
+
+// prune drops flows and teams with nothing waiting.
+func (l *level[T]) prune() {
+	teams := l.teams[:0]
+	for _, t := range l.teams {
+		models := t.models[:0]
+		for _, m := range t.models {
+			if len(m.items) > 0 {
+				models = append(models, m)
+			}
+		}
+		clear(t.models[len(models):])
+		t.models = models
+		if len(models) > 0 {
+			teams = append(teams, t)
+		}
+	}
+	clear(l.teams[len(teams):])
+	l.teams = teams
+}
--- /dev/null
+++ b/placement/demand.go
@@ -0,0 +1,72 @@
+package placement
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"peridotchute.example/common/wire"
+)
+
+const (
+	riseTime = 3 * time.Second // time constant of the estimate when demand rises
+	fallTime = 3 * time.Minute // and when it falls
+	idleRate = 1e-4            // requests a second below which an artifact is forgotten
+)
+
+// Estimator smooths the demand for artifacts: it follows a rise fast and a
+// fall slowly, so that a pause between two bursts costs no moves.
+type Estimator struct {
+	scale float64 // of the time constants
+	rates map[wire.Artifact]float64
+	at    time.Time
+}
+
+// NewEstimator returns an estimator without demand. scale stretches its time
+// constants; 0 means 1.
+func NewEstimator(scale float64) *Estimator {
+	if scale <= 0 {
+		scale = 1
+	}
+	return &Estimator{scale: scale, rates: map[wire.Artifact]float64{}}
+}
+
+// Observe takes the requests that arrived for each artifact since the last
+// call; the first call only starts the clock.
+func (e *Estimator) Observe(arrived map[wire.Artifact]int, now time.Time) {
+	last := e.at
+	e.at = now
+	seconds := now.Sub(last).Seconds()
+	if last.IsZero() || seconds <= 0 {
+		return
+	}
+	for a := range arrived {
+		if _, ok := e.rates[a]; !ok {
+			e.rates[a] = 0
+		}
+	}
+	for a, rate := range e.rates {
+		seen := float64(arrived[a]) / seconds
+		constant := fallTime
+		if seen > rate {
+			constant = riseTime
+		}
+		share := 1 - math.Exp(-seconds/(constant.Seconds()*e.scale))
+		rate += (seen - rate) * share
+		if rate < idleRate {
+			delete(e.rates, a)
+			continue
+		}
+		e.rates[a] = rate
+	}
+}
+
+// Rates returns the smoothed requests a second, in order of artifact.
+func (e *Estimator) Rates() []Demand {
+	out := make([]Demand, 0, len(e.rates))
+	for a, rate := range e.rates {
+		out = append(out, Demand{Artifact: a, Rate: rate})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Artifact.String() < out[j].Artifact.String() })
+	return out
+}
--- /dev/null
+++ b/placement/place.go
@@ -0,0 +1,192 @@
+package placement
+
+import "peridotchute.example/common/wire"
+
+// option is one way to place an item.
+type option struct {
+	worker  int
+	victims []int // items to unload first
+	loss    float64
+}
+
+// place loads item i at the best worker that has or can make room for the
+// given bytes, unloading less valuable residents when that repays. It reports
+// false when there is no such worker.
+func (p *planner) place(i int, room int64, reason string) bool {
+	it := &p.items[i]
+	if p.loadsSpent(i) {
+		return false
+	}
+	evict := reason != ReasonZones
+	best := option{worker: -1}
+	for n := range p.workers {
+		o, ok := p.option(i, n, room, evict)
+		if ok && (best.worker < 0 || p.better(i, o, best)) {
+			best = o
+		}
+	}
+	if best.worker < 0 {
+		return false
+	}
+	gain, cost := p.value(i, len(it.at)), p.price(i)+best.loss
+	if reason == ReasonDemand && gain <= cost {
+		return false
+	}
+	p.apply(i, best, Move{Cost: cost, Gain: gain, Reason: reason})
+	return true
+}
+
+func (p *planner) loadsSpent(i int) bool {
+	return p.w.MaxLoads > 0 && p.items[i].base < 0 && p.loads >= p.w.MaxLoads
+}
+
+// option returns how item i could be placed at worker n.
+func (p *planner) option(i, n int, room int64, evict bool) (option, bool) {
+	it, w := &p.items[i], &p.workers[n]
+	if !w.Serving || w.Pool != it.Pool || w.holds[i] {
+		return option{}, false
+	}
+	if it.Artifact.Kind == wire.KindAdapter && (it.base < 0 || !w.holds[it.base]) {
+		return option{}, false
+	}
+	o := option{worker: n}
+	if w.free >= room {
+		return o, true
+	}
+	if !evict {
+		return option{}, false
+	}
+	return p.makeRoom(o, i, room-w.free)
+}
+
+// makeRoom adds the victims that cost least for the bytes that they free. Only
+// surplus replicas are victims, so that every model stays resident somewhere.
+func (p *planner) makeRoom(o option, i int, need int64) (option, bool) {
+	w := &p.workers[o.worker]
+	taken := map[int]bool{}
+	for need > 0 {
+		best, bestLoss := -1, 0.0
+		for v := range w.holds {
+			if taken[v] || !p.evictable(v, o.worker, i) {
+				continue
+			}
+			loss := p.lossOf(v) / float64(p.items[v].Bytes)
+			if best < 0 || loss < bestLoss || (loss == bestLoss && v < best) {
+				best, bestLoss = v, loss
+			}
+		}
+		if best < 0 {
+			return option{}, false
+		}
+		taken[best] = true
+		o.victims = append(o.victims, best)
+		o.loss += p.lossOf(best)
+		need -= p.items[best].Bytes
+	}
+	return o, true
+}
+
+// evictable reports whether item v may leave worker n for item i.
+func (p *planner) evictable(v, n, i int) bool {
+	it, w := &p.items[v], &p.workers[n]
+	if w.fixed[v] || p.items[i].base == v {
+		return false
+	}
+	if it.base >= 0 {
+		return len(it.at) > 1
+	}
+	return len(it.at) > max(it.Replicas, 1) && !p.adapterFixed(v, n)
+}
+
+func (p *planner) adapterFixed(model, n int) bool {
+	for _, v := range p.items[model].adapters {
+		if p.workers[n].fixed[v] {
+			return true
+		}
+	}
+	return false
+}
+
+// lossOf is what unloading one replica of an item gives away: the load that it
+// took off the others, and for adapters the load that brings it back.
+func (p *planner) lossOf(v int) float64 {
+	it := &p.items[v]
+	if it.base >= 0 {
+		return p.price(v) + it.use*p.w.AdapterLoad.Seconds()*p.w.Attainment
+	}
+	return p.value(v, len(it.at)-1)
+}
+
+// better orders options: least loss, then a zone without the item, then the
+// least loaded worker, then the most free memory, then the name.
+func (p *planner) better(i int, a, b option) bool {
+	x, y := &p.workers[a.worker], &p.workers[b.worker]
+	if a.loss != b.loss {
+		return a.loss < b.loss
+	}
+	if za, zb := p.zoneCount(i, x.Zone), p.zoneCount(i, y.Zone); za != zb {
+		return za < zb
+	}
+	if x.load != y.load {
+		return x.load < y.load
+	}
+	if x.free != y.free {
+		return x.free > y.free
+	}
+	return x.Name < y.Name
+}
+
+func (p *planner) zoneCount(i int, zone string) int {
+	count := 0
+	for _, n := range p.items[i].at {
+		if p.workers[n].Zone == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// apply makes the moves of an option.
+func (p *planner) apply(i int, o option, load Move) {
+	w := &p.workers[o.worker]
+	for _, v := range o.victims {
+		p.unload(v, o.worker)
+	}
+	p.shareLoad(i, -1)
+	p.hold(o.worker, i)
+	p.shareLoad(i, 1)
+	w.fixed[i] = true
+	w.free -= p.items[i].Bytes
+	if p.items[i].base < 0 {
+		p.loads++
+	}
+	load.Worker, load.Artifact = w.Name, p.items[i].Artifact
+	p.moves = append(p.moves, load)
+}
+
+// unload takes an item and, with a model, its adapters from a worker.
+func (p *planner) unload(v, n int) {
+	w := &p.workers[n]
+	if !w.holds[v] {
+		return
+	}
+	for _, a := range p.items[v].adapters {
+		p.unload(a, n)
+	}
+	p.shareLoad(v, -1)
+	delete(w.holds, v)
+	p.items[v].at = without(p.items[v].at, n)
+	p.shareLoad(v, 1)
+	w.free += p.items[v].Bytes
+	p.moves = append(p.moves, Move{Worker: w.Name, Artifact: p.items[v].Artifact, Unload: true, Reason: ReasonRoom})
+}
+
+func without(s []int, drop int) []int {
+	out := s[:0]
+	for _, n := range s {
+		if n != drop {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -14,7 +14,7 @@
 	Base     wire.Artifact // equal to Artifact for models
 	Pool     string
 	Bytes    int64
-	Replicas int // least number of servers
+	Replicas int // least number of servers; 0 means 1
 }
 
 // Worker is one backend server of the cell.
@@ -25,6 +25,7 @@
 	MemoryBytes int64
 	FreeBytes   int64
 	Residents   []wire.Artifact
+	Pending     []wire.Artifact // reserved, or not settled
 	Serving     bool
 }
 
@@ -38,13 +39,28 @@
 type Demand struct {
 	Artifact wire.Artifact
 	Rate     float64       // requests a second
-	Service  time.Duration // accelerator time a request takes
+	Service  time.Duration // accelerator time that a request takes, at full batches
 }
 
-// Weights say what a plan aims at.
+// Weights say what a plan aims at. The zero value means DefaultWeights.
 type Weights struct {
-	Attainment float64
-	Moves      float64
+	Attainment  float64       // value of a worker's second of load taken off its busiest residents
+	Moves       float64       // price of a second of loading
+	ModelLoad   time.Duration // time that a model's load takes
+	AdapterLoad time.Duration // time that an adapter's load takes
+	Horizon     time.Duration // time in which a move must repay its cost
+	Utilization float64       // share of a worker that demand may fill before another replica is wanted
+	MaxLoads    int           // models loaded by one plan; 0 means no limit
+}
+
+// DefaultWeights hold attainment and moves alike.
+var DefaultWeights = Weights{
+	Attainment:  1,
+	Moves:       1,
+	ModelLoad:   8 * time.Second,
+	AdapterLoad: 10 * time.Millisecond,
+	Horizon:     2 * time.Minute,
+	Utilization: 0.5,
 }
 
 // Move loads or unloads one artifact at one worker.
@@ -57,46 +73,112 @@
 	Reason   string
 }
 
-// Plan returns the moves that bring every item to its least number of
-// replicas, in the order in which they should be made.
-func Plan(cell Cell, _ []Demand, w Weights, _ time.Time) []Move {
-	free := map[string]int64{}
-	holds := map[string]map[wire.Artifact]bool{}
-	for _, worker := range cell.Workers {
-		free[worker.Name] = worker.FreeBytes
-		holds[worker.Name] = map[wire.Artifact]bool{}
-		for _, a := range worker.Residents {
-			holds[worker.Name][a] = true
+// Reasons of moves.
+const (
+	ReasonUnreachable = "declared and resident nowhere"
+	ReasonReplicas    = "below its least number of replicas"
+	ReasonZones       = "all replicas in one availability zone"
+	ReasonDemand      = "demand exceeds its replicas"
+	ReasonSuperseded  = "no longer declared"
+	ReasonRoom        = "makes room"
+)
+
+// Plan returns the moves that make every item reachable, bring it to its least
+// number of replicas and follow demand where a move repays its cost. They are
+// in the order in which they should be made. Equal inputs give equal plans.
+func Plan(cell Cell, demand []Demand, w Weights, _ time.Time) []Move {
+	if w == (Weights{}) {
+		w = DefaultWeights
+	}
+	p := newPlanner(cell, demand, w)
+	p.dropSuperseded()
+	p.reachModels()
+	p.replicate()
+	p.spreadOverZones()
+	p.followDemand()
+	p.reachAdapters()
+	return p.moves
+}
+
+// value is what a replica saves: the load that the busiest resident worker
+// carries less, over the horizon.
+func (p *planner) value(i int, replicas int) float64 {
+	u := p.items[i].use
+	if replicas < 1 {
+		return u * p.w.Horizon.Seconds() * p.w.Attainment
+	}
+	saved := u/float64(replicas) - u/float64(replicas+1)
+	return saved * p.w.Horizon.Seconds() * p.w.Attainment
+}
+
+// price is what loading an item costs.
+func (p *planner) price(i int) float64 {
+	load := p.w.ModelLoad
+	if p.items[i].Artifact.Kind == wire.KindAdapter {
+		load = p.w.AdapterLoad
+	}
+	return load.Seconds() * p.w.Moves
+}
+
+// reachModels loads every model that is resident nowhere, with room for its
+// adapters where there is some.
+func (p *planner) reachModels() {
+	for _, i := range p.models {
+		if len(p.items[i].at) > 0 {
+			continue
+		}
+		if !p.place(i, p.bundle(i), ReasonUnreachable) {
+			p.place(i, p.items[i].Bytes, ReasonUnreachable)
 		}
 	}
-	var moves []Move
-	for _, item := range cell.Items {
-		moves = append(moves, missing(cell, item, free, holds, w)...)
+}
+
+// replicate brings models to their least number of replicas.
+func (p *planner) replicate() {
+	for _, i := range p.models {
+		for len(p.items[i].at) < max(p.items[i].Replicas, 1) {
+			if !p.place(i, p.bundle(i), ReasonReplicas) {
+				break
+			}
+		}
 	}
-	return moves
 }
 
-func missing(cell Cell, item Item, free map[string]int64, holds map[string]map[wire.Artifact]bool, w Weights) []Move {
-	want := max(item.Replicas, 1)
-	for _, worker := range cell.Workers {
-		if worker.Serving && holds[worker.Name][item.Artifact] {
-			want--
+// spreadOverZones gives models a second availability zone in pools whose
+// memory holds everything twice.
+func (p *planner) spreadOverZones() {
+	for _, i := range p.models {
+		it := &p.items[i]
+		if len(it.at) > 0 && p.spread[it.Pool] && p.oneZone(i) {
+			p.place(i, p.bundle(i), ReasonZones)
 		}
 	}
-	var moves []Move
-	for _, worker := range cell.Workers {
-		if want <= 0 {
-			break
+}
+
+// followDemand adds replicas to the models whose replicas are busiest, as long
+// as each repays its cost.
+func (p *planner) followDemand() {
+	for _, i := range p.models {
+		it := &p.items[i]
+		for len(it.at) > 0 && it.use > p.w.Utilization*float64(len(it.at)) {
+			if !p.place(i, p.bundle(i), ReasonDemand) {
+				break
+			}
 		}
-		fits := worker.Serving && worker.Pool == item.Pool && !holds[worker.Name][item.Artifact] && free[worker.Name] >= item.Bytes
-		hasBase := item.Base == item.Artifact || holds[worker.Name][item.Base]
-		if !fits || !hasBase {
-			continue
+	}
+}
+
+// reachAdapters loads every adapter that is resident nowhere beside its base
+// model. Further replicas are loaded by the requests that need them.
+func (p *planner) reachAdapters() {
+	for _, i := range p.adapters {
+		if len(p.items[i].at) == 0 {
+			p.place(i, p.items[i].Bytes, ReasonUnreachable)
 		}
-		free[worker.Name] -= item.Bytes
-		holds[worker.Name][item.Artifact] = true
-		moves = append(moves, Move{Worker: worker.Name, Artifact: item.Artifact, Cost: w.Moves, Gain: w.Attainment, Reason: "below its least number of replicas"})
-		want--
 	}
-	return moves
+}
+
+// bundle returns the bytes of a model with all of its adapters.
+func (p *planner) bundle(i int) int64 {
+	return p.items[i].Bytes + p.items[i].adapterBytes
 }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,192 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotchute.example/common/wire"
+)
+
+var planTime = time.Unix(1000, 0)
+
+func item(name, version string, bytes int64) Item {
+	a := artifact(name, version)
+	return Item{Artifact: a, Base: a, Pool: "p", Bytes: bytes}
+}
+
+func adapterOf(base Item, name string, bytes int64) Item {
+	a := wire.Artifact{Kind: wire.KindAdapter, Name: name, Version: "1"}
+	return Item{Artifact: a, Base: base.Artifact, Pool: base.Pool, Bytes: bytes}
+}
+
+func workers(n int, memory int64) []Worker {
+	out := make([]Worker, n)
+	for i := range out {
+		out[i] = Worker{Name: fmt.Sprintf("w%02d", i), Zone: fmt.Sprintf("z%d", i%3), Pool: "p", MemoryBytes: memory, FreeBytes: memory, Serving: true}
+	}
+	return out
+}
+
+// carryOut applies moves to a cell and fails on one that overcommits.
+func carryOut(t assert.TestingT, cell Cell, moves []Move) Cell {
+	bytes := map[wire.Artifact]int64{}
+	for _, it := range cell.Items {
+		bytes[it.Artifact] = it.Bytes
+	}
+	for _, m := range moves {
+		for n := range cell.Workers {
+			w := &cell.Workers[n]
+			if w.Name != m.Worker {
+				continue
+			}
+			if m.Unload {
+				w.Residents = dropArtifact(w.Residents, m.Artifact)
+				w.FreeBytes += bytes[m.Artifact]
+				continue
+			}
+			w.Residents = append(w.Residents, m.Artifact)
+			w.FreeBytes -= bytes[m.Artifact]
+			assert.Assert(t, w.FreeBytes >= 0, "%s overcommitted by %v", w.Name, m)
+		}
+	}
+	return cell
+}
+
+func dropArtifact(list []wire.Artifact, a wire.Artifact) []wire.Artifact {
+	var out []wire.Artifact
+	for _, r := range list {
+		if r != a {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func replicas(cell Cell, a wire.Artifact) int {
+	count := 0
+	for _, w := range cell.Workers {
+		for _, r := range w.Residents {
+			if r == a {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func TestPlanMakesEveryItemReachableWithoutOvercommit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var cell Cell
+		var demand []Demand
+		models := rapid.IntRange(1, 12).Draw(t, "models")
+		for i := range models {
+			m := item(fmt.Sprintf("m%02d", i), "1", int64(rapid.IntRange(5, 20).Draw(t, "bytes")))
+			cell.Items = append(cell.Items, m)
+			cell.Items = append(cell.Items, adapterOf(m, fmt.Sprintf("a%02d", i), 1))
+			demand = append(demand, Demand{Artifact: m.Artifact, Rate: rapid.Float64Range(0, 30).Draw(t, "rate"), Service: 100 * time.Millisecond})
+		}
+		cell.Workers = workers(rapid.IntRange(6, 10).Draw(t, "workers"), 60)
+		for range 3 {
+			cell = carryOut(t, cell, Plan(cell, demand, Weights{}, planTime))
+		}
+		for _, it := range cell.Items {
+			assert.Assert(t, replicas(cell, it.Artifact) > 0, "%s is resident nowhere", it.Artifact)
+		}
+		assert.Equal(t, len(Plan(cell, demand, Weights{}, planTime)), 0, "a plan carried out leaves nothing to do")
+	})
+}
+
+func TestPlanFollowsDemandOnlyWhenItRepays(t *testing.T) {
+	hot, cold := item("hot", "1", 50), item("cold", "1", 50)
+	other, rest := item("other", "1", 50), item("rest", "1", 50)
+	cell := Cell{Items: []Item{hot, cold, other, rest}, Workers: workers(6, 50)}
+	demand := []Demand{{Artifact: hot.Artifact, Rate: 10, Service: 200 * time.Millisecond}}
+	cell = carryOut(t, cell, Plan(cell, demand, Weights{}, planTime))
+	assert.Assert(t, replicas(cell, hot.Artifact) == 3, "%d", replicas(cell, hot.Artifact))
+	dear := DefaultWeights
+	dear.Moves = 1000
+	cell = Cell{Items: cell.Items, Workers: workers(6, 50)}
+	cell = carryOut(t, cell, Plan(cell, demand, dear, planTime))
+	assert.Equal(t, replicas(cell, hot.Artifact), 1)
+}
+
+func TestPlanTakesASurplusReplicaForAModelThatIsNowhere(t *testing.T) {
+	a, b := item("a", "1", 50), item("b", "1", 50)
+	cell := Cell{Items: []Item{a, b}, Workers: workers(2, 50)}
+	for n := range cell.Workers {
+		cell.Workers[n].Residents = []wire.Artifact{a.Artifact}
+		cell.Workers[n].FreeBytes = 0
+	}
+	cell = carryOut(t, cell, Plan(cell, nil, Weights{}, planTime))
+	assert.Equal(t, replicas(cell, a.Artifact), 1)
+	assert.Equal(t, replicas(cell, b.Artifact), 1)
+}
+
+func TestPlanKeepsTheOldVersionUntilTheNewOneIsThere(t *testing.T) {
+	cell := Cell{Items: []Item{item("m", "2", 50)}, Workers: workers(2, 50)}
+	cell.Workers[0].Residents = []wire.Artifact{artifact("m", "1")}
+	cell.Workers[0].FreeBytes = 0
+	moves := Plan(cell, nil, Weights{}, planTime)
+	assert.Equal(t, len(moves), 1)
+	assert.Equal(t, moves[0].Worker, "w01")
+	cell.Workers[1].Residents = []wire.Artifact{artifact("m", "2")}
+	cell.Workers[1].FreeBytes = 0
+	moves = Plan(cell, nil, Weights{}, planTime)
+	assert.Equal(t, len(moves), 1)
+	assert.Assert(t, moves[0].Unload)
+}
+
+func TestPlanSpreadsOverZonesWhereMemoryAllows(t *testing.T) {
+	m := item("m", "1", 10)
+	cell := Cell{Items: []Item{m}, Workers: workers(3, 50)}
+	cell = carryOut(t, cell, Plan(cell, nil, Weights{}, planTime))
+	assert.Equal(t, replicas(cell, m.Artifact), 2)
+}
+
+func TestDemandRisesFastAndFallsSlowly(t *testing.T) {
+	e := NewEstimator(1)
+	a := artifact("m", "1")
+	now := planTime
+	observe := func(count, seconds int) float64 {
+		for range seconds {
+			now = now.Add(time.Second)
+			e.Observe(map[wire.Artifact]int{a: count}, now)
+		}
+		return e.Rates()[0].Rate
+	}
+	e.Observe(nil, now)
+	assert.Assert(t, observe(10, 10) > 9)
+	assert.Assert(t, observe(0, 10) > 8)
+	assert.Assert(t, observe(0, 600) < 1)
+}
+
+func BenchmarkPlan(b *testing.B) {
+	var cell Cell
+	var demand []Demand
+	for i := range 500 {
+		m := item(fmt.Sprintf("m%04d", i), "1", 8)
+		cell.Items = append(cell.Items, m)
+		demand = append(demand, Demand{Artifact: m.Artifact, Rate: 20 / float64(i+1), Service: 200 * time.Millisecond})
+		for j := range 3 {
+			if len(cell.Items) < 1900 {
+				cell.Items = append(cell.Items, adapterOf(m, fmt.Sprintf("a%04d-%d", i, j), 1))
+			}
+		}
+	}
+	cell.Workers = workers(32, 300)
+	b.Run("from nothing", func(b *testing.B) {
+		for b.Loop() {
+			Plan(cell, demand, Weights{}, planTime)
+		}
+	})
+	cell = carryOut(b, cell, Plan(cell, demand, Weights{}, planTime))
+	b.Run("steady", func(b *testing.B) {
+		for b.Loop() {
+			Plan(cell, demand, Weights{}, planTime)
+		}
+	})
+}
