--- a/placement/place.go
+++ b/placement/place.go
@@ -21,7 +21,7 @@
 	best := option{worker: -1}
 	for n := range p.workers {
 		o, ok := p.option(i, n, room, evict)
-		if ok && (best.worker < 0 || p.better(i, o, best)) {
+		if ok && (best.worker < 0 || p.better(i, o, best, reason)) {
 			best = o
 		}
 	}
@@ -118,12 +118,17 @@
 }
 
 // better orders options: least loss, then a zone without the item, then the
-// least loaded worker, then the most free memory, then the name.
-func (p *planner) better(i int, a, b option) bool {
+// least loaded worker, then the most free memory, then the name. For what is
+// resident nowhere memory goes before load, since packing it decides whether
+// everything fits.
+func (p *planner) better(i int, a, b option, reason string) bool {
 	x, y := &p.workers[a.worker], &p.workers[b.worker]
 	if a.loss != b.loss {
 		return a.loss < b.loss
 	}
+	if reason == ReasonUnreachable && x.free != y.free {
+		return x.free > y.free
+	}
 	if za, zb := p.zoneCount(i, x.Zone), p.zoneCount(i, y.Zone); za != zb {
 		return za < zb
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,6 +3,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"peridotchute.example/common/wire"
@@ -121,9 +123,12 @@
 }
 
 // reachModels loads every model that is resident nowhere, with room for its
-// adapters where there is some.
+// adapters where there is some. The largest come first, since they fit in
+// fewest places.
 func (p *planner) reachModels() {
-	for _, i := range p.models {
+	bySize := slices.Clone(p.models)
+	slices.SortStableFunc(bySize, func(a, b int) int { return cmp.Compare(p.bundle(b), p.bundle(a)) })
+	for _, i := range bySize {
 		if len(p.items[i].at) > 0 {
 			continue
 		}
