The whole path, thin, in separate processes

The entry (caller API, forwarder, dispatcher, pool, follower), the side process (gate, reports, follower) and the stand-ins are programs of their own; 'peridotchute dev' runs all of them in one process on loopback. Ruled out: httputil.ReverseProxy (a ready-made proxy); forwarding bytes of a stream as they come (a cut in the middle of an event could not be resumed). A stream cut at every byte leaves whole events only (test).

--- /dev/null
+++ b/cmd/peridotchute/dev/dev.go
@@ -0,0 +1,276 @@
+// Package dev runs the whole system in one process on loopback, with stand-ins
+// for the platform and the backend servers.
+package dev
+
+import (
+	"context"
+	"crypto/rand"
+	_ "embed"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"peridotchute.example/common/settings"
+	"peridotchute.example/config"
+	"peridotchute.example/config/publish"
+	"peridotchute.example/entry"
+	"peridotchute.example/platform"
+	"peridotchute.example/side"
+	"peridotchute.example/standin/server"
+	"peridotchute.example/standin/vmlist"
+)
+
+const (
+	callerAddress = "127.0.0.1:8080"
+	adminAddress  = "127.0.0.1:8081"
+	callerKey     = "dev-caller-key"
+	zone          = "scot-east-a"
+	region        = "scot-east"
+	tableName     = "peridotchute"
+	bucket        = "peridotchute"
+	engineMemory  = 24_000_000_000 // bytes, as declared in sample.json
+	settleMS      = 500            // the stand-in engine begins each order at once
+	startTimeout  = 30 * time.Second
+	stopTimeout   = 30 * time.Second
+	keyBytes      = 32
+)
+
+//go:embed sample.json
+var sample []byte
+
+// Command returns the subcommand dev.
+func Command() *cobra.Command {
+	return &cobra.Command{
+		Use:   "dev",
+		Short: "Run the whole system on loopback, with stand-ins",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return Run(ctx, cmd.OutOrStdout())
+		},
+	}
+}
+
+// Run starts everything, prints what to try, and stops everything when ctx ends.
+func Run(ctx context.Context, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "peridotchute-dev-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	keyFile, err := writeKey(dir)
+	if err != nil {
+		return err
+	}
+	l, err := newLayout(keyFile)
+	if err != nil {
+		return err
+	}
+	stop, err := l.start(ctx)
+	defer stop()
+	if err != nil {
+		return err
+	}
+	printHelp(out)
+	<-ctx.Done()
+	return nil
+}
+
+func writeKey(dir string) (string, error) {
+	raw := make([]byte, keyBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "deployment.key")
+	return path, os.WriteFile(path, []byte(hex.EncodeToString(raw)+"\n"), 0o600)
+}
+
+// layout is the settings of every process.
+type layout struct {
+	standIns server.Settings
+	sides    []side.Settings
+	entry    entry.Settings
+}
+
+func newLayout(keyFile string) (*layout, error) {
+	ports, err := freeAddresses(16)
+	if err != nil {
+		return nil, err
+	}
+	next := func() string {
+		p := ports[0]
+		ports = ports[1:]
+		return p
+	}
+	l := &layout{standIns: server.Settings{
+		TableAddress:  next(),
+		ObjectAddress: next(),
+		VMListAddress: next(),
+		Engines: []server.EngineSetting{
+			{Name: "engine-1", Address: next(), MemoryBytes: engineMemory, TimeScale: 1},
+			{Name: "engine-2", Address: next(), MemoryBytes: engineMemory, TimeScale: 1},
+		},
+		Plain: []server.PlainSetting{{Name: "bookings", Address: next()}},
+	}}
+	for i, e := range l.standIns.Engines {
+		backend := side.BackendSetting{Kind: "engine", URL: "http://" + e.Address, MemoryBytes: engineMemory, SettleMS: settleMS}
+		l.sides = append(l.sides, sideSettings(fmt.Sprintf("assistant-%d", i+1), "assistant", keyFile, backend, next))
+	}
+	plain := side.BackendSetting{Kind: "plain", URL: "http://" + l.standIns.Plain[0].Address}
+	l.sides = append(l.sides, sideSettings("till-1", "till", keyFile, plain, next))
+	l.entry = l.entrySettings(keyFile, next())
+	return l, nil
+}
+
+func sideSettings(name, pool, keyFile string, backend side.BackendSetting, next func() string) side.Settings {
+	return side.Settings{
+		Name:              name,
+		Region:            region,
+		Zone:              zone,
+		Pool:              pool,
+		DataAddress:       next(),
+		RPCAddress:        next(),
+		AdminAddress:      next(),
+		DeploymentKeyFile: keyFile,
+		Backend:           backend,
+	}
+}
+
+func (l *layout) entrySettings(keyFile, rpcAddress string) entry.Settings {
+	return entry.Settings{
+		Name:              "entry-1",
+		Region:            region,
+		Zone:              zone,
+		CallerAddress:     callerAddress,
+		AdminAddress:      adminAddress,
+		RPCAddress:        rpcAddress,
+		DeploymentKeyFile: keyFile,
+		Table:             platform.TableSettings{URL: "http://" + l.standIns.TableAddress, Name: tableName},
+		Objects:           platform.ObjectSettings{URL: "http://" + l.standIns.ObjectAddress, Bucket: bucket},
+		VMList:            platform.VMSettings{URL: "http://" + l.standIns.VMListAddress, IntervalMS: 1000},
+	}
+}
+
+// start runs the applications in order and returns the function that stops
+// those that were started, in reverse order.
+func (l *layout) start(ctx context.Context) (func(), error) {
+	var apps []*fx.App
+	stop := func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		for i := len(apps) - 1; i >= 0; i-- {
+			_ = apps[i].Stop(ctx)
+		}
+	}
+	run := func(module fx.Option) error {
+		app := newApp(module)
+		ctx, cancel := context.WithTimeout(ctx, startTimeout)
+		defer cancel()
+		if err := app.Start(ctx); err != nil {
+			return err
+		}
+		apps = append(apps, app)
+		return nil
+	}
+	if err := run(server.Module(l.standIns)); err != nil {
+		return stop, err
+	}
+	if err := l.fillPlatform(ctx); err != nil {
+		return stop, err
+	}
+	for _, s := range l.sides {
+		if err := run(side.Module(s)); err != nil {
+			return stop, err
+		}
+	}
+	return stop, run(entry.Module(l.entry))
+}
+
+func newApp(module fx.Option) *fx.App {
+	log := logrus.New()
+	log.SetLevel(logrus.WarnLevel)
+	return fx.New(
+		module,
+		fx.Provide(func() logrus.FieldLogger { return log }),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+}
+
+// fillPlatform lists the VMs and accepts the sample configuration.
+func (l *layout) fillPlatform(ctx context.Context) error {
+	var declared config.Configuration
+	if err := settings.Decode("sample.json", sample, &declared); err != nil {
+		return err
+	}
+	if err := vmlist.Put(ctx, l.standIns.VMListAddress, l.vms()); err != nil {
+		return err
+	}
+	table := platform.NewTable(l.entry.Table)
+	objects := platform.NewObjects(l.entry.Objects)
+	_, err := publish.New(table, objects).Accept(ctx, publish.Change{
+		Declared: &declared,
+		ChangeID: uuid.Must(uuid.NewV7()).String(),
+		Author:   "dev",
+		At:       time.Now(),
+	})
+	return err
+}
+
+func (l *layout) vms() []platform.VM {
+	var out []platform.VM
+	for _, s := range l.sides {
+		out = append(out, platform.VM{
+			Name:        s.Name,
+			Role:        "backend",
+			Zone:        s.Zone,
+			Pool:        s.Pool,
+			DataAddress: s.DataAddress,
+			RPCAddress:  s.RPCAddress,
+			State:       platform.VMLive,
+		})
+	}
+	return out
+}
+
+// freeAddresses returns n loopback addresses that nothing listens on.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	return out, nil
+}
+
+func printHelp(out io.Writer) {
+	fmt.Fprintf(out, `peridotchute runs on loopback; Ctrl-C stops it.
+
+callers         http://%s
+administration  http://%s
+
+Ask a model for a streamed answer:
+
+  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model": "fly-patterns", "stream": true, "max_tokens": 24, "messages": [{"role": "user", "content": "Which fly for the Tay in April?"}]}'
+
+Book a beat, at most once:
+
+  curl -i http://%s/services/bookings/beats -H 'Authorization: Bearer %s' -H 'Idempotency-Key: booking-1' -d '{"beat": "Upper Murthly"}'
+`, callerAddress, adminAddress, callerAddress, callerKey, callerAddress, callerKey)
+}
--- /dev/null
+++ b/entry/caller/caller.go
@@ -0,0 +1,181 @@
+// Package caller serves the callers' HTTP API: OpenAI-compatible inference and
+// plain services. It checks the request, resolves what it asks for and hands
+// it on.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/config"
+	"peridotchute.example/entry/dispatch"
+)
+
+// Backend answers a request on w, or returns the failure to be written.
+type Backend interface {
+	Serve(ctx context.Context, w http.ResponseWriter, req dispatch.Request) *wire.Failure
+}
+
+const (
+	maxKeyLength     = 255 // of Idempotency-Key, in characters
+	headerTimeout    = "X-Request-Timeout-Ms"
+	codeInvalidJSON  = "invalid_json"
+	codeInvalidKey   = "invalid_api_key"
+	codeNoModel      = "model_not_found"
+	codeNoService    = "service_not_found"
+	codeTooLarge     = "request_too_large"
+	codeNotReady     = "not_ready"
+	codeBadHeader    = "invalid_header"
+	codeReadFailed   = "body_unreadable"
+	notReadyRetry    = 2 * time.Second
+	bearerPrefix     = "Bearer "
+	maxRequestIDSize = 128
+)
+
+// API is the callers' API.
+type API struct {
+	holder  *config.Holder
+	backend Backend
+}
+
+// New returns the API over the configuration in force.
+func New(holder *config.Holder, backend Backend) *API {
+	return &API{holder: holder, backend: backend}
+}
+
+// Handler returns the API's routes.
+func (a *API) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.HandleFunc("/v1/chat/completions", a.inference).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", a.inference).Methods(http.MethodPost)
+	r.HandleFunc("/v1/models", a.models).Methods(http.MethodGet)
+	r.PathPrefix("/services/{service}").HandlerFunc(a.service)
+	return r
+}
+
+// request is what every route establishes first.
+type request struct {
+	id    string
+	index *config.Index
+	team  config.Team
+	body  []byte
+}
+
+// open names the request, authenticates its caller and reads its body. After a
+// failure the response is complete.
+func (a *API) open(w http.ResponseWriter, r *http.Request) (*request, bool) {
+	req := &request{id: requestID(r), index: a.holder.Current()}
+	w.Header().Set(wire.HeaderRequestID, req.id)
+	if f := a.check(req, r); f != nil {
+		f.Write(w)
+		return nil, false
+	}
+	body, f := readBody(w, r, req.index.Configuration.Policy.BodyLimit())
+	if f != nil {
+		f.Write(w)
+		return nil, false
+	}
+	req.body = body
+	return req, true
+}
+
+func (a *API) check(req *request, r *http.Request) *wire.Failure {
+	if req.index == nil {
+		return wire.NewFailure(http.StatusServiceUnavailable, wire.OutcomeNotRun, codeNotReady, "no configuration is in force yet").After(notReadyRetry)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	if !ok {
+		return wire.NewFailure(http.StatusUnauthorized, wire.OutcomeNotRun, codeInvalidKey, "the header Authorization: Bearer is missing")
+	}
+	req.team, ok = req.index.TeamOf(strings.TrimSpace(key))
+	if !ok {
+		return wire.NewFailure(http.StatusUnauthorized, wire.OutcomeNotRun, codeInvalidKey, "the API key is not known")
+	}
+	return checkIdempotencyKey(r)
+}
+
+func checkIdempotencyKey(r *http.Request) *wire.Failure {
+	values := r.Header.Values(wire.HeaderIdempotency)
+	if len(values) == 0 {
+		return nil
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyLength || !printable(values[0]) {
+		return wire.NewFailure(http.StatusBadRequest, wire.OutcomeNotRun, codeBadHeader, "%s must be one value of 1 to %d printable ASCII characters", wire.HeaderIdempotency, maxKeyLength)
+	}
+	return nil
+}
+
+func printable(s string) bool {
+	for _, c := range []byte(s) {
+		if c < 0x20 || c > 0x7e {
+			return false
+		}
+	}
+	return true
+}
+
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(wire.HeaderRequestID); id != "" && len(id) <= maxRequestIDSize && printable(id) {
+		return id
+	}
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *wire.Failure) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, wire.NewFailure(http.StatusRequestEntityTooLarge, wire.OutcomeNotRun, codeTooLarge, "the body is longer than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, wire.NewFailure(http.StatusBadRequest, wire.OutcomeNotRun, codeReadFailed, "the body could not be read")
+	}
+	return body, nil
+}
+
+// deadline returns when the caller gives up, by its own header or the default.
+func deadline(r *http.Request, p config.Policy) time.Time {
+	wait := p.Deadline()
+	if ms, err := strconv.Atoi(r.Header.Get(headerTimeout)); err == nil && ms > 0 {
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	return time.Now().Add(wait)
+}
+
+// modelList is the body of GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (a *API) models(w http.ResponseWriter, r *http.Request) {
+	req, ok := a.open(w, r)
+	if !ok {
+		return
+	}
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for _, m := range req.index.Configuration.Models {
+		list.Data = append(list.Data, modelInfo{ID: m.Name, Object: "model", OwnedBy: "peridotchute"})
+	}
+	for _, ad := range req.index.Configuration.Adapters {
+		list.Data = append(list.Data, modelInfo{ID: ad.Name, Object: "model", OwnedBy: "peridotchute"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/entry/caller/service.go
@@ -0,0 +1,51 @@
+package caller
+
+import (
+	"net/http"
+	"path"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/entry/dispatch"
+)
+
+// servicePath returns the decoded, cleaned path at the service, so that an
+// encoded spelling of a declared path is still found.
+func servicePath(r *http.Request, name string) string {
+	return path.Clean("/" + strings.TrimPrefix(r.URL.Path, "/services/"+name))
+}
+
+// service passes a call on to a plain service, without the prefix that names it.
+func (a *API) service(w http.ResponseWriter, r *http.Request) {
+	req, ok := a.open(w, r)
+	if !ok {
+		return
+	}
+	name := mux.Vars(r)["service"]
+	service, ok := req.index.Service(name)
+	if !ok {
+		wire.NewFailure(http.StatusNotFound, wire.OutcomeNotRun, codeNoService, "the service %q does not exist", name).Write(w)
+		return
+	}
+	uri := strings.TrimPrefix(r.URL.RequestURI(), "/services/"+name)
+	if !strings.HasPrefix(uri, "/") {
+		uri = "/" + uri
+	}
+	f := a.backend.Serve(r.Context(), w, dispatch.Request{
+		ID:         req.id,
+		Team:       req.team.Name,
+		Priority:   req.team.Priority,
+		Pool:       service.Pool,
+		Method:     r.Method,
+		Path:       uri,
+		Type:       r.Header.Get("Content-Type"),
+		Body:       req.body,
+		Idempotent: !service.NonIdempotent(r.Method, servicePath(r, name)),
+		Deadline:   deadline(r, req.index.Configuration.Policy),
+	})
+	if f != nil {
+		f.Write(w)
+	}
+}
--- /dev/null
+++ b/entry/dispatch/dispatch.go
@@ -0,0 +1,267 @@
+// Package dispatch carries one request to a backend server: it chooses the
+// server, retries idempotent work elsewhere, and relays the answer.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"peridotchute.example/common/event"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/wire"
+	"peridotchute.example/config"
+	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/pool"
+	"peridotchute.example/routing"
+)
+
+const (
+	maxAttempts       = 3
+	unavailableRetry  = time.Second // told to callers when no server is in reach
+	codeNoServer      = "no_server"
+	codeUpstream      = "upstream_failed"
+	codeDeadline      = "deadline_exceeded"
+	minimumLeft       = 5 * time.Millisecond // less than this left is no time for an attempt
+	headerAcceptValue = "*/*"
+)
+
+// Request is one request of a caller, ready to be sent.
+type Request struct {
+	ID         string
+	Team       string
+	Priority   int
+	Pool       string
+	Served     *config.Served // nil for plain services
+	Method     string
+	Path       string // at the backend server, with query
+	Type       string // content type of Body
+	Body       []byte
+	Stream     bool
+	Idempotent bool
+	Deadline   time.Time
+	LastID     string // caller resumes a stream after this event
+}
+
+// Options configure a Dispatcher.
+type Options struct {
+	Pool      *pool.Pool
+	Forwarder *forward.Forwarder
+	Region    string
+	Zone      string
+	Seed      uint64
+	Log       logrus.FieldLogger
+}
+
+// Dispatcher serves requests.
+type Dispatcher struct {
+	opts Options
+	mu   sync.Mutex
+	rnd  *rand.Rand
+}
+
+// New returns a dispatcher whose random choices follow from Seed.
+func New(opts Options) *Dispatcher {
+	return &Dispatcher{opts: opts, rnd: rand.New(rand.NewPCG(opts.Seed, opts.Seed))}
+}
+
+// Serve answers the request on w. A failure that it returns has not been
+// written; nil means that w holds the answer.
+func (d *Dispatcher) Serve(ctx context.Context, w http.ResponseWriter, req Request) *wire.Failure {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	run := &run{d: d, req: req, relay: forward.NewRelay(w), w: w}
+	attempts := maxAttempts
+	if !req.Idempotent {
+		attempts = 1
+	}
+	for range attempts {
+		if !run.attempt(ctx) {
+			break
+		}
+	}
+	return run.result()
+}
+
+// choose picks the server of the next attempt.
+func (d *Dispatcher) choose(req Request, exclude string) (*pool.Server, error) {
+	candidates := d.opts.Pool.Candidates(req.Pool, req.Served)
+	want := routing.Request{
+		Region:      d.opts.Region,
+		Zone:        d.opts.Zone,
+		PromptBytes: len(req.Body),
+		Deadline:    time.Until(req.Deadline),
+		Exclude:     exclude,
+	}
+	d.mu.Lock()
+	choice, err := routing.Choose(candidates, want, time.Now(), d.rnd)
+	d.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	server, ok := d.opts.Pool.Server(choice.Server.Name)
+	if !ok {
+		return nil, routing.ErrNoServer
+	}
+	return server, nil
+}
+
+// run is one request on its way.
+type run struct {
+	d       *Dispatcher
+	req     Request
+	relay   *forward.Relay
+	w       http.ResponseWriter
+	exclude string
+	failure *wire.Failure
+	maySent bool // some attempt may have reached a backend server
+	served  bool
+}
+
+// attempt sends the request once and reports whether another attempt makes sense.
+func (r *run) attempt(ctx context.Context) bool {
+	if time.Until(r.req.Deadline) < minimumLeft {
+		r.fail(http.StatusGatewayTimeout, codeDeadline, "the deadline has passed")
+		return false
+	}
+	server, err := r.d.choose(r.req, r.exclude)
+	if err != nil {
+		r.fail(http.StatusServiceUnavailable, codeNoServer, "no backend server of pool %q is in reach", r.req.Pool)
+		return false
+	}
+	end := server.Begin()
+	vm := server.VM()
+	err = r.exchange(ctx, server, vm.DataAddress)
+	end(err == nil)
+	if err == nil {
+		r.served = true
+		return false
+	}
+	r.exclude = vm.Name
+	return r.judge(ctx, err, vm.Name)
+}
+
+// judge records a failed attempt and reports whether to try again.
+func (r *run) judge(ctx context.Context, err error, peer string) bool {
+	event.Log(r.d.opts.Log, event.AttemptFailed, event.Request(r.req.ID), event.Peer(peer), event.Err(err))
+	if !fault.Is(err, fault.KindUnavailable) {
+		r.maySent = true
+	}
+	var told *wire.Failure
+	if errors.As(err, &told) {
+		r.failure = told
+	} else {
+		r.fail(http.StatusBadGateway, codeUpstream, "the backend server failed: %s", fault.KindOf(err))
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		r.fail(http.StatusGatewayTimeout, codeDeadline, "the deadline has passed")
+	}
+	return ctx.Err() == nil
+}
+
+// exchange performs one attempt at one server.
+func (r *run) exchange(ctx context.Context, server *pool.Server, address string) error {
+	resp, err := r.d.opts.Forwarder.Send(ctx, address, r.call())
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if load, err := wire.ParseLoad(resp.Header.Get(wire.HeaderLoad)); err == nil {
+		server.Observe(load, time.Now())
+	}
+	if notRun(resp) {
+		return r.refused(resp, address)
+	}
+	if forward.IsStream(resp) {
+		return r.stream(resp, address)
+	}
+	return r.whole(resp, address)
+}
+
+func (r *run) call() forward.Call {
+	c := forward.Call{
+		Method:      r.req.Method,
+		Path:        r.req.Path,
+		ContentType: r.req.Type,
+		Accept:      headerAcceptValue,
+		Body:        r.req.Body,
+		RequestID:   r.req.ID,
+		Team:        r.req.Team,
+		Priority:    r.req.Priority,
+		Deadline:    r.req.Deadline,
+		LastEventID: r.req.LastID,
+	}
+	if r.req.Served != nil {
+		c.Artifact = r.req.Served.Artifact
+	}
+	if id := r.relay.LastID(); id != "" {
+		c.LastEventID = id
+	}
+	return c
+}
+
+// notRun reports whether the side process itself refused the request.
+func notRun(resp *http.Response) bool {
+	return resp.Header.Get(wire.HeaderOutcome) == string(wire.OutcomeNotRun)
+}
+
+// refused turns a refusal of the side process into an error after which
+// nothing was run there.
+func (r *run) refused(resp *http.Response, address string) error {
+	answer, err := forward.ReadAnswer(resp, address)
+	if err != nil {
+		return fault.New(fault.KindUnavailable, "forward.refused", address, err)
+	}
+	return fault.New(fault.KindUnavailable, "forward.refused", address, failureOf(answer))
+}
+
+func (r *run) whole(resp *http.Response, address string) error {
+	answer, err := forward.ReadAnswer(resp, address)
+	if err != nil {
+		return err
+	}
+	if answer.Status >= http.StatusInternalServerError && r.req.Idempotent {
+		return fault.New(fault.KindUnknown, "forward.answer", address, failureOf(answer))
+	}
+	answer.Write(r.w, wire.OutcomeCompleted)
+	return nil
+}
+
+func (r *run) stream(resp *http.Response, address string) error {
+	err := r.relay.Copy(resp.Body)
+	switch {
+	case err == nil:
+		r.relay.Finish(wire.OutcomeCompleted)
+		return nil
+	case forward.CallerGone(err):
+		return fault.New(fault.KindCanceled, "forward.stream", address, err)
+	default:
+		return fault.New(fault.KindUnknown, "forward.stream", address, err)
+	}
+}
+
+func (r *run) fail(status int, code, format string, args ...any) {
+	r.failure = wire.NewFailure(status, "", code, format, args...).After(unavailableRetry)
+}
+
+// result returns the failure to be written, or nil when the caller has its
+// answer. A stream that had begun is cut.
+func (r *run) result() *wire.Failure {
+	if r.served {
+		return nil
+	}
+	if r.relay.Started() {
+		event.Log(r.d.opts.Log, event.StreamCut, event.Request(r.req.ID))
+		r.relay.Abort()
+	}
+	r.failure.Outcome = wire.OutcomeNotRun
+	if r.maySent {
+		r.failure.Outcome = wire.OutcomeUnknown
+	}
+	return r.failure
+}
--- /dev/null
+++ b/entry/forward/forward.go
@@ -0,0 +1,177 @@
+// Package forward sends requests from the entry to side processes and relays
+// their answers to callers. An answer that was cut never looks finished.
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/wire"
+)
+
+const (
+	dialTimeout      = time.Second
+	idlePerServer    = 64 // idle connections kept to each side process
+	idleTimeout      = 60 * time.Second
+	maxAnswerBytes   = 64 << 20 // longest answer that is not streamed
+	stepSend         = "forward.send"
+	contentTypeSSE   = "text/event-stream"
+	headerAccept     = "Accept"
+	headerType       = "Content-Type"
+	headerRetryAfter = "Retry-After"
+)
+
+// Call is one attempt of a request at one side process.
+type Call struct {
+	Method      string
+	Path        string // with query
+	ContentType string
+	Accept      string
+	Body        []byte
+	RequestID   string
+	Team        string
+	Priority    int
+	Artifact    wire.Artifact // zero for plain services
+	Deadline    time.Time
+	Claim       *wire.Claim // nil for idempotent work
+	LastEventID string      // resume a stream after this event
+}
+
+// Forwarder sends calls.
+type Forwarder struct {
+	key        string
+	idempotent *http.Client // keeps connections open
+	action     *http.Client // a new connection for each call, so that no transport replays it
+}
+
+// New returns a forwarder that shows the deployment key.
+func New(key string) *Forwarder {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	kept := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerServer,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	fresh := kept.Clone()
+	fresh.DisableKeepAlives = true
+	return &Forwarder{
+		key:        key,
+		idempotent: &http.Client{Transport: kept, CheckRedirect: noRedirect},
+		action:     &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Send performs the call at address. Errors have KindUnavailable when nothing
+// reached the side process, KindUnknown when something may have, and
+// KindInvalid when the answer belongs to another request.
+func (f *Forwarder) Send(ctx context.Context, address string, c Call) (*http.Response, error) {
+	req, err := f.request(ctx, address, c)
+	if err != nil {
+		return nil, fault.New(fault.KindInternal, stepSend, address, err)
+	}
+	client := f.idempotent
+	if c.Claim != nil {
+		client = f.action
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, fault.New(kindOf(err), stepSend, address, err)
+	}
+	if got := resp.Header.Get(wire.HeaderRequestID); got != c.RequestID {
+		_ = resp.Body.Close()
+		return nil, fault.Newf(fault.KindInvalid, stepSend, address, "answer for request %q, want %q", got, c.RequestID)
+	}
+	return resp, nil
+}
+
+func (f *Forwarder) request(ctx context.Context, address string, c Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+address+c.Path, bytes.NewReader(c.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	h := req.Header
+	set := func(name, value string) {
+		if value != "" {
+			h.Set(name, value)
+		}
+	}
+	set(headerType, c.ContentType)
+	set(headerAccept, c.Accept)
+	set(wire.HeaderRequestID, c.RequestID)
+	set(wire.HeaderTeam, c.Team)
+	set(wire.HeaderLastEventID, c.LastEventID)
+	set(wire.HeaderDeployment, f.key)
+	set(wire.HeaderPriority, strconv.Itoa(c.Priority))
+	left := max(time.Until(c.Deadline).Milliseconds(), 1)
+	set(wire.HeaderDeadline, strconv.FormatInt(left, 10))
+	if c.Artifact != (wire.Artifact{}) {
+		set(wire.HeaderArtifact, c.Artifact.String())
+	}
+	if c.Claim != nil {
+		set(wire.HeaderClaim, c.Claim.String())
+	}
+	return req, nil
+}
+
+// kindOf tells a failed dial, after which nothing can have been sent, from
+// every other failure.
+func kindOf(err error) fault.Kind {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fault.KindUnavailable
+	}
+	return fault.KindUnknown
+}
+
+// Answer is a whole answer that was not streamed.
+type Answer struct {
+	Status      int
+	ContentType string
+	RetryAfter  string
+	Body        []byte
+}
+
+// ReadAnswer reads the whole body. A body that ends early is an error of
+// KindUnknown.
+func ReadAnswer(resp *http.Response, peer string) (Answer, error) {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, fault.New(fault.KindUnknown, "forward.read", peer, err)
+	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, fault.Newf(fault.KindUnknown, "forward.read", peer, "answer longer than %d bytes", maxAnswerBytes)
+	}
+	return Answer{
+		Status:      resp.StatusCode,
+		ContentType: resp.Header.Get(headerType),
+		RetryAfter:  resp.Header.Get(headerRetryAfter),
+		Body:        body,
+	}, nil
+}
+
+// Write sends the whole answer to the caller.
+func (a Answer) Write(w http.ResponseWriter, outcome wire.Outcome) {
+	h := w.Header()
+	if a.ContentType != "" {
+		h.Set(headerType, a.ContentType)
+	}
+	if a.RetryAfter != "" {
+		h.Set(headerRetryAfter, a.RetryAfter)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	h.Set(wire.HeaderOutcome, string(outcome))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
--- /dev/null
+++ b/entry/module.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"peridotchute.example/common/admin"
+	"peridotchute.example/common/daemon"
+	"peridotchute.example/common/keyfile"
+	"peridotchute.example/config"
+	"peridotchute.example/config/publish"
+	"peridotchute.example/entry/caller"
+	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/follower"
+	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/pool"
+	"peridotchute.example/platform"
+	"peridotchute.example/rpc"
+)
+
+const defaultDrain = 10 * time.Minute
+
+// deploymentKey is the secret that the deployment's processes share.
+type deploymentKey string
+
+// Module wires an entry process from its settings.
+func Module(s Settings) fx.Option {
+	return fx.Module("entry",
+		fx.Supply(s),
+		fx.Provide(
+			newKey, newLocal, newTable, newObjects, newVMs, newFollower, newPool, newForwarder, newDispatcher,
+			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer,
+		),
+		fx.Invoke(startDuties, startRPC, startListeners),
+	)
+}
+
+func newKey(s Settings) (deploymentKey, error) {
+	key, err := keyfile.Read(s.DeploymentKeyFile)
+	return deploymentKey(key), err
+}
+
+func newLocal(s Settings, key deploymentKey, holder *config.Holder) rpc.Local {
+	return rpc.Local{
+		Identity: rpc.Identity{
+			Name:        s.Name,
+			Incarnation: uuid.Must(uuid.NewV7()).String(),
+			Role:        rpc.RoleEntry,
+			Zone:        s.Zone,
+			RPCAddress:  s.RPCAddress,
+		},
+		Key:           string(key),
+		ConfigVersion: holder.Version,
+	}
+}
+
+func newTable(s Settings) platform.Table { return platform.NewTable(s.Table) }
+
+func newObjects(s Settings) platform.Objects { return platform.NewObjects(s.Objects) }
+
+func newVMs(s Settings) platform.VMs { return platform.NewVMs(s.VMList) }
+
+func newFollower(store *publish.Store, holder *config.Holder, log logrus.FieldLogger) *follower.Follower {
+	return follower.New(follower.Options{Store: store, Holder: holder, Log: log})
+}
+
+func newPool(s Settings, local rpc.Local, handlers *rpc.Handlers, vms platform.VMs, holder *config.Holder, log logrus.FieldLogger) *pool.Pool {
+	return pool.New(pool.Options{
+		Local:    local,
+		Handlers: handlers,
+		VMs:      vms,
+		Interval: time.Duration(s.VMList.IntervalMS) * time.Millisecond,
+		Holder:   holder,
+		Log:      log,
+	})
+}
+
+func newForwarder(key deploymentKey) *forward.Forwarder { return forward.New(string(key)) }
+
+func newDispatcher(s Settings, p *pool.Pool, f *forward.Forwarder, log logrus.FieldLogger) *dispatch.Dispatcher {
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(s.Name))
+	return dispatch.New(dispatch.Options{Pool: p, Forwarder: f, Region: s.Region, Zone: s.Zone, Seed: seed.Sum64(), Log: log})
+}
+
+// startDuties runs the goroutines of the process between start and stop.
+func startDuties(lc fx.Lifecycle, f *follower.Follower, p *pool.Pool) {
+	daemon.Go(lc, f.Run)
+	daemon.Go(lc, p.Run)
+}
+
+func startRPC(lc fx.Lifecycle, s Settings, local rpc.Local, handlers *rpc.Handlers) {
+	server := rpc.NewServer(local, handlers, nil)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return server.Start(s.RPCAddress) },
+		OnStop:  func(context.Context) error { return server.Stop() },
+	})
+}
+
+// listenerParams are what the listeners are made from.
+type listenerParams struct {
+	fx.In
+	Lifecycle  fx.Lifecycle
+	Settings   Settings
+	Log        logrus.FieldLogger
+	Local      rpc.Local
+	Holder     *config.Holder
+	Pool       *pool.Pool
+	Dispatcher *dispatch.Dispatcher
+	Admin      *admin.Server
+}
+
+func startListeners(p listenerParams) {
+	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
+	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
+	p.Admin.AddSection("servers", p.Pool)
+	p.Admin.AddCheck("configuration", func() error { return needed(p.Holder.Version() > 0, "no configuration is in force") })
+	p.Admin.AddCheck("vm_list", func() error { return needed(p.Pool.Listed(), "the VM list was not read yet") })
+	drain := defaultDrain
+	if p.Settings.DrainSeconds > 0 {
+		drain = time.Duration(p.Settings.DrainSeconds) * time.Second
+	}
+	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router()})
+	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{
+		Name:    "caller",
+		Address: p.Settings.CallerAddress,
+		Handler: caller.New(p.Holder, p.Dispatcher).Handler(),
+		Drain:   drain,
+	})
+	daemon.Announce(p.Lifecycle, p.Log)
+}
+
+func needed(ok bool, reason string) error {
+	if ok {
+		return nil
+	}
+	return errors.New(reason)
+}
--- /dev/null
+++ b/entry/pool/server.go
@@ -0,0 +1,125 @@
+package pool
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/platform"
+	"peridotchute.example/rpc"
+)
+
+// Server is what this entry knows of one backend server and its side process.
+type Server struct {
+	inFlight atomic.Int64
+	peer     atomic.Pointer[rpc.Peer]
+	stop     func() // ends the connecting goroutine
+
+	mu         sync.Mutex
+	vm         platform.VM
+	report     rpc.Report
+	reportedAt time.Time
+	residence  uint64 // digest of residents
+	residents  map[wire.Artifact]bool
+	failures   int
+	firstSeen  time.Time
+}
+
+// VM returns the server's row of the VM list.
+func (s *Server) VM() platform.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.vm
+}
+
+// Peer returns the control connection, or nil while there is none.
+func (s *Server) Peer() *rpc.Peer { return s.peer.Load() }
+
+// Incarnation returns the side process's incarnation by its last hello or
+// report, or "" while it is unknown.
+func (s *Server) Incarnation() string {
+	if p := s.Peer(); p != nil {
+		return p.Identity.Incarnation
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report.Incarnation
+}
+
+// Begin counts a request as in progress at the server. The returned function
+// ends it and must be called once, with whether the server did its part.
+func (s *Server) Begin() func(ok bool) {
+	s.inFlight.Add(1)
+	return func(ok bool) {
+		s.inFlight.Add(-1)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if ok {
+			s.failures = 0
+			return
+		}
+		s.failures++
+	}
+}
+
+// Observe takes the load figure that came with an answer.
+func (s *Server) Observe(l wire.Load, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.InFlight = l.InFlight
+	s.report.QueueDelayMS = l.QueueDelay.Milliseconds()
+	s.reportedAt = now
+}
+
+func (s *Server) setVM(vm platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vm = vm
+}
+
+// accept stores a report unless a later one of the same incarnation is known,
+// and reports whether the residents must be fetched.
+func (s *Server) accept(r rpc.Report, now time.Time) (stale bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Incarnation == s.report.Incarnation && r.Seq <= s.report.Seq {
+		return false
+	}
+	s.report = r
+	s.reportedAt = now
+	return r.Residence != s.residence
+}
+
+func (s *Server) setInventory(inv rpc.InventoryReply) {
+	residents := make(map[wire.Artifact]bool, len(inv.Residents))
+	for _, r := range inv.Residents {
+		if !r.Loading {
+			residents[r.Artifact] = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.residents = residents
+	s.residence = inv.Residence
+}
+
+// Dump is a server's section of the state dump.
+type Dump struct {
+	VM        platform.VM     `json:"vm"`
+	Connected bool            `json:"connected"`
+	InFlight  int64           `json:"in_flight"`
+	Failures  int             `json:"failures"`
+	Report    rpc.Report      `json:"report"`
+	Residents []wire.Artifact `json:"residents"`
+}
+
+func (s *Server) dump() Dump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := Dump{VM: s.vm, Connected: s.peer.Load() != nil, InFlight: s.inFlight.Load(), Failures: s.failures, Report: s.report}
+	for a := range s.residents {
+		d.Residents = append(d.Residents, a)
+	}
+	return d
+}
--- /dev/null
+++ b/side/gate/backend.go
@@ -0,0 +1,117 @@
+package gate
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"peridotchute.example/common/wire"
+)
+
+const (
+	backendDialTimeout = time.Second
+	backendIdle        = 256 // idle connections kept to the backend server
+	copyBufferBytes    = 32 << 10
+)
+
+// forwardedHeaders reach the backend server; every other header stays here.
+var forwardedHeaders = []string{
+	"Accept", "Content-Type", wire.HeaderRequestID, wire.HeaderPriority, wire.HeaderLastEventID,
+}
+
+// returnedHeaders reach the entry.
+var returnedHeaders = []string{"Content-Type", "Content-Length", "Retry-After", "Cache-Control"}
+
+// backend calls the backend server.
+type backend struct {
+	url    string
+	kept   *http.Client // idempotent work, connections kept
+	action *http.Client // a new connection for each call, so that no transport replays it
+}
+
+func newBackend(url string) *backend {
+	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	kept := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: backendIdle, DisableCompression: true}
+	fresh := kept.Clone()
+	fresh.DisableKeepAlives = true
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &backend{
+		url:    strings.TrimSuffix(url, "/"),
+		kept:   &http.Client{Transport: kept, CheckRedirect: noRedirect},
+		action: &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+	}
+}
+
+// serve performs the call and streams its answer. An answer that is cut cuts
+// the connection to the entry, so that it does not look whole.
+func (b *backend) serve(w http.ResponseWriter, r *http.Request, load wire.Load) {
+	w.Header().Set(wire.HeaderLoad, load.String())
+	resp, err := b.call(r)
+	if err != nil {
+		callFailure(err).Write(w)
+		return
+	}
+	defer resp.Body.Close()
+	for _, name := range returnedHeaders {
+		if v := resp.Header.Get(name); v != "" {
+			w.Header().Set(name, v)
+		}
+	}
+	w.WriteHeader(resp.StatusCode)
+	if err := copyFlushing(w, resp.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (b *backend) call(r *http.Request) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, b.url+r.URL.RequestURI(), r.Body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = r.ContentLength
+	for _, name := range forwardedHeaders {
+		if v := r.Header.Get(name); v != "" {
+			req.Header.Set(name, v)
+		}
+	}
+	if r.Header.Get(wire.HeaderClaim) != "" {
+		return b.action.Do(req)
+	}
+	return b.kept.Do(req)
+}
+
+// callFailure tells a call that never left from one that may have run.
+func callFailure(err error) *wire.Failure {
+	outcome := wire.OutcomeUnknown
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		outcome = wire.OutcomeNotRun
+	}
+	return wire.NewFailure(http.StatusBadGateway, outcome, codeBackend, "the backend server did not answer").After(retryElsewhere)
+}
+
+// copyFlushing copies and flushes what each read brings.
+func copyFlushing(w http.ResponseWriter, source io.Reader) error {
+	control := http.NewResponseController(w)
+	buf := make([]byte, copyBufferBytes)
+	for {
+		n, err := source.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			if ferr := control.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- a/side/settings.go
+++ b/side/settings.go
@@ -22,4 +22,5 @@
 	URL         string `json:"url" validate:"required,url"`
 	MemoryBytes int64  `json:"memory_bytes,omitempty" validate:"gte=0"` // for weights; engines only
 	Fencing     bool   `json:"fencing,omitempty"`                       // the engine refuses old fencing numbers
+	SettleMS    int    `json:"settle_ms,omitempty" validate:"gte=0"`    // longest time an order given up may still take effect; 0 means the default
 }
--- a/standin/server/settings.go
+++ b/standin/server/settings.go
@@ -7,12 +7,22 @@
 	TableAddress   string          `json:"table_address,omitempty" validate:"omitempty,ip_port"`
 	ObjectAddress  string          `json:"object_address,omitempty" validate:"omitempty,ip_port"`
 	VMListAddress  string          `json:"vm_list_address,omitempty" validate:"omitempty,ip_port"`
-	VMListLagMS    int             `json:"vm_list_lag_ms,omitempty" validate:"gte=0"`
 	WeightsAddress string          `json:"weights_address,omitempty" validate:"omitempty,ip_port"`
+	Weights        WeightsSetting  `json:"weights"`
 	Engines        []EngineSetting `json:"engines,omitempty" validate:"dive"`
 	Plain          []PlainSetting  `json:"plain,omitempty" validate:"dive"`
 }
 
+// WeightsSetting describes the weight store.
+type WeightsSetting struct {
+	LoadsPerSecond  float64 `json:"loads_per_second,omitempty" validate:"gte=0"` // models; 0 means no limit
+	ConcurrentLoads int     `json:"concurrent_loads,omitempty" validate:"gte=0"` // models at full speed
+	ModelMS         int     `json:"model_ms,omitempty" validate:"gte=0"`         // one model at full speed
+	AdapterLoads    int     `json:"adapter_loads,omitempty" validate:"gte=0"`    // adapters at full speed
+	AdapterMS       int     `json:"adapter_ms,omitempty" validate:"gte=0"`       // one adapter at full speed
+	TimeScale       float64 `json:"time_scale,omitempty" validate:"gte=0"`       // 1 is real time; 0 means no delays
+}
+
 // EngineSetting describes one model engine.
 type EngineSetting struct {
 	Name        string  `json:"name" validate:"required"`
@@ -20,6 +30,7 @@
 	MemoryBytes int64   `json:"memory_bytes" validate:"gt=0"`
 	Fencing     bool    `json:"fencing,omitempty"`
 	TimeScale   float64 `json:"time_scale,omitempty" validate:"gte=0"` // 1 is real time, smaller is faster; 0 means no delays
+	EventGap    int     `json:"event_gap,omitempty" validate:"gte=0"`  // every n-th cache event is lost
 }
 
 // PlainSetting describes one plain service.
