Graceful shutdown is told before the listeners close

Cause: an entry that was stopped closed its listener at once, while the balancer still sent it callers; the stand-in had no health of its own. Change: daemon.TellStop runs first at a stop and leaves a second for the others to hear: an entry is not ready, a side process reports that it drains. The stand-in has an administration listener that opens last.

--- a/common/admin/admin.go
+++ b/common/admin/admin.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 
 	"github.com/gorilla/mux"
 )
@@ -29,6 +30,7 @@
 
 // Server collects the sections and checks of one process.
 type Server struct {
+	stopping atomic.Bool
 	mu       sync.Mutex
 	sections map[string]Dumper
 	checks   map[string]Check
@@ -62,6 +64,10 @@
 	s.checks[name] = c
 }
 
+// Stopping makes the process not ready from now on, so that a balancer sends
+// it nothing new during a graceful shutdown.
+func (s *Server) Stopping() { s.stopping.Store(true) }
+
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
 	_, _ = w.Write([]byte("ok\n"))
 }
@@ -86,6 +92,9 @@
 		}
 	}
 	s.mu.Unlock()
+	if s.stopping.Load() {
+		bad = append(bad, failing{Check: "stopping", Reason: "a graceful shutdown is in progress"})
+	}
 	sort.Slice(bad, func(i, j int) bool { return bad[i].Check < bad[j].Check })
 	status := http.StatusOK
 	if len(bad) > 0 {
--- a/entry/module.go
+++ b/entry/module.go
@@ -133,6 +133,7 @@
 		Handler: caller.New(p.Holder, p.Dispatcher).Handler(),
 		Drain:   drain,
 	})
+	daemon.TellStop(p.Lifecycle, func(context.Context) { p.Admin.Stopping() })
 	daemon.Announce(p.Lifecycle, p.Log)
 }
 
--- a/side/module.go
+++ b/side/module.go
@@ -24,9 +24,6 @@
 const (
 	defaultDrain = 10 * time.Minute
 	kindEngine   = "engine"
-	// drainNotice is how long new work is still answered, with a refusal, after
-	// the entries were told of the drain and before the listener closes.
-	drainNotice = time.Second
 )
 
 // deploymentKey is the secret that the deployment's processes share.
@@ -201,14 +198,9 @@
 // announceDrain runs first at the stop: it tells the entries, and leaves them
 // time to hear of it, before the data listener closes.
 func announceDrain(lc fx.Lifecycle, reporter *report.Reporter, g *gate.Gate, log logrus.FieldLogger) {
-	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+	daemon.TellStop(lc, func(ctx context.Context) {
 		g.Drain()
 		reporter.SendIfDue(ctx, time.Now())
-		select {
-		case <-time.After(drainNotice):
-		case <-ctx.Done():
-		}
-		return nil
-	}})
+	})
 	daemon.Announce(lc, log)
 }
--- a/standin/server/module.go
+++ b/standin/server/module.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/standin/engine"
 	"peridotchute.example/standin/objects"
@@ -18,7 +19,7 @@
 
 // Module wires the stand-ins from their settings.
 func Module(s Settings) fx.Option {
-	return fx.Module("standin", fx.Supply(s), fx.Invoke(startPlatform, startEngines, startPlain, daemon.Announce))
+	return fx.Module("standin", fx.Supply(s), fx.Invoke(startPlatform, startEngines, startPlain, startAdmin, daemon.Announce))
 }
 
 func startPlatform(lc fx.Lifecycle, s Settings, log logrus.FieldLogger) {
@@ -40,6 +41,13 @@
 	}
 }
 
+// startAdmin comes last: once it answers, every stand-in listens.
+func startAdmin(lc fx.Lifecycle, s Settings, log logrus.FieldLogger) {
+	a := admin.NewServer()
+	a.AddSection("settings", admin.DumpFunc(func() any { return s }))
+	serve(lc, log, "admin", s.AdminAddress, a.Router())
+}
+
 func serve(lc fx.Lifecycle, log logrus.FieldLogger, name, address string, h http.Handler) {
 	if address == "" {
 		return
--- a/standin/server/settings.go
+++ b/standin/server/settings.go
@@ -4,6 +4,7 @@
 // Settings are the stand-in process's settings file. An empty address leaves
 // that stand-in out.
 type Settings struct {
+	AdminAddress   string          `json:"admin_address,omitempty" validate:"omitempty,ip_port"`
 	TableAddress   string          `json:"table_address,omitempty" validate:"omitempty,ip_port"`
 	ObjectAddress  string          `json:"object_address,omitempty" validate:"omitempty,ip_port"`
 	VMListAddress  string          `json:"vm_list_address,omitempty" validate:"omitempty,ip_port"`
