Route by expected wait: queue delay, prompt prefixes, residence, ejection

A caller that leaves and a side process that declines no longer count against the server. An engine that denies an artifact is answered not-run and asked for its inventory.

Baselines (round-robin, least-in-flight, static) are a setting of the entry, for paired measurements.

--- a/entry/caller/inference.go
+++ b/entry/caller/inference.go
@@ -15,6 +15,17 @@
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
 	Tools  []tool `json:"tools"`
+
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+// prompt returns the text that the engine's prefix cache keeps.
+func (b inferenceBody) prompt() []byte {
+	if b.Messages != nil {
+		return b.Messages
+	}
+	return b.Prompt
 }
 
 type tool struct {
@@ -60,6 +71,7 @@
 		Path:       r.URL.RequestURI(),
 		Type:       "application/json",
 		Body:       req.body,
+		Prompt:     body.prompt(),
 		Stream:     body.Stream,
 		Idempotent: !usesAction(served.Model, body.Tools),
 		Deadline:   deadline(r, req.index.Configuration.Policy),
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
+	"peridotchute.example/engine"
 	"peridotchute.example/entry/forward"
 	"peridotchute.example/entry/pool"
 	"peridotchute.example/routing"
@@ -42,6 +43,7 @@
 	Path       string // at the backend server, with query
 	Type       string // content type of Body
 	Body       []byte
+	Prompt     []byte // part of Body that the engine's prefix cache keeps
 	Stream     bool
 	Idempotent bool
 	Deadline   time.Time
@@ -55,6 +57,8 @@
 	Region    string
 	Zone      string
 	Seed      uint64
+	Policy    routing.Policy
+	Costs     routing.Costs
 	Log       logrus.FieldLogger
 }
 
@@ -63,11 +67,12 @@
 	opts Options
 	mu   sync.Mutex
 	rnd  *rand.Rand
+	pick *routing.Chooser
 }
 
 // New returns a dispatcher whose random choices follow from Seed.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts, rnd: rand.New(rand.NewPCG(opts.Seed, opts.Seed))}
+	return &Dispatcher{opts: opts, rnd: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), pick: routing.NewChooser(opts.Policy)}
 }
 
 // Serve answers the request on w. A failure that it returns has not been
@@ -90,16 +95,14 @@
 
 // choose picks the server of the next attempt.
 func (d *Dispatcher) choose(req Request, exclude string) (*pool.Server, error) {
-	candidates := d.opts.Pool.Candidates(req.Pool, req.Served)
-	want := routing.Request{
-		Region:      d.opts.Region,
-		Zone:        d.opts.Zone,
-		PromptBytes: len(req.Body),
-		Deadline:    time.Until(req.Deadline),
-		Exclude:     exclude,
+	var prefixes []uint64
+	if req.Served != nil {
+		prefixes = engine.Prefixes(req.Served.Artifact.String(), req.Prompt)
 	}
+	candidates := d.opts.Pool.Candidates(req.Pool, req.Served, prefixes)
+	want := d.wanted(req, prefixes, exclude)
 	d.mu.Lock()
-	choice, err := routing.Choose(candidates, want, time.Now(), d.rnd)
+	choice, err := d.pick.Choose(candidates, want, time.Now(), d.rnd)
 	d.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -108,9 +111,30 @@
 	if !ok {
 		return nil, routing.ErrNoServer
 	}
+	d.opts.Pool.Remember(choice.Server.Name, prefixes)
 	return server, nil
 }
 
+// wanted is what routing needs to know of the request.
+func (d *Dispatcher) wanted(req Request, prefixes []uint64, exclude string) routing.Request {
+	r := routing.Request{
+		Region:      d.opts.Region,
+		Zone:        d.opts.Zone,
+		PromptBytes: len(req.Prompt),
+		Deadline:    time.Until(req.Deadline),
+		Exclude:     exclude,
+		Costs:       &d.opts.Costs,
+	}
+	if req.Served != nil {
+		r.Bytes = req.Served.Bytes
+		r.Adapter = req.Served.Artifact != req.Served.Base
+	}
+	if len(prefixes) > 0 {
+		r.Affinity = prefixes[0]
+	}
+	return r
+}
+
 // run is one request on its way.
 type run struct {
 	d       *Dispatcher
@@ -137,7 +161,7 @@
 	end := server.Begin()
 	vm := server.VM()
 	err = r.exchange(ctx, server, vm.DataAddress)
-	end(err == nil)
+	end(!serverFault(err))
 	if err == nil {
 		r.served = true
 		return false
@@ -146,6 +170,13 @@
 	return r.judge(ctx, err, vm.Name)
 }
 
+// serverFault reports whether a failed attempt speaks against the server: not
+// when the caller left, and not when its side process answered and declined.
+func serverFault(err error) bool {
+	var told *wire.Failure
+	return err != nil && !fault.Is(err, fault.KindCanceled) && !errors.As(err, &told)
+}
+
 // judge records a failed attempt and reports whether to try again.
 func (r *run) judge(ctx context.Context, err error, peer string) bool {
 	event.Log(r.d.opts.Log, event.AttemptFailed, event.Request(r.req.ID), event.Peer(peer), event.Err(err))
--- a/entry/module.go
+++ b/entry/module.go
@@ -86,7 +86,7 @@
 func newDispatcher(s Settings, p *pool.Pool, f *forward.Forwarder, log logrus.FieldLogger) *dispatch.Dispatcher {
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(s.Name))
-	return dispatch.New(dispatch.Options{Pool: p, Forwarder: f, Region: s.Region, Zone: s.Zone, Seed: seed.Sum64(), Log: log})
+	return dispatch.New(dispatch.Options{Pool: p, Forwarder: f, Region: s.Region, Zone: s.Zone, Seed: seed.Sum64(), Policy: s.Policy.Routing, Costs: s.Policy.Costs(), Log: log})
 }
 
 // startDuties runs the goroutines of the process between start and stop.
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	reportRing      = 1024 // reports waiting to be applied
+	reportRing      = 1024    // reports waiting to be applied
+	prefixBlocks    = 1 << 16 // prompt blocks remembered, about 100 bytes each
 	longestRedial   = 2 * time.Second
 	defaultInterval = time.Second // between reads of the VM list
 	roleBackend     = "backend"
@@ -44,6 +45,9 @@
 	mu      sync.RWMutex
 	servers map[string]*Server
 	listed  bool // the VM list was read at least once
+
+	prefixMu sync.Mutex
+	prefixes *routing.PrefixIndex
 }
 
 // New returns an empty pool and registers its control handlers.
@@ -51,7 +55,7 @@
 	if opts.Interval <= 0 {
 		opts.Interval = defaultInterval
 	}
-	p := &Pool{opts: opts, reports: ring.New[rpc.Report](reportRing, ring.DropOldest), servers: map[string]*Server{}}
+	p := &Pool{opts: opts, reports: ring.New[rpc.Report](reportRing, ring.DropOldest), servers: map[string]*Server{}, prefixes: routing.NewPrefixIndex(prefixBlocks)}
 	rpc.Handle(opts.Handlers, rpc.MethodReport, p.onReport)
 	rpc.Handle(opts.Handlers, rpc.MethodFetch, p.onFetch)
 	return p
@@ -101,8 +105,8 @@
 }
 
 // Candidates returns the view of one pool that routing chooses from; served is
-// nil for plain services.
-func (p *Pool) Candidates(poolName string, served *config.Served) []routing.Candidate {
+// nil for plain services. prefixes are the blocks of the prompt.
+func (p *Pool) Candidates(poolName string, served *config.Served, prefixes []uint64) []routing.Candidate {
 	index := p.opts.Holder.Current()
 	var out []routing.Candidate
 	for _, s := range p.Servers() {
@@ -110,9 +114,36 @@
 			out = append(out, c)
 		}
 	}
+	p.markCached(out, prefixes)
 	return out
 }
 
+// markCached notes which candidates were sent the leading blocks of the prompt.
+func (p *Pool) markCached(candidates []routing.Candidate, prefixes []uint64) {
+	p.prefixMu.Lock()
+	defer p.prefixMu.Unlock()
+	for _, m := range p.prefixes.Match(prefixes) {
+		for i := range candidates {
+			if candidates[i].Server.Name == m.Server {
+				candidates[i].Cached = float64(m.Blocks) / float64(len(prefixes))
+			}
+		}
+	}
+}
+
+func (p *Pool) forget(server string) {
+	p.prefixMu.Lock()
+	defer p.prefixMu.Unlock()
+	p.prefixes.Drop(server)
+}
+
+// Remember notes that a server is sent a prompt with these blocks.
+func (p *Pool) Remember(server string, prefixes []uint64) {
+	p.prefixMu.Lock()
+	defer p.prefixMu.Unlock()
+	p.prefixes.Add(server, prefixes)
+}
+
 func (s *Server) candidate(poolName string, served *config.Served, index *config.Index) (routing.Candidate, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,16 +151,19 @@
 		return routing.Candidate{}, false
 	}
 	c := routing.Candidate{Server: &routing.Server{
-		Name:       s.vm.Name,
-		Region:     index.RegionOf(s.vm.Zone),
-		Zone:       s.vm.Zone,
-		Serving:    s.peer.Load() != nil && s.vm.State == platform.VMLive && s.report.State != rpc.StateDraining,
-		InFlight:   int(s.inFlight.Load()),
-		Reported:   s.report.InFlight,
-		ReportedAt: s.reportedAt,
-		QueueDelay: time.Duration(s.report.QueueDelayMS) * time.Millisecond,
-		FirstSeen:  s.firstSeen,
-		Failures:   s.failures,
+		Name:        s.vm.Name,
+		Region:      index.RegionOf(s.vm.Zone),
+		Zone:        s.vm.Zone,
+		Serving:     s.peer.Load() != nil && s.vm.State == platform.VMLive && s.report.State != rpc.StateDraining,
+		InFlight:    int(s.inFlight.Load()),
+		Reported:    s.report.InFlight,
+		OwnReported: s.ownInFlight,
+		ReportedAt:  s.reportedAt,
+		FreeBytes:   s.report.FreeBytes,
+		QueueDelay:  time.Duration(s.report.QueueDelayMS) * time.Millisecond,
+		FirstSeen:   s.firstSeen,
+		Failures:    s.failures,
+		RetryAt:     s.retryAt,
 	}}
 	if served != nil {
 		c.Resident = s.residents[served.Artifact]
@@ -167,6 +201,7 @@
 		if !listed[name] {
 			s.stop()
 			delete(p.servers, name)
+			p.forget(name)
 		}
 	}
 }
--- a/entry/pool/server.go
+++ b/entry/pool/server.go
@@ -7,6 +7,7 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/platform"
+	"peridotchute.example/routing"
 	"peridotchute.example/rpc"
 )
 
@@ -16,14 +17,16 @@
 	peer     atomic.Pointer[rpc.Peer]
 	stop     func() // ends the connecting goroutine
 
-	mu         sync.Mutex
-	vm         platform.VM
-	report     rpc.Report
-	reportedAt time.Time
-	residence  uint64 // digest of residents
-	residents  map[wire.Artifact]bool
-	failures   int
-	firstSeen  time.Time
+	mu          sync.Mutex
+	vm          platform.VM
+	report      rpc.Report
+	reportedAt  time.Time
+	residence   uint64 // digest of residents
+	residents   map[wire.Artifact]bool
+	ownInFlight int // own requests in progress when the report arrived
+	failures    int
+	retryAt     time.Time // ejected until then
+	firstSeen   time.Time
 }
 
 // VM returns the server's row of the VM list.
@@ -56,10 +59,11 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if ok {
-			s.failures = 0
+			s.failures, s.retryAt = 0, time.Time{}
 			return
 		}
 		s.failures++
+		s.retryAt = routing.Eject(s.failures, time.Now())
 	}
 }
 
@@ -70,6 +74,7 @@
 	s.report.InFlight = l.InFlight
 	s.report.QueueDelayMS = l.QueueDelay.Milliseconds()
 	s.reportedAt = now
+	s.ownInFlight = int(s.inFlight.Load())
 }
 
 func (s *Server) setVM(vm platform.VM) {
@@ -88,6 +93,7 @@
 	}
 	s.report = r
 	s.reportedAt = now
+	s.ownInFlight = int(s.inFlight.Load())
 	return r.Residence != s.residence
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -3,7 +3,10 @@
 package entry
 
 import (
+	"time"
+
 	"peridotchute.example/platform"
+	"peridotchute.example/routing"
 )
 
 // Settings are an entry process's settings file.
@@ -19,4 +22,30 @@
 	Objects           platform.ObjectSettings `json:"objects" validate:"required"`
 	VMList            platform.VMSettings     `json:"vm_list" validate:"required"`
 	DrainSeconds      int                     `json:"drain_s,omitempty" validate:"gte=0"` // longest graceful shutdown
+	Policy            PolicySetting           `json:"policy"`
+}
+
+// PolicySetting says how backend servers are chosen. Zero values mean the defaults.
+type PolicySetting struct {
+	Routing          routing.Policy `json:"routing,omitempty" validate:"omitempty,oneof=adaptive round-robin least-in-flight static"`
+	PerRequestUS     int64          `json:"per_request_us,omitempty" validate:"gte=0"`      // wait added by each request in progress
+	PrefillNSPerByte int64          `json:"prefill_ns_per_byte,omitempty" validate:"gte=0"` // of prompt that is not cached
+	ModelLoadMS      int64          `json:"model_load_ms,omitempty" validate:"gte=0"`
+	AdapterLoadUS    int64          `json:"adapter_load_us,omitempty" validate:"gte=0"`
+}
+
+// Costs returns the times from which expected waits are made up.
+func (p PolicySetting) Costs() routing.Costs {
+	c := routing.DefaultCosts
+	set := func(d *time.Duration, n int64, unit time.Duration) {
+		if n > 0 {
+			*d = time.Duration(n) * unit
+		}
+	}
+	set(&c.PerRequest, p.PerRequestUS, time.Microsecond)
+	set(&c.PrefillPerByte, p.PrefillNSPerByte, time.Nanosecond)
+	set(&c.ModelLoad, p.ModelLoadMS, time.Millisecond)
+	set(&c.Eviction, p.ModelLoadMS, time.Millisecond/2)
+	set(&c.AdapterLoad, p.AdapterLoadUS, time.Microsecond)
+	return c
 }
--- a/side/gate/backend.go
+++ b/side/gate/backend.go
@@ -19,7 +19,7 @@
 
 // forwardedHeaders reach the backend server; every other header stays here.
 var forwardedHeaders = []string{
-	"Accept", "Content-Type", wire.HeaderRequestID, wire.HeaderPriority, wire.HeaderLastEventID,
+	"Accept", "Content-Type", wire.HeaderRequestID, wire.HeaderPriority, wire.HeaderLastEventID, wire.HeaderArtifact,
 }
 
 // returnedHeaders reach the entry.
@@ -45,11 +45,26 @@
 	}
 }
 
+// watcher is told of the steps of a call.
+type watcher interface {
+	sent()
+	answered(ok bool)            // the first byte has come, or never will
+	denied(r *http.Request) bool // not found; whether an artifact was meant
+	load() wire.Load
+}
+
 // serve performs the call and streams its answer. An answer that is cut cuts
 // the connection to the entry, so that it does not look whole.
-func (b *backend) serve(w http.ResponseWriter, r *http.Request, load wire.Load) {
-	w.Header().Set(wire.HeaderLoad, load.String())
+func (b *backend) serve(w http.ResponseWriter, r *http.Request, watch watcher) {
+	watch.sent()
 	resp, err := b.call(r)
+	watch.answered(err == nil)
+	w.Header().Set(wire.HeaderLoad, watch.load().String())
+	if err == nil && resp.StatusCode == http.StatusNotFound && watch.denied(r) {
+		_ = resp.Body.Close()
+		deniedFailure(r).Write(w)
+		return
+	}
 	if err != nil {
 		callFailure(err).Write(w)
 		return
@@ -83,6 +98,13 @@
 	return b.kept.Do(req)
 }
 
+// deniedFailure answers a request whose artifact the backend server has let go
+// of by itself. It was not run.
+func deniedFailure(r *http.Request) *wire.Failure {
+	artifact := r.Header.Get(wire.HeaderArtifact)
+	return wire.NewFailure(http.StatusServiceUnavailable, wire.OutcomeNotRun, codeNotResident, "the engine does not hold %s", artifact).After(retryElsewhere)
+}
+
 // callFailure tells a call that never left from one that may have run.
 func callFailure(err error) *wire.Failure {
 	outcome := wire.OutcomeUnknown
--- a/side/gate/gate.go
+++ b/side/gate/gate.go
@@ -34,6 +34,8 @@
 	// Acquire returns when the artifact and its base model are resident and
 	// keeps them so until release is called.
 	Acquire(ctx context.Context, artifact, base wire.Artifact, bytes int64) (release func(), err error)
+	// Refresh asks the engine what it holds, after it has denied an artifact.
+	Refresh()
 }
 
 // Actions start non-idempotent actions at most once. serve performs the call
@@ -61,6 +63,7 @@
 	draining atomic.Bool
 	served   atomic.Int64
 	service  atomic.Int64 // smoothed time of a request, ns
+	delay    delay
 }
 
 // New returns a gate before the backend server.
@@ -174,7 +177,7 @@
 // serve performs the call at the backend server.
 func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	g.proxy.serve(w, r, g.load())
+	g.proxy.serve(w, r, g)
 	g.observe(time.Since(began))
 }
 
@@ -192,8 +195,18 @@
 }
 
 // QueueDelay returns the expected wait of a new request.
-func (g *Gate) QueueDelay() time.Duration {
-	return 0
+func (g *Gate) QueueDelay() time.Duration { return g.delay.expected() }
+
+func (g *Gate) sent() { g.delay.begin(time.Now()) }
+
+func (g *Gate) answered(ok bool) { g.delay.end(ok, time.Now()) }
+
+func (g *Gate) denied(r *http.Request) bool {
+	if g.opts.Memory == nil || r.Header.Get(wire.HeaderArtifact) == "" {
+		return false
+	}
+	g.opts.Memory.Refresh()
+	return true
 }
 
 // Dump is the gate's section of the state dump.
