Cluster of real processes, first path tests, and the measuring command

The harness starts entries, side processes and stand-ins with written settings, opens a proxy on any link that a test names (each entry reads the VM list with its own addresses), and publishes configurations through the store. peridotchute-load measures the path against the engine called directly, control as slopes, and goodput while parts are lost. Profiles come from /debug/pprof on the administration listener.

--- /dev/null
+++ b/cmd/peridotchute-load/control/command.go
@@ -0,0 +1,51 @@
+// Package control measures what control costs each process, against the
+// number of its peers, the size of the configuration, the rate of its changes
+// and the rate at which processes are replaced.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// Options of one measurement.
+type Options struct {
+	Repeats int
+	Sides   []int // numbers of side processes before one entry
+	Entries []int // numbers of entries before one side process
+	Models  []int // numbers of declared models
+	Window  time.Duration
+	Plots   string
+}
+
+// Command returns the subcommand.
+func Command() *cobra.Command {
+	o := Options{}
+	cmd := &cobra.Command{
+		Use:   "control",
+		Short: "Measure what control costs each process, as slopes",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), o.limit())
+			defer cancel()
+			return Run(ctx, o, cmd.OutOrStdout())
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&o.Repeats, "repeats", 3, "windows measured at each point")
+	f.IntSliceVar(&o.Sides, "sides", []int{10, 50, 100, 200}, "numbers of side processes before one entry")
+	f.IntSliceVar(&o.Entries, "entries", []int{2, 10, 25, 50}, "numbers of entries before two side processes")
+	f.IntSliceVar(&o.Models, "models", []int{40, 400, 1000, 1900}, "numbers of declared models")
+	f.DurationVar(&o.Window, "window", 8*time.Second, "time of one measurement")
+	f.StringVar(&o.Plots, "plots", "docs/plots", "directory of the plots")
+	return cmd
+}
+
+// limit bounds the whole run.
+func (o Options) limit() time.Duration {
+	const setUp = 2 * time.Minute
+	points := len(o.Sides) + len(o.Entries) + len(o.Models)
+	return time.Duration(points) * (setUp + 4*time.Duration(o.Repeats)*o.Window)
+}
--- /dev/null
+++ b/cmd/peridotchute-load/main.go
@@ -0,0 +1,40 @@
+// Command peridotchute-load measures a deployment that it starts itself, with
+// stand-ins in place of the platform and the engines.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"peridotchute.example/cmd/peridotchute-load/control"
+	"peridotchute.example/cmd/peridotchute-load/path"
+	"peridotchute.example/cmd/peridotchute-load/survival"
+	"peridotchute.example/integration/cluster"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	defer cluster.RemovePrograms()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cobra.Command{
+		Use:           "peridotchute-load",
+		Short:         "Measure peridotchute with processes of its own on 127.0.0.1",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(path.Command(), control.Command(), survival.Command())
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- a/cmd/peridotchute-load/procstat/procstat.go
+++ b/cmd/peridotchute-load/procstat/procstat.go
@@ -94,3 +94,19 @@
 
 // Core returns the share of one core that was used, 1 for a whole core.
 func (u Use) Core() float64 { return u.CPU.Seconds() / u.Time.Seconds() }
+
+// Plus adds up two processes sampled at about the same time.
+func (s Sample) Plus(other Sample) Sample {
+	if s.At.IsZero() {
+		return other
+	}
+	s.CPU += other.CPU
+	s.ResidentBytes += other.ResidentBytes
+	s.Writes += other.Writes
+	s.Vars.BytesRead += other.Vars.BytesRead
+	s.Vars.BytesWritten += other.Vars.BytesWritten
+	s.Vars.Mem.Mallocs += other.Vars.Mem.Mallocs
+	s.Vars.Mem.TotalAlloc += other.Vars.Mem.TotalAlloc
+	s.Vars.Mem.HeapAlloc += other.Vars.Mem.HeapAlloc
+	return s
+}
--- /dev/null
+++ b/cmd/peridotchute-load/survival/overload.go
@@ -0,0 +1,157 @@
+package survival
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"peridotchute.example/cmd/peridotchute-load/measure"
+	"peridotchute.example/cmd/peridotchute-load/procstat"
+	"peridotchute.example/integration/cluster"
+)
+
+const (
+	overloadTime  = 8 * time.Second
+	sampleEvery   = 500 * time.Millisecond
+	capacityProbe = 4 * time.Second
+	probeCallers  = 32 // for each engine, twice its batch
+	megabyte      = 1 << 20
+)
+
+// overload is what one overload did.
+type overload struct {
+	capacity   float64 // whole answers a second that the engines can give
+	offered    float64
+	good       float64 // answers within the target a second
+	rejected   float64 // share told to come later
+	told       float64 // of these, the share with Retry-After
+	rejectP99  float64 // ms until a rejection was told
+	other      float64 // share with neither an answer nor a rejection
+	entryRest  float64 // resident MB of the largest entry before
+	entryPeak  float64
+	entryAfter float64
+	entryLate  float64 // in the second half, largest by the largest of the first half
+}
+
+// overload offers many times the capacity and watches the entries' memory.
+func (o Options) overload(ctx context.Context, c *cluster.Cluster) (overload, error) {
+	b := newBalancer(c)
+	probe := b.client.Closed(ctx, b.urls, request, probeCallers*o.Sides, capacityProbe)
+	out := overload{capacity: probe.Rate(), entryRest: memory(c)}
+	out.offered = out.capacity * o.Overload
+	done := make(chan struct{})
+	peaks := make(chan []float64, 1)
+	go func() { peaks <- watch(c, done) }()
+	events := offer(ctx, b, request, out.offered, overloadTime)
+	close(done)
+	out.count(events, o.Target)
+	out.growth(<-peaks)
+	sleep(ctx, o.After)
+	out.entryAfter = memory(c)
+	return out, nil
+}
+
+func (v *overload) count(events []event, target time.Duration) {
+	rejections := measure.NewDurations()
+	var good, rejected, told, other float64
+	for _, e := range events {
+		switch {
+		case e.good(target):
+			good++
+		case e.err == nil && (e.answer.Status == http.StatusTooManyRequests || e.answer.Status == http.StatusServiceUnavailable):
+			rejected++
+			rejections.Add(e.took)
+			if e.answer.RetryAfter != "" {
+				told++
+			}
+		default:
+			other++
+		}
+	}
+	n := float64(max(len(events), 1))
+	v.good = good / overloadTime.Seconds()
+	v.rejected, v.other = rejected/n, other/n
+	if rejected > 0 {
+		v.told = told / rejected
+		v.rejectP99 = rejections.Milliseconds(0.99)
+	}
+}
+
+// growth compares the second half of the samples with the first.
+func (v *overload) growth(samples []float64) {
+	var first, second float64
+	for i, s := range samples {
+		if i < len(samples)/2 {
+			first = max(first, s)
+		} else {
+			second = max(second, s)
+		}
+	}
+	v.entryPeak = max(first, second)
+	if first > 0 {
+		v.entryLate = second / first
+	}
+}
+
+// watch samples memory until done is closed.
+func watch(c *cluster.Cluster, done <-chan struct{}) []float64 {
+	var out []float64
+	ticker := time.NewTicker(sampleEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			out = append(out, memory(c))
+		case <-done:
+			return out
+		}
+	}
+}
+
+// memory returns the resident memory of the largest entry in MB, 0 when none
+// could be read.
+func memory(c *cluster.Cluster) float64 {
+	var largest int
+	for _, e := range c.Entries() {
+		if s, err := procstat.Read(e.PID(), ""); err == nil {
+			largest = max(largest, s.ResidentBytes)
+		}
+	}
+	return float64(largest) / megabyte
+}
+
+var overloadFigures = []struct {
+	name     string
+	decimals int
+	of       func(overload) float64
+}{
+	{"engines' capacity, answers/s", 0, func(v overload) float64 { return v.capacity }},
+	{"offered, requests/s", 0, func(v overload) float64 { return v.offered }},
+	{"answered within the target, by capacity", 2, func(v overload) float64 { return v.good / v.capacity }},
+	{"rejected, %", 1, func(v overload) float64 { return 100 * v.rejected }},
+	{"rejections with Retry-After, %", 1, func(v overload) float64 { return 100 * v.told }},
+	{"time until a rejection, p99, ms", 0, func(v overload) float64 { return v.rejectP99 }},
+	{"neither in time nor rejected, %", 1, func(v overload) float64 { return 100 * v.other }},
+	{"largest entry before, MB", 0, func(v overload) float64 { return v.entryRest }},
+	{"largest entry at its peak, MB", 0, func(v overload) float64 { return v.entryPeak }},
+	{"largest entry afterwards, MB", 0, func(v overload) float64 { return v.entryAfter }},
+	{"memory in the second half by the first", 2, func(v overload) float64 { return v.entryLate }},
+}
+
+func reportOverload(out io.Writer, all []overload) error {
+	if _, err := fmt.Fprintf(out, "\n| overload | median of %d (least to most) |\n|---|---|\n", len(all)); err != nil {
+		return err
+	}
+	for _, f := range overloadFigures {
+		values := make([]float64, len(all))
+		for i, v := range all {
+			values[i] = f.of(v)
+		}
+		if _, err := fmt.Fprintf(out, "| %s | %s |\n", f.name, measure.Of(values).Format(f.decimals)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/common/admin/admin.go
+++ b/common/admin/admin.go
@@ -1,11 +1,12 @@
 // Package admin serves the administration listener that every process has:
-// health, readiness, metrics and a dump of the process's state.
+// health, readiness, metrics, profiles and a dump of the process's state.
 package admin
 
 import (
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,8 @@
 	s.router.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
 	s.router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
 	s.router.HandleFunc("/debug/state", s.dump).Methods(http.MethodGet)
+	s.router.HandleFunc("/debug/pprof/profile", pprof.Profile).Methods(http.MethodGet)
+	s.router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index).Methods(http.MethodGet)
 	return s
 }
 
--- a/integration/cluster/build.go
+++ b/integration/cluster/build.go
@@ -29,6 +29,13 @@
 	return built.dir, built.err
 }
 
+// Main runs the tests of a package, removes what was built, and exits.
+func Main(m interface{ Run() int }) {
+	code := m.Run()
+	RemovePrograms()
+	os.Exit(code)
+}
+
 // RemovePrograms deletes what Programs built. Call it when the run ends.
 func RemovePrograms() {
 	if built.dir != "" {
--- /dev/null
+++ b/integration/cluster/options.go
@@ -0,0 +1,89 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	"peridotchute.example/config"
+	"peridotchute.example/entry"
+	"peridotchute.example/side"
+	"peridotchute.example/standin/server"
+)
+
+// Zone is an availability zone with its region.
+type Zone struct {
+	Region string
+	Name   string
+}
+
+// Channels of a link, as named to Proxies.
+const (
+	ChannelData = "data" // requests and their answers
+	ChannelRPC  = "rpc"  // control calls
+)
+
+// Names of the stand-ins as the far end of a link.
+const (
+	Table   = "table"
+	Objects = "objects"
+	VMList  = "vmlist"
+	Backend = "backend" // the engine or plain service beside a side process
+)
+
+// Proxies opens a proxy on the link between two processes.
+type Proxies interface {
+	// Open returns the address to use in place of upstream.
+	Open(from, to, channel, upstream string) (string, error)
+}
+
+// Options describe a cluster. The zero value is one entry and two model
+// servers in one availability zone, with no proxies.
+type Options struct {
+	Entries     int
+	Sides       int                   // model servers, each with an engine
+	Plain       int                   // backend servers with the sample plain service
+	Zones       []Zone                // processes are placed in turn; default: SampleZones(1)
+	MemoryBytes int64                 // of each engine; 0 means SampleMemoryBytes
+	TimeScale   float64               // of the engines, 1 is real time, 0 means no delays
+	VMListLag   time.Duration         // until the VM list shows a change
+	Config      *config.Configuration // nil means Sample
+	Proxies     Proxies               // nil: every link is direct
+	Env         []string              // added to every daemon's environment
+
+	EditEntry   func(i int, s *entry.Settings) // last word on settings; i counts from 1
+	EditSide    func(i int, s *side.Settings)  // model servers
+	EditStandIn func(s *server.Settings)
+}
+
+func (o Options) withDefaults() Options {
+	o.Entries = max(o.Entries, 1)
+	if o.Sides == 0 && o.Plain == 0 {
+		o.Sides = 2
+	}
+	if len(o.Zones) == 0 {
+		o.Zones = SampleZones(1)
+	}
+	if o.MemoryBytes == 0 {
+		o.MemoryBytes = SampleMemoryBytes
+	}
+	if o.Config == nil {
+		o.Config = Sample(o.Zones)
+	}
+	return o
+}
+
+// SampleZones returns n availability zones, the first two in region north and
+// the others in region south.
+func SampleZones(n int) []Zone {
+	out := make([]Zone, n)
+	for i := range out {
+		region := "north"
+		if i >= 2 {
+			region = "south"
+		}
+		out[i] = Zone{Region: region, Name: fmt.Sprintf("%s-%c", region, 'a'+i)}
+	}
+	return out
+}
+
+func (o Options) zone(i int) Zone { return o.Zones[i%len(o.Zones)] }
--- /dev/null
+++ b/integration/cluster/publish.go
@@ -0,0 +1,90 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"peridotchute.example/config"
+	"peridotchute.example/config/publish"
+	"peridotchute.example/entry/forward"
+	"peridotchute.example/standin/faults"
+)
+
+// Publish accepts the configuration as the next version, past any proxy and
+// without the administration API.
+func (c *Cluster) Publish(ctx context.Context, declared *config.Configuration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	accepted, err := publish.New(c.Table(), c.Objects()).Accept(ctx, publish.Change{
+		Base:     c.version,
+		Declared: declared,
+		ChangeID: uuid.NewString(),
+		Author:   "harness",
+		At:       time.Now(),
+	})
+	if err != nil {
+		return err
+	}
+	c.version = accepted.Version
+	return nil
+}
+
+// Version returns the version that Publish accepted last.
+func (c *Cluster) Version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+// Fault sets the faults of the stand-in at the address.
+func (c *Cluster) Fault(address string, f faults.Settings) error {
+	return c.control(address, faults.Path, f)
+}
+
+// StoreDown switches the table service and the object store off or on.
+func (c *Cluster) StoreDown(down bool) error {
+	for _, address := range []string{c.StandIn.Settings.TableAddress, c.StandIn.Settings.ObjectAddress} {
+		if err := c.Fault(address, faults.Settings{Down: down}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const warmDeadline = 30 * time.Second
+
+// Warm has a side process load the named model of the sample configuration by
+// a request of one token.
+func (c *Cluster) Warm(s *Side, model string) error {
+	served, ok := config.NewIndex(c.opts.Config).Resolve(model)
+	if !ok {
+		return fmt.Errorf("the configuration has no model %q", model)
+	}
+	f := forward.New(deploymentKey)
+	return Await(func() error {
+		resp, err := f.Send(context.Background(), s.Settings.DataAddress, forward.Call{
+			Method:      http.MethodPost,
+			Path:        "/v1/completions",
+			ContentType: "application/json",
+			Body:        fmt.Appendf(nil, `{"model":%q,"prompt":"warm","max_tokens":1}`, model),
+			RequestID:   "warm-" + s.Name,
+			Artifact:    served.Artifact,
+			Deadline:    time.Now().Add(warmDeadline),
+		})
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			body, _ := io.ReadAll(resp.Body)
+			return fmt.Errorf("warm %s: %s: %s", s.Name, resp.Status, strings.TrimSpace(string(body)))
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/integration/cluster/vms.go
@@ -0,0 +1,138 @@
+package cluster
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"peridotchute.example/platform"
+	"peridotchute.example/standin/vmlist"
+)
+
+// SetVMState changes the state of a VM in the platform's list.
+func (c *Cluster) SetVMState(name string, state platform.VMState) error {
+	c.mu.Lock()
+	vm, ok := c.vms[name]
+	if !ok {
+		c.mu.Unlock()
+		return fmt.Errorf("no VM has the name %q", name)
+	}
+	vm.State = state
+	c.vms[name] = vm
+	c.mu.Unlock()
+	return c.showVMs()
+}
+
+// RemoveVM takes a VM out of the platform's list.
+func (c *Cluster) RemoveVM(name string) error {
+	c.mu.Lock()
+	delete(c.vms, name)
+	c.mu.Unlock()
+	return c.showVMs()
+}
+
+// showVMs hands the list to the stand-in.
+func (c *Cluster) showVMs() error {
+	c.mu.Lock()
+	vms := make([]platform.VM, 0, len(c.vms))
+	for _, name := range slices.Sorted(maps.Keys(c.vms)) {
+		vms = append(vms, c.vms[name])
+	}
+	c.mu.Unlock()
+	control := vmlist.Control{VMs: platform.TargetGroups(vms), LagMS: int(c.opts.VMListLag.Milliseconds())}
+	return c.control(c.StandIn.Settings.VMListAddress, "/control/vms", control)
+}
+
+// control performs a control call on a stand-in.
+func (c *Cluster) control(address, path string, body any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("PUT %s%s: %s", address, path, resp.Status)
+	}
+	return nil
+}
+
+// views serves the platform's VM list to each reader with the addresses that
+// this reader must use: those of the proxies between it and each VM.
+type views struct {
+	address  string
+	upstream string
+	proxies  Proxies
+	server   *http.Server
+}
+
+const viewReadTimeout = 10 * time.Second
+
+func newViews(upstream string, proxies Proxies) (*views, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	v := &views{address: ln.Addr().String(), upstream: "http://" + upstream + "/", proxies: proxies}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /{reader}", v.serve)
+	v.server = &http.Server{Handler: mux, ReadHeaderTimeout: viewReadTimeout}
+	go func() { _ = v.server.Serve(ln) }()
+	return v, nil
+}
+
+func (v *views) close() error { return v.server.Close() }
+
+func (v *views) serve(w http.ResponseWriter, r *http.Request) {
+	groups, err := v.read(r.PathValue("reader"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(groups)
+}
+
+func (v *views) read(reader string) ([]platform.TargetGroup, error) {
+	resp, err := get(v.upstream)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	groups := []platform.TargetGroup{}
+	if err := json.NewDecoder(resp.Body).Decode(&groups); err != nil {
+		return nil, err
+	}
+	if v.proxies == nil {
+		return groups, nil
+	}
+	for i := range groups {
+		if err := v.rewrite(reader, &groups[i]); err != nil {
+			return nil, err
+		}
+	}
+	return groups, nil
+}
+
+func (v *views) rewrite(reader string, g *platform.TargetGroup) error {
+	if g.Labels.Name == reader || len(g.Targets) != 1 {
+		return nil
+	}
+	var dataErr, rpcErr error
+	g.Targets[0], dataErr = v.proxies.Open(reader, g.Labels.Name, ChannelData, g.Targets[0])
+	g.Labels.RPCAddress, rpcErr = v.proxies.Open(reader, g.Labels.Name, ChannelRPC, g.Labels.RPCAddress)
+	return errors.Join(dataErr, rpcErr)
+}
