Entries run non-idempotent actions at most once

Cause: a charge or booking may run once only, whatever fails. Change: entry/action carries out the effects of idempotency.Step over the table and the side processes' control connections, relays whole answers and streams, settles open claims in the background and by a scan of shards divided among the live entries, lists unresolved actions and records an operator's verdict. Ruled out: leases of actions, since a frozen holder needs the gate at the side process anyway.

--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -17,6 +17,7 @@
 	HeaderOutcome     = "Peridotchute-Outcome"  // entry to caller, and side process to entry
 	HeaderDeadline    = "Peridotchute-Deadline" // milliseconds left, entry to side process
 	HeaderClaim       = "Peridotchute-Claim"    // see Claim
+	HeaderAction      = "Peridotchute-Action"   // team-scoped key of an action, side process to backend server
 	HeaderArtifact    = "Peridotchute-Artifact" // artifact that the request needs resident
 	HeaderTeam        = "Peridotchute-Team"     // authenticated team, entry to side process
 	HeaderPriority    = "Peridotchute-Priority" // 0 is served first
--- /dev/null
+++ b/entry/action/action_test.go
@@ -0,0 +1,221 @@
+package action
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/wire"
+	"peridotchute.example/idempotency"
+	"peridotchute.example/platform"
+	"peridotchute.example/standin/faults"
+	"peridotchute.example/standin/table"
+)
+
+// fakeServer is one backend server with its side process.
+type fakeServer struct {
+	mu        sync.Mutex
+	mark      idempotency.Mark
+	runs      int
+	forgotten bool
+	breaks    bool // the connection breaks after the action ran
+	early     bool // it breaks before the attempt arrives
+}
+
+func (f *fakeServer) Choose(string) idempotency.Event {
+	return idempotency.Chosen{Server: "s0", Incarnation: "i0"}
+}
+
+func (f *fakeServer) Send(_ context.Context, rec idempotency.Record) idempotency.Event {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.early {
+		return idempotency.Broken{}
+	}
+	mark, ok := f.mark.Start(rec.Attempt)
+	if !ok {
+		return idempotency.NotStarted{Reason: "barred", Barred: true}
+	}
+	f.runs++
+	f.mark = mark.Finish(idempotency.EndWhole)
+	if f.breaks {
+		return idempotency.Broken{}
+	}
+	return idempotency.Answered{Answer: fakeAnswer()}
+}
+
+func fakeAnswer() *wire.Answer { return &wire.Answer{Status: 201, Body: []byte("receipt")} }
+
+func (f *fakeServer) Ask(_ context.Context, rec idempotency.Record, bar bool) idempotency.Event {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.forgotten {
+		return idempotency.Judged{Verdict: idempotency.VerdictForgotten}
+	}
+	verdict := f.mark.Look(rec.Attempt)
+	if bar {
+		f.mark, verdict = f.mark.Bar(rec.Attempt)
+	}
+	if verdict == idempotency.VerdictDone {
+		return idempotency.Judged{Verdict: verdict, Answer: fakeAnswer()}
+	}
+	return idempotency.Judged{Verdict: verdict}
+}
+
+func (f *fakeServer) Lookup(context.Context, string, string) idempotency.Looked {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.runs > 0 {
+		return idempotency.Looked{Verdict: idempotency.VerdictDone, Answer: fakeAnswer(), Sure: true}
+	}
+	return idempotency.Looked{Verdict: idempotency.VerdictAbsent, Sure: true}
+}
+
+type fixture struct {
+	table  *table.Server
+	client platform.Table
+	server *fakeServer
+	runner *Runner
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	tab := table.New()
+	web := httptest.NewServer(tab)
+	t.Cleanup(web.Close)
+	f := &fixture{table: tab, server: &fakeServer{}}
+	f.client = platform.NewTable(platform.TableSettings{URL: web.URL, Name: "t"})
+	f.runner = NewRunner(f.client, f.server, logrus.New())
+	return f
+}
+
+func newAction(key, token string) idempotency.Action {
+	return idempotency.Action{
+		Team: "till/4", Key: key, Entry: "e0", Token: token, Digest: "d",
+		Retention: time.Hour, Deadline: time.Now().Add(20 * time.Second),
+	}
+}
+
+func (f *fixture) run(key, token string) idempotency.Reply {
+	_, reply := f.runner.run(context.Background(), newAction(key, token), "tills", f.server)
+	return reply
+}
+
+func TestRepeatGetsTheStoredAnswer(t *testing.T) {
+	f := newFixture(t)
+	for _, token := range []string{"a", "b"} {
+		reply := f.run("k", token)
+		assert.Equal(t, reply.Outcome, wire.OutcomeCompleted)
+		assert.Equal(t, string(reply.Answer.Body), "receipt")
+	}
+	assert.Equal(t, f.server.runs, 1)
+	assert.Equal(t, f.table.Counts().Writes, int64(3))
+}
+
+func TestEveryLostWriteAnswerIsReadBack(t *testing.T) {
+	for n := 1; n <= 2; n++ {
+		f := newFixture(t)
+		f.table.Set(faults.Settings{LoseNext: n, Match: "PutItem"})
+		reply := f.run("k", "a")
+		assert.Equal(t, reply.Outcome, wire.OutcomeCompleted)
+		assert.Equal(t, f.server.runs, 1)
+		assert.Assert(t, !reply.Unsettled)
+	}
+}
+
+func TestStoreDown(t *testing.T) {
+	f := newFixture(t)
+	f.table.Set(faults.Settings{Down: true})
+	reply := f.run("k", "a")
+	assert.Equal(t, reply.Outcome, wire.OutcomeNotRun)
+	assert.Equal(t, reply.Code, idempotency.CodeStoreDown)
+	assert.Equal(t, f.server.runs, 0)
+
+	f.table.Set(faults.Settings{})
+	assert.Equal(t, f.run("k", "b").Outcome, wire.OutcomeCompleted)
+	f.table.Set(faults.Settings{Down: true})
+	reply = f.run("k", "c")
+	assert.Equal(t, reply.Outcome, wire.OutcomeCompleted, "a repeat must not be told not-run of an action that ran")
+	assert.Equal(t, f.server.runs, 1)
+}
+
+func TestBrokenAfterTheRunIsNotRepeated(t *testing.T) {
+	f := newFixture(t)
+	f.server.breaks = true
+	assert.Equal(t, f.run("k", "a").Outcome, wire.OutcomeCompleted)
+	assert.Equal(t, f.server.runs, 1)
+}
+
+func TestReconcilerSettlesAnOpenClaim(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	claim := idempotency.Record{Team: "till/4", Key: "k", Token: "dead.1", BodyDigest: "d", Attempt: 1, State: idempotency.StateClaimed}
+	_, written := f.runner.rows.putIfAbsent(ctx, claim).(idempotency.Written)
+	assert.Assert(t, written)
+	r := NewReconciler(f.runner, noVMs{}, "e1", logrus.New())
+	now := time.Now()
+	r.Scan(ctx, now)
+	r.Scan(ctx, now.Add(openAge))
+	row := f.runner.rows.read(ctx, "till/4", "k").(idempotency.Row)
+	assert.Equal(t, row.Record.State, idempotency.StateNotRun)
+	assert.Equal(t, f.run("k", "b").Outcome, wire.OutcomeCompleted)
+}
+
+func TestExpiredRowIsRemoved(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	assert.Equal(t, f.run("k", "a").Outcome, wire.OutcomeCompleted)
+	r := NewReconciler(f.runner, noVMs{}, "e1", logrus.New())
+	r.Scan(ctx, time.Now().Add(30*time.Minute))
+	_, err := f.client.Get(ctx, actionKey("till/4", "k"))
+	assert.NilError(t, err)
+	r.Scan(ctx, time.Now().Add(2*time.Hour))
+	_, err = f.client.Get(ctx, actionKey("till/4", "k"))
+	assert.Assert(t, fault.Is(err, fault.KindNotFound))
+}
+
+type noVMs struct{}
+
+func (noVMs) List(context.Context) ([]platform.VM, error) { return nil, nil }
+
+func TestUnresolvedIsListedAndSettled(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	f.server.early, f.server.forgotten = true, true
+	reply := f.run("k", "a")
+	assert.Equal(t, reply.Outcome, wire.OutcomeUnknown)
+	list, next, err := f.runner.Unresolved(ctx, "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, next, "")
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Server, "s0")
+
+	verdict := Verdict{Team: "till/4", Key: "k", Operator: "ann", Note: "not on the till's roll"}
+	assert.NilError(t, f.runner.Resolve(ctx, verdict))
+	assert.Assert(t, fault.Is(f.runner.Resolve(ctx, verdict), fault.KindConflict))
+	list, _, err = f.runner.Unresolved(ctx, "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 0)
+	f.server.early, f.server.forgotten = false, false
+	assert.Equal(t, f.run("k", "b").Outcome, wire.OutcomeCompleted)
+	assert.Equal(t, f.server.runs, 1)
+}
+
+func TestShardsAreDividedAmongEntries(t *testing.T) {
+	entries := []string{"e0", "e1", "e2"}
+	owned := map[string]int{}
+	for _, shard := range []string{"00", "01", "02", "03", "04", "05", "06", "07", "08", "09", "0a", "0b", "0c", "0d", "0e", "0f"} {
+		owned[owner(shard, entries)]++
+		with := owner(shard, entries[:2])
+		if o := owner(shard, entries); o != "e2" {
+			assert.Equal(t, o, with, "a shard moved between entries that stayed")
+		}
+	}
+	assert.Equal(t, len(owned), 3)
+}
--- /dev/null
+++ b/entry/action/rows.go
@@ -0,0 +1,108 @@
+// Package action runs non-idempotent actions at most once: it carries out the
+// effects of the state machine in package idempotency, settles what entries
+// left open, and gives operators the list of what nobody can know.
+package action
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/idempotency"
+	"peridotchute.example/platform"
+)
+
+// shardCount is the number of parts into which the rows of actions are divided
+// for scanning.
+const shardCount = 256
+
+const (
+	actionPrefix     = "action/"
+	unresolvedPrefix = "unresolved/"
+	auditPrefix      = "audit/"
+)
+
+// shardOf returns the two digits of the shard of a key.
+func shardOf(scoped string) string {
+	return fmt.Sprintf("%02x", xxhash.Sum64String(scoped)%shardCount)
+}
+
+func actionKey(team, key string) string {
+	scoped := idempotency.ScopedKey(team, key)
+	return actionPrefix + shardOf(scoped) + "/" + scoped
+}
+
+func unresolvedKey(team, key string) string {
+	return unresolvedPrefix + idempotency.ScopedKey(team, key)
+}
+
+// rows reads and writes the rows of actions.
+type rows struct {
+	table platform.Table
+}
+
+func decode(row platform.Row) (idempotency.Record, error) {
+	var rec idempotency.Record
+	if err := json.Unmarshal(row.Value, &rec); err != nil {
+		return rec, fault.New(fault.KindInternal, "action.decode", row.Key, err)
+	}
+	return rec, nil
+}
+
+func (r rows) read(ctx context.Context, team, key string) idempotency.Event {
+	row, err := r.table.Get(ctx, actionKey(team, key))
+	if fault.Is(err, fault.KindNotFound) {
+		return idempotency.NoRow{}
+	}
+	if err != nil {
+		return idempotency.StoreFailed{}
+	}
+	rec, err := decode(row)
+	if err != nil {
+		return idempotency.StoreFailed{}
+	}
+	return idempotency.Row{Record: rec, Version: row.Version}
+}
+
+func (r rows) putIfAbsent(ctx context.Context, rec idempotency.Record) idempotency.Event {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return idempotency.StoreFailed{}
+	}
+	row, err := r.table.PutIfAbsent(ctx, actionKey(rec.Team, rec.Key), value)
+	return writeEvent(row, err)
+}
+
+func (r rows) compareAndSet(ctx context.Context, version string, rec idempotency.Record) idempotency.Event {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return idempotency.StoreFailed{}
+	}
+	row, err := r.table.CompareAndSet(ctx, actionKey(rec.Team, rec.Key), version, value)
+	return writeEvent(row, err)
+}
+
+func (r rows) announce(ctx context.Context, rec idempotency.Record) idempotency.Event {
+	rec.Answer = nil
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return idempotency.StoreFailed{}
+	}
+	row, err := r.table.PutIfAbsent(ctx, unresolvedKey(rec.Team, rec.Key), value)
+	return writeEvent(row, err)
+}
+
+func writeEvent(row platform.Row, err error) idempotency.Event {
+	switch {
+	case err == nil:
+		return idempotency.Written{Version: row.Version}
+	case fault.Is(err, fault.KindConflict):
+		return idempotency.Conflict{}
+	case fault.Is(err, fault.KindUnknown) || fault.Is(err, fault.KindCanceled):
+		return idempotency.StoreFailed{Unknown: true}
+	}
+	return idempotency.StoreFailed{}
+}
--- /dev/null
+++ b/entry/action/runner.go
@@ -0,0 +1,130 @@
+package action
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"peridotchute.example/common/event"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/idempotency"
+	"peridotchute.example/platform"
+)
+
+// Asker reaches the side process that a claim names.
+type Asker interface {
+	// Ask bars the attempt, or only asks what became of the action.
+	Ask(ctx context.Context, rec idempotency.Record, bar bool) idempotency.Event
+	// Lookup asks every server of the pool about any attempt of the action.
+	Lookup(ctx context.Context, pool, scoped string) idempotency.Looked
+}
+
+// Sender chooses a backend server for one request and sends it there.
+type Sender interface {
+	// Choose returns a Chosen or NoServer.
+	Choose(exclude string) idempotency.Event
+	// Send sends the attempt once and returns Answered, NotStarted or Broken.
+	Send(ctx context.Context, rec idempotency.Record) idempotency.Event
+}
+
+// Counters of all actions of this process.
+var (
+	actionsAsked   = expvar.NewInt("actions_asked")
+	actionsReplies = expvar.NewMap("actions_replies") // by outcome
+)
+
+// Runner carries out actions.
+type Runner struct {
+	rows    rows
+	asker   Asker
+	settler *settler
+	log     logrus.FieldLogger
+}
+
+// NewRunner returns a runner over the table and the side processes.
+func NewRunner(table platform.Table, asker Asker, log logrus.FieldLogger) *Runner {
+	r := &Runner{rows: rows{table: table}, asker: asker, log: log}
+	r.settler = newSettler(r)
+	return r
+}
+
+// drive takes the action to its reply. The context bounds nothing but the
+// process's life: an action goes on when its caller leaves.
+func (r *Runner) drive(ctx context.Context, a idempotency.Action, pool string, sender Sender) (idempotency.Action, idempotency.Reply) {
+	var ev idempotency.Event = idempotency.Begin{}
+	for {
+		var effect idempotency.Effect
+		a, effect = idempotency.Step(a, ev, time.Now())
+		if reply, ok := effect.(idempotency.Reply); ok {
+			return a, reply
+		}
+		ev = r.carryOut(ctx, &a, effect, pool, sender)
+	}
+}
+
+func (r *Runner) carryOut(ctx context.Context, a *idempotency.Action, effect idempotency.Effect, pool string, sender Sender) idempotency.Event {
+	switch e := effect.(type) {
+	case idempotency.Choose:
+		return sender.Choose(e.Exclude)
+	case idempotency.Send:
+		return sender.Send(ctx, e.Record)
+	case idempotency.PutIfAbsent:
+		return r.rows.putIfAbsent(ctx, e.Record)
+	case idempotency.CompareAndSet:
+		return r.rows.compareAndSet(ctx, e.Version, e.Record)
+	case idempotency.Read:
+		return r.rows.read(ctx, a.Team, a.Key)
+	case idempotency.Bar:
+		return r.asker.Ask(ctx, e.Record, true)
+	case idempotency.Query:
+		return r.asker.Ask(ctx, e.Record, false)
+	case idempotency.Lookup:
+		return r.asker.Lookup(ctx, pool, idempotency.ScopedKey(a.Team, a.Key))
+	case idempotency.Announce:
+		event.Log(r.log, event.ActionUnresolved, event.Subject(idempotency.ScopedKey(a.Team, a.Key)), event.Peer(e.Record.Server), event.Reason(e.Record.Reason))
+		return r.rows.announce(ctx, e.Record)
+	case idempotency.Wait:
+		return wait(ctx, e.For)
+	}
+	return idempotency.StoreFailed{}
+}
+
+func wait(ctx context.Context, d time.Duration) idempotency.Event {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return idempotency.Waited{}
+}
+
+// run runs an action for a caller and leaves what stays open to the settler.
+func (r *Runner) run(ctx context.Context, a idempotency.Action, pool string, sender Sender) (idempotency.Action, idempotency.Reply) {
+	actionsAsked.Add(1)
+	a, reply := r.drive(ctx, a, pool, sender)
+	actionsReplies.Add(string(reply.Outcome), 1)
+	if reply.Unsettled {
+		r.settler.offer(a.Team, a.Key)
+	}
+	return a, reply
+}
+
+// Settle finds out what became of an action, without any new attempt.
+func (r *Runner) Settle(ctx context.Context, team, key string, within time.Duration) idempotency.Reply {
+	a := idempotency.Action{
+		Mode:     idempotency.ModeSettle,
+		Team:     team,
+		Key:      key,
+		Deadline: time.Now().Add(within),
+	}
+	_, reply := r.drive(ctx, a, "", nil)
+	return reply
+}
+
+// errStore wraps a failed call of the table.
+func errStore(step string, err error) error {
+	return fault.New(fault.KindOf(err), step, "table", err)
+}
--- /dev/null
+++ b/entry/action/sender.go
@@ -0,0 +1,124 @@
+package action
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/wire"
+	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/pool"
+	"peridotchute.example/idempotency"
+)
+
+const (
+	maxAnswerBytes = 64 << 20 // longest answer that is not streamed
+	readBuffer     = 32 << 10
+	codeBarred     = "barred" // of a side process's refusal
+)
+
+// sender sends the attempts of one request.
+type sender struct {
+	server *Server
+	req    dispatch.Request
+	out    *sink
+	sent   bool
+}
+
+// Choose picks a backend server of the request's pool.
+func (s *sender) Choose(exclude string) idempotency.Event {
+	server, err := s.server.opts.Chooser.Choose(s.req, exclude)
+	if err != nil {
+		return idempotency.NoServer{}
+	}
+	incarnation := server.Incarnation()
+	if incarnation == "" {
+		return idempotency.NoServer{}
+	}
+	return idempotency.Chosen{Server: server.VM().Name, Incarnation: incarnation}
+}
+
+// Send sends the attempt to the server of its claim, once.
+func (s *sender) Send(ctx context.Context, rec idempotency.Record) idempotency.Event {
+	server, ok := s.server.opts.Pool.Server(rec.Server)
+	if !ok {
+		return idempotency.NotStarted{Reason: "the backend server has left"}
+	}
+	ctx, cancel := context.WithDeadline(ctx, s.req.Deadline)
+	defer cancel()
+	end := server.Begin()
+	ev := s.exchange(ctx, server, rec)
+	_, answered := ev.(idempotency.Answered)
+	end(answered)
+	return ev
+}
+
+func (s *sender) exchange(ctx context.Context, server *pool.Server, rec idempotency.Record) idempotency.Event {
+	resp, err := s.server.opts.Forwarder.Send(ctx, server.VM().DataAddress, s.call(rec))
+	switch {
+	case fault.Is(err, fault.KindUnavailable) || fault.Is(err, fault.KindInternal):
+		return idempotency.NotStarted{Reason: err.Error()}
+	case err != nil:
+		s.sent = true
+		return idempotency.Broken{Reason: err.Error()}
+	}
+	defer resp.Body.Close()
+	if load, err := wire.ParseLoad(resp.Header.Get(wire.HeaderLoad)); err == nil {
+		server.Observe(load, time.Now())
+	}
+	switch wire.Outcome(resp.Header.Get(wire.HeaderOutcome)) {
+	case wire.OutcomeNotRun:
+		return refusal(resp, rec.Server)
+	case wire.OutcomeUnknown:
+		s.sent = true
+		return idempotency.Broken{Reason: "the side process does not know"}
+	}
+	s.sent = true
+	return s.receive(resp)
+}
+
+func (s *sender) call(rec idempotency.Record) forward.Call {
+	c := dispatch.CallOf(s.req)
+	claim := rec.Claim()
+	c.Claim = &claim
+	return c
+}
+
+// refusal reads why the side process did not start the attempt.
+func refusal(resp *http.Response, peer string) idempotency.Event {
+	answer, err := forward.ReadAnswer(resp, peer)
+	if err != nil {
+		return idempotency.NotStarted{Reason: "refused"}
+	}
+	f := dispatch.FailureOf(answer)
+	return idempotency.NotStarted{Reason: f.Detail.Code + ": " + f.Detail.Message, Barred: f.Detail.Code == codeBarred}
+}
+
+// receive reads the answer and relays it while it comes when it is a stream.
+func (s *sender) receive(resp *http.Response) idempotency.Event {
+	answer := &wire.Answer{Status: resp.StatusCode, Header: wire.EndToEnd(resp.Header)}
+	stream := forward.IsStream(resp)
+	if stream {
+		s.out.begin(answer.Status, answer.Header)
+	}
+	buf := make([]byte, readBuffer)
+	for {
+		n, err := resp.Body.Read(buf)
+		answer.Body = append(answer.Body, buf[:n]...)
+		if stream && n > 0 {
+			s.out.write(buf[:n])
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return idempotency.Answered{Answer: answer}
+		case err != nil:
+			return idempotency.Broken{Reason: err.Error()}
+		case len(answer.Body) > maxAnswerBytes:
+			return idempotency.Broken{Reason: "the answer is too long"}
+		}
+	}
+}
--- /dev/null
+++ b/entry/action/serve.go
@@ -0,0 +1,166 @@
+package action
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/config"
+	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/pool"
+	"peridotchute.example/idempotency"
+)
+
+const (
+	storeRetry   = 2 * time.Second // told to callers while the table is down
+	runningRetry = time.Second
+	outcomeWait  = time.Second // longest wait of a question for an outcome
+)
+
+// Options configure a Server.
+type Options struct {
+	Entry     string // name of this entry
+	Runner    *Runner
+	Pool      *pool.Pool
+	Forwarder *forward.Forwarder
+	Chooser   *dispatch.Dispatcher
+	Holder    *config.Holder
+}
+
+// Server answers callers' requests for non-idempotent actions.
+type Server struct {
+	opts Options
+}
+
+// NewServer returns a server.
+func NewServer(opts Options) *Server { return &Server{opts: opts} }
+
+// Serve runs the action and answers on w, or returns the failure to be written.
+func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, req dispatch.Request) *wire.Failure {
+	a := s.action(req)
+	w.Header().Set(wire.HeaderIdempotency, a.Key)
+	out := &sink{w: w}
+	sender := &sender{server: s, req: req, out: out}
+	_, reply := s.opts.Runner.run(context.WithoutCancel(ctx), a, req.Pool, sender)
+	if reply.Answer != nil {
+		out.whole(reply.Answer)
+		return nil
+	}
+	f := failureOf(reply, sender.sent)
+	if out.started {
+		out.abort(f)
+	}
+	return f
+}
+
+func (s *Server) action(req dispatch.Request) idempotency.Action {
+	a := idempotency.Action{
+		Mode:      idempotency.ModeRun,
+		Team:      req.Team,
+		Key:       req.Key,
+		Entry:     s.opts.Entry,
+		Token:     uuid.NewString(),
+		Digest:    digest(req),
+		Retention: s.opts.Holder.Current().Configuration.Policy.Retention(),
+		Deadline:  req.Deadline,
+	}
+	if a.Key == "" {
+		a.Key = uuid.Must(uuid.NewV7()).String()
+		a.Minted = true
+	}
+	return a
+}
+
+// digest identifies what an action asks for.
+func digest(req dispatch.Request) string {
+	h := sha256.New()
+	for _, part := range []string{req.Pool, req.Method, req.Path} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(req.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// failureOf maps a reply without an answer. sent tells the own attempt's
+// timeout from a repeat that met the action in progress.
+func failureOf(r idempotency.Reply, sent bool) *wire.Failure {
+	status, retry := http.StatusServiceUnavailable, runningRetry
+	switch r.Code {
+	case idempotency.CodeMismatch:
+		status, retry = http.StatusUnprocessableEntity, 0
+	case idempotency.CodeRunning:
+		status = http.StatusConflict
+		if sent {
+			status = http.StatusGatewayTimeout
+		}
+	case idempotency.CodeStoreDown:
+		retry = storeRetry
+	case idempotency.CodeDeadline:
+		status = http.StatusGatewayTimeout
+	case idempotency.CodeUnresolved:
+		status, retry = http.StatusBadGateway, 0
+	case idempotency.CodeNotFound:
+		status, retry = http.StatusNotFound, 0
+	case idempotency.CodeDone:
+		status, retry = http.StatusGone, 0
+	case idempotency.CodeInternal:
+		status = http.StatusInternalServerError
+	}
+	return wire.NewFailure(status, r.Outcome, string(r.Code), "%s", message(r)).After(retry)
+}
+
+// message explains a reply to its caller.
+func message(r idempotency.Reply) string {
+	text := map[idempotency.Code]string{
+		idempotency.CodeMismatch:   "this Idempotency-Key was used with another request",
+		idempotency.CodeRunning:    "the action was sent and its outcome is not known yet; ask again under the same key",
+		idempotency.CodeStoreDown:  "the table service cannot be reached",
+		idempotency.CodeNoServer:   "no backend server can take the action now",
+		idempotency.CodeRefused:    "the action was never started",
+		idempotency.CodeDeadline:   "the deadline passed before the action was started",
+		idempotency.CodeUnresolved: "nobody can know whether the action ran; an operator will settle it",
+		idempotency.CodeNotFound:   "no action is known under this key",
+		idempotency.CodeDone:       "the action completed",
+		idempotency.CodeInternal:   "internal error",
+	}[r.Code]
+	if r.Reason != "" {
+		text += ": " + r.Reason
+	}
+	return text
+}
+
+// outcomeBody is the body of GET /v1/actions/{key}.
+type outcomeBody struct {
+	Key     string       `json:"key"`
+	Outcome wire.Outcome `json:"outcome"`
+	Code    string       `json:"code"`
+	Message string       `json:"message"`
+	Answer  *wire.Answer `json:"answer,omitempty"`
+}
+
+// Outcome answers a question for what became of the team's action.
+func (s *Server) Outcome(ctx context.Context, w http.ResponseWriter, team, key string) *wire.Failure {
+	reply := s.opts.Runner.Settle(context.WithoutCancel(ctx), team, key, outcomeWait)
+	switch reply.Code {
+	case idempotency.CodeNotFound, idempotency.CodeStoreDown:
+		return failureOf(reply, false)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(wire.HeaderOutcome, string(reply.Outcome))
+	_ = json.NewEncoder(w).Encode(outcomeBody{
+		Key:     key,
+		Outcome: reply.Outcome,
+		Code:    string(reply.Code),
+		Message: message(reply),
+		Answer:  reply.Answer,
+	})
+	return nil
+}
--- /dev/null
+++ b/entry/action/settler.go
@@ -0,0 +1,80 @@
+package action
+
+import (
+	"context"
+	"time"
+
+	"peridotchute.example/common/event"
+	"peridotchute.example/common/ring"
+	"peridotchute.example/idempotency"
+)
+
+const (
+	settleRing    = 4096 // actions of this entry waiting to be settled; more are left to the reconciler
+	settleWorkers = 8
+	settlePass    = 5 * time.Second // bound of one try
+	settlePause   = time.Second     // between two tries of one action
+)
+
+// open is an action whose row does not tell its outcome yet.
+type open struct {
+	team string
+	key  string
+	due  time.Time
+}
+
+// settler goes on with the actions that this entry replied to before their row
+// told their outcome.
+type settler struct {
+	runner *Runner
+	queue  *ring.Ring[open]
+}
+
+func newSettler(r *Runner) *settler {
+	return &settler{runner: r, queue: ring.New[open](settleRing, ring.Reject)}
+}
+
+func (s *settler) offer(team, key string) {
+	scoped := idempotency.ScopedKey(team, key)
+	event.Log(s.runner.log, event.ActionOpen, event.Subject(scoped))
+	s.put(open{team: team, key: key, due: time.Now().Add(settlePause)})
+}
+
+func (s *settler) put(o open) {
+	if !s.queue.Offer(o) {
+		event.Log(s.runner.log, event.SettleDropped, event.Subject(idempotency.ScopedKey(o.team, o.key)))
+	}
+}
+
+// run settles actions until ctx ends.
+func (s *settler) run(ctx context.Context) {
+	for range settleWorkers - 1 {
+		go s.work(ctx)
+	}
+	s.work(ctx)
+}
+
+func (s *settler) work(ctx context.Context) {
+	for {
+		o, err := s.queue.Take(ctx)
+		if err != nil {
+			return
+		}
+		wait(ctx, time.Until(o.due))
+		if ctx.Err() != nil {
+			return
+		}
+		reply := s.runner.Settle(ctx, o.team, o.key, settlePass)
+		if !unfinished(reply) {
+			event.Log(s.runner.log, event.ActionSettled, event.Subject(idempotency.ScopedKey(o.team, o.key)), event.Reason(string(reply.Outcome)))
+			continue
+		}
+		o.due = time.Now().Add(settlePause)
+		s.put(o)
+	}
+}
+
+// unfinished reports whether an action has to be looked at again.
+func unfinished(r idempotency.Reply) bool {
+	return r.Unsettled || r.Code == idempotency.CodeStoreDown
+}
--- /dev/null
+++ b/entry/actions.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"peridotchute.example/common/daemon"
+	"peridotchute.example/config"
+	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/pool"
+	"peridotchute.example/platform"
+)
+
+// actionModule wires non-idempotent actions.
+func actionModule() fx.Option {
+	return fx.Options(
+		fx.Provide(action.NewPeers, newActionRunner, newActions, newReconciler),
+		fx.Invoke(startReconciler),
+	)
+}
+
+func newActionRunner(table platform.Table, peers *action.Peers, log logrus.FieldLogger) *action.Runner {
+	return action.NewRunner(table, peers, log)
+}
+
+func newActions(s Settings, runner *action.Runner, p *pool.Pool, f *forward.Forwarder, d *dispatch.Dispatcher, h *config.Holder) *action.Server {
+	return action.NewServer(action.Options{Entry: s.Name, Runner: runner, Pool: p, Forwarder: f, Chooser: d, Holder: h})
+}
+
+func newReconciler(s Settings, runner *action.Runner, vms platform.VMs, log logrus.FieldLogger) *action.Reconciler {
+	return action.NewReconciler(runner, vms, s.Name, log)
+}
+
+func startReconciler(lc fx.Lifecycle, r *action.Reconciler) { daemon.Go(lc, r.Run) }
--- /dev/null
+++ b/entry/caller/action.go
@@ -0,0 +1,37 @@
+package caller
+
+import (
+	"net/http"
+	"net/url"
+
+	"github.com/gorilla/mux"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/entry/dispatch"
+)
+
+// serve hands a request on: actions to where they run at most once, the rest
+// to the dispatcher.
+func (a *API) serve(w http.ResponseWriter, r *http.Request, req dispatch.Request) *wire.Failure {
+	if req.Idempotent {
+		return a.backend.Serve(r.Context(), w, req)
+	}
+	req.Key = r.Header.Get(wire.HeaderIdempotency)
+	return a.actions.Serve(r.Context(), w, req)
+}
+
+// outcome tells a team what became of its action.
+func (a *API) outcome(w http.ResponseWriter, r *http.Request) {
+	req, ok := a.open(w, r)
+	if !ok {
+		return
+	}
+	key, err := url.PathUnescape(mux.Vars(r)["key"])
+	if err != nil {
+		wire.NewFailure(http.StatusBadRequest, "", codeBadHeader, "the key is not a valid path segment: %v", err).Write(w)
+		return
+	}
+	if f := a.actions.Outcome(r.Context(), w, req.team.Name, key); f != nil {
+		f.Write(w)
+	}
+}
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -42,15 +42,24 @@
 	maxRequestIDSize = 128
 )
 
+// Actions runs non-idempotent actions at most once and tells their outcomes.
+type Actions interface {
+	Backend
+	// Outcome answers what became of the team's action on w, or returns the
+	// failure to be written.
+	Outcome(ctx context.Context, w http.ResponseWriter, team, key string) *wire.Failure
+}
+
 // API is the callers' API.
 type API struct {
 	holder  *config.Holder
 	backend Backend
+	actions Actions
 }
 
 // New returns the API over the configuration in force.
-func New(holder *config.Holder, backend Backend) *API {
-	return &API{holder: holder, backend: backend}
+func New(holder *config.Holder, backend Backend, actions Actions) *API {
+	return &API{holder: holder, backend: backend, actions: actions}
 }
 
 // Handler returns the API's routes.
@@ -59,6 +68,7 @@
 	r.HandleFunc("/v1/chat/completions", a.inference).Methods(http.MethodPost)
 	r.HandleFunc("/v1/completions", a.inference).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", a.models).Methods(http.MethodGet)
+	r.HandleFunc("/v1/actions/{key:.+}", a.outcome).Methods(http.MethodGet)
 	r.PathPrefix("/services/{service}").HandlerFunc(a.service)
 	return r
 }
--- a/entry/caller/inference.go
+++ b/entry/caller/inference.go
@@ -43,7 +43,7 @@
 	}
 	out, f := inferenceRequest(req, r)
 	if f == nil {
-		f = a.backend.Serve(r.Context(), w, out)
+		f = a.serve(w, r, out)
 	}
 	if f != nil {
 		f.Write(w)
--- a/entry/caller/service.go
+++ b/entry/caller/service.go
@@ -33,7 +33,7 @@
 	if !strings.HasPrefix(uri, "/") {
 		uri = "/" + uri
 	}
-	f := a.backend.Serve(r.Context(), w, dispatch.Request{
+	f := a.serve(w, r, dispatch.Request{
 		ID:         req.id,
 		Team:       req.team.Name,
 		Priority:   req.team.Priority,
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -47,6 +47,7 @@
 	Stream     bool
 	Idempotent bool
 	Deadline   time.Time
+	Key        string // idempotency key of the caller; empty when it sent none
 	LastID     string // caller resumes a stream after this event
 }
 
@@ -93,8 +94,8 @@
 	return run.result()
 }
 
-// choose picks the server of the next attempt.
-func (d *Dispatcher) choose(req Request, exclude string) (*pool.Server, error) {
+// Choose picks the server of the next attempt, avoiding the server named exclude.
+func (d *Dispatcher) Choose(req Request, exclude string) (*pool.Server, error) {
 	var prefixes []uint64
 	if req.Served != nil {
 		prefixes = engine.Prefixes(req.Served.Artifact.String(), req.Prompt)
@@ -153,7 +154,7 @@
 		r.fail(http.StatusGatewayTimeout, codeDeadline, "the deadline has passed")
 		return false
 	}
-	server, err := r.d.choose(r.req, r.exclude)
+	server, err := r.d.Choose(r.req, r.exclude)
 	if err != nil {
 		r.fail(http.StatusServiceUnavailable, codeNoServer, "no backend server of pool %q is in reach", r.req.Pool)
 		return false
@@ -214,22 +215,28 @@
 	return r.whole(resp, address)
 }
 
-func (r *run) call() forward.Call {
+// CallOf returns the call that carries the request.
+func CallOf(req Request) forward.Call {
 	c := forward.Call{
-		Method:      r.req.Method,
-		Path:        r.req.Path,
-		ContentType: r.req.Type,
+		Method:      req.Method,
+		Path:        req.Path,
+		ContentType: req.Type,
 		Accept:      headerAcceptValue,
-		Body:        r.req.Body,
-		RequestID:   r.req.ID,
-		Team:        r.req.Team,
-		Priority:    r.req.Priority,
-		Deadline:    r.req.Deadline,
-		LastEventID: r.req.LastID,
+		Body:        req.Body,
+		RequestID:   req.ID,
+		Team:        req.Team,
+		Priority:    req.Priority,
+		Deadline:    req.Deadline,
+		LastEventID: req.LastID,
 	}
-	if r.req.Served != nil {
-		c.Artifact = r.req.Served.Artifact
+	if req.Served != nil {
+		c.Artifact = req.Served.Artifact
 	}
+	return c
+}
+
+func (r *run) call() forward.Call {
+	c := CallOf(r.req)
 	if id := r.relay.LastID(); id != "" {
 		c.LastEventID = id
 	}
@@ -248,7 +255,7 @@
 	if err != nil {
 		return fault.New(fault.KindUnavailable, "forward.refused", address, err)
 	}
-	return fault.New(fault.KindUnavailable, "forward.refused", address, failureOf(answer))
+	return fault.New(fault.KindUnavailable, "forward.refused", address, FailureOf(answer))
 }
 
 func (r *run) whole(resp *http.Response, address string) error {
@@ -257,7 +264,7 @@
 		return err
 	}
 	if answer.Status >= http.StatusInternalServerError && r.req.Idempotent {
-		return fault.New(fault.KindUnknown, "forward.answer", address, failureOf(answer))
+		return fault.New(fault.KindUnknown, "forward.answer", address, FailureOf(answer))
 	}
 	answer.Write(r.w, wire.OutcomeCompleted)
 	return nil
--- a/entry/module.go
+++ b/entry/module.go
@@ -15,6 +15,7 @@
 	"peridotchute.example/common/keyfile"
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
+	"peridotchute.example/entry/action"
 	"peridotchute.example/entry/caller"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/follower"
@@ -37,6 +38,7 @@
 			newKey, newLocal, newTable, newObjects, newVMs, newFollower, newPool, newForwarder, newDispatcher,
 			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer,
 		),
+		actionModule(),
 		fx.Invoke(startDuties, startRPC, startListeners),
 	)
 }
@@ -113,6 +115,7 @@
 	Holder     *config.Holder
 	Pool       *pool.Pool
 	Dispatcher *dispatch.Dispatcher
+	Actions    *action.Server
 	Admin      *admin.Server
 }
 
@@ -130,7 +133,7 @@
 	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{
 		Name:    "caller",
 		Address: p.Settings.CallerAddress,
-		Handler: caller.New(p.Holder, p.Dispatcher).Handler(),
+		Handler: caller.New(p.Holder, p.Dispatcher, p.Actions).Handler(),
 		Drain:   drain,
 	})
 	daemon.TellStop(p.Lifecycle, func(context.Context) { p.Admin.Stopping() })
--- a/side/gate/backend.go
+++ b/side/gate/backend.go
@@ -23,7 +23,7 @@
 }
 
 // returnedHeaders reach the entry.
-var returnedHeaders = []string{"Content-Type", "Content-Length", "Retry-After", "Cache-Control"}
+var returnedHeaders = []string{"Content-Type", "Content-Length", "Retry-After", "Cache-Control", "Location", "ETag"}
 
 // backend calls the backend server.
 type backend struct {
@@ -92,7 +92,8 @@
 			req.Header.Set(name, v)
 		}
 	}
-	if r.Header.Get(wire.HeaderClaim) != "" {
+	if claim, err := wire.ParseClaim(r.Header.Get(wire.HeaderClaim)); err == nil {
+		req.Header.Set(wire.HeaderAction, claim.Key)
 		return b.action.Do(req)
 	}
 	return b.kept.Do(req)
--- a/side/module.go
+++ b/side/module.go
@@ -15,6 +15,7 @@
 	"peridotchute.example/config"
 	"peridotchute.example/engine"
 	"peridotchute.example/rpc"
+	"peridotchute.example/side/action"
 	"peridotchute.example/side/follower"
 	"peridotchute.example/side/gate"
 	"peridotchute.example/side/memory"
@@ -34,7 +35,7 @@
 	return fx.Module("side",
 		fx.Supply(s),
 		fx.Provide(
-			newKey, newLocal, newMemory, newGate, newReporter, newServer,
+			newKey, newLocal, newMemory, newGate, newReporter, newServer, newRegister, action.NewRunner,
 			config.NewHolder, rpc.NewHandlers, admin.NewServer, follower.New,
 		),
 		fx.Invoke(handleControl, startControl, startListeners, announceDrain),
@@ -77,12 +78,28 @@
 	})
 }
 
-func newGate(s Settings, key deploymentKey, local rpc.Local, holder *config.Holder, mem *memory.Memory, log logrus.FieldLogger) *gate.Gate {
+func newRegister(local rpc.Local, holder *config.Holder) *action.Register {
+	return action.NewRegister(action.Options{
+		Incarnation: local.Identity.Incarnation,
+		Retention:   func() time.Duration { return retention(holder.Current()) },
+	})
+}
+
+// retention returns how long actions are remembered, by the configuration in force.
+func retention(index *config.Index) time.Duration {
+	if index == nil {
+		return config.DefaultRetention
+	}
+	return index.Configuration.Policy.Retention()
+}
+
+func newGate(s Settings, key deploymentKey, local rpc.Local, holder *config.Holder, mem *memory.Memory, actions *action.Runner, log logrus.FieldLogger) *gate.Gate {
 	opts := gate.Options{
 		Key:         string(key),
 		BackendURL:  s.Backend.URL,
 		Incarnation: local.Identity.Incarnation,
 		Holder:      holder,
+		Actions:     actions,
 		Log:         log,
 	}
 	if mem != nil {
@@ -125,9 +142,11 @@
 	Gate     *gate.Gate
 	Memory   *memory.Memory
 	Follower *follower.Follower
+	Register *action.Register
 }
 
 func handleControl(c control) {
+	action.Handle(c.Handlers, c.Register)
 	rpc.Handle(c.Handlers, rpc.MethodInventory, func(context.Context, *rpc.Peer, rpc.InventoryQuery) (rpc.InventoryReply, error) {
 		var inv rpc.InventoryReply
 		if c.Memory != nil {
@@ -166,12 +185,14 @@
 	Gate      *gate.Gate
 	Memory    *memory.Memory
 	Admin     *admin.Server
+	Register  *action.Register
 }
 
 func startListeners(p listenerParams) {
 	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
 	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
 	p.Admin.AddSection("gate", p.Gate)
+	p.Admin.AddSection("actions", p.Register)
 	if p.Memory != nil {
 		p.Admin.AddSection("memory", admin.DumpFunc(func() any { return p.Memory.Inventory() }))
 	}
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -12,21 +12,19 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"peridotchute.example/common/wire"
 )
 
 // Call is one call that the service ran.
 type Call struct {
-	Key    string    `json:"key"` // of HeaderKey
+	Key    string    `json:"key"` // of wire.HeaderAction; recorded, not used to remove duplicates
 	Method string    `json:"method"`
 	Path   string    `json:"path"`
 	Digest string    `json:"digest"` // SHA-256 of the body, hexadecimal
 	At     time.Time `json:"at"`     // when the call took effect
 }
 
-// HeaderKey names the action to the service. The service does not remove
-// duplicates by it; it only records it.
-const HeaderKey = "Peridotchute-Action"
-
 // Receipt is the body of an answer.
 type Receipt struct {
 	Number int    `json:"number"` // of the call, counts from 1
@@ -122,7 +120,7 @@
 func (s *Service) record(r *http.Request, body []byte) Receipt {
 	sum := sha256.Sum256(body)
 	call := Call{
-		Key:    r.Header.Get(HeaderKey),
+		Key:    r.Header.Get(wire.HeaderAction),
 		Method: r.Method,
 		Path:   r.URL.Path,
 		Digest: hex.EncodeToString(sum[:]),
