--- a/common/wire/load.go
+++ b/common/wire/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -18,13 +20,22 @@
 	return fmt.Sprintf("%d %d %s", l.InFlight, l.QueueDelay.Milliseconds(), l.Incarnation)
 }
 
-// ParseLoad reads the form written by String.
+// maxQueueDelay is the longest wait that a load figure may tell.
+const maxQueueDelay = 24 * time.Hour
+
+// ParseLoad reads the form written by String. Negative figures are refused.
 func ParseLoad(s string) (Load, error) {
-	var l Load
-	var ms int64
-	if _, err := fmt.Sscanf(s, "%d %d %s", &l.InFlight, &ms, &l.Incarnation); err != nil {
+	parts := strings.Fields(s)
+	if len(parts) != 3 {
+		return Load{}, fmt.Errorf("load %q is not of the form in-flight delay incarnation", s)
+	}
+	inFlight, err := strconv.ParseUint(parts[0], 10, 31)
+	if err != nil {
 		return Load{}, fmt.Errorf("load %q: %w", s, err)
 	}
-	l.QueueDelay = time.Duration(ms) * time.Millisecond
-	return l, nil
+	ms, err := strconv.ParseUint(parts[1], 10, 63)
+	if err != nil || ms > uint64(maxQueueDelay.Milliseconds()) {
+		return Load{}, fmt.Errorf("load %q has no delay from 0 to %d ms", s, maxQueueDelay.Milliseconds())
+	}
+	return Load{InFlight: int(inFlight), QueueDelay: time.Duration(ms) * time.Millisecond, Incarnation: parts[2]}, nil
 }
