Configurations spread between processes; membership decides who serves

Cause: entries learned versions by polling alone and side processes from entries alone, a process with the store down had no source, and an entry's view of a server was the VM list and one connection. Ruled out: whole configurations on every change (bytes), every entry pushing to every other (380 connections each), gossip of everything (budget). Change: config/spread levels connected peers in both directions with deltas where they are known; entry/peers connects each entry to at most log2(n) others (membership.Fingers); entry/follower polls with jitter and backoff as the second way; rpc.Keep holds a connection open; a dialing end waits for the answer to its hello before it serves calls that overtook it. entry/pool follows membership.Merge: reports, answers, failed requests, lost connections and the list; suspects serve only when nobody else does; a connection silent for 10 s is opened anew. Figures: 380 entries are reached over at most 9 hops of 9 connections each (test). Conclusion: one chain of five processes follows 20 versions put in force at changing ends; a silent peer holds nobody up.

--- a/entry/module.go
+++ b/entry/module.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,11 +16,13 @@
 	"peridotchute.example/common/keyfile"
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
+	"peridotchute.example/config/spread"
 	"peridotchute.example/entry/action"
 	"peridotchute.example/entry/caller"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/follower"
 	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/peers"
 	"peridotchute.example/entry/pool"
 	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
@@ -35,7 +38,7 @@
 	return fx.Module("entry",
 		fx.Supply(s),
 		fx.Provide(
-			newKey, newLocal, newTable, newObjects, newVMs, newFollower, newPool, newForwarder, newDispatcher,
+			newKey, newLocal, newTable, newObjects, newVMs, newFollower, newSpreader, newPeers, newPool, newForwarder, newDispatcher,
 			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer,
 		),
 		actionModule(),
@@ -69,17 +72,41 @@
 func newVMs(s Settings) platform.VMs { return platform.NewVMs(s.VMList) }
 
 func newFollower(store *publish.Store, holder *config.Holder, log logrus.FieldLogger) *follower.Follower {
-	return follower.New(follower.Options{Store: store, Holder: holder, Log: log})
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return follower.New(follower.Options{Store: store, Holder: holder, Log: log, Rand: rnd})
 }
 
-func newPool(s Settings, local rpc.Local, handlers *rpc.Handlers, vms platform.VMs, holder *config.Holder, log logrus.FieldLogger) *pool.Pool {
+func newSpreader(holder *config.Holder, handlers *rpc.Handlers, log logrus.FieldLogger) *spread.Spreader {
+	return spread.New(rpc.RoleEntry, holder, handlers, log)
+}
+
+func newPeers(local rpc.Local, handlers *rpc.Handlers, spreader *spread.Spreader) *peers.Peers {
+	return peers.New(peers.Options{Local: local, Handlers: handlers, OnPeer: spreader.Add})
+}
+
+// poolParams are what the pool is made from.
+type poolParams struct {
+	fx.In
+	Settings Settings
+	Local    rpc.Local
+	Handlers *rpc.Handlers
+	VMs      platform.VMs
+	Holder   *config.Holder
+	Spreader *spread.Spreader
+	Peers    *peers.Peers
+	Log      logrus.FieldLogger
+}
+
+func newPool(p poolParams) *pool.Pool {
 	return pool.New(pool.Options{
-		Local:    local,
-		Handlers: handlers,
-		VMs:      vms,
-		Interval: time.Duration(s.VMList.IntervalMS) * time.Millisecond,
-		Holder:   holder,
-		Log:      log,
+		Local:    p.Local,
+		Handlers: p.Handlers,
+		VMs:      p.VMs,
+		Interval: time.Duration(p.Settings.VMList.IntervalMS) * time.Millisecond,
+		Holder:   p.Holder,
+		OnPeer:   p.Spreader.Add,
+		OnList:   p.Peers.Update,
+		Log:      p.Log,
 	})
 }
 
@@ -92,13 +119,14 @@
 }
 
 // startDuties runs the goroutines of the process between start and stop.
-func startDuties(lc fx.Lifecycle, f *follower.Follower, p *pool.Pool) {
+func startDuties(lc fx.Lifecycle, f *follower.Follower, spreader *spread.Spreader, p *pool.Pool) {
 	daemon.Go(lc, f.Run)
+	daemon.Go(lc, spreader.Run)
 	daemon.Go(lc, p.Run)
 }
 
-func startRPC(lc fx.Lifecycle, s Settings, local rpc.Local, handlers *rpc.Handlers) {
-	server := rpc.NewServer(local, handlers, nil)
+func startRPC(lc fx.Lifecycle, s Settings, local rpc.Local, handlers *rpc.Handlers, spreader *spread.Spreader) {
+	server := rpc.NewServer(local, handlers, spreader.Add)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return server.Start(s.RPCAddress) },
 		OnStop:  func(context.Context) error { return server.Stop() },
@@ -114,6 +142,7 @@
 	Local      rpc.Local
 	Holder     *config.Holder
 	Pool       *pool.Pool
+	Spreader   *spread.Spreader
 	Dispatcher *dispatch.Dispatcher
 	Actions    *action.Server
 	Admin      *admin.Server
@@ -122,6 +151,7 @@
 func startListeners(p listenerParams) {
 	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
 	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
+	p.Admin.AddSection("config_peers", p.Spreader)
 	p.Admin.AddSection("servers", p.Pool)
 	p.Admin.AddCheck("configuration", func() error { return needed(p.Holder.Version() > 0, "no configuration is in force") })
 	p.Admin.AddCheck("vm_list", func() error { return needed(p.Pool.Listed(), "the VM list was not read yet") })
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -8,22 +8,22 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/ring"
 	"peridotchute.example/config"
+	"peridotchute.example/membership"
 	"peridotchute.example/platform"
 	"peridotchute.example/routing"
 	"peridotchute.example/rpc"
 )
 
 const (
-	reportRing      = 1024    // reports waiting to be applied
-	prefixBlocks    = 1 << 16 // prompt blocks remembered, about 100 bytes each
-	longestRedial   = 2 * time.Second
+	reportRing      = 1024        // reports waiting to be applied
+	prefixBlocks    = 1 << 16     // prompt blocks remembered, about 100 bytes each
 	defaultInterval = time.Second // between reads of the VM list
+	tickInterval    = 250 * time.Millisecond
 	roleBackend     = "backend"
 )
 
@@ -34,6 +34,8 @@
 	VMs      platform.VMs
 	Interval time.Duration // between reads of the VM list; 0 means the default
 	Holder   *config.Holder
+	OnPeer   func(*rpc.Peer)                      // called with each new connection; may be nil
+	OnList   func(context.Context, []platform.VM) // called with each reading of the VM list; may be nil
 	Log      logrus.FieldLogger
 }
 
@@ -43,8 +45,10 @@
 	reports *ring.Ring[rpc.Report]
 
 	mu      sync.RWMutex
-	servers map[string]*Server
-	listed  bool // the VM list was read at least once
+	members membership.Members
+	servers map[string]*Server // one for each member
+	listed  bool               // the VM list was read at least once
+	life    context.Context    // of Run; ends every connection
 
 	prefixMu sync.Mutex
 	prefixes *routing.PrefixIndex
@@ -55,16 +59,25 @@
 	if opts.Interval <= 0 {
 		opts.Interval = defaultInterval
 	}
-	p := &Pool{opts: opts, reports: ring.New[rpc.Report](reportRing, ring.DropOldest), servers: map[string]*Server{}, prefixes: routing.NewPrefixIndex(prefixBlocks)}
+	p := &Pool{
+		opts:     opts,
+		reports:  ring.New[rpc.Report](reportRing, ring.DropOldest),
+		members:  membership.Members{},
+		servers:  map[string]*Server{},
+		prefixes: routing.NewPrefixIndex(prefixBlocks),
+		life:     context.Background(),
+	}
 	rpc.Handle(opts.Handlers, rpc.MethodReport, p.onReport)
-	rpc.Handle(opts.Handlers, rpc.MethodFetch, p.onFetch)
 	return p
 }
 
 // Run watches the VM list and applies reports until ctx ends.
 func (p *Pool) Run(ctx context.Context) {
+	p.mu.Lock()
+	p.life = ctx
+	p.mu.Unlock()
 	go p.applyReports(ctx)
-	go p.spreadConfig(ctx)
+	go p.tick(ctx)
 	ticker := time.NewTicker(p.opts.Interval)
 	defer ticker.Stop()
 	for {
@@ -105,15 +118,27 @@
 }
 
 // Candidates returns the view of one pool that routing chooses from; served is
-// nil for plain services. prefixes are the blocks of the prompt.
+// nil for plain services. prefixes are the blocks of the prompt. Suspect
+// servers serve only when no other does.
 func (p *Pool) Candidates(poolName string, served *config.Served, prefixes []uint64) []routing.Candidate {
 	index := p.opts.Holder.Current()
-	var out []routing.Candidate
+	var out, suspects []routing.Candidate
+	serving := false
 	for _, s := range p.Servers() {
-		if c, ok := s.candidate(poolName, served, index); ok {
+		c, state, ok := s.candidate(poolName, served, index)
+		switch {
+		case !ok:
+		case state == membership.StateSuspect && s.Incarnation() != "":
+			suspects = append(suspects, c)
+		default:
+			serving = serving || c.Server.Serving
 			out = append(out, c)
 		}
 	}
+	for _, c := range suspects {
+		c.Server.Serving = !serving
+		out = append(out, c)
+	}
 	p.markCached(out, prefixes)
 	return out
 }
@@ -144,17 +169,17 @@
 	p.prefixes.Add(server, prefixes)
 }
 
-func (s *Server) candidate(poolName string, served *config.Served, index *config.Index) (routing.Candidate, bool) {
+func (s *Server) candidate(poolName string, served *config.Served, index *config.Index) (routing.Candidate, membership.State, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.vm.Pool != poolName {
-		return routing.Candidate{}, false
+		return routing.Candidate{}, s.state, false
 	}
 	c := routing.Candidate{Server: &routing.Server{
 		Name:        s.vm.Name,
 		Region:      index.RegionOf(s.vm.Zone),
 		Zone:        s.vm.Zone,
-		Serving:     s.peer.Load() != nil && s.vm.State == platform.VMLive && s.report.State != rpc.StateDraining,
+		Serving:     s.state == membership.StateLive,
 		InFlight:    int(s.inFlight.Load()),
 		Reported:    s.report.InFlight,
 		OwnReported: s.ownInFlight,
@@ -169,7 +194,7 @@
 		c.Resident = s.residents[served.Artifact]
 		c.Base = s.residents[served.Base]
 	}
-	return c, true
+	return c, s.state, true
 }
 
 // DumpState returns the pool's section of the state dump.
@@ -181,79 +206,6 @@
 	return out
 }
 
-func (p *Pool) refresh(ctx context.Context) {
-	vms, err := p.opts.VMs.List(ctx)
-	if err != nil {
-		event.Log(p.opts.Log, event.VMListFailed, event.Err(err))
-		return
-	}
-	listed := map[string]bool{}
-	for _, vm := range vms {
-		if vm.Role == roleBackend {
-			listed[vm.Name] = true
-			p.upsert(ctx, vm)
-		}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listed = true
-	for name, s := range p.servers {
-		if !listed[name] {
-			s.stop()
-			delete(p.servers, name)
-			p.forget(name)
-		}
-	}
-}
-
-func (p *Pool) upsert(ctx context.Context, vm platform.VM) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s, ok := p.servers[vm.Name]; ok {
-		s.setVM(vm)
-		return
-	}
-	ctx, stop := context.WithCancel(ctx)
-	s := &Server{vm: vm, stop: stop, firstSeen: time.Now()}
-	p.servers[vm.Name] = s
-	go p.connect(ctx, s)
-}
-
-// connect keeps one control connection to the server open until ctx ends.
-func (p *Pool) connect(ctx context.Context, s *Server) {
-	wait := backoff.NewExponentialBackOff()
-	wait.InitialInterval = 50 * time.Millisecond
-	wait.MaxInterval = longestRedial
-	for ctx.Err() == nil {
-		vm := s.VM()
-		peer, err := rpc.Dial(ctx, vm.RPCAddress, p.opts.Local, p.opts.Handlers)
-		if err == nil {
-			wait.Reset()
-			p.hold(ctx, s, peer)
-			continue
-		}
-		select {
-		case <-time.After(wait.NextBackOff()):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// hold uses the connection until it ends.
-func (p *Pool) hold(ctx context.Context, s *Server, peer *rpc.Peer) {
-	event.Log(p.opts.Log, event.PeerConnected, event.Peer(peer.Identity.Name))
-	p.fetchInventory(ctx, s, peer)
-	s.peer.Store(peer)
-	p.offer(ctx, peer)
-	select {
-	case <-peer.Done():
-		event.Log(p.opts.Log, event.PeerLost, event.Peer(peer.Identity.Name))
-	case <-ctx.Done():
-	}
-	s.peer.Store(nil)
-	_ = peer.Close()
-}
-
 func (p *Pool) onReport(_ context.Context, _ *rpc.Peer, r rpc.Report) (struct{}, error) {
 	p.reports.Offer(r)
 	return struct{}{}, nil
@@ -269,6 +221,7 @@
 		if !ok {
 			continue
 		}
+		p.observe(membership.Heard{Name: r.Name, Incarnation: r.Incarnation, Draining: r.State == rpc.StateDraining})
 		stale := s.accept(r, time.Now())
 		peer := s.Peer()
 		if stale && peer != nil {
@@ -285,40 +238,3 @@
 	}
 	s.setInventory(inv)
 }
-
-// onFetch gives a side process the configuration in force here.
-func (p *Pool) onFetch(_ context.Context, _ *rpc.Peer, f rpc.Fetch) (rpc.FetchReply, error) {
-	index := p.opts.Holder.Current()
-	if index == nil || index.Configuration.Version <= f.Since {
-		return rpc.FetchReply{}, nil
-	}
-	return rpc.FetchReply{Configuration: index.Configuration}, nil
-}
-
-// spreadConfig offers each new configuration to every connected side process.
-func (p *Pool) spreadConfig(ctx context.Context) {
-	for {
-		changed := p.opts.Holder.Changed()
-		for _, s := range p.Servers() {
-			if peer := s.Peer(); peer != nil {
-				go p.offer(ctx, peer)
-			}
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (p *Pool) offer(ctx context.Context, peer *rpc.Peer) {
-	version := p.opts.Holder.Version()
-	if version == 0 {
-		return
-	}
-	_, err := rpc.Call[rpc.Offer, rpc.OfferReply](ctx, peer, rpc.MethodOffer, rpc.Offer{Version: version})
-	if err != nil {
-		event.Log(p.opts.Log, event.OfferFailed, event.Peer(peer.Identity.Name), event.Err(err))
-	}
-}
--- a/entry/pool/server.go
+++ b/entry/pool/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotchute.example/common/wire"
+	"peridotchute.example/membership"
 	"peridotchute.example/platform"
 	"peridotchute.example/routing"
 	"peridotchute.example/rpc"
@@ -16,9 +17,13 @@
 	inFlight atomic.Int64
 	peer     atomic.Pointer[rpc.Peer]
 	stop     func() // ends the connecting goroutine
+	observe  func(membership.Observation)
 
 	mu          sync.Mutex
 	vm          platform.VM
+	state       membership.State
+	reason      string // of state
+	incarnation string // newest known, "" before the first hello or report
 	report      rpc.Report
 	reportedAt  time.Time
 	residence   uint64 // digest of residents
@@ -47,7 +52,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.report.Incarnation
+	return s.incarnation
 }
 
 // Begin counts a request as in progress at the server. The returned function
@@ -56,6 +61,9 @@
 	s.inFlight.Add(1)
 	return func(ok bool) {
 		s.inFlight.Add(-1)
+		if !ok {
+			s.observe(membership.Failed{Name: s.VM().Name, Incarnation: s.Incarnation()})
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if ok {
@@ -69,6 +77,7 @@
 
 // Observe takes the load figure that came with an answer.
 func (s *Server) Observe(l wire.Load, now time.Time) {
+	s.observe(membership.Heard{Name: s.VM().Name, Incarnation: l.Incarnation, Answered: true})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.InFlight = l.InFlight
@@ -77,17 +86,28 @@
 	s.ownInFlight = int(s.inFlight.Load())
 }
 
-func (s *Server) setVM(vm platform.VM) {
+// setMember takes over what membership says of the server.
+func (s *Server) setMember(m membership.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vm = vm
+	s.vm = platform.VM{
+		Name: m.Name, Role: roleBackend, Zone: m.Zone, Pool: m.Pool,
+		DataAddress: m.DataAddress, RPCAddress: m.RPCAddress, State: platform.VMLive,
+	}
+	if m.ListLeaving {
+		s.vm.State = platform.VMLeaving
+	}
+	s.state, s.reason, s.incarnation = m.State, m.Reason, m.Incarnation
 }
 
-// accept stores a report unless a later one of the same incarnation is known,
-// and reports whether the residents must be fetched.
+// accept stores a report unless a later one of the same incarnation or a later
+// incarnation is known, and reports whether the residents must be fetched.
 func (s *Server) accept(r rpc.Report, now time.Time) (stale bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.Incarnation != s.incarnation {
+		return false
+	}
 	if r.Incarnation == s.report.Incarnation && r.Seq <= s.report.Seq {
 		return false
 	}
@@ -113,6 +133,8 @@
 // Dump is a server's section of the state dump.
 type Dump struct {
 	VM        platform.VM     `json:"vm"`
+	State     string          `json:"state"`
+	Reason    string          `json:"reason"` // of the state
 	Connected bool            `json:"connected"`
 	InFlight  int64           `json:"in_flight"`
 	Failures  int             `json:"failures"`
@@ -123,7 +145,7 @@
 func (s *Server) dump() Dump {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := Dump{VM: s.vm, Connected: s.peer.Load() != nil, InFlight: s.inFlight.Load(), Failures: s.failures, Report: s.report}
+	d := Dump{VM: s.vm, State: string(s.state), Reason: s.reason, Connected: s.peer.Load() != nil, InFlight: s.inFlight.Load(), Failures: s.failures, Report: s.report}
 	for a := range s.residents {
 		d.Residents = append(d.Residents, a)
 	}
--- /dev/null
+++ b/rpc/keep.go
@@ -0,0 +1,40 @@
+package rpc
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	firstRedial   = 50 * time.Millisecond
+	longestRedial = 2 * time.Second
+)
+
+// Keep holds one connection open until ctx ends, with jittered waits between
+// attempts. address is asked before each attempt. use is called with each
+// connection, which is closed when it returns.
+func Keep(ctx context.Context, address func() string, local Local, handlers *Handlers, use func(context.Context, *Peer)) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = firstRedial
+	wait.MaxInterval = longestRedial
+	for ctx.Err() == nil {
+		peer, err := Dial(ctx, address(), local, handlers)
+		if err == nil {
+			wait.Reset()
+			use(ctx, peer)
+			_ = peer.Close()
+		}
+		pause(ctx, wait.NextBackOff())
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/rpc/messages.go
+++ b/rpc/messages.go
@@ -94,8 +94,10 @@
 	Since uint64 `json:"since"`
 }
 
-// FetchReply carries the configuration, or none when there is nothing newer.
+// FetchReply carries the changes since the version asked for, or the whole
+// configuration when they are not known, or neither when there is nothing newer.
 type FetchReply struct {
+	Deltas        []config.Delta        `json:"deltas,omitempty"`
 	Configuration *config.Configuration `json:"configuration,omitempty"`
 }
 
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, fault.New(fault.KindUnavailable, "rpc.dial", address, err)
 	}
-	s := &session{local: local, handlers: handlers, ready: make(chan struct{})}
+	s := &session{local: local, handlers: handlers, dialed: true, ready: make(chan struct{})}
 	s.peer.conn = jsonrpc2.NewConn(context.Background(), stream(conn), jsonrpc2.AsyncHandler(s))
 	hello := Hello{Identity: local.Identity, Key: local.Key, ConfigVersion: local.version()}
 	var reply HelloReply
@@ -147,6 +147,7 @@
 	local    Local
 	handlers *Handlers
 	onPeer   func(*Peer)
+	dialed   bool // this end opened the connection
 	peer     Peer
 	once     sync.Once
 	ready    chan struct{} // closed after the hello
@@ -160,7 +161,16 @@
 	})
 }
 
-func (s *session) admitted() bool {
+// admitted reports whether the peer has shown the deployment key. The end that
+// dialed waits for the answer to its hello, which the peer's first calls may
+// overtake.
+func (s *session) admitted(conn *jsonrpc2.Conn) bool {
+	if s.dialed {
+		select {
+		case <-s.ready:
+		case <-conn.DisconnectNotify():
+		}
+	}
 	select {
 	case <-s.ready:
 		return true
@@ -195,7 +205,7 @@
 	if req.Method == MethodHello {
 		return s.hello(conn, params)
 	}
-	if !s.admitted() {
+	if !s.admitted(conn) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "hello first"}
 	}
 	handler, ok := s.handlers.byMethod[req.Method]
--- a/side/module.go
+++ b/side/module.go
@@ -13,10 +13,10 @@
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/keyfile"
 	"peridotchute.example/config"
+	"peridotchute.example/config/spread"
 	"peridotchute.example/engine"
 	"peridotchute.example/rpc"
 	"peridotchute.example/side/action"
-	"peridotchute.example/side/follower"
 	"peridotchute.example/side/gate"
 	"peridotchute.example/side/memory"
 	"peridotchute.example/side/report"
@@ -36,7 +36,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			newKey, newLocal, newMemory, newGate, newReporter, newServer, newRegister, action.NewRunner,
-			config.NewHolder, rpc.NewHandlers, admin.NewServer, follower.New,
+			newSpreader, config.NewHolder, rpc.NewHandlers, admin.NewServer,
 		),
 		fx.Invoke(handleControl, startControl, startListeners, announceDrain),
 	)
@@ -129,8 +129,15 @@
 	})
 }
 
-func newServer(local rpc.Local, handlers *rpc.Handlers, reporter *report.Reporter) *rpc.Server {
-	return rpc.NewServer(local, handlers, reporter.Add)
+func newSpreader(holder *config.Holder, handlers *rpc.Handlers, log logrus.FieldLogger) *spread.Spreader {
+	return spread.New(rpc.RoleSide, holder, handlers, log)
+}
+
+func newServer(local rpc.Local, handlers *rpc.Handlers, reporter *report.Reporter, spreader *spread.Spreader) *rpc.Server {
+	return rpc.NewServer(local, handlers, func(p *rpc.Peer) {
+		reporter.Add(p)
+		spreader.Add(p)
+	})
 }
 
 // control is what the control handlers need.
@@ -141,7 +148,6 @@
 	Holder   *config.Holder
 	Gate     *gate.Gate
 	Memory   *memory.Memory
-	Follower *follower.Follower
 	Register *action.Register
 }
 
@@ -182,6 +188,7 @@
 	Log       logrus.FieldLogger
 	Local     rpc.Local
 	Holder    *config.Holder
+	Spreader  *spread.Spreader
 	Gate      *gate.Gate
 	Memory    *memory.Memory
 	Admin     *admin.Server
@@ -191,6 +198,7 @@
 func startListeners(p listenerParams) {
 	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
 	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
+	p.Admin.AddSection("config_peers", p.Spreader)
 	p.Admin.AddSection("gate", p.Gate)
 	p.Admin.AddSection("actions", p.Register)
 	if p.Memory != nil {
@@ -211,12 +219,13 @@
 }
 
 // startControl opens the control listener and reports to entries until the end.
-func startControl(lc fx.Lifecycle, s Settings, server *rpc.Server, reporter *report.Reporter, mem *memory.Memory) {
+func startControl(lc fx.Lifecycle, s Settings, server *rpc.Server, reporter *report.Reporter, spreader *spread.Spreader, mem *memory.Memory) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return server.Start(s.RPCAddress) },
 		OnStop:  func(context.Context) error { return server.Stop() },
 	})
 	daemon.Go(lc, reporter.Run)
+	daemon.Go(lc, spreader.Run)
 	if mem != nil {
 		daemon.Go(lc, mem.Run)
 	}
