--- a/cmd/peridotchute/main.go
+++ b/cmd/peridotchute/main.go
@@ -2,19 +2,14 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/spf13/cobra"
-
 	"peridotchute.example/cmd/peridotchute/dev"
+	"peridotchute.example/operator/cli"
 )
 
 func main() {
-	root := &cobra.Command{Use: "peridotchute", Short: "Operate a peridotchute deployment", SilenceUsage: true, SilenceErrors: true}
+	root := cli.NewCommand()
 	root.AddCommand(dev.Command())
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	os.Exit(cli.Run(root, os.Stderr))
 }
--- a/config/config.go
+++ b/config/config.go
@@ -34,7 +34,7 @@
 	Name         string `json:"name" validate:"required"`
 	MemoryBytes  int64  `json:"memory_bytes,omitempty" validate:"gte=0,lte=562949953421312"` // accelerator memory for weights, per server
 	Accelerators int    `json:"accelerators,omitempty" validate:"gte=0"`                     // per server
-	Servers      int    `json:"servers,omitempty" validate:"gte=0,lte=10000"`                // backend servers to count on when none is known yet
+	Servers      int    `json:"servers,omitempty" validate:"gte=0,lte=10000"`                // backend servers to count on; 0 means those of the VM list
 	Fencing      bool   `json:"fencing,omitempty"`                                           // engines refuse old fencing numbers
 }
 
--- a/config/effect.go
+++ b/config/effect.go
@@ -52,7 +52,7 @@
 	for _, p := range to.Pools {
 		e.Memory = append(e.Memory, poolMemory(p, before, after, fleet))
 	}
-	e.warn(from, to)
+	e.warn(from, to, fleet)
 	return e
 }
 
@@ -123,7 +123,7 @@
 	e.Warnings = append(e.Warnings, fmt.Sprintf(format, args...))
 }
 
-func (e *Effects) warn(from, to *Configuration) {
+func (e *Effects) warn(from, to *Configuration, fleet Fleet) {
 	for _, m := range e.Memory {
 		switch {
 		case m.Servers == 0 && m.After > 0:
@@ -132,12 +132,22 @@
 			e.warnf("pool %q: old and new versions need %d bytes together, %d are there: versions change one after another as memory is freed", m.Pool, m.During, m.Capacity)
 		}
 	}
+	e.warnFew(to, fleet)
 	e.warnRemoved(from, to)
 	if len(to.Regions) > 1 && !hasStore(to) {
 		e.warnf("no region is marked as the weight store's, so loads do not prefer its region")
 	}
 }
 
+// warnFew warns of pools that have fewer servers than they declare.
+func (e *Effects) warnFew(to *Configuration, fleet Fleet) {
+	for _, p := range to.Pools {
+		if n := fleet.count(p.Name); fleet != nil && n < p.Servers {
+			e.warnf("pool %q declares %d servers, the VM list shows %d", p.Name, p.Servers, n)
+		}
+	}
+}
+
 func (e *Effects) warnRemoved(from, to *Configuration) {
 	for _, c := range Diff(from, to) {
 		switch {
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -6,17 +6,25 @@
 	Servers int    `json:"servers"`
 }
 
-// Fleet gives the number of backend servers of each pool, as members of the
-// deployment report it.
+// Fleet gives the number of backend servers of each pool as the platform's VM
+// list shows them; a pool that is not in it has none. A nil fleet is unknown.
 type Fleet []PoolSize
 
-// servers returns the number of backend servers of a pool: what the fleet
-// says, else what the pool declares, else false.
-func (f Fleet) servers(p Pool) (int, bool) {
+// count returns the number of backend servers that the VM list shows.
+func (f Fleet) count(pool string) int {
 	for _, size := range f {
-		if size.Pool == p.Name {
-			return size.Servers, true
+		if size.Pool == pool {
+			return size.Servers
 		}
 	}
-	return p.Servers, p.Servers > 0
+	return 0
+}
+
+// servers returns the number of backend servers to count on: what the pool
+// declares, else what the fleet shows, else false.
+func (f Fleet) servers(p Pool) (int, bool) {
+	if p.Servers > 0 {
+		return p.Servers, true
+	}
+	return f.count(p.Name), f != nil
 }
--- /dev/null
+++ b/entry/adminapi/api.go
@@ -0,0 +1,109 @@
+// Package adminapi serves the administration API: operators plan a change, see
+// its whole effect, and put it in force by its digest.
+package adminapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"peridotchute.example/config"
+	"peridotchute.example/config/publish"
+	"peridotchute.example/operator/api"
+	"peridotchute.example/platform"
+)
+
+// Store keeps the accepted configurations; publish.Store is one.
+type Store interface {
+	Read(ctx context.Context) (*config.Configuration, error)
+	Version(ctx context.Context, version uint64) (*config.Configuration, error)
+	Accept(ctx context.Context, c publish.Change) (*config.Configuration, error)
+	History(ctx context.Context, limit int) ([]publish.Entry, error)
+}
+
+// Actions is the list of actions whose outcome the system cannot know.
+type Actions interface {
+	// Unresolved returns up to limit actions whose keys sort after the key after.
+	Unresolved(ctx context.Context, after string, limit int) ([]api.Unresolved, error)
+	// Settle records whether an action took effect. KindNotFound means that it
+	// is not on the list.
+	Settle(ctx context.Context, key string, ran bool, note string) error
+}
+
+// Options are what the API works on.
+type Options struct {
+	Entry   string // name of this entry
+	Keys    *Keys
+	Store   Store
+	Holder  *config.Holder
+	Table   platform.Table   // audit records
+	Objects platform.Objects // plans
+	VMs     platform.VMs     // counts the backend servers of each pool
+	Members func() []api.Member
+	Actions Actions
+	// Drain asks a backend server to take no new work and returns how much it
+	// has left. KindNotFound means that no such server is known.
+	Drain func(ctx context.Context, server string) (inFlight int, err error)
+	Dump  func() map[string]any // state of this process, without secrets
+	Log   logrus.FieldLogger
+	Now   func() time.Time
+}
+
+// API serves the administration API of one entry.
+type API struct {
+	opts Options
+}
+
+// New returns the API.
+func New(opts Options) *API {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	return &API{opts: opts}
+}
+
+// route is one operation of the API. The handler returns what is sent with
+// status 200.
+type route struct {
+	method string
+	path   string
+	role   api.Role
+	handle func(*call) (any, error)
+}
+
+func (a *API) routes() []route {
+	return []route{
+		{http.MethodGet, api.PathConfiguration, api.RoleRead, a.configuration},
+		{http.MethodGet, api.PathStatus, api.RoleRead, a.status},
+		{http.MethodGet, api.PathHistory, api.RoleRead, a.history},
+		{http.MethodGet, api.PathAudit, api.RoleRead, a.audit},
+		{http.MethodGet, api.PathUnresolved, api.RoleRead, a.unresolved},
+		{http.MethodGet, api.PathDump, api.RoleRead, a.dump},
+		{http.MethodPost, api.PathValidate, api.RoleRead, a.validate},
+		{http.MethodPost, api.PathPlan, api.RolePlan, a.plan},
+		{http.MethodPost, api.PathRevert, api.RolePlan, a.revert},
+		{http.MethodPost, api.PathAccept, api.RoleAccept, a.accept},
+		{http.MethodPost, api.PathSettle, api.RoleAccept, a.settle},
+		{http.MethodPost, api.PathDrain, api.RoleAccept, a.drain},
+	}
+}
+
+// Register adds the API's routes to the administration listener.
+func (a *API) Register(r *mux.Router) {
+	sub := r.PathPrefix(api.Prefix).Subrouter()
+	for _, rt := range a.routes() {
+		sub.Handle(rt.path, a.guard(rt)).Methods(rt.method)
+	}
+}
+
+// call is one authorized request.
+type call struct {
+	r        *http.Request
+	w        http.ResponseWriter
+	operator string
+}
+
+func (c *call) ctx() context.Context { return c.r.Context() }
--- /dev/null
+++ b/operator/cli/cli.go
@@ -0,0 +1,158 @@
+// Package cli is the operators' command line over the operators' library.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/settings"
+	"peridotchute.example/operator"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1 // anything not named below
+	ExitInvalid     = 2 // the declaration or the arguments are wrong
+	ExitRefused     = 3 // no key, unknown key, or a key without the role
+	ExitConflict    = 4 // another change was accepted first
+	ExitUnavailable = 5 // nothing was changed; try again later
+	ExitUnknown     = 6 // it may have been changed; repeat the same command
+	ExitNotFound    = 7
+	ExitSpreading   = 8 // in force, but not everywhere before the wait was over
+)
+
+// Environment variables that stand in for flags.
+const (
+	envURL     = "PERIDOTCHUTE_URL"
+	envKeyFile = "PERIDOTCHUTE_KEY_FILE"
+	envCAFile  = "PERIDOTCHUTE_CA_FILE"
+)
+
+// session is what every command works with.
+type session struct {
+	opts   operator.Options
+	output string
+}
+
+// NewCommand returns the root command with the operators' commands. Others may
+// be added to it.
+func NewCommand() *cobra.Command {
+	s := &session{}
+	root := &cobra.Command{
+		Use:               "peridotchute",
+		Short:             "Plan, accept and watch what a deployment serves",
+		SilenceUsage:      true,
+		SilenceErrors:     true,
+		PersistentPreRunE: func(*cobra.Command, []string) error { return s.check() },
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usagef("%v", err) })
+	flags := root.PersistentFlags()
+	flags.StringVar(&s.opts.URL, "url", os.Getenv(envURL), "administration listener of an entry, or $"+envURL)
+	flags.StringVar(&s.opts.KeyFile, "key-file", os.Getenv(envKeyFile), "file with the operator's key, or $"+envKeyFile)
+	flags.StringVar(&s.opts.CAFile, "ca-file", os.Getenv(envCAFile), "certificate authorities for https, or $"+envCAFile)
+	flags.DurationVar(&s.opts.Timeout, "timeout", 15*time.Second, "longest wait for one request")
+	flags.StringVarP(&s.output, "output", "o", outputTable, "table or json")
+	root.AddCommand(
+		s.validate(), s.plan(), s.revert(), s.accept(),
+		s.status(), s.history(), s.audit(), s.dump(),
+		s.unresolved(), s.settle(), s.drain(),
+	)
+	return root
+}
+
+// Run executes the command and returns its exit code; an error goes to stderr.
+func Run(root *cobra.Command, stderr io.Writer) int {
+	err := root.Execute()
+	if err != nil {
+		fmt.Fprintln(stderr, text(err))
+	}
+	return ExitCode(err)
+}
+
+// text formats an error; a refusal's own words are enough.
+func text(err error) string {
+	if r := operator.RefusalOf(err); r != nil {
+		return r.Error()
+	}
+	return err.Error()
+}
+
+// ExitCode returns the exit code that stands for an error.
+func ExitCode(err error) int {
+	var invalid *settings.Error
+	var usage *usageError
+	var spreading *spreadingError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &invalid), errors.As(err, &usage):
+		return ExitInvalid
+	case errors.As(err, &spreading):
+		return ExitSpreading
+	}
+	return exitByKind(fault.KindOf(err))
+}
+
+func exitByKind(kind fault.Kind) int {
+	switch kind {
+	case fault.KindInvalid:
+		return ExitInvalid
+	case fault.KindRefused:
+		return ExitRefused
+	case fault.KindConflict:
+		return ExitConflict
+	case fault.KindUnavailable:
+		return ExitUnavailable
+	case fault.KindUnknown:
+		return ExitUnknown
+	case fault.KindNotFound:
+		return ExitNotFound
+	}
+	return ExitFailure
+}
+
+// usageError is a wrong argument.
+type usageError struct {
+	message string
+}
+
+// Error returns the message.
+func (e *usageError) Error() string { return e.message }
+
+func usagef(format string, args ...any) error {
+	return &usageError{message: fmt.Sprintf(format, args...)}
+}
+
+func (s *session) check() error {
+	if s.output != outputTable && s.output != outputJSON {
+		return usagef("--output is %q, want %s or %s", s.output, outputTable, outputJSON)
+	}
+	return nil
+}
+
+func (s *session) client() (*operator.Client, error) {
+	if s.opts.URL == "" {
+		return nil, usagef("--url or $%s is required", envURL)
+	}
+	if s.opts.KeyFile == "" {
+		return nil, usagef("--key-file or $%s is required", envKeyFile)
+	}
+	return operator.New(s.opts)
+}
+
+// exactArgs requires the named arguments.
+func exactArgs(names ...string) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) != len(names) {
+			return usagef("want %d arguments %v, have %d", len(names), names, len(args))
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/operator/cli/watch.go
@@ -0,0 +1,169 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"peridotchute.example/operator"
+	"peridotchute.example/operator/api"
+)
+
+// query returns a command without arguments that fetches one thing and shows it.
+func query[T any](s *session, use, short string, fetch func(*cobra.Command, *operator.Client) (*T, error), show func(*cobra.Command, *T)) *cobra.Command {
+	return &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  exactArgs(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := s.client()
+			if err != nil {
+				return err
+			}
+			v, err := fetch(cmd, c)
+			if err != nil {
+				return err
+			}
+			return s.print(cmd, v, func() { show(cmd, v) })
+		},
+	}
+}
+
+func (s *session) status() *cobra.Command {
+	fetch := func(cmd *cobra.Command, c *operator.Client) (*api.Status, error) { return c.Status(cmd.Context()) }
+	return query(s, "status", "Show the version in force and which processes have it", fetch, showStatus)
+}
+
+func showStatus(cmd *cobra.Command, st *api.Status) {
+	out := cmd.OutOrStdout()
+	spread := operator.SpreadOf(st, st.Head)
+	fmt.Fprintf(out, "version %d in force at %s, %d accepted last, %d of %d processes have it\n",
+		st.Version, st.Entry, st.Head, spread.Have, spread.Have+len(spread.Behind))
+	if st.StoreErr != "" {
+		fmt.Fprintln(out, "! the platform's store cannot be read:", st.StoreErr)
+	}
+	t := newTable("process", "role", "zone", "pool", "state", "version")
+	for _, m := range st.Members {
+		t.add(m.Name, m.Role, m.Zone, m.Pool, m.State, m.Version)
+	}
+	t.write(cmd)
+}
+
+func (s *session) history() *cobra.Command {
+	limit := 20
+	fetch := func(cmd *cobra.Command, c *operator.Client) (*api.History, error) {
+		return c.History(cmd.Context(), limit)
+	}
+	cmd := query(s, "history", "List accepted versions, newest first", fetch, func(cmd *cobra.Command, h *api.History) {
+		t := newTable("version", "accepted", "operator", "digest")
+		for _, v := range h.Versions {
+			t.add(v.Version, v.At.Format(time.RFC3339), v.Operator, v.Digest)
+		}
+		t.write(cmd)
+	})
+	cmd.Flags().IntVar(&limit, "limit", limit, "most versions listed")
+	return cmd
+}
+
+func (s *session) audit() *cobra.Command {
+	var after string
+	fetch := func(cmd *cobra.Command, c *operator.Client) (*api.Audit, error) { return c.Audit(cmd.Context(), after) }
+	cmd := query(s, "audit", "List what operators did, oldest first", fetch, func(cmd *cobra.Command, a *api.Audit) {
+		t := newTable("at", "operator", "action", "subject", "result", "id")
+		for _, r := range a.Records {
+			t.add(r.At.Format(time.RFC3339), r.Operator, r.Action, r.Subject, r.Result, r.ID)
+		}
+		t.write(cmd)
+	})
+	cmd.Flags().StringVar(&after, "after", "", "id of a record; without it the last 24 hours")
+	return cmd
+}
+
+func (s *session) dump() *cobra.Command {
+	return &cobra.Command{
+		Use:   "dump",
+		Short: "Print the state of the answering entry as JSON",
+		Args:  exactArgs(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := s.client()
+			if err != nil {
+				return err
+			}
+			raw, err := c.Dump(cmd.Context())
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), string(*raw))
+			return err
+		},
+	}
+}
+
+func (s *session) unresolved() *cobra.Command {
+	var after string
+	fetch := func(cmd *cobra.Command, c *operator.Client) (*api.UnresolvedList, error) {
+		return c.Unresolved(cmd.Context(), after)
+	}
+	cmd := query(s, "unresolved", "List actions whose outcome the system cannot know", fetch, func(cmd *cobra.Command, l *api.UnresolvedList) {
+		t := newTable("action", "attempt", "server", "since", "reason")
+		for _, u := range l.Actions {
+			t.add(u.Key, u.Attempt, u.Server, u.Since.Format(time.RFC3339), u.Reason)
+		}
+		t.write(cmd)
+		if l.Next != "" {
+			fmt.Fprintf(cmd.OutOrStdout(), "more: peridotchute unresolved --after %q\n", l.Next)
+		}
+	})
+	cmd.Flags().StringVar(&after, "after", "", "list from after this action")
+	return cmd
+}
+
+func (s *session) settle() *cobra.Command {
+	var ran, notRun bool
+	var note string
+	cmd := &cobra.Command{
+		Use:   "settle KEY",
+		Short: "Record what became of an unresolved action",
+		Args:  exactArgs("KEY"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if ran == notRun || note == "" {
+				return usagef("give --ran or --not-run, and --note with how you know")
+			}
+			c, err := s.client()
+			if err != nil {
+				return err
+			}
+			reply, err := c.Settle(cmd.Context(), api.SettleRequest{Key: args[0], Ran: ran, Note: note})
+			if err != nil {
+				return err
+			}
+			return s.print(cmd, reply, func() { fmt.Fprintf(cmd.OutOrStdout(), "%s: %s\n", reply.Key, reply.Outcome) })
+		},
+	}
+	cmd.Flags().BoolVar(&ran, "ran", false, "the action took effect")
+	cmd.Flags().BoolVar(&notRun, "not-run", false, "the action did not take effect")
+	cmd.Flags().StringVar(&note, "note", "", "how you know")
+	return cmd
+}
+
+func (s *session) drain() *cobra.Command {
+	return &cobra.Command{
+		Use:   "drain SERVER",
+		Short: "Ask a backend server to finish its work and take no more",
+		Args:  exactArgs("SERVER"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := s.client()
+			if err != nil {
+				return err
+			}
+			reply, err := c.Drain(cmd.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			return s.print(cmd, reply, func() {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s takes no new work; %d requests in progress\n", reply.Server, reply.InFlight)
+			})
+		},
+	}
+}
