Replay a seeded workload under several policies, side by side

The policies can only be judged through real processes: the stand-in engines keep the timing model, entries and side processes are the daemons. The run counts whole answers within both targets for each accelerator and minute, moves after the first placement, and the bound of one pooled server.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 bench-micro:
 	go test -run '^$$' -bench . -benchmem $(PACKAGES)
+
+bench:
+	go run ./cmd/peridotchute-load replay --output docs/MEASUREMENTS.md
--- a/cmd/peridotchute-load/main.go
+++ b/cmd/peridotchute-load/main.go
@@ -13,6 +13,7 @@
 
 	"peridotchute.example/cmd/peridotchute-load/control"
 	"peridotchute.example/cmd/peridotchute-load/path"
+	"peridotchute.example/cmd/peridotchute-load/replay"
 	"peridotchute.example/cmd/peridotchute-load/survival"
 	"peridotchute.example/integration/cluster"
 )
@@ -31,7 +32,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(path.Command(), control.Command(), survival.Command())
+	root.AddCommand(path.Command(), control.Command(), survival.Command(), replay.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
--- /dev/null
+++ b/cmd/peridotchute-load/replay/client.go
@@ -0,0 +1,150 @@
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"peridotchute.example/common/wire"
+)
+
+// sample is what became of one request. Times are as measured.
+type sample struct {
+	at       time.Duration // of the arrival, before scaling
+	status   int
+	whole    bool
+	first    time.Duration
+	perToken time.Duration
+	retry    bool // told when to come back
+}
+
+// client replays a workload against the entries.
+type client struct {
+	http     *http.Client
+	entries  []string // addresses
+	patience time.Duration
+	scale    float64
+}
+
+func newClient(entries []string, patience time.Duration, scale float64) *client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4096, MaxIdleConns: 8192, DisableCompression: true}
+	return &client{http: &http.Client{Transport: transport}, entries: entries, patience: patience, scale: scale}
+}
+
+// replay sends each request at its time and returns one sample for each. Each
+// of at is called in a goroutine of its own when its moment has come.
+func (c *client) replay(ctx context.Context, w Workload, at map[time.Duration]func()) []sample {
+	out := make([]sample, len(w.Arrivals))
+	var group sync.WaitGroup
+	start := time.Now()
+	for moment, act := range at {
+		group.Go(func() {
+			wait(ctx, start.Add(scaled(moment, c.scale)))
+			act()
+		})
+	}
+	for i, a := range w.Arrivals {
+		wait(ctx, start.Add(scaled(a.At, c.scale)))
+		group.Go(func() {
+			out[i] = c.send(ctx, a)
+			out[i].at = a.At
+		})
+	}
+	group.Wait()
+	return out
+}
+
+func wait(ctx context.Context, at time.Time) {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// completion is the request's body.
+type completion struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+}
+
+func (c *client) send(ctx context.Context, a Arrival) sample {
+	limit := scaled(c.patience, c.scale)
+	ctx, cancel := context.WithTimeout(ctx, 2*limit)
+	defer cancel()
+	body, err := json.Marshal(completion{Model: a.Model, Messages: json.RawMessage(a.Prompt), Stream: true, MaxTokens: a.MaxTokens})
+	if err != nil {
+		return sample{}
+	}
+	entry := c.entries[a.Caller%len(c.entries)]
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return sample{}
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("X-Request-Timeout-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	began := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return sample{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s := sample{status: resp.StatusCode, retry: resp.Header.Get("Retry-After") != ""}
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return s
+	}
+	s.read(resp, began)
+	return s
+}
+
+// read takes the times of the stream's events.
+func (s *sample) read(resp *http.Response, began time.Time) {
+	in := bufio.NewScanner(resp.Body)
+	in.Buffer(nil, 1<<20)
+	var first, last time.Time
+	events := 0
+	for in.Scan() {
+		data, ok := bytes.CutPrefix(in.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if bytes.Equal(data, []byte("[DONE]")) {
+			s.whole = resp.Trailer.Get(wire.HeaderOutcome) != string(wire.OutcomeUnknown)
+			break
+		}
+		last = time.Now()
+		if events == 0 {
+			first = last
+		}
+		events++
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if events == 0 {
+		return
+	}
+	s.first = first.Sub(began)
+	s.perToken = last.Sub(first) / time.Duration(max(events-1, 1))
+}
+
+func getJSON(base, path string, into any) error {
+	resp, err := http.Get(base + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s answered %s", base, path, resp.Status)
+	}
+	return json.NewDecoder(resp.Body).Decode(into)
+}
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -143,6 +143,11 @@
 	return out
 }
 
+// RegionOf returns the region of a server by the configuration in force.
+func (p *Pool) RegionOf(s *Server) string {
+	return p.opts.Holder.Current().RegionOf(s.VM().Zone)
+}
+
 // markCached notes which candidates were sent the leading blocks of the prompt.
 func (p *Pool) markCached(candidates []routing.Candidate, prefixes []uint64) {
 	p.prefixMu.Lock()
