--- a/cmd/peridotchute-load/path/run.go
+++ b/cmd/peridotchute-load/path/run.go
@@ -121,7 +121,7 @@
 		}{{b.direct[0], r.directFirst}, {b.path[0], r.pathFirst}} {
 			a, err := b.caller.Do(ctx, way.base, req)
 			if err != nil {
-				return err
+				return fmt.Errorf("stream from %s after %v: %w\n%s", way.base, a.Total, err, b.c.Output())
 			}
 			if !a.OK() {
 				return fmt.Errorf("%s answered %d", way.base, a.Status)
