Entries serve the administration API when they have an operator key file

The API had no process that served it. An action's verdict wrote an audit row of its own shape beside the API's; that one is gone, since the API writes its record ahead of each change.

--- a/common/admin/admin.go
+++ b/common/admin/admin.go
@@ -107,13 +107,18 @@
 }
 
 func (s *Server) dump(w http.ResponseWriter, _ *http.Request) {
+	WriteJSON(w, http.StatusOK, s.State())
+}
+
+// State returns every section of the dump by its name.
+func (s *Server) State() map[string]any {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	out := make(map[string]any, len(s.sections))
 	for name, section := range s.sections {
 		out[name] = section.DumpState()
 	}
-	s.mu.Unlock()
-	WriteJSON(w, http.StatusOK, out)
+	return out
 }
 
 // WriteJSON sends v as an indented JSON body with the given status.
--- a/entry/action/rows.go
+++ b/entry/action/rows.go
@@ -22,7 +22,6 @@
 const (
 	actionPrefix     = "action/"
 	unresolvedPrefix = "unresolved/"
-	auditPrefix      = "audit/"
 )
 
 // shardOf returns the two digits of the shard of a key.
--- a/entry/action/unresolved.go
+++ b/entry/action/unresolved.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"peridotchute.example/common/fault"
 	"peridotchute.example/idempotency"
 )
@@ -32,13 +30,6 @@
 	Note     string `json:"note,omitempty"`
 }
 
-// audit is the row that records a verdict.
-type audit struct {
-	Verdict Verdict   `json:"verdict"`
-	Server  string    `json:"server"`
-	At      time.Time `json:"at"`
-}
-
 // Unresolved returns up to limit unresolved actions that sort after the given
 // cursor, and the cursor of the next page; "" after the last.
 func (r *Runner) Unresolved(ctx context.Context, cursor string, limit int) ([]Unresolved, string, error) {
@@ -94,7 +85,7 @@
 	return listed, state == idempotency.StateUnresolved || state == idempotency.StateClaimed
 }
 
-// Resolve records an operator's verdict. KindConflict means that the action is
+// Resolve records an operator's verdict; its caller keeps the audit record. KindConflict means that the action is
 // not unresolved any more, KindNotFound that it is not known.
 func (r *Runner) Resolve(ctx context.Context, v Verdict) error {
 	row, err := r.rows.table.Get(ctx, actionKey(v.Team, v.Key))
@@ -108,9 +99,6 @@
 	if rec.State != idempotency.StateUnresolved {
 		return fault.Newf(fault.KindConflict, "unresolved.settle", v.Key, "the action is %s", rec.State)
 	}
-	if err := r.writeAudit(ctx, v, rec.Server); err != nil {
-		return err
-	}
 	rec.State = idempotency.StateNotRun
 	if v.Ran {
 		rec.State = idempotency.StateDone
@@ -127,19 +115,6 @@
 	return r.unlist(ctx, v)
 }
 
-// writeAudit records the verdict before it takes effect.
-func (r *Runner) writeAudit(ctx context.Context, v Verdict, server string) error {
-	value, err := json.Marshal(audit{Verdict: v, Server: server, At: time.Now()})
-	if err != nil {
-		return fault.New(fault.KindInternal, "unresolved.audit", v.Key, err)
-	}
-	id := uuid.Must(uuid.NewV7()).String()
-	if _, err := r.rows.table.PutIfAbsent(ctx, auditPrefix+id, value); err != nil {
-		return errStore("unresolved.audit", err)
-	}
-	return nil
-}
-
 func (r *Runner) unlist(ctx context.Context, v Verdict) error {
 	row, err := r.rows.table.Get(ctx, unresolvedKey(v.Team, v.Key))
 	if fault.Is(err, fault.KindNotFound) {
--- a/entry/adminapi/adminapi_test.go
+++ b/entry/adminapi/adminapi_test.go
@@ -20,6 +20,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
+	"peridotchute.example/entry/action"
 	"peridotchute.example/operator/api"
 	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
@@ -110,20 +111,20 @@
 	holder  *config.Holder
 	log     bytes.Buffer
 	drained []string
-	settled []api.SettleRequest
+	settled []action.Verdict
 }
 
 // Unresolved lists one action.
-func (f *fixture) Unresolved(context.Context, string, int) ([]api.Unresolved, error) {
-	return []api.Unresolved{{Key: "shop/charge-1", Attempt: 1, Server: "till-1", Reason: "side process gone"}}, nil
+func (f *fixture) Unresolved(context.Context, string, int) ([]action.Unresolved, string, error) {
+	return []action.Unresolved{{Team: "shop", Key: "charge-1", Attempt: 1, Server: "till-1", Reason: "side process gone"}}, "shop/charge-1", nil
 }
 
-// Settle records the call.
-func (f *fixture) Settle(_ context.Context, key string, ran bool, note string) error {
-	if key != "shop/charge-1" {
-		return fault.Newf(fault.KindNotFound, "settle", "", "%q is not on the list", key)
+// Resolve records the call.
+func (f *fixture) Resolve(_ context.Context, v action.Verdict) error {
+	if v.Key != "charge-1" {
+		return fault.Newf(fault.KindNotFound, "settle", "", "%q is not known", v.Key)
 	}
-	f.settled = append(f.settled, api.SettleRequest{Key: key, Ran: ran, Note: note})
+	f.settled = append(f.settled, v)
 	return nil
 }
 
@@ -155,8 +156,10 @@
 	f.losing = &losing{Table: tab}
 	New(Options{
 		Entry: "entry-1", Keys: keys, Store: publish.New(f.losing, obj), Holder: f.holder, Table: tab, Objects: obj,
-		VMs:     platform.NewVMs(platform.VMSettings{URL: serve(t, f.vms)}),
-		Members: func() []api.Member { return []api.Member{{Name: "entry-1", Role: "entry", State: "serving"}} },
+		VMs: platform.NewVMs(platform.VMSettings{URL: serve(t, f.vms)}),
+		Members: func(context.Context) []api.Member {
+			return []api.Member{{Name: "entry-1", Role: "entry", State: "serving"}}
+		},
 		Actions: f,
 		Drain: func(_ context.Context, server string) (int, error) {
 			f.drained = append(f.drained, server)
@@ -384,8 +387,8 @@
 		{"unknown field", api.PathAccept, `{"digest": "x", "force": true}`, http.StatusBadRequest},
 		{"field twice", api.PathDrain, `{"server": "a", "server": "b"}`, http.StatusBadRequest},
 		{"wrong type", api.PathSettle, `{"key": 1}`, http.StatusBadRequest},
-		{"note missing", api.PathSettle, `{"key": "shop/charge-1", "ran": true}`, http.StatusBadRequest},
-		{"not listed", api.PathSettle, `{"key": "other", "ran": true, "note": "n"}`, http.StatusNotFound},
+		{"note missing", api.PathSettle, `{"team": "shop", "key": "charge-1", "ran": true}`, http.StatusBadRequest},
+		{"not listed", api.PathSettle, `{"team": "shop", "key": "other", "ran": true, "note": "n"}`, http.StatusNotFound},
 		{"no server", api.PathDrain, `{}`, http.StatusBadRequest},
 		{"too large", api.PathAccept, strings.Repeat(" ", api.MaxRequestBytes+1), http.StatusRequestEntityTooLarge},
 		{"declaration too large", api.PathPlan, strings.Repeat(" ", api.MaxDeclarationBytes+1), http.StatusRequestEntityTooLarge},
@@ -407,8 +410,8 @@
 	f := newFixture(t)
 	list := get[api.UnresolvedList](f, api.PathUnresolved+"?limit=1")
 	assert.Equal(t, list.Next, "shop/charge-1")
-	post[api.SettleReply](f, acceptKey, api.PathSettle, `{"key": "shop/charge-1", "ran": true, "note": "seen in the bank's list"}`, http.StatusOK)
-	assert.Equal(t, f.settled[0].Note, "seen in the bank's list")
+	post[api.SettleReply](f, acceptKey, api.PathSettle, `{"team": "shop", "key": "charge-1", "ran": true, "note": "seen in the bank's list"}`, http.StatusOK)
+	assert.Equal(t, f.settled[0], action.Verdict{Team: "shop", Key: "charge-1", Ran: true, Operator: "anna", Note: "seen in the bank's list"})
 	reply := post[api.DrainReply](f, acceptKey, api.PathDrain, `{"server": "gpu-1"}`, http.StatusOK)
 	assert.Equal(t, reply.InFlight, 3)
 	assert.Equal(t, len(get[api.Audit](f, api.PathAudit).Records), 2)
@@ -416,7 +419,7 @@
 
 func FuzzBodies(f *testing.F) {
 	f.Add(`{"digest": "00"}`)
-	f.Add(`{"key": "shop/charge-1", "ran": true, "note": "n"}`)
+	f.Add(`{"team": "shop", "key": "charge-1", "ran": true, "note": "n"}`)
 	f.Add(`{"server": "a"} // c`)
 	f.Add(`{"version": 18446744073709551615}`)
 	f.Fuzz(func(t *testing.T, body string) {
--- a/entry/adminapi/api.go
+++ b/entry/adminapi/api.go
@@ -12,6 +12,7 @@
 
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
+	"peridotchute.example/entry/action"
 	"peridotchute.example/operator/api"
 	"peridotchute.example/platform"
 )
@@ -24,13 +25,14 @@
 	History(ctx context.Context, limit int) ([]publish.Entry, error)
 }
 
-// Actions is the list of actions whose outcome the system cannot know.
+// Actions is the list of actions whose outcome the system cannot know;
+// action.Runner is one.
 type Actions interface {
-	// Unresolved returns up to limit actions whose keys sort after the key after.
-	Unresolved(ctx context.Context, after string, limit int) ([]api.Unresolved, error)
-	// Settle records whether an action took effect. KindNotFound means that it
-	// is not on the list.
-	Settle(ctx context.Context, key string, ran bool, note string) error
+	// Unresolved returns up to limit actions after a cursor, and the next cursor.
+	Unresolved(ctx context.Context, cursor string, limit int) ([]action.Unresolved, string, error)
+	// Resolve records whether an action took effect. KindNotFound means that it
+	// is not known, KindConflict that it is not unresolved any more.
+	Resolve(ctx context.Context, v action.Verdict) error
 }
 
 // Options are what the API works on.
@@ -42,7 +44,7 @@
 	Table   platform.Table   // audit records
 	Objects platform.Objects // plans
 	VMs     platform.VMs     // counts the backend servers of each pool
-	Members func() []api.Member
+	Members func(context.Context) []api.Member
 	Actions Actions
 	// Drain asks a backend server to take no new work and returns how much it
 	// has left. KindNotFound means that no such server is known.
--- a/entry/adminapi/cli_test.go
+++ b/entry/adminapi/cli_test.go
@@ -88,9 +88,9 @@
 		{"history", readKey, []string{"history"}, cli.ExitOK, "anna"},
 		{"audit", readKey, []string{"audit"}, cli.ExitOK, "accept"},
 		{"dump", readKey, []string{"dump"}, cli.ExitOK, "identity"},
-		{"unresolved", readKey, []string{"unresolved"}, cli.ExitOK, "shop/charge-1"},
-		{"settle without note", acceptKey, []string{"settle", "shop/charge-1", "--ran"}, cli.ExitInvalid, "--note"},
-		{"settle", acceptKey, []string{"settle", "shop/charge-1", "--ran", "--note", "seen"}, cli.ExitOK, "completed"},
+		{"unresolved", readKey, []string{"unresolved"}, cli.ExitOK, "charge-1"},
+		{"settle without note", acceptKey, []string{"settle", "shop", "charge-1", "--ran"}, cli.ExitInvalid, "--note"},
+		{"settle", acceptKey, []string{"settle", "shop", "charge-1", "--ran", "--note", "seen"}, cli.ExitOK, "completed"},
 		{"drain", acceptKey, []string{"drain", "gpu-1"}, cli.ExitOK, "3 requests in progress"},
 		{"revert", planKey, []string{"revert", "1"}, cli.ExitOK, "DIFFERENCE to version 1\nnone"},
 		{"completion", readKey, []string{"completion", "bash"}, cli.ExitOK, "__start_peridotchute"},
@@ -156,8 +156,8 @@
 except p.Conflict as err:
     assert {c["field"] for c in err.difference} == {"version", "memory_bytes"}, err.difference
 assert [h["version"] for h in reader.history()] == [2, 1]
-assert reader.unresolved()[0]["key"] == "shop/charge-1"
-assert acceptor.settle("shop/charge-1", True, "seen")["outcome"] == "completed"
+assert reader.unresolved()[0]["key"] == "charge-1"
+assert acceptor.settle("shop", "charge-1", True, "seen")["outcome"] == "completed"
 assert acceptor.drain("gpu-1")["in_flight"] == 3
 assert planner.revert(1)["revert_of"] == 1
 assert len(reader.audit()) == 5, reader.audit()
--- a/entry/adminapi/operate.go
+++ b/entry/adminapi/operate.go
@@ -5,6 +5,8 @@
 
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/wire"
+	"peridotchute.example/entry/action"
+	"peridotchute.example/idempotency"
 	"peridotchute.example/operator/api"
 )
 
@@ -13,16 +15,13 @@
 	if err != nil {
 		return nil, err
 	}
-	actions, err := a.opts.Actions.Unresolved(c.ctx(), c.r.URL.Query().Get("after"), limit)
+	actions, next, err := a.opts.Actions.Unresolved(c.ctx(), c.r.URL.Query().Get("after"), limit)
 	if err != nil {
 		return nil, err
 	}
-	out := api.UnresolvedList{Actions: actions}
-	if out.Actions == nil {
-		out.Actions = []api.Unresolved{}
-	}
-	if len(actions) == limit {
-		out.Next = actions[limit-1].Key
+	out := api.UnresolvedList{Actions: []api.Unresolved{}, Next: next}
+	for _, u := range actions {
+		out.Actions = append(out.Actions, api.Unresolved(u))
 	}
 	return out, nil
 }
@@ -32,24 +31,25 @@
 	if err != nil {
 		return nil, err
 	}
-	if req.Key == "" || strings.TrimSpace(req.Note) == "" {
-		return nil, badRequest("key and note are required")
+	if req.Team == "" || req.Key == "" || strings.TrimSpace(req.Note) == "" {
+		return nil, badRequest("team, key and note are required")
 	}
 	outcome := wire.OutcomeNotRun
 	if req.Ran {
 		outcome = wire.OutcomeCompleted
 	}
-	record, err := a.begin(c, "settle "+string(outcome), req.Key, req.Note, 0)
+	subject := idempotency.ScopedKey(req.Team, req.Key)
+	record, err := a.begin(c, "settle "+string(outcome), subject, req.Note, 0)
 	if err != nil {
 		return nil, err
 	}
-	err = a.opts.Actions.Settle(c.ctx(), req.Key, req.Ran, req.Note)
+	err = a.opts.Actions.Resolve(c.ctx(), action.Verdict{Team: req.Team, Key: req.Key, Ran: req.Ran, Operator: c.operator, Note: req.Note})
 	a.end(c.ctx(), record, err)
 	if err != nil {
 		return nil, err
 	}
-	event.Log(a.opts.Log, event.OperatorSettled, event.Peer(c.operator), event.Subject(req.Key), event.Reason(string(outcome)))
-	return api.SettleReply{Key: req.Key, Outcome: outcome}, nil
+	event.Log(a.opts.Log, event.OperatorSettled, event.Peer(c.operator), event.Subject(subject), event.Reason(string(outcome)))
+	return api.SettleReply{Team: req.Team, Key: req.Key, Outcome: outcome}, nil
 }
 
 func (a *API) drain(c *call) (any, error) {
--- a/entry/adminapi/status.go
+++ b/entry/adminapi/status.go
@@ -18,7 +18,7 @@
 }
 
 func (a *API) status(c *call) (any, error) {
-	s := api.Status{Entry: a.opts.Entry, Version: a.opts.Holder.Version(), Members: a.opts.Members()}
+	s := api.Status{Entry: a.opts.Entry, Version: a.opts.Holder.Version(), Members: a.opts.Members(c.ctx())}
 	if x := a.opts.Holder.Current(); x != nil {
 		s.Digest = config.Digest(x.Configuration)
 	}
--- a/entry/module.go
+++ b/entry/module.go
@@ -42,6 +42,7 @@
 			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer,
 		),
 		actionModule(),
+		operatorModule(),
 		fx.Invoke(startDuties, startRPC, startListeners),
 	)
 }
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"peridotchute.example/common/admin"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/config"
+	"peridotchute.example/config/publish"
+	"peridotchute.example/config/spread"
+	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/adminapi"
+	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/roster"
+	"peridotchute.example/platform"
+	"peridotchute.example/rpc"
+)
+
+// operatorModule wires the administration API.
+func operatorModule() fx.Option {
+	return fx.Options(fx.Provide(newRoster), fx.Invoke(serveOperators))
+}
+
+func newRoster(local rpc.Local, handlers *rpc.Handlers, p *pool.Pool, s *spread.Spreader, vms platform.VMs) *roster.Roster {
+	return roster.New(roster.Options{Local: local, Handlers: handlers, Pool: p, Spreader: s, VMs: vms})
+}
+
+// operatorParams are what the administration API is made from.
+type operatorParams struct {
+	fx.In
+	Settings Settings
+	Store    *publish.Store
+	Holder   *config.Holder
+	Table    platform.Table
+	Objects  platform.Objects
+	VMs      platform.VMs
+	Roster   *roster.Roster
+	Actions  *action.Runner
+	Pool     *pool.Pool
+	Admin    *admin.Server
+	Log      logrus.FieldLogger
+}
+
+// serveOperators adds the API to the administration listener when there is an
+// operator key file.
+func serveOperators(p operatorParams) error {
+	if p.Settings.OperatorKeyFile == "" {
+		return nil
+	}
+	keys, err := adminapi.LoadKeys(p.Settings.OperatorKeyFile, p.Log)
+	if err != nil {
+		return err
+	}
+	adminapi.New(adminapi.Options{
+		Entry:   p.Settings.Name,
+		Keys:    keys,
+		Store:   p.Store,
+		Holder:  p.Holder,
+		Table:   p.Table,
+		Objects: p.Objects,
+		VMs:     p.VMs,
+		Members: p.Roster.Members,
+		Actions: p.Actions,
+		Drain:   func(ctx context.Context, server string) (int, error) { return drainServer(ctx, p.Pool, server) },
+		Dump:    p.Admin.State,
+		Log:     p.Log,
+	}).Register(p.Admin.Router())
+	return nil
+}
+
+// drainServer asks a side process to take no new work.
+func drainServer(ctx context.Context, p *pool.Pool, name string) (int, error) {
+	s, ok := p.Server(name)
+	if !ok {
+		return 0, fault.Newf(fault.KindNotFound, rpc.MethodDrain, name, "no such backend server")
+	}
+	peer := s.Peer()
+	if peer == nil {
+		return 0, fault.Newf(fault.KindUnavailable, rpc.MethodDrain, name, "its side process is not connected")
+	}
+	reply, err := rpc.Call[rpc.Drain, rpc.DrainReply](ctx, peer, rpc.MethodDrain, rpc.Drain{})
+	return reply.InFlight, err
+}
--- a/entry/pool/server.go
+++ b/entry/pool/server.go
@@ -34,6 +34,14 @@
 	firstSeen   time.Time
 }
 
+// Status returns the server's state and the configuration version that its
+// side process reported last.
+func (s *Server) Status() (membership.State, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state, s.report.ConfigVersion
+}
+
 // VM returns the server's row of the VM list.
 func (s *Server) VM() platform.VM {
 	s.mu.Lock()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -18,6 +18,7 @@
 	AdminAddress      string                  `json:"admin_address" validate:"required,ip_port"`
 	RPCAddress        string                  `json:"rpc_address" validate:"required,ip_port"`
 	DeploymentKeyFile string                  `json:"deployment_key_file" validate:"required,file"`
+	OperatorKeyFile   string                  `json:"operator_key_file,omitempty" validate:"omitempty,file"` // without it there is no administration API
 	Table             platform.TableSettings  `json:"table" validate:"required"`
 	Objects           platform.ObjectSettings `json:"objects" validate:"required"`
 	VMList            platform.VMSettings     `json:"vm_list" validate:"required"`
--- a/operator/api/api.go
+++ b/operator/api/api.go
@@ -135,15 +135,16 @@
 
 // Unresolved is a non-idempotent action whose outcome the system cannot know.
 type Unresolved struct {
-	Key     string    `json:"key"` // team/idempotency key
-	Attempt int       `json:"attempt"`
-	Server  string    `json:"server"` // that may have run it
-	Service string    `json:"service,omitempty"`
-	Reason  string    `json:"reason"`
-	Since   time.Time `json:"since,omitzero"`
+	Team      string    `json:"team"`
+	Key       string    `json:"key"` // that the caller gave
+	Entry     string    `json:"entry"`
+	Server    string    `json:"server"` // that may have run it
+	Attempt   int       `json:"attempt"`
+	Reason    string    `json:"reason"`
+	ClaimedAt time.Time `json:"claimed_at"`
 }
 
-// UnresolvedList lists unresolved actions in order of key. Next continues the
+// UnresolvedList lists unresolved actions in order of team and key. Next continues the
 // list when it is not empty.
 type UnresolvedList struct {
 	Actions []Unresolved `json:"actions"`
@@ -152,13 +153,15 @@
 
 // SettleRequest records what an operator found out about an action.
 type SettleRequest struct {
+	Team string `json:"team"`
 	Key  string `json:"key"`
-	Ran  bool   `json:"ran"`  // whether the action took effect
+	Ran  bool   `json:"ran"`  // whether the action took effect; if not, its key may be used again
 	Note string `json:"note"` // how the operator knows; required
 }
 
 // SettleReply confirms a settlement.
 type SettleReply struct {
+	Team    string       `json:"team"`
 	Key     string       `json:"key"`
 	Outcome wire.Outcome `json:"outcome"`
 }
--- a/operator/cli/watch.go
+++ b/operator/cli/watch.go
@@ -106,9 +106,9 @@
 		return c.Unresolved(cmd.Context(), after)
 	}
 	cmd := query(s, "unresolved", "List actions whose outcome the system cannot know", fetch, func(cmd *cobra.Command, l *api.UnresolvedList) {
-		t := newTable("action", "attempt", "server", "since", "reason")
+		t := newTable("team", "key", "attempt", "server", "since", "reason")
 		for _, u := range l.Actions {
-			t.add(u.Key, u.Attempt, u.Server, u.Since.Format(time.RFC3339), u.Reason)
+			t.add(u.Team, u.Key, u.Attempt, u.Server, u.ClaimedAt.Format(time.RFC3339), u.Reason)
 		}
 		t.write(cmd)
 		if l.Next != "" {
@@ -123,9 +123,9 @@
 	var ran, notRun bool
 	var note string
 	cmd := &cobra.Command{
-		Use:   "settle KEY",
+		Use:   "settle TEAM KEY",
 		Short: "Record what became of an unresolved action",
-		Args:  exactArgs("KEY"),
+		Args:  exactArgs("TEAM", "KEY"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if ran == notRun || note == "" {
 				return usagef("give --ran or --not-run, and --note with how you know")
@@ -134,11 +134,11 @@
 			if err != nil {
 				return err
 			}
-			reply, err := c.Settle(cmd.Context(), api.SettleRequest{Key: args[0], Ran: ran, Note: note})
+			reply, err := c.Settle(cmd.Context(), api.SettleRequest{Team: args[0], Key: args[1], Ran: ran, Note: note})
 			if err != nil {
 				return err
 			}
-			return s.print(cmd, reply, func() { fmt.Fprintf(cmd.OutOrStdout(), "%s: %s\n", reply.Key, reply.Outcome) })
+			return s.print(cmd, reply, func() { fmt.Fprintf(cmd.OutOrStdout(), "%s of team %s: %s\n", reply.Key, reply.Team, reply.Outcome) })
 		},
 	}
 	cmd.Flags().BoolVar(&ran, "ran", false, "the action took effect")
--- a/operator/python/peridotchute.py
+++ b/operator/python/peridotchute.py
@@ -209,9 +209,9 @@
         """Returns actions whose outcome the system cannot know, one page."""
         return self._send("GET", "/unresolved" + _query("after", after))["actions"]
 
-    def settle(self, key, ran, note):
+    def settle(self, team, key, ran, note):
         """Records whether an unresolved action took effect, and how you know."""
-        return self._send("POST", "/unresolved/settle", json.dumps({"key": key, "ran": ran, "note": note}))
+        return self._send("POST", "/unresolved/settle", json.dumps({"team": team, "key": key, "ran": ran, "note": note}))
 
     def drain(self, server):
         """Asks a backend server to take no new work."""
--- a/side/module.go
+++ b/side/module.go
@@ -168,12 +168,6 @@
 		}
 		return c.Memory.Submit(o), nil
 	})
-	rpc.Handle(c.Handlers, rpc.MethodOrder, func(_ context.Context, _ *rpc.Peer, o rpc.Order) (rpc.OrderReply, error) {
-		if c.Memory == nil {
-			return rpc.OrderReply{Reason: "no memory is kept here"}, nil
-		}
-		return c.Memory.Submit(o), nil
-	})
 	rpc.Handle(c.Handlers, rpc.MethodDrain, func(ctx context.Context, _ *rpc.Peer, _ rpc.Drain) (rpc.DrainReply, error) {
 		c.Gate.Drain()
 		return rpc.DrainReply{InFlight: c.Gate.InFlight()}, nil
