--- a/integration/cluster/build.go
+++ b/integration/cluster/build.go
@@ -14,6 +14,8 @@
 	ProgramEntry   = "peridotchute-entry"
 	ProgramSide    = "peridotchute-side"
 	ProgramStandIn = "peridotchute-standin"
+
+	ProgramOperator = "peridotchute" // the operators' command line
 )
 
 var built struct {
@@ -49,7 +51,7 @@
 		return "", err
 	}
 	args := []string{"build", "-o", dir + string(filepath.Separator)}
-	for _, name := range []string{ProgramEntry, ProgramSide, ProgramStandIn} {
+	for _, name := range []string{ProgramEntry, ProgramSide, ProgramStandIn, ProgramOperator} {
 		args = append(args, "./cmd/"+name)
 	}
 	cmd := exec.Command("go", args...)
--- /dev/null
+++ b/integration/operators_test.go
@@ -0,0 +1,193 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/config"
+	"peridotchute.example/entry"
+	"peridotchute.example/integration/cluster"
+	"peridotchute.example/membership"
+	"peridotchute.example/operator/api"
+	"peridotchute.example/operator/cli"
+)
+
+const (
+	plannerKey  = "operator-key-that-plans"
+	acceptorKey = "operator-key-that-accepts"
+)
+
+// shell runs the command line of operators as a process.
+type shell struct {
+	t       *testing.T
+	program string
+	dir     string
+}
+
+// newShell writes the operators' keys and the key file of the entries.
+func newShell(t *testing.T) *shell {
+	bin, err := cluster.Programs()
+	assert.NilError(t, err)
+	s := &shell{t: t, program: filepath.Join(bin, cluster.ProgramOperator), dir: t.TempDir()}
+	s.write(plannerKey, plannerKey)
+	s.write(acceptorKey, acceptorKey)
+	s.write("operators.json", fmt.Sprintf(`{"operators": [
+		{"name": "paul", "key_sha256": %q, "roles": ["plan"]},
+		{"name": "anna", "key_sha256": %q, "roles": ["accept"]}]}`, config.HashKey(plannerKey), config.HashKey(acceptorKey)))
+	return s
+}
+
+func (s *shell) path(name string) string { return filepath.Join(s.dir, name) }
+
+func (s *shell) write(name, text string) string {
+	assert.NilError(s.t, os.WriteFile(s.path(name), []byte(text), 0o600))
+	return s.path(name)
+}
+
+// edit gives an entry the operators' key file.
+func (s *shell) edit(_ int, e *entry.Settings) { e.OperatorKeyFile = s.path("operators.json") }
+
+// result is what a run of the command line left.
+type result struct {
+	code   int
+	stdout string
+	stderr string
+}
+
+func (s *shell) run(e *cluster.Entry, key string, args ...string) result {
+	var out, errOut bytes.Buffer
+	cmd := exec.Command(s.program, append(args, "--url", e.AdminURL(), "--key-file", s.path(key))...)
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	err := cmd.Run()
+	var exit *exec.ExitError
+	assert.Check(s.t, err == nil || errors.As(err, &exit), "%v", err)
+	return result{code: cmd.ProcessState.ExitCode(), stdout: out.String(), stderr: errOut.String()}
+}
+
+// must runs a command that has to end with the code.
+func (s *shell) must(code int, e *cluster.Entry, key string, args ...string) result {
+	s.t.Helper()
+	r := s.run(e, key, args...)
+	assert.Equal(s.t, r.code, code, "%v: %s%s", args, r.stdout, r.stderr)
+	return r
+}
+
+// plan declares the sample with one more team and returns the plan's digest.
+func (s *shell) plan(e *cluster.Entry, team string) string {
+	s.t.Helper()
+	declared := cluster.Sample(cluster.SampleZones(1))
+	declared.Version = 0
+	declared.Teams = append(declared.Teams, config.Team{Name: team, KeyHashes: []string{config.HashKey("caller key of " + team)}})
+	raw, err := json.Marshal(declared)
+	assert.NilError(s.t, err)
+	file := s.write(team+".json", string(raw)+" // declaration\n")
+	r := s.must(cli.ExitOK, e, plannerKey, "plan", file, "--output", "json")
+	var plan api.Plan
+	assert.NilError(s.t, json.Unmarshal([]byte(r.stdout), &plan))
+	return plan.Digest
+}
+
+func (s *shell) status(e *cluster.Entry) api.Status {
+	s.t.Helper()
+	r := s.must(cli.ExitOK, e, plannerKey, "status", "-o", "json")
+	var st api.Status
+	assert.NilError(s.t, json.Unmarshal([]byte(r.stdout), &st))
+	return st
+}
+
+// admits reports whether a caller of the team is admitted by the entry.
+func admits(t *testing.T, e *cluster.Entry, team string) bool {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, e.URL()+"/v1/models", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer caller key of "+team)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func TestOperatorsChangeARunningDeployment(t *testing.T) {
+	s := newShell(t)
+	c := cluster.Start(t, cluster.Options{Entries: 2, Sides: 2, Plain: 1, EditEntry: s.edit})
+	first, second := c.Entry(1), c.Entry(2)
+
+	t.Run("planned at one entry, accepted at the other, in force at every process", func(t *testing.T) {
+		digest := s.plan(first, "ghillies")
+		assert.Assert(t, !admits(t, first, "ghillies"), "a plan changed something")
+		s.must(cli.ExitRefused, first, plannerKey, "accept", digest)
+		r := s.must(cli.ExitOK, second, acceptorKey, "accept", digest)
+		assert.Assert(t, strings.Contains(r.stderr, "5 of 5 processes"), r.stderr)
+		for _, e := range c.Entries() {
+			assert.Assert(t, admits(t, e, "ghillies"))
+		}
+	})
+	t.Run("a stale digest is refused with the difference", func(t *testing.T) {
+		stale := s.plan(first, "hotels")
+		s.must(cli.ExitOK, first, acceptorKey, "accept", s.plan(first, "concierges"))
+		r := s.must(cli.ExitConflict, second, acceptorKey, "accept", stale)
+		assert.Assert(t, strings.Contains(r.stderr, "+ teams concierges"), r.stderr)
+		assert.Assert(t, !admits(t, second, "hotels"))
+	})
+	t.Run("of two operators one wins", func(t *testing.T) {
+		twoOperators(t, s, first, second)
+	})
+	t.Run("store down during an accept", func(t *testing.T) {
+		digest := s.plan(first, "tours")
+		before := s.status(first).Version
+		assert.NilError(t, c.StoreDown(true))
+		s.must(cli.ExitUnavailable, first, acceptorKey, "accept", digest)
+		assert.Equal(t, s.status(second).Version, before)
+		assert.NilError(t, c.StoreDown(false))
+		s.must(cli.ExitOK, first, acceptorKey, "accept", digest)
+	})
+	t.Run("the entry that planned is killed", func(t *testing.T) {
+		digest := s.plan(first, "anglers")
+		assert.NilError(t, first.Kill())
+		s.must(cli.ExitOK, second, acceptorKey, "accept", digest, "--wait", "0")
+		assert.Assert(t, admits(t, second, "anglers"))
+	})
+	t.Run("a drained server leaves", func(t *testing.T) {
+		s.must(cli.ExitOK, second, acceptorKey, "drain", c.Side(1).Name)
+		cluster.Eventually(t, func() error { return inState(s.status(second), c.Side(1).Name, membership.StateLeaving) })
+		s.must(cli.ExitNotFound, second, acceptorKey, "drain", "no-such-server")
+	})
+	for _, key := range []string{plannerKey, acceptorKey} {
+		assert.Assert(t, !strings.Contains(c.Output(), key), "an operator's key is in a log")
+		assert.Assert(t, !strings.Contains(s.must(cli.ExitOK, second, plannerKey, "dump").stdout, key))
+	}
+}
+
+func twoOperators(t *testing.T, s *shell, first, second *cluster.Entry) {
+	const rounds = 10
+	for round := range rounds {
+		digests := []string{s.plan(first, fmt.Sprintf("left-%d", round)), s.plan(second, fmt.Sprintf("right-%d", round))}
+		var codes [2]int
+		var wg sync.WaitGroup
+		for i, e := range []*cluster.Entry{first, second} {
+			wg.Go(func() { codes[i] = s.run(e, acceptorKey, "accept", digests[i]).code })
+		}
+		wg.Wait()
+		assert.Equal(t, codes[0]+codes[1], cli.ExitOK+cli.ExitConflict, "round %d: %v", round, codes)
+	}
+}
+
+func inState(st api.Status, name string, want membership.State) error {
+	for _, m := range st.Members {
+		if m.Name == name && m.State == string(want) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not %s in %+v", name, want, st.Members)
+}
