Meter and cap the traffic between regions

Cause: the regions share a slow link that is paid by volume; bytes were counted in one of the two paths to a backend server and never capped. With the share used up, requests stay in the region while a server there serves; otherwise they still cross, since reachability goes before the cap. Shown in the dump and as link_bytes. Ruled out: rejecting at the cap, which makes a declared model unreachable; cutting streams in progress. Tested: the meter closes and opens by its rate; a closed link leaves out far servers only while a near one serves.

--- a/cmd/peridotchute-load/replay/run.go
+++ b/cmd/peridotchute-load/replay/run.go
@@ -139,9 +139,7 @@
 
 // entryVars are the counters of an entry that a run reads.
 type entryVars struct {
-	Dispatch struct {
-		LinkBytes int64 `json:"link_bytes"`
-	} `json:"dispatch"`
+	LinkBytes int64 `json:"link_bytes"`
 }
 
 func (r *run) counts() (moves, error) {
@@ -161,7 +159,7 @@
 		if err := getJSON(e.AdminURL(), "/debug/vars", &v); err != nil {
 			return m, err
 		}
-		m.linkBytes += v.Dispatch.LinkBytes
+		m.linkBytes += v.LinkBytes
 	}
 	return m, nil
 }
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -202,10 +202,7 @@
 	if err != nil {
 		return err
 	}
-	if r.d.opts.Pool.RegionOf(server) != r.d.opts.Region {
-		linkBytes.Add(int64(len(r.req.Body)))
-		resp.Body = counted{resp.Body}
-	}
+	r.d.opts.Pool.Carry(server, len(r.req.Body), resp)
 	defer resp.Body.Close()
 	if load, err := wire.ParseLoad(resp.Header.Get(wire.HeaderLoad)); err == nil {
 		server.Observe(load, time.Now())
--- a/entry/module.go
+++ b/entry/module.go
@@ -23,6 +23,7 @@
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/follower"
 	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/link"
 	"peridotchute.example/entry/peers"
 	"peridotchute.example/entry/pool"
 	"peridotchute.example/platform"
@@ -40,7 +41,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			newKey, newLocal, newTable, newObjects, newVMs, newFollower, newSpreader, newPeers, newPool, newForwarder, newDispatcher,
-			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer,
+			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer, link.NewMeter,
 		),
 		actionModule(),
 		operatorModule(),
@@ -101,6 +102,7 @@
 	Holder   *config.Holder
 	Spreader *spread.Spreader
 	Peers    *peers.Peers
+	Link     *link.Meter
 	Log      logrus.FieldLogger
 }
 
@@ -111,6 +113,8 @@
 		VMs:      p.VMs,
 		Interval: time.Duration(p.Settings.VMList.IntervalMS) * time.Millisecond,
 		Holder:   p.Holder,
+		Region:   p.Settings.Region,
+		Link:     p.Link,
 		OnPeer:   p.Spreader.Add,
 		OnList:   p.Peers.Update,
 		Log:      p.Log,
@@ -154,6 +158,7 @@
 	Spreader   *spread.Spreader
 	Dispatcher *dispatch.Dispatcher
 	Actions    *action.Server
+	Link       *link.Meter
 	Admin      *admin.Server
 }
 
@@ -170,6 +175,7 @@
 	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
 	p.Admin.AddSection("config_peers", p.Spreader)
 	p.Admin.AddSection("servers", p.Pool)
+	p.Admin.AddSection("link", p.Link)
 	p.Admin.AddCheck("configuration", func() error { return needed(p.Holder.Version() > 0, "no configuration is in force") })
 	p.Admin.AddCheck("vm_list", func() error { return needed(p.Pool.Listed(), "the VM list was not read yet") })
 	drain := defaultDrain
--- a/entry/pool/members.go
+++ b/entry/pool/members.go
@@ -18,11 +18,17 @@
 		return
 	}
 	var listed membership.Listed
+	entries := 0
 	for _, vm := range vms {
 		if vm.Role == roleBackend {
 			listed.Rows = append(listed.Rows, row(vm))
+		} else {
+			entries++
 		}
 	}
+	if index := p.opts.Holder.Current(); index != nil {
+		p.opts.Link.SetCap(index.Configuration.Policy.LinkBytesPerSecond, entries)
+	}
 	p.observe(listed)
 	p.mu.Lock()
 	p.listed = true
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/ring"
 	"peridotchute.example/config"
+	"peridotchute.example/entry/link"
 	"peridotchute.example/membership"
 	"peridotchute.example/platform"
 	"peridotchute.example/routing"
@@ -34,6 +37,8 @@
 	VMs      platform.VMs
 	Interval time.Duration // between reads of the VM list; 0 means the default
 	Holder   *config.Holder
+	Region   string                               // of this entry
+	Link     *link.Meter                          // of traffic with other regions
 	OnPeer   func(*rpc.Peer)                      // called with each new connection; may be nil
 	OnList   func(context.Context, []platform.VM) // called with each reading of the VM list; may be nil
 	Log      logrus.FieldLogger
@@ -139,10 +144,38 @@
 		c.Server.Serving = !serving
 		out = append(out, c)
 	}
+	if !p.opts.Link.Open(time.Now()) {
+		p.keepInRegion(out)
+	}
 	p.markCached(out, prefixes)
 	return out
 }
 
+// keepInRegion leaves the servers of other regions out when one of this region
+// serves. Otherwise they stay: what is declared is reachable first.
+func (p *Pool) keepInRegion(candidates []routing.Candidate) {
+	near := slices.ContainsFunc(candidates, func(c routing.Candidate) bool {
+		return c.Server.Serving && c.Server.Region == p.opts.Region
+	})
+	if !near {
+		return
+	}
+	for i := range candidates {
+		s := candidates[i].Server
+		s.Serving = s.Serving && s.Region == p.opts.Region
+	}
+}
+
+// Carry accounts an exchange with a server of another region: the body sent,
+// and what is read of the answer from now on.
+func (p *Pool) Carry(s *Server, bodyBytes int, resp *http.Response) {
+	if p.RegionOf(s) == p.opts.Region {
+		return
+	}
+	p.opts.Link.Account(bodyBytes, time.Now())
+	resp.Body = p.opts.Link.Body(resp.Body)
+}
+
 // RegionOf returns the region of a server by the configuration in force.
 func (p *Pool) RegionOf(s *Server) string {
 	return p.opts.Holder.Current().RegionOf(s.VM().Zone)
