Lost answers and a killed entry during an accept, with real processes

The stand-ins can let some matching requests pass before they lose an answer, so that the third write of an accept, that of the head, is the one.

--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,6 +22,7 @@
 	"peridotchute.example/membership"
 	"peridotchute.example/operator/api"
 	"peridotchute.example/operator/cli"
+	"peridotchute.example/standin/faults"
 )
 
 const (
@@ -152,12 +154,28 @@
 		assert.NilError(t, c.StoreDown(false))
 		s.must(cli.ExitOK, first, acceptorKey, "accept", digest)
 	})
+	t.Run("the answer of the head's write is lost", func(t *testing.T) {
+		digest := s.plan(first, "weather")
+		before := s.status(first).Head
+		// The audit record and the delta are written ahead of the head.
+		lost := faults.Settings{Match: "PutItem", SkipNext: 2, LoseNext: 1}
+		assert.NilError(t, c.Fault(c.StandIn.Settings.TableAddress, lost))
+		s.must(cli.ExitOK, first, acceptorKey, "accept", digest)
+		assert.Equal(t, s.status(second).Head, before+1)
+		s.must(cli.ExitOK, second, acceptorKey, "accept", digest)
+		assert.Equal(t, s.status(second).Head, before+1)
+	})
 	t.Run("the entry that planned is killed", func(t *testing.T) {
 		digest := s.plan(first, "anglers")
 		assert.NilError(t, first.Kill())
 		s.must(cli.ExitOK, second, acceptorKey, "accept", digest, "--wait", "0")
 		assert.Assert(t, admits(t, second, "anglers"))
 	})
+	t.Run("the entry is killed during an accept", func(t *testing.T) {
+		assert.NilError(t, first.Start())
+		cluster.Eventually(t, cluster.Ready(first.Settings.AdminAddress))
+		killedWhileAccepting(t, s, c)
+	})
 	t.Run("a drained server leaves", func(t *testing.T) {
 		s.must(cli.ExitOK, second, acceptorKey, "drain", c.Side(1).Name)
 		cluster.Eventually(t, func() error { return inState(s.status(second), c.Side(1).Name, membership.StateLeaving) })
@@ -183,6 +201,38 @@
 	}
 }
 
+// killedWhileAccepting kills an entry between the audit record and the end of
+// an accept. The operator repeats it elsewhere, and it takes effect once.
+func killedWhileAccepting(t *testing.T, s *shell, c *cluster.Cluster) {
+	first, second := c.Entry(1), c.Entry(2)
+	digest := s.plan(second, "rods")
+	before := s.status(second).Head
+	assert.NilError(t, c.Fault(c.StandIn.Settings.TableAddress, faults.Settings{SlowMS: 1000}))
+	done := make(chan int, 1)
+	go func() { done <- s.run(first, acceptorKey, "accept", digest).code }()
+	cluster.Eventually(t, func() error { return requested(c, digest) })
+	assert.NilError(t, first.Kill())
+	assert.Equal(t, <-done, cli.ExitUnknown)
+	assert.NilError(t, c.Fault(c.StandIn.Settings.TableAddress, faults.Settings{}))
+	s.must(cli.ExitOK, second, acceptorKey, "accept", digest, "--wait", "0")
+	s.must(cli.ExitOK, second, acceptorKey, "accept", digest, "--wait", "0")
+	assert.Equal(t, s.status(second).Head, before+1)
+}
+
+// requested reports an error until an accept of the digest has its audit record.
+func requested(c *cluster.Cluster, digest string) error {
+	rows, err := c.Table().List(context.Background(), "audit/", "", 1000)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		if strings.Contains(string(row.Value), digest) {
+			return nil
+		}
+	}
+	return errors.New("no audit record")
+}
+
 func inState(st api.Status, name string, want membership.State) error {
 	for _, m := range st.Members {
 		if m.Name == name && m.State == string(want) {
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -18,6 +18,7 @@
 	SlowMS      int    `json:"slow_ms"`         // added before each request
 	Down        bool   `json:"down"`            // answers 503 without any effect
 	LoseAnswers bool   `json:"lose_answers"`    // the effect takes place, then the connection is cut
+	SkipNext    int    `json:"skip_next"`       // this many matching requests pass before any answer is lost
 	LoseNext    int    `json:"lose_next"`       // as LoseAnswers, for this many matching requests
 	Match       string `json:"match,omitempty"` // limits lost answers to requests whose path or X-Amz-Target contains it
 }
@@ -103,6 +104,10 @@
 	if s.Down || !s.matches(r) {
 		return s, false
 	}
+	if s.SkipNext > 0 {
+		i.settings.SkipNext--
+		return s, false
+	}
 	if s.LoseNext > 0 {
 		i.settings.LoseNext--
 		return s, true
