Soak of actions under seeded faults

Cause: single faults are proved one by one; pairs and odd moments need a soak. Change: peridotchute-load faults runs callers with repeats and duplicates against processes that are killed and frozen, a table that is down, slow or loses answers, services that cut answers, and links that fail; a checker, with a planted case for each broken promise, reads the history. Exit 1 on any.

--- a/cmd/peridotchute-load/main.go
+++ b/cmd/peridotchute-load/main.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"peridotchute.example/cmd/peridotchute-load/control"
+	"peridotchute.example/cmd/peridotchute-load/faults"
 	"peridotchute.example/cmd/peridotchute-load/path"
 	"peridotchute.example/cmd/peridotchute-load/replay"
 	"peridotchute.example/cmd/peridotchute-load/survival"
@@ -32,7 +33,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(path.Command(), control.Command(), survival.Command(), replay.Command())
+	root.AddCommand(faults.Command(), path.Command(), control.Command(), survival.Command(), replay.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
