--- a/common/tlsfile/tlsfile.go
+++ b/common/tlsfile/tlsfile.go
@@ -19,9 +19,13 @@
 	CAFile   string `json:"ca_file,omitempty" validate:"omitempty,file"` // peers' certificates must come from it
 }
 
-// Serving returns the configuration of a listener for callers or operators.
-// Errors have KindInvalid and never contain key material.
-func Serving(f Files) (*tls.Config, error) {
+// Serving returns the configuration of a listener for callers or operators, or
+// nil for plain TCP when f is nil. Errors have KindInvalid and never contain
+// key material.
+func Serving(f *Files) (*tls.Config, error) {
+	if f == nil {
+		return nil, nil
+	}
 	cert, err := certificate(f)
 	if err != nil {
 		return nil, err
@@ -37,10 +41,11 @@
 // Mutual returns a configuration for both ends of a connection between the
 // system's own processes: each end must show a certificate from the CA file.
 // Names are not compared, since the processes talk by IP number and are
-// replaced at any time. Errors have KindInvalid.
-func Mutual(f Files) (*tls.Config, error) {
+// replaced at any time. It is nil for plain TCP when f is nil. Errors have
+// KindInvalid.
+func Mutual(f *Files) (*tls.Config, error) {
 	conf, err := Serving(f)
-	if err != nil {
+	if err != nil || conf == nil {
 		return nil, err
 	}
 	cert, err := certificate(f)
@@ -77,7 +82,7 @@
 	return conf, nil
 }
 
-func certificate(f Files) (*reload.Value[*tls.Certificate], error) {
+func certificate(f *Files) (*reload.Value[*tls.Certificate], error) {
 	parse := func() (*tls.Certificate, error) {
 		cert, err := tls.LoadX509KeyPair(f.CertFile, f.KeyFile)
 		return &cert, err
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -47,23 +48,31 @@
 // Forwarder sends calls.
 type Forwarder struct {
 	key        string
+	scheme     string
 	idempotent *http.Client // keeps connections open
 	action     *http.Client // a new connection for each call, so that no transport replays it
 }
 
-// New returns a forwarder that shows the deployment key.
-func New(key string) *Forwarder {
+// New returns a forwarder that shows the deployment key. conf is nil for plain
+// HTTP.
+func New(key string, conf *tls.Config) *Forwarder {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	kept := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idlePerServer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		TLSClientConfig:     conf,
+	}
+	scheme := "http://"
+	if conf != nil {
+		scheme = "https://"
 	}
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
 	return &Forwarder{
 		key:        key,
+		scheme:     scheme,
 		idempotent: &http.Client{Transport: kept, CheckRedirect: noRedirect},
 		action:     &http.Client{Transport: fresh, CheckRedirect: noRedirect},
 	}
@@ -95,7 +104,7 @@
 }
 
 func (f *Forwarder) request(ctx context.Context, address string, c Call) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+address+c.Path, bytes.NewReader(c.Body))
+	req, err := http.NewRequestWithContext(ctx, c.Method, f.scheme+address+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, err
 	}
--- a/entry/module.go
+++ b/entry/module.go
@@ -14,6 +14,7 @@
 	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/keyfile"
+	"peridotchute.example/common/tlsfile"
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
 	"peridotchute.example/config/spread"
@@ -53,7 +54,11 @@
 	return deploymentKey(key), err
 }
 
-func newLocal(s Settings, key deploymentKey, holder *config.Holder) rpc.Local {
+func newLocal(s Settings, key deploymentKey, holder *config.Holder) (rpc.Local, error) {
+	conf, err := tlsfile.Mutual(s.PeerTLS)
+	if err != nil {
+		return rpc.Local{}, err
+	}
 	return rpc.Local{
 		Identity: rpc.Identity{
 			Name:        s.Name,
@@ -64,7 +69,8 @@
 		},
 		Key:           string(key),
 		ConfigVersion: holder.Version,
-	}
+		TLS:           conf,
+	}, nil
 }
 
 func newTable(s Settings) platform.Table { return platform.NewTable(s.Table) }
@@ -115,7 +121,9 @@
 	})
 }
 
-func newForwarder(key deploymentKey) *forward.Forwarder { return forward.New(string(key)) }
+func newForwarder(key deploymentKey, local rpc.Local) *forward.Forwarder {
+	return forward.New(string(key), local.TLS)
+}
 
 func newDispatcher(s Settings, p *pool.Pool, f *forward.Forwarder, log logrus.FieldLogger) *dispatch.Dispatcher {
 	seed := fnv.New64a()
@@ -154,7 +162,15 @@
 	Admin      *admin.Server
 }
 
-func startListeners(p listenerParams) {
+func startListeners(p listenerParams) error {
+	adminTLS, err := tlsfile.Serving(p.Settings.AdminTLS)
+	if err != nil {
+		return err
+	}
+	callerTLS, err := tlsfile.Serving(p.Settings.CallerTLS)
+	if err != nil {
+		return err
+	}
 	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
 	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
 	p.Admin.AddSection("config_peers", p.Spreader)
@@ -166,15 +182,17 @@
 	if p.Settings.DrainSeconds > 0 {
 		drain = time.Duration(p.Settings.DrainSeconds) * time.Second
 	}
-	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router()})
+	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router(), TLS: adminTLS})
 	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{
 		Name:    "caller",
 		Address: p.Settings.CallerAddress,
+		TLS:     callerTLS,
 		Handler: caller.New(p.Holder, p.Dispatcher, p.Actions).Handler(),
 		Drain:   drain,
 	})
 	daemon.TellStop(p.Lifecycle, func(context.Context) { p.Admin.Stopping() })
 	daemon.Announce(p.Lifecycle, p.Log)
+	return nil
 }
 
 func needed(ok bool, reason string) error {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"peridotchute.example/common/tlsfile"
 	"peridotchute.example/platform"
 	"peridotchute.example/routing"
 )
@@ -22,6 +23,9 @@
 	Table             platform.TableSettings  `json:"table" validate:"required"`
 	Objects           platform.ObjectSettings `json:"objects" validate:"required"`
 	VMList            platform.VMSettings     `json:"vm_list" validate:"required"`
+	CallerTLS         *tlsfile.Files          `json:"caller_tls,omitempty"`               // of caller_address; plain HTTP without it
+	AdminTLS          *tlsfile.Files          `json:"admin_tls,omitempty"`                // of admin_address; plain HTTP without it
+	PeerTLS           *tlsfile.Files          `json:"peer_tls,omitempty"`                 // between the deployment's processes; all have it or none
 	DrainSeconds      int                     `json:"drain_s,omitempty" validate:"gte=0"` // longest graceful shutdown
 	Policy            PolicySetting           `json:"policy"`
 }
--- a/integration/cluster/publish.go
+++ b/integration/cluster/publish.go
@@ -66,7 +66,7 @@
 	if !ok {
 		return fmt.Errorf("the configuration has no model %q", model)
 	}
-	f := forward.New(deploymentKey)
+	f := forward.New(deploymentKey, nil)
 	return Await(func() error {
 		resp, err := f.Send(context.Background(), s.Settings.DataAddress, forward.Call{
 			Method:      http.MethodPost,
--- a/side/module.go
+++ b/side/module.go
@@ -12,6 +12,7 @@
 	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/keyfile"
+	"peridotchute.example/common/tlsfile"
 	"peridotchute.example/config"
 	"peridotchute.example/config/spread"
 	"peridotchute.example/engine"
@@ -47,7 +48,11 @@
 	return deploymentKey(key), err
 }
 
-func newLocal(s Settings, key deploymentKey, holder *config.Holder) rpc.Local {
+func newLocal(s Settings, key deploymentKey, holder *config.Holder) (rpc.Local, error) {
+	conf, err := tlsfile.Mutual(s.PeerTLS)
+	if err != nil {
+		return rpc.Local{}, err
+	}
 	return rpc.Local{
 		Identity: rpc.Identity{
 			Name:        s.Name,
@@ -60,7 +65,8 @@
 		},
 		Key:           string(key),
 		ConfigVersion: holder.Version,
-	}
+		TLS:           conf,
+	}, nil
 }
 
 // newMemory returns nil before plain services, which hold no artifacts.
@@ -190,7 +196,11 @@
 	Register  *action.Register
 }
 
-func startListeners(p listenerParams) {
+func startListeners(p listenerParams) error {
+	adminTLS, err := tlsfile.Serving(p.Settings.AdminTLS)
+	if err != nil {
+		return err
+	}
 	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
 	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
 	p.Admin.AddSection("config_peers", p.Spreader)
@@ -209,8 +219,9 @@
 	if p.Settings.DrainSeconds > 0 {
 		drain = time.Duration(p.Settings.DrainSeconds) * time.Second
 	}
-	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router()})
-	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "data", Address: p.Settings.DataAddress, Handler: p.Gate, Drain: drain})
+	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router(), TLS: adminTLS})
+	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "data", Address: p.Settings.DataAddress, Handler: p.Gate, Drain: drain, TLS: p.Local.TLS})
+	return nil
 }
 
 // startControl opens the control listener and reports to entries until the end.
--- a/side/settings.go
+++ b/side/settings.go
@@ -2,6 +2,8 @@
 // is the authority over that server's memory and over what it has started.
 package side
 
+import "peridotchute.example/common/tlsfile"
+
 // Settings are a side process's settings file.
 type Settings struct {
 	Name              string         `json:"name" validate:"required"`   // of its VM
@@ -13,6 +15,8 @@
 	AdminAddress      string         `json:"admin_address" validate:"required,ip_port"`
 	DeploymentKeyFile string         `json:"deployment_key_file" validate:"required,file"`
 	Backend           BackendSetting `json:"backend" validate:"required"`
+	AdminTLS          *tlsfile.Files `json:"admin_tls,omitempty"`                // of admin_address; plain HTTP without it
+	PeerTLS           *tlsfile.Files `json:"peer_tls,omitempty"`                 // between the deployment's processes; all have it or none
 	DrainSeconds      int            `json:"drain_s,omitempty" validate:"gte=0"` // longest graceful shutdown
 }
 
