A lost answer of the head's write is settled by the entry, not by the client

The test now reads the audit records: one accept that ended 'done'. Without the reading back it fails with an 'unknown' record; with it, it passes (17.2 s).

--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -108,6 +108,21 @@
 	return st
 }
 
+// results returns how each accept of a digest ended, by the audit records.
+func (s *shell) results(e *cluster.Entry, digest string) []string {
+	s.t.Helper()
+	r := s.must(cli.ExitOK, e, plannerKey, "audit", "-o", "json")
+	var audit api.Audit
+	assert.NilError(s.t, json.Unmarshal([]byte(r.stdout), &audit))
+	var out []string
+	for _, record := range audit.Records {
+		if record.Action == "accept" && record.Subject == digest {
+			out = append(out, record.Result)
+		}
+	}
+	return out
+}
+
 // admits reports whether a caller of the team is admitted by the entry.
 func admits(t *testing.T, e *cluster.Entry, team string) bool {
 	t.Helper()
@@ -162,6 +177,7 @@
 		assert.NilError(t, c.Fault(c.StandIn.Settings.TableAddress, lost))
 		s.must(cli.ExitOK, first, acceptorKey, "accept", digest)
 		assert.Equal(t, s.status(second).Head, before+1)
+		assert.DeepEqual(t, s.results(first, digest), []string{"done"})
 		s.must(cli.ExitOK, second, acceptorKey, "accept", digest)
 		assert.Equal(t, s.status(second).Head, before+1)
 	})
