Every stand-in takes faults by its control call

Cause: only the platform's stand-ins could be slow, down or lose answers; the engine, the plain service and the weight store had no such call. Change: the stand-in process wraps them in the same fault injector. Tested: each of the six answers 503 after PUT /control/faults; without the wrapping the test fails at the weight store.

--- a/standin/server/module.go
+++ b/standin/server/module.go
@@ -10,6 +10,7 @@
 	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/standin/engine"
+	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/objects"
 	"peridotchute.example/standin/plain"
 	"peridotchute.example/standin/table"
@@ -26,18 +27,18 @@
 	serve(lc, log, "table", s.TableAddress, table.New())
 	serve(lc, log, "objects", s.ObjectAddress, objects.New())
 	serve(lc, log, "vm_list", s.VMListAddress, vmlist.New())
-	serve(lc, log, "weights", s.WeightsAddress, weights.New(s.Weights.options()))
+	serve(lc, log, "weights", s.WeightsAddress, faults.Wrap(weights.New(s.Weights.options())))
 }
 
 func startEngines(lc fx.Lifecycle, s Settings, log logrus.FieldLogger) {
 	for _, e := range s.Engines {
-		serve(lc, log, e.Name, e.Address, engine.New(e.options(s.WeightsAddress)))
+		serve(lc, log, e.Name, e.Address, faults.Wrap(engine.New(e.options(s.WeightsAddress))))
 	}
 }
 
 func startPlain(lc fx.Lifecycle, s Settings, log logrus.FieldLogger) {
 	for _, p := range s.Plain {
-		serve(lc, log, p.Name, p.Address, plain.New())
+		serve(lc, log, p.Name, p.Address, faults.Wrap(plain.New()))
 	}
 }
 
