Replay: heavier prompts at a lower rate

Prompts are now three times as long and requests fewer, which leaves the ratio of prompt work to capacity and takes a third of the events.

--- a/cmd/peridotchute-load/replay/command.go
+++ b/cmd/peridotchute-load/replay/command.go
@@ -35,8 +35,8 @@
 	cmd.Flags().StringVar(&o.Deployment, "deployment", "", "tweed-tay or piton-ridge; empty for both")
 	cmd.Flags().StringSliceVar(&policies, "policy", all, "policies to compare")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of seeds")
-	cmd.Flags().DurationVar(&o.Length, "length", time.Minute, "length of a run before scaling")
-	cmd.Flags().Float64Var(&o.Scale, "scale", 0.25, "scale of all times; smaller is faster")
+	cmd.Flags().DurationVar(&o.Length, "length", 40*time.Second, "length of a run before scaling")
+	cmd.Flags().Float64Var(&o.Scale, "scale", 0.4, "scale of all times; smaller is faster")
 	cmd.Flags().StringVar(&o.Output, "output", "", "Markdown file whose newest section is replaced")
 	return cmd
 }
--- a/cmd/peridotchute-load/replay/workload.go
+++ b/cmd/peridotchute-load/replay/workload.go
@@ -32,9 +32,9 @@
 	zipfExponent  = 1.0
 	meanTurns     = 4.0
 	meanThink     = 6 * time.Second
-	systemBytes   = 1500 // shared by all sessions of a name
-	userBytes     = 600
-	answerBytes   = 250
+	systemBytes   = 4500 // shared by all sessions of a name
+	userBytes     = 1800
+	answerBytes   = 750
 	meanTokens    = 24
 	burstEvery    = 15 * time.Second
 	burstLength   = 4 * time.Second
