Match the keys of an inference request exactly

The entry decided by a struct decoded with encoding/json whether a request offers a non-idempotent tool. That decoder takes 'Tools' for 'tools' as well and lets the last one win, so a body with both was idempotent for the entry while the engine still saw the tool: tried, the old decoder gave an empty list.

--- a/entry/caller/inference.go
+++ b/entry/caller/inference.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 
@@ -10,32 +9,6 @@
 	"peridotchute.example/entry/dispatch"
 )
 
-// inferenceBody holds the fields of an inference request that the entry reads.
-type inferenceBody struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
-	Tools  []tool `json:"tools"`
-
-	Messages json.RawMessage `json:"messages"`
-	Prompt   json.RawMessage `json:"prompt"`
-}
-
-// prompt returns the text that the engine's prefix cache keeps.
-func (b inferenceBody) prompt() []byte {
-	if b.Messages != nil {
-		return b.Messages
-	}
-	return b.Prompt
-}
-
-type tool struct {
-	Function function `json:"function"`
-}
-
-type function struct {
-	Name string `json:"name"`
-}
-
 func (a *API) inference(w http.ResponseWriter, r *http.Request) {
 	req, ok := a.open(w, r)
 	if !ok {
@@ -51,13 +24,13 @@
 }
 
 func inferenceRequest(req *request, r *http.Request) (dispatch.Request, *wire.Failure) {
-	var body inferenceBody
-	if err := json.Unmarshal(req.body, &body); err != nil {
-		return dispatch.Request{}, wire.NewFailure(http.StatusBadRequest, wire.OutcomeNotRun, codeInvalidJSON, "the body is not valid JSON: %v", err)
+	body, err := parseInference(req.body)
+	if err != nil {
+		return dispatch.Request{}, wire.NewFailure(http.StatusBadRequest, wire.OutcomeNotRun, codeInvalidJSON, "the body is not a valid request: %v", err)
 	}
-	served, ok := req.index.Resolve(body.Model)
+	served, ok := req.index.Resolve(body.model)
 	if !ok {
-		f := wire.NewFailure(http.StatusNotFound, wire.OutcomeNotRun, codeNoModel, "the model %q does not exist", body.Model)
+		f := wire.NewFailure(http.StatusNotFound, wire.OutcomeNotRun, codeNoModel, "the model %q does not exist", body.model)
 		f.Detail.Param = "model"
 		return dispatch.Request{}, f
 	}
@@ -71,18 +44,16 @@
 		Path:       r.URL.RequestURI(),
 		Type:       "application/json",
 		Body:       req.body,
-		Prompt:     body.prompt(),
-		Stream:     body.Stream,
-		Idempotent: !usesAction(served.Model, body.Tools),
+		Prompt:     body.prompt,
+		Stream:     body.stream,
+		Idempotent: !usesAction(served.Model, body.tools),
 		Deadline:   deadline(r, req.index.Configuration.Policy),
 		LastID:     r.Header.Get(wire.HeaderLastEventID),
 	}, nil
 }
 
-// usesAction reports whether a request names a tool that its model declares as
+// usesAction reports whether a request offers a tool that its model declares as
 // non-idempotent.
-func usesAction(m config.Model, tools []tool) bool {
-	return slices.ContainsFunc(tools, func(t tool) bool {
-		return slices.Contains(m.Tools, t.Function.Name)
-	})
+func usesAction(m config.Model, tools []string) bool {
+	return slices.ContainsFunc(tools, func(name string) bool { return slices.Contains(m.Tools, name) })
 }
