The entry's door: team limits, queue, early rejection

Cause: admission decided but nothing asked it; a team could take every server, and overload was met only by the engines' queues. Change: entry/admit asks admission.Decide for each request, keeps the teams' rate and concurrency, lets requests wait in the fair queue while every server of the pool is at its adaptive limit, and rejects at once what cannot be served before its deadline, with Retry-After. The limit of a server follows its first tokens against the model's target. Found on the way: a rejection of an action under the caller's own key said not-run although an earlier request under that key may have run; it now says unknown, and so does the answer of an entry without a configuration. Ruled out: leaving servers at their limit out of routing, which would send requests to where the model must be loaded first. Tested: limits held and released once, turns by room, rejection when no time is left, a caller that leaves the queue.

--- a/config/config.go
+++ b/config/config.go
@@ -65,6 +65,11 @@
 	TokenMS      int `json:"token_ms,omitempty" validate:"gte=0"`
 }
 
+// FirstToken returns the target for the first token, zero for none.
+func (t Target) FirstToken() time.Duration {
+	return time.Duration(t.FirstTokenMS) * time.Millisecond
+}
+
 // Service is a plain service beside the model engines.
 type Service struct {
 	Name    string   `json:"name" validate:"required"`
--- a/config/index.go
+++ b/config/index.go
@@ -17,6 +17,7 @@
 	services      map[string]Service
 	pools         map[string]Pool
 	teams         map[string]Team // by key hash
+	names         map[string]Team // by name
 	regions       map[string]string
 }
 
@@ -29,6 +30,7 @@
 		services:      make(map[string]Service, len(c.Services)),
 		pools:         make(map[string]Pool, len(c.Pools)),
 		teams:         map[string]Team{},
+		names:         map[string]Team{},
 		regions:       map[string]string{},
 	}
 	for _, m := range c.Models {
@@ -44,6 +46,7 @@
 		x.pools[p.Name] = p
 	}
 	for _, t := range c.Teams {
+		x.names[t.Name] = t
 		for _, h := range t.KeyHashes {
 			x.teams[strings.ToLower(h)] = t
 		}
@@ -78,6 +81,9 @@
 	return t, ok
 }
 
+// Team returns the named team.
+func (x *Index) Team(name string) (Team, bool) { t, ok := x.names[name]; return t, ok }
+
 // HashKey returns the form in which a key is declared.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- /dev/null
+++ b/entry/admit/admit_test.go
@@ -0,0 +1,93 @@
+package admit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/config"
+	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/routing"
+)
+
+// fakePool is one server of every pool.
+type fakePool struct {
+	server routing.Server
+}
+
+func (p *fakePool) Candidates(string, *config.Served, []uint64) []routing.Candidate {
+	s := p.server
+	return []routing.Candidate{{Server: &s, Resident: true}}
+}
+
+func newTestAdmitter(p *fakePool) *Admitter {
+	holder := config.NewHolder()
+	holder.Offer(&config.Configuration{Version: 1, Teams: []config.Team{{Name: "shop", Concurrency: 2}, {Name: "till"}}})
+	return New(Options{Pool: p, Holder: holder, Costs: routing.DefaultCosts, Log: logrus.New()})
+}
+
+func request(team string) dispatch.Request {
+	return dispatch.Request{Team: team, Pool: "p", Deadline: time.Now().Add(time.Hour), Idempotent: true}
+}
+
+func TestTeamConcurrencyIsHeldAndReleased(t *testing.T) {
+	a := newTestAdmitter(&fakePool{server: routing.Server{Serving: true}})
+	ctx := context.Background()
+	release, f := a.Admit(ctx, request("shop"))
+	assert.Assert(t, f == nil)
+	_, f = a.Admit(ctx, request("shop"))
+	assert.Assert(t, f == nil)
+	_, f = a.Admit(ctx, request("shop"))
+	assert.Equal(t, f.Outcome, wire.OutcomeNotRun)
+	assert.Assert(t, f.RetryAfter > 0)
+	_, f = a.Admit(ctx, request("till"))
+	assert.Assert(t, f == nil, "another team is not held back")
+	release()
+	release()
+	_, f = a.Admit(ctx, request("shop"))
+	assert.Assert(t, f == nil)
+	_, f = a.Admit(ctx, request("shop"))
+	assert.Assert(t, f != nil, "a release counts once")
+}
+
+func TestRejectionOfAKeyedActionDoesNotSayNotRun(t *testing.T) {
+	a := newTestAdmitter(&fakePool{server: routing.Server{Serving: true, QueueDelay: 2 * time.Hour}})
+	req := request("till")
+	_, f := a.Admit(context.Background(), req)
+	assert.Equal(t, f.Outcome, wire.OutcomeNotRun)
+	req.Key = "k"
+	_, f = a.Admit(context.Background(), req)
+	assert.Equal(t, f.Outcome, wire.OutcomeUnknown)
+}
+
+func TestWaitingRequestGetsItsTurnOrItsRejection(t *testing.T) {
+	p := &fakePool{server: routing.Server{Serving: true, InFlight: 4, Limit: 4}}
+	a := newTestAdmitter(p)
+	verdict, first := a.arrive(request("shop"), time.Now())
+	assert.Equal(t, verdict.Reason, "servers at their limit")
+	_, second := a.arrive(request("till"), time.Now())
+	a.giveTurns(time.Now())
+	assert.Equal(t, len(first.turn)+len(second.turn), 0)
+
+	p.server.InFlight = 3
+	a.giveTurns(time.Now())
+	assert.Equal(t, len(first.turn)+len(second.turn), 1, "one for the room of one")
+
+	p.server.InFlight = 4
+	a.giveTurns(time.Now().Add(2 * time.Hour))
+	assert.Equal(t, len(first.turn)+len(second.turn), 2, "no time is left, so the answer is given now")
+}
+
+func TestCallerThatLeavesTheQueueLeavesNothing(t *testing.T) {
+	a := newTestAdmitter(&fakePool{server: routing.Server{Serving: true, InFlight: 4, Limit: 4}})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, f := a.Admit(ctx, request("shop"))
+	assert.Assert(t, f != nil)
+	assert.Equal(t, a.waiting.Len(), 0)
+	assert.Equal(t, a.teams["shop"].inFlight, 0)
+}
--- a/entry/caller/action.go
+++ b/entry/caller/action.go
@@ -10,13 +10,20 @@
 	"peridotchute.example/entry/dispatch"
 )
 
-// serve hands a request on: actions to where they run at most once, the rest
+// serve lets a request in and hands it on: actions to where they run at most once, the rest
 // to the dispatcher.
 func (a *API) serve(w http.ResponseWriter, r *http.Request, req dispatch.Request) *wire.Failure {
+	if !req.Idempotent {
+		req.Key = r.Header.Get(wire.HeaderIdempotency)
+	}
+	release, f := a.admitter.Admit(r.Context(), req)
+	if f != nil {
+		return f
+	}
+	defer release()
 	if req.Idempotent {
 		return a.backend.Serve(r.Context(), w, req)
 	}
-	req.Key = r.Header.Get(wire.HeaderIdempotency)
 	return a.actions.Serve(r.Context(), w, req)
 }
 
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -50,16 +50,23 @@
 	Outcome(ctx context.Context, w http.ResponseWriter, team, key string) *wire.Failure
 }
 
+// Admitter decides whether a request is let in. release is called when it has
+// ended; a failure has not been written.
+type Admitter interface {
+	Admit(ctx context.Context, req dispatch.Request) (release func(), f *wire.Failure)
+}
+
 // API is the callers' API.
 type API struct {
-	holder  *config.Holder
-	backend Backend
-	actions Actions
+	holder   *config.Holder
+	admitter Admitter
+	backend  Backend
+	actions  Actions
 }
 
 // New returns the API over the configuration in force.
-func New(holder *config.Holder, backend Backend, actions Actions) *API {
-	return &API{holder: holder, backend: backend, actions: actions}
+func New(holder *config.Holder, admitter Admitter, backend Backend, actions Actions) *API {
+	return &API{holder: holder, admitter: admitter, backend: backend, actions: actions}
 }
 
 // Handler returns the API's routes.
@@ -101,7 +108,7 @@
 
 func (a *API) check(req *request, r *http.Request) *wire.Failure {
 	if req.index == nil {
-		return wire.NewFailure(http.StatusServiceUnavailable, wire.OutcomeNotRun, codeNotReady, "no configuration is in force yet").After(notReadyRetry)
+		return wire.NewFailure(http.StatusServiceUnavailable, unheard(r), codeNotReady, "no configuration is in force yet").After(notReadyRetry)
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
 	if !ok {
@@ -114,6 +121,15 @@
 	return checkIdempotencyKey(r)
 }
 
+// unheard returns the outcome of a request that was turned away unread. Under
+// the caller's own key an earlier request may have run.
+func unheard(r *http.Request) wire.Outcome {
+	if r.Header.Get(wire.HeaderIdempotency) != "" {
+		return wire.OutcomeUnknown
+	}
+	return wire.OutcomeNotRun
+}
+
 func checkIdempotencyKey(r *http.Request) *wire.Failure {
 	values := r.Header.Values(wire.HeaderIdempotency)
 	if len(values) == 0 {
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -198,12 +198,17 @@
 
 // exchange performs one attempt at one server.
 func (r *run) exchange(ctx context.Context, server *pool.Server, address string) error {
+	began := time.Now()
 	resp, err := r.d.opts.Forwarder.Send(ctx, address, r.call())
 	if err != nil {
 		return err
 	}
 	r.d.opts.Pool.Carry(server, len(r.req.Body), resp)
 	defer resp.Body.Close()
+	if r.req.Stream && r.req.Served != nil {
+		now := time.Now()
+		server.FirstToken(now.Sub(began), r.req.Served.Model.Target.FirstToken(), now)
+	}
 	if load, err := wire.ParseLoad(resp.Header.Get(wire.HeaderLoad)); err == nil {
 		server.Observe(load, time.Now())
 	}
--- a/entry/module.go
+++ b/entry/module.go
@@ -19,6 +19,7 @@
 	"peridotchute.example/config/publish"
 	"peridotchute.example/config/spread"
 	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/admit"
 	"peridotchute.example/entry/caller"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/follower"
@@ -40,7 +41,7 @@
 	return fx.Module("entry",
 		fx.Supply(s),
 		fx.Provide(
-			newKey, newLocal, newTable, newObjects, newVMs, newFollower, newSpreader, newPeers, newPool, newForwarder, newDispatcher,
+			newKey, newLocal, newTable, newObjects, newVMs, newFollower, newSpreader, newPeers, newPool, newForwarder, newDispatcher, newAdmitter,
 			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer, link.NewMeter,
 		),
 		actionModule(),
@@ -132,11 +133,16 @@
 	return dispatch.New(dispatch.Options{Pool: p, Forwarder: f, Region: s.Region, Zone: s.Zone, Seed: seed.Sum64(), Policy: s.Policy.Routing, Costs: s.Policy.Costs(), Log: log})
 }
 
+func newAdmitter(s Settings, p *pool.Pool, holder *config.Holder, log logrus.FieldLogger) *admit.Admitter {
+	return admit.New(admit.Options{Pool: p, Holder: holder, Region: s.Region, Zone: s.Zone, Costs: s.Policy.Costs(), Log: log})
+}
+
 // startDuties runs the goroutines of the process between start and stop.
-func startDuties(lc fx.Lifecycle, f *follower.Follower, spreader *spread.Spreader, p *pool.Pool) {
+func startDuties(lc fx.Lifecycle, f *follower.Follower, spreader *spread.Spreader, p *pool.Pool, door *admit.Admitter) {
 	daemon.Go(lc, f.Run)
 	daemon.Go(lc, spreader.Run)
 	daemon.Go(lc, p.Run)
+	daemon.Go(lc, door.Run)
 }
 
 func startRPC(lc fx.Lifecycle, s Settings, local rpc.Local, handlers *rpc.Handlers, spreader *spread.Spreader) {
@@ -159,6 +165,7 @@
 	Spreader   *spread.Spreader
 	Dispatcher *dispatch.Dispatcher
 	Actions    *action.Server
+	Admitter   *admit.Admitter
 	Link       *link.Meter
 	Admin      *admin.Server
 }
@@ -177,6 +184,7 @@
 	p.Admin.AddSection("config_peers", p.Spreader)
 	p.Admin.AddSection("servers", p.Pool)
 	p.Admin.AddSection("link", p.Link)
+	p.Admin.AddSection("admission", p.Admitter)
 	p.Admin.AddCheck("configuration", func() error { return needed(p.Holder.Version() > 0, "no configuration is in force") })
 	p.Admin.AddCheck("vm_list", func() error { return needed(p.Pool.Listed(), "the VM list was not read yet") })
 	drain := defaultDrain
@@ -188,7 +196,7 @@
 		Name:    "caller",
 		Address: p.Settings.CallerAddress,
 		TLS:     callerTLS,
-		Handler: caller.New(p.Holder, p.Dispatcher, p.Actions).Handler(),
+		Handler: caller.New(p.Holder, p.Admitter, p.Dispatcher, p.Actions).Handler(),
 		Drain:   drain,
 	})
 	daemon.TellStop(p.Lifecycle, func(context.Context) { p.Admin.Stopping() })
--- a/entry/pool/members.go
+++ b/entry/pool/members.go
@@ -80,7 +80,7 @@
 	m := u.Member
 	s, known := p.servers[m.Name]
 	if !known {
-		s = &Server{observe: p.observe, firstSeen: time.Now()}
+		s = &Server{observe: p.observe, firstSeen: time.Now(), limit: newLimit()}
 		s.setMember(m)
 		ctx, stop := context.WithCancel(p.life)
 		s.stop = stop
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -227,6 +227,7 @@
 		FirstSeen:   s.firstSeen,
 		Failures:    s.failures,
 		RetryAt:     s.retryAt,
+		Limit:       s.limit.Value(),
 	}}
 	if served != nil {
 		c.Resident = s.residents[served.Artifact]
--- a/entry/pool/server.go
+++ b/entry/pool/server.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"peridotchute.example/admission"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/membership"
 	"peridotchute.example/platform"
@@ -32,6 +33,7 @@
 	failures    int
 	retryAt     time.Time // ejected until then
 	firstSeen   time.Time
+	limit       admission.Limit
 }
 
 // Status returns the server's state and the configuration version that its
@@ -95,6 +97,26 @@
 }
 
 // setMember takes over what membership says of the server.
+// Bounds of the adaptive concurrency limit, in own requests in progress.
+const (
+	startLimit = 64
+	leastLimit = 4
+	mostLimit  = 1024
+)
+
+func newLimit() admission.Limit { return admission.NewLimit(startLimit, leastLimit, mostLimit) }
+
+// FirstToken takes into account how long the first token of a stream took
+// against its target, of which zero means none.
+func (s *Server) FirstToken(took, target time.Duration, now time.Time) {
+	if target <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit.Observe(took <= target, int(s.inFlight.Load()), now)
+}
+
 func (s *Server) setMember(m membership.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -26,6 +26,7 @@
 	FreeBytes   int64         // accelerator memory, by its last report
 	FirstSeen   time.Time     // start of slow start
 	Failures    int           // consecutive failures seen by this entry
+	Limit       int           // own requests in progress at which it counts as full; 0 means none
 }
 
 // Candidate is a server of the request's pool with what the request finds there.
