Proofs of membership with real processes

Cause: leaving and frozen servers, a cut between regions and a restart of everything had no proof outside one process. Ruled out: counting requests over time; the tests send sequential requests and compare the stand-in's own record before and after the entry knows. The stale replica test reads each process's own log, since a process that went back was level again before a probe of it; the frozen process has only its peers to catch up from.

--- a/integration/action_test.go
+++ b/integration/action_test.go
@@ -20,6 +20,11 @@
 
 // act sends an action with a key, none when key is empty.
 func act(e *cluster.Entry, path, key, body string) (answer, error) {
+	return sendOn(http.DefaultClient, e, path, key, body)
+}
+
+// sendOn sends a call with a client, without a key when key is empty.
+func sendOn(client *http.Client, e *cluster.Entry, path, key, body string) (answer, error) {
 	req, err := http.NewRequest(http.MethodPost, e.URL()+path, strings.NewReader(body))
 	if err != nil {
 		return answer{}, err
@@ -28,7 +33,7 @@
 	if key != "" {
 		req.Header.Set(wire.HeaderIdempotency, key)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return answer{}, err
 	}
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"peridotchute.example/common/event"
 	"peridotchute.example/config"
 	"peridotchute.example/config/spread"
 	"peridotchute.example/integration/cluster"
@@ -46,14 +48,23 @@
 	})
 }
 
-// neverBelow fails when a process uses a version below the given one.
-func neverBelow(t *testing.T, version uint64, adminAddresses ...string) {
+// neverBack fails when a process, by its own log, put a version in force that
+// was not higher than the one before. It must not have been restarted.
+func neverBack(t *testing.T, p *cluster.Process) {
 	t.Helper()
-	for _, address := range adminAddresses {
-		got, err := cluster.ConfigVersion(address)
-		assert.NilError(t, err)
-		assert.Assert(t, got >= version, "%s went back to version %d", address, got)
+	var last uint64
+	for _, line := range strings.Split(p.Stderr(), "\n") {
+		var entry struct {
+			Event int    `json:"event"`
+			Count uint64 `json:"count"`
+		}
+		if json.Unmarshal([]byte(line), &entry) != nil || entry.Event != event.ConfigInForce.ID {
+			continue
+		}
+		assert.Assert(t, entry.Count > last, "%s put version %d in force after %d", p.Name, entry.Count, last)
+		last = entry.Count
 	}
+	assert.Assert(t, last > 0, "%s logged no version", p.Name)
 }
 
 func quiet(t *testing.T) logrus.FieldLogger {
@@ -116,6 +127,7 @@
 		inForce(t, c.Version(), c.Entry(1).Settings.AdminAddress, c.Entry(2).Settings.AdminAddress, c.Side(1).Settings.AdminAddress)
 	}
 	cluster.Eventually(t, func() error { return parted(c, "side-3", "entry-3") })
+	assert.NilError(t, c.StoreDown(true)) // leaves the peers as the only source
 	assert.NilError(t, entry.Resume())
 	assert.NilError(t, side.Resume())
 	inForce(t, c.Version(), c.AdminAddresses()...)
@@ -182,7 +194,9 @@
 	j.Holder.Offer(newest)
 	inForce(t, c.Version(), c.AdminAddresses()...)
 	polled(t, c)
-	neverBelow(t, c.Version(), c.AdminAddresses()...)
+	for _, e := range c.Entries() {
+		neverBack(t, e.Process)
+	}
 	assert.NilError(t, c.Entry(2).Restart())
 	inForce(t, c.Version(), c.AdminAddresses()...)
 	setReplica(t, c, false)
