--- a/cmd/peridotchute-load/path/command.go
+++ b/cmd/peridotchute-load/path/command.go
@@ -19,6 +19,7 @@
 	Streams    int           // in parallel in the paced run
 	Engines    int           // in the paced run
 	Procs      int           // GOMAXPROCS of each daemon
+	Programs   string        // directory of built daemons; "" builds them
 	Plots      string        // directory of the plots
 	Profiles   string        // directory of processor profiles; "" takes none
 }
@@ -45,6 +46,7 @@
 	f.IntVar(&o.Streams, "streams", 64, "streams in parallel in the paced run")
 	f.IntVar(&o.Engines, "engines", 4, "engines in the paced run")
 	f.IntVar(&o.Procs, "procs", 2, "GOMAXPROCS of each daemon")
+	f.StringVar(&o.Programs, "programs", "", "directory of built daemons, to compare revisions")
 	f.StringVar(&o.Plots, "plots", "docs/plots", "directory of the plots")
 	f.StringVar(&o.Profiles, "profiles", "", "directory of processor profiles")
 	return cmd
--- a/cmd/peridotchute-load/path/run.go
+++ b/cmd/peridotchute-load/path/run.go
@@ -79,6 +79,7 @@
 		Entries:   1,
 		Sides:     engines,
 		TimeScale: timeScale,
+		Programs:  o.Programs,
 		Env:       []string{"GOMAXPROCS=" + strconv.Itoa(o.Procs)},
 	})
 	if c != nil {
--- a/cmd/peridotchute-load/path/use.go
+++ b/cmd/peridotchute-load/path/use.go
@@ -52,9 +52,17 @@
 	return entry1.Since(entry0), sides1.Since(sides0), err
 }
 
-// profile saves two seconds of a processor profile.
+// profile saves two seconds of a processor profile, then what was allocated
+// since the start.
 func (b *bench) profile(ctx context.Context, admin, name string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, admin+"/debug/pprof/profile?seconds=2", nil)
+	if err := b.save(ctx, admin+"/debug/pprof/profile?seconds=2", name+".pprof"); err != nil {
+		return err
+	}
+	return b.save(ctx, admin+"/debug/pprof/allocs", name+"-allocs.pprof")
+}
+
+func (b *bench) save(ctx context.Context, url, name string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
@@ -64,12 +72,12 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("profile of %s: %s", name, resp.Status)
+		return fmt.Errorf("GET %s: %s", url, resp.Status)
 	}
 	if err := os.MkdirAll(b.opts.Profiles, 0o755); err != nil {
 		return err
 	}
-	file, err := os.Create(filepath.Join(b.opts.Profiles, name+".pprof"))
+	file, err := os.Create(filepath.Join(b.opts.Profiles, name))
 	if err != nil {
 		return err
 	}
--- a/entry/forward/stream.go
+++ b/entry/forward/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"peridotchute.example/common/wire"
 )
@@ -17,7 +18,10 @@
 // errCallerGone means that the caller could not be written to.
 var errCallerGone = errors.New("caller has gone")
 
-const maxEventBytes = 1 << 20
+const (
+	maxEventBytes = 1 << 20
+	drainLimit    = 100 * time.Millisecond
+)
 
 var (
 	fieldID   = []byte("id:")
@@ -57,10 +61,11 @@
 // Done reports whether the explicit end was relayed.
 func (r *Relay) Done() bool { return r.done }
 
-// Copy relays events until the explicit end. It returns nil after the end,
-// ErrCut when the source ended before it, and another error when the caller
-// has gone.
-func (r *Relay) Copy(source io.Reader) error {
+// Copy relays events until the explicit end and reads what may follow it, so
+// that the source's connection can be used again. It returns nil after the
+// end, ErrCut when the source ended before it, and another error when the
+// caller has gone.
+func (r *Relay) Copy(source io.ReadCloser) error {
 	r.start()
 	in := bufio.NewReader(source)
 	for !r.done {
@@ -71,9 +76,18 @@
 			return errCallerGone
 		}
 	}
+	drain(in, source)
 	return nil
 }
 
+// drain reads to the end of an answer that has said its last. A source that
+// does not end is closed.
+func drain(in *bufio.Reader, source io.Closer) {
+	timer := time.AfterFunc(drainLimit, func() { _ = source.Close() })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, in, maxEventBytes)
+}
+
 // Finish ends the stream with its outcome.
 func (r *Relay) Finish(outcome wire.Outcome) {
 	r.w.Header().Set(wire.HeaderOutcome, string(outcome))
--- a/entry/forward/stream_test.go
+++ b/entry/forward/stream_test.go
@@ -1,12 +1,20 @@
 package forward
 
 import (
+	"context"
 	"errors"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/wire"
 )
 
 const wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: [DONE]\n\n"
@@ -15,7 +23,7 @@
 	for cut := range len(wholeStream) {
 		w := httptest.NewRecorder()
 		relay := NewRelay(w)
-		err := relay.Copy(strings.NewReader(wholeStream[:cut]))
+		err := relay.Copy(io.NopCloser(strings.NewReader(wholeStream[:cut])))
 		assert.Assert(t, errors.Is(err, ErrCut), "cut at %d", cut)
 		got := w.Body.String()
 		assert.Assert(t, strings.HasPrefix(wholeStream, got) && (got == "" || strings.HasSuffix(got, "\n\n")), "cut at %d: %q", cut, got)
@@ -25,9 +33,9 @@
 func TestResumedStreamIsWhole(t *testing.T) {
 	w := httptest.NewRecorder()
 	relay := NewRelay(w)
-	assert.Assert(t, errors.Is(relay.Copy(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda")), ErrCut))
+	assert.Assert(t, errors.Is(relay.Copy(io.NopCloser(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))), ErrCut))
 	assert.Equal(t, relay.LastID(), "1")
-	assert.NilError(t, relay.Copy(strings.NewReader("id: 2\ndata: b\n\ndata: [DONE]\n\n")))
+	assert.NilError(t, relay.Copy(io.NopCloser(strings.NewReader("id: 2\ndata: b\n\ndata: [DONE]\n\n"))))
 	assert.Equal(t, w.Body.String(), wholeStream)
 }
 
@@ -36,7 +44,36 @@
 	text := long + "id: 7\n\ndata: [DONE]\n\n"
 	w := httptest.NewRecorder()
 	relay := NewRelay(w)
-	assert.NilError(t, relay.Copy(strings.NewReader(text)))
+	assert.NilError(t, relay.Copy(io.NopCloser(strings.NewReader(text))))
 	assert.Equal(t, w.Body.String(), text)
 	assert.Equal(t, relay.LastID(), "7")
 }
+
+// TestConnectionIsUsedAgainAfterAStream counts the connections that many
+// streams in sequence open.
+func TestConnectionIsUsedAgainAfterAStream(t *testing.T) {
+	var opened atomic.Int64
+	source := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+		for event := range strings.SplitAfterSeq(wholeStream, "\n\n") {
+			_, _ = io.WriteString(w, event)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}))
+	source.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	source.Start()
+	defer source.Close()
+	f := New("key")
+	for range 50 {
+		call := Call{Method: http.MethodPost, Path: "/", RequestID: "r", Deadline: time.Now().Add(time.Minute)}
+		resp, err := f.Send(context.Background(), source.Listener.Addr().String(), call)
+		assert.NilError(t, err)
+		assert.NilError(t, NewRelay(httptest.NewRecorder()).Copy(resp.Body))
+		assert.NilError(t, resp.Body.Close())
+	}
+	assert.Equal(t, opened.Load(), int64(1))
+}
--- a/integration/cluster/cluster.go
+++ b/integration/cluster/cluster.go
@@ -92,9 +92,12 @@
 // New starts a cluster and waits until every process is ready. The cluster,
 // unless nil, must be closed also when an error is returned.
 func New(o Options) (*Cluster, error) {
-	bin, err := Programs()
-	if err != nil {
-		return nil, err
+	bin := o.Programs
+	if bin == "" {
+		var err error
+		if bin, err = Programs(); err != nil {
+			return nil, err
+		}
 	}
 	dir, err := os.MkdirTemp("", "peridotchute-cluster-")
 	if err != nil {
--- a/integration/cluster/options.go
+++ b/integration/cluster/options.go
@@ -49,6 +49,7 @@
 	Config      *config.Configuration // nil means Sample
 	Proxies     Proxies               // nil: every link is direct
 	Env         []string              // added to every daemon's environment
+	Programs    string                // directory of built daemons; "" builds them
 
 	EditEntry   func(i int, s *entry.Settings) // last word on settings; i counts from 1
 	EditSide    func(i int, s *side.Settings)  // model servers
