Collect garbage less often in processes with a small heap

Profiles at saturation gave the collector 24% of the side process and 11% of the entry: with 2 to 4 MB live it ran many times a second. Ruled out: a higher GOGC, which multiplies a large heap too (overload, many models) and breaks the memory budget there; GOMEMLIMIT, which collects without end once the live heap is above it. Change: 12 MB of untouched address space count as live, so a collection starts at 24 MB or later.

--- a/common/daemon/daemon.go
+++ b/common/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,9 +69,16 @@
 	os.Exit(ExitFailure)
 }
 
+// heapFloor is address space that counts as live heap and is never touched, in
+// bytes. The garbage collector starts at twice the live heap, so without it a
+// process with a few megabytes of live heap collects many times a second.
+const heapFloor = 12 << 20
+
 // Run starts the application, waits for SIGTERM or SIGINT, and stops it
 // gracefully. It returns the error of starting or stopping.
 func Run(options ...fx.Option) error {
+	floor := make([]byte, heapFloor)
+	defer runtime.KeepAlive(floor)
 	app := fx.New(append(options, Logging(), fx.StopTimeout(StopTimeout))...)
 	if err := app.Err(); err != nil {
 		return err
