Pool the buffers of answers in progress

The side process allocated 32 KB for each answer, the entry 4 KB for each stream and a string for each token's id. Ruled out: a smaller buffer, which splits long answers into more writes.

--- a/entry/forward/stream.go
+++ b/entry/forward/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"peridotchute.example/common/wire"
@@ -42,7 +43,7 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	started bool
-	lastID  string
+	lastID  []byte
 	done    bool
 	event   []byte
 }
@@ -53,7 +54,7 @@
 }
 
 // LastID returns the id of the last event written, "" before the first.
-func (r *Relay) LastID() string { return r.lastID }
+func (r *Relay) LastID() string { return string(r.lastID) }
 
 // Started reports whether anything was written to the caller.
 func (r *Relay) Started() bool { return r.started }
@@ -67,7 +68,9 @@
 // caller has gone.
 func (r *Relay) Copy(source io.ReadCloser) error {
 	r.start()
-	in := bufio.NewReader(source)
+	in := readers.Get().(*bufio.Reader)
+	in.Reset(source)
+	defer release(in)
 	for !r.done {
 		if err := r.readEvent(in); err != nil {
 			return ErrCut
@@ -80,6 +83,14 @@
 	return nil
 }
 
+// readers holds the buffers of streams in progress.
+var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+func release(in *bufio.Reader) {
+	in.Reset(nil)
+	readers.Put(in)
+}
+
 // drain reads to the end of an answer that has said its last. A source that
 // does not end is closed.
 func drain(in *bufio.Reader, source io.Closer) {
@@ -146,7 +157,7 @@
 func (r *Relay) note() {
 	for line := range bytes.Lines(r.event) {
 		if value, ok := bytes.CutPrefix(line, fieldID); ok {
-			r.lastID = string(bytes.TrimSpace(value))
+			r.lastID = append(r.lastID[:0], bytes.TrimSpace(value)...)
 		}
 		if value, ok := bytes.CutPrefix(line, fieldData); ok && bytes.Equal(bytes.TrimSpace(value), doneData) {
 			r.done = true
--- a/side/gate/backend.go
+++ b/side/gate/backend.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"peridotchute.example/common/wire"
@@ -126,10 +127,15 @@
 	return wire.NewFailure(http.StatusBadGateway, outcome, codeBackend, "the backend server did not answer").After(retryElsewhere)
 }
 
+// copyBuffers holds buffers of copyBufferBytes.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+
 // copyFlushing copies and flushes what each read brings.
 func copyFlushing(w http.ResponseWriter, source io.Reader) error {
 	control := http.NewResponseController(w)
-	buf := make([]byte, copyBufferBytes)
+	pooled := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(pooled)
+	buf := pooled[:]
 	for {
 		n, err := source.Read(buf)
 		if n > 0 {
