Follow the forwarder's new argument in the test of connections

The rebase brought TLS between the processes; the test of used connections runs without it. Ruled out: nothing, a compile error only. Seen: go vet of entry, cmd and integration passes.

--- a/entry/forward/stream_test.go
+++ b/entry/forward/stream_test.go
@@ -67,7 +67,7 @@
 	}
 	source.Start()
 	defer source.Close()
-	f := New("key")
+	f := New("key", nil)
 	for range 50 {
 		call := Call{Method: http.MethodPost, Path: "/", RequestID: "r", Deadline: time.Now().Add(time.Minute)}
 		resp, err := f.Send(context.Background(), source.Listener.Addr().String(), call)
