dev has an operator; show prints the configuration in force

'make run' could be asked but not operated: it had no operator key. 'peridotchute show' gives the declaration to start an edit from.

--- a/cmd/peridotchute/dev/dev.go
+++ b/cmd/peridotchute/dev/dev.go
@@ -75,27 +75,39 @@
 	if err != nil {
 		return err
 	}
+	operator, err := writeOperator(dir)
+	if err != nil {
+		return err
+	}
 	l, err := newLayout(keyFile)
 	if err != nil {
 		return err
 	}
+	l.entry.OperatorKeyFile = operator.keys
 	stop, err := l.start(ctx)
 	defer stop()
 	if err != nil {
 		return err
 	}
 	printHelp(out)
+	printOperatorHelp(out, operator)
 	<-ctx.Done()
 	return nil
 }
 
 func writeKey(dir string) (string, error) {
-	raw := make([]byte, keyBytes)
-	if _, err := rand.Read(raw); err != nil {
+	key, err := randomKey()
+	if err != nil {
 		return "", err
 	}
 	path := filepath.Join(dir, "deployment.key")
-	return path, os.WriteFile(path, []byte(hex.EncodeToString(raw)+"\n"), 0o600)
+	return path, os.WriteFile(path, []byte(key+"\n"), 0o600)
+}
+
+func randomKey() (string, error) {
+	raw := make([]byte, keyBytes)
+	_, err := rand.Read(raw)
+	return hex.EncodeToString(raw), err
 }
 
 // layout is the settings of every process.
--- a/operator/cli/cli.go
+++ b/operator/cli/cli.go
@@ -61,7 +61,7 @@
 	flags.StringVarP(&s.output, "output", "o", outputTable, "table or json")
 	root.AddCommand(
 		s.validate(), s.plan(), s.revert(), s.accept(),
-		s.status(), s.history(), s.audit(), s.dump(),
+		s.show(), s.status(), s.history(), s.audit(), s.dump(),
 		s.unresolved(), s.settle(), s.drain(),
 	)
 	return root
--- a/operator/cli/output.go
+++ b/operator/cli/output.go
@@ -21,6 +21,10 @@
 		human()
 		return nil
 	}
+	return writeJSON(cmd, v)
+}
+
+func writeJSON(cmd *cobra.Command, v any) error {
 	enc := json.NewEncoder(cmd.OutOrStdout())
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
--- a/operator/cli/watch.go
+++ b/operator/cli/watch.go
@@ -100,6 +100,26 @@
 	}
 }
 
+func (s *session) show() *cobra.Command {
+	return &cobra.Command{
+		Use:   "show",
+		Short: "Print the configuration in force as a declaration to be edited",
+		Args:  exactArgs(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := s.client()
+			if err != nil {
+				return err
+			}
+			current, err := c.Configuration(cmd.Context())
+			if err != nil {
+				return err
+			}
+			current.ChangeID = ""
+			return writeJSON(cmd, current)
+		},
+	}
+}
+
 func (s *session) unresolved() *cobra.Command {
 	var after string
 	fetch := func(cmd *cobra.Command, c *operator.Client) (*api.UnresolvedList, error) {
