Rendezvous weights by xxhash

Cause: routing hashed with a function of its own where a kept library does it. Change: xxhash with the prompt's hash as its seed. No allocation in either.

--- a/routing/draw.go
+++ b/routing/draw.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // class orders candidates by what must be loaded first.
 type class int
@@ -119,12 +123,8 @@
 // mix gives the rendezvous weight of a server for a prompt: every entry finds
 // the same home without a message.
 func mix(affinity uint64, name string) uint64 {
-	const prime = 1099511628211
-	h := affinity
-	for i := range len(name) {
-		h = (h ^ uint64(name[i])) * prime
-	}
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	return h ^ h>>33
+	var d xxhash.Digest
+	d.ResetWithSeed(affinity)
+	_, _ = d.WriteString(name)
+	return d.Sum64()
 }
