A deadline that passes does not speak against the server

Under overload, requests whose deadline passed while they waited counted as failures of their server: after five it was ejected, membership held it for suspect, and the others got its load. A hung engine is still avoided, since what waits for its first byte raises its queue delay.

--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -162,7 +162,7 @@
 	end := server.Begin()
 	vm := server.VM()
 	err = r.exchange(ctx, server, vm.DataAddress)
-	end(!serverFault(err))
+	end(!serverFault(ctx, err))
 	if err == nil {
 		r.served = true
 		return false
@@ -172,10 +172,11 @@
 }
 
 // serverFault reports whether a failed attempt speaks against the server: not
-// when the caller left, and not when its side process answered and declined.
-func serverFault(err error) bool {
+// when the caller left or its deadline passed, which under overload every
+// server would be blamed for, and not when its side process answered and declined.
+func serverFault(ctx context.Context, err error) bool {
 	var told *wire.Failure
-	return err != nil && !fault.Is(err, fault.KindCanceled) && !errors.As(err, &told)
+	return err != nil && ctx.Err() == nil && !fault.Is(err, fault.KindCanceled) && !errors.As(err, &told)
 }
 
 // judge records a failed attempt and reports whether to try again.
--- a/entry/dispatch/dispatch_test.go
+++ b/entry/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
@@ -12,9 +13,13 @@
 )
 
 func TestOnlyFailuresOfTheServerSpeakAgainstIt(t *testing.T) {
+	ctx := context.Background()
 	refusal := wire.NewFailure(http.StatusServiceUnavailable, wire.OutcomeNotRun, "draining", "leaving")
-	assert.Assert(t, serverFault(fault.New(fault.KindUnknown, "s", "p", errors.New("reset"))))
-	assert.Assert(t, !serverFault(nil))
-	assert.Assert(t, !serverFault(fault.New(fault.KindCanceled, "s", "p", errors.New("caller has gone"))))
-	assert.Assert(t, !serverFault(fault.New(fault.KindUnavailable, "s", "p", refusal)))
+	assert.Assert(t, serverFault(ctx, fault.New(fault.KindUnknown, "s", "p", errors.New("reset"))))
+	assert.Assert(t, !serverFault(ctx, nil))
+	over, cancel := context.WithCancel(ctx)
+	cancel()
+	assert.Assert(t, !serverFault(over, fault.New(fault.KindUnknown, "s", "p", context.Canceled)))
+	assert.Assert(t, !serverFault(ctx, fault.New(fault.KindCanceled, "s", "p", errors.New("caller has gone"))))
+	assert.Assert(t, !serverFault(ctx, fault.New(fault.KindUnavailable, "s", "p", refusal)))
 }
