One sleep with a context in place of five; one set of names in config

A newcomer's review of common and config: the wait that ends with its context stood in publish, rpc, follower, action and the operators' client, under four names, and the names of items both as methods and as functions.

--- a/config/diff.go
+++ b/config/diff.go
@@ -65,12 +65,12 @@
 		to = &Configuration{}
 	}
 	var d Difference
-	d = append(d, diffItems("regions", from.Regions, to.Regions, func(r Region) string { return r.Name })...)
-	d = append(d, diffItems("pools", from.Pools, to.Pools, func(p Pool) string { return p.Name })...)
-	d = append(d, diffItems("models", from.Models, to.Models, func(m Model) string { return m.Name })...)
-	d = append(d, diffItems("adapters", from.Adapters, to.Adapters, func(a Adapter) string { return a.Name })...)
-	d = append(d, diffItems("services", from.Services, to.Services, func(s Service) string { return s.Name })...)
-	d = append(d, diffItems("teams", from.Teams, to.Teams, func(t Team) string { return t.Name })...)
+	d = append(d, diffItems("regions", from.Regions, to.Regions, Region.name)...)
+	d = append(d, diffItems("pools", from.Pools, to.Pools, Pool.name)...)
+	d = append(d, diffItems("models", from.Models, to.Models, Model.name)...)
+	d = append(d, diffItems("adapters", from.Adapters, to.Adapters, Adapter.name)...)
+	d = append(d, diffItems("services", from.Services, to.Services, Service.name)...)
+	d = append(d, diffItems("teams", from.Teams, to.Teams, Team.name)...)
 	return append(d, diffFields("policy", "", from.Policy, to.Policy)...)
 }
 
--- a/config/publish/accept.go
+++ b/config/publish/accept.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
 	"peridotchute.example/platform"
@@ -155,7 +155,7 @@
 	var err error
 	for attempt := range headAttempts {
 		if attempt > 0 {
-			wait(ctx, headRetry)
+			_ = clock.Sleep(ctx, headRetry)
 		}
 		if chain, err = s.chain(ctx, c.Base+1); err == nil && len(chain) > 0 {
 			return s.verdict(ctx, c, chain)
@@ -197,12 +197,3 @@
 	cause := &Conflict{Base: baseVersion, Current: current, Changes: config.Diff(base, current)}
 	return fault.New(fault.KindConflict, "config.accept", "", cause)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/action/runner.go
+++ b/entry/action/runner.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/idempotency"
@@ -86,21 +87,12 @@
 		event.Log(r.log, event.ActionUnresolved, event.Subject(idempotency.ScopedKey(a.Team, a.Key)), event.Peer(e.Record.Server), event.Reason(e.Record.Reason))
 		return r.rows.announce(ctx, e.Record)
 	case idempotency.Wait:
-		return wait(ctx, e.For)
+		_ = clock.Sleep(ctx, e.For)
+		return idempotency.Waited{}
 	}
 	return idempotency.StoreFailed{}
 }
 
-func wait(ctx context.Context, d time.Duration) idempotency.Event {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return idempotency.Waited{}
-}
-
 // run runs an action for a caller and leaves what stays open to the settler.
 func (r *Runner) run(ctx context.Context, a idempotency.Action, pool string, sender Sender) (idempotency.Action, idempotency.Reply) {
 	actionsAsked.Add(1)
--- a/entry/action/settler.go
+++ b/entry/action/settler.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/ring"
 	"peridotchute.example/idempotency"
@@ -60,7 +61,7 @@
 		if err != nil {
 			return
 		}
-		wait(ctx, time.Until(o.due))
+		_ = clock.Sleep(ctx, time.Until(o.due))
 		if ctx.Err() != nil {
 			return
 		}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
@@ -44,10 +45,10 @@
 
 // Run polls until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	sleep(ctx, time.Duration(f.opts.Rand.Int64N(int64(startSpread))))
+	_ = clock.Sleep(ctx, time.Duration(f.opts.Rand.Int64N(int64(startSpread))))
 	for ctx.Err() == nil {
 		f.poll(ctx)
-		sleep(ctx, f.jitter(f.pause))
+		_ = clock.Sleep(ctx, f.jitter(f.pause))
 	}
 }
 
@@ -88,12 +89,3 @@
 	event.Log(f.opts.Log, event.ConfigFailed, event.Err(err))
 	f.failed, f.pause = true, min(f.pause*pauseMultiply, longestPause)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/operator/follow.go
+++ b/operator/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/operator/api"
 )
 
@@ -52,10 +53,8 @@
 		if last.Done() {
 			return last, nil
 		}
-		select {
-		case <-time.After(followInterval):
-		case <-ctx.Done():
-			return last, ctx.Err()
+		if err := clock.Sleep(ctx, followInterval); err != nil {
+			return last, err
 		}
 	}
 }
--- a/rpc/keep.go
+++ b/rpc/keep.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"peridotchute.example/common/clock"
 )
 
 const (
@@ -26,15 +28,6 @@
 			use(ctx, peer)
 			_ = peer.Close()
 		}
-		pause(ctx, wait.NextBackOff())
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		_ = clock.Sleep(ctx, wait.NextBackOff())
 	}
 }
