Measure the time from accept to in force, and that of a leave

Cause: the target (99 in 100 under 2 s, bound 9 s) had no measurement. Ruled out: polling 50 dumps (adds load and its own granularity); the processes' own logs give the time. Change: peridotchute-load rollout.

--- a/cmd/peridotchute-load/main.go
+++ b/cmd/peridotchute-load/main.go
@@ -15,6 +15,7 @@
 	"peridotchute.example/cmd/peridotchute-load/faults"
 	"peridotchute.example/cmd/peridotchute-load/path"
 	"peridotchute.example/cmd/peridotchute-load/replay"
+	"peridotchute.example/cmd/peridotchute-load/rollout"
 	"peridotchute.example/cmd/peridotchute-load/survival"
 	"peridotchute.example/integration/cluster"
 )
@@ -33,7 +34,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(faults.Command(), path.Command(), control.Command(), survival.Command(), replay.Command())
+	root.AddCommand(faults.Command(), path.Command(), rollout.Command(), control.Command(), survival.Command(), replay.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
