--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -65,15 +65,16 @@
 
 // Dispatcher serves requests.
 type Dispatcher struct {
-	opts Options
-	mu   sync.Mutex
-	rnd  *rand.Rand
-	pick *routing.Chooser
+	opts   Options
+	mu     sync.Mutex
+	rnd    *rand.Rand
+	pick   *routing.Chooser
+	budget *budget
 }
 
 // New returns a dispatcher whose random choices follow from Seed.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts, rnd: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), pick: routing.NewChooser(opts.Policy)}
+	return &Dispatcher{opts: opts, rnd: rand.New(rand.NewPCG(opts.Seed, opts.Seed)), pick: routing.NewChooser(opts.Policy), budget: newBudget()}
 }
 
 // Serve answers the request on w. A failure that it returns has not been
@@ -82,11 +83,8 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	run := &run{d: d, req: req, relay: forward.NewRelay(w), w: w}
-	attempts := maxAttempts
-	if !req.Idempotent {
-		attempts = 1
-	}
-	for range attempts {
+	d.budget.request()
+	for range maxAttempts {
 		if !run.attempt(ctx) {
 			break
 		}
@@ -194,7 +192,23 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.fail(http.StatusGatewayTimeout, codeDeadline, "the deadline has passed")
 	}
-	return ctx.Err() == nil
+	return ctx.Err() == nil && r.again(err)
+}
+
+// again reports whether a failed attempt may be followed by another: not when
+// the caller has left or its stream cannot be resumed. A retry of work that a
+// server took and did not answer is paid from the budget; refusals cost it
+// nothing and resumed streams go on where they were.
+func (r *run) again(err error) bool {
+	switch {
+	case fault.Is(err, fault.KindCanceled):
+		return false
+	case r.relay.Started():
+		return r.relay.Resumable()
+	case fault.Is(err, fault.KindUnavailable):
+		return true
+	}
+	return r.d.budget.retry()
 }
 
 // exchange performs one attempt at one server.
--- a/entry/forward/stream.go
+++ b/entry/forward/stream.go
@@ -40,12 +40,13 @@
 // Invariant: only whole events are written, so that a stream can be resumed
 // after LastID with no event lost or repeated.
 type Relay struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	started bool
-	lastID  []byte
-	done    bool
-	event   []byte
+	w        http.ResponseWriter
+	control  *http.ResponseController
+	started  bool
+	lastID   []byte
+	nameless bool // an event without an id was written
+	done     bool
+	event    []byte
 }
 
 // NewRelay returns a relay to the caller behind w.
@@ -56,6 +57,10 @@
 // LastID returns the id of the last event written, "" before the first.
 func (r *Relay) LastID() string { return string(r.lastID) }
 
+// Resumable reports whether another source can go on after LastID with no
+// event lost or repeated: not when events without an id were written.
+func (r *Relay) Resumable() bool { return !r.nameless }
+
 // Started reports whether anything was written to the caller.
 func (r *Relay) Started() bool { return r.started }
 
@@ -155,12 +160,15 @@
 
 // note looks for the event's id and for the end of the stream.
 func (r *Relay) note() {
+	named := false
 	for line := range bytes.Lines(r.event) {
 		if value, ok := bytes.CutPrefix(line, fieldID); ok {
 			r.lastID = append(r.lastID[:0], bytes.TrimSpace(value)...)
+			named = true
 		}
 		if value, ok := bytes.CutPrefix(line, fieldData); ok && bytes.Equal(bytes.TrimSpace(value), doneData) {
 			r.done = true
 		}
 	}
+	r.nameless = r.nameless || !named
 }
--- a/entry/pool/members.go
+++ b/entry/pool/members.go
@@ -87,12 +87,16 @@
 		p.servers[m.Name] = s
 		go p.connect(ctx, s)
 	}
+	if known && m.Incarnation != s.known() {
+		p.losses[s.VM().Pool] = time.Now()
+	}
 	s.setMember(m)
 	if !u.Changed() {
 		return
 	}
 	event.Log(p.opts.Log, event.MemberChanged, event.Peer(m.Name), event.Subject(string(m.State)), event.Reason(m.Reason))
 	if m.State == membership.StateGone {
+		p.losses[s.VM().Pool] = time.Now()
 		s.stop()
 		delete(p.servers, m.Name)
 		p.forget(m.Name)
--- a/entry/pool/server.go
+++ b/entry/pool/server.go
@@ -54,6 +54,13 @@
 // Peer returns the control connection, or nil while there is none.
 func (s *Server) Peer() *rpc.Peer { return s.peer.Load() }
 
+// known returns the newest incarnation known, "" before the first.
+func (s *Server) known() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation
+}
+
 // Incarnation returns the side process's incarnation by its last hello or
 // report, or "" while it is unknown.
 func (s *Server) Incarnation() string {
