Not-run is not told of a caller's key while its memory may be lost

Change: the pool keeps when a side process was last seen restarted or gone; for ten minutes after, the others' ignorance is not proof, and the answer is unknown. A test brings it about.

--- a/entry/action/peers.go
+++ b/entry/action/peers.go
@@ -18,6 +18,9 @@
 	// goneGrace is how long a server must be missing from the VM list before
 	// its VM counts as gone for good.
 	goneGrace = 30 * time.Second
+	// lossWindow is how long after a side process lost its memory the others'
+	// ignorance of an action proves nothing.
+	lossWindow = 10 * time.Minute
 )
 
 // Peers asks side processes over the pool's control connections.
@@ -83,7 +86,7 @@
 }
 
 // Lookup asks every server of the pool at once. It is sure only when each one
-// replied.
+// replied and none has lost its memory lately.
 func (p *Peers) Lookup(ctx context.Context, poolName, scoped string) idempotency.Looked {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -102,6 +105,7 @@
 	for _, found := range lookupAll(ctx, peers, scoped) {
 		out = merge(out, found)
 	}
+	out.Sure = out.Sure && time.Since(p.pool.LastLoss(poolName)) >= lossWindow
 	return out
 }
 
--- a/entry/forward/stream_test.go
+++ b/entry/forward/stream_test.go
@@ -76,11 +76,12 @@
 		assert.NilError(t, resp.Body.Close())
 	}
 	assert.Equal(t, opened.Load(), int64(1))
+}
 
 func TestStreamWithoutIDsCannotBeResumed(t *testing.T) {
 	relay := NewRelay(httptest.NewRecorder())
-	assert.Assert(t, errors.Is(relay.Copy(strings.NewReader("id: 1\ndata: a\n\n")), ErrCut))
+	assert.Assert(t, errors.Is(relay.Copy(io.NopCloser(strings.NewReader("id: 1\ndata: a\n\n"))), ErrCut))
 	assert.Assert(t, relay.Resumable())
-	assert.Assert(t, errors.Is(relay.Copy(strings.NewReader("data: b\n\n")), ErrCut))
+	assert.Assert(t, errors.Is(relay.Copy(io.NopCloser(strings.NewReader("data: b\n\n"))), ErrCut))
 	assert.Assert(t, !relay.Resumable())
 }
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -51,9 +51,10 @@
 
 	mu      sync.RWMutex
 	members membership.Members
-	servers map[string]*Server // one for each member
-	listed  bool               // the VM list was read at least once
-	life    context.Context    // of Run; ends every connection
+	servers map[string]*Server   // one for each member
+	listed  bool                 // the VM list was read at least once
+	losses  map[string]time.Time // by pool: when a side process was last seen restarted or gone
+	life    context.Context      // of Run; ends every connection
 
 	prefixMu sync.Mutex
 	prefixes *routing.PrefixIndex
@@ -69,6 +70,7 @@
 		reports:  ring.New[rpc.Report](reportRing, ring.DropOldest),
 		members:  membership.Members{},
 		servers:  map[string]*Server{},
+		losses:   map[string]time.Time{},
 		prefixes: routing.NewPrefixIndex(prefixBlocks),
 		life:     context.Background(),
 	}
@@ -110,6 +112,14 @@
 	return s, ok
 }
 
+// LastLoss returns when this entry last saw a side process of the pool restart
+// or leave, and so lose its memory; zero when it never did.
+func (p *Pool) LastLoss(poolName string) time.Time {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.losses[poolName]
+}
+
 // Servers returns every known server in order of name.
 func (p *Pool) Servers() []*Server {
 	p.mu.RLock()
--- a/integration/action_faults_test.go
+++ b/integration/action_faults_test.go
@@ -282,6 +282,20 @@
 	assert.Equal(t, len(calls(t, c, "k")), 1)
 }
 
+// TestRepeatWhileNobodyRemembers takes the table away after the only side
+// process that ran the action has restarted.
+func TestRepeatWhileNobodyRemembers(t *testing.T) {
+	c, _ := actionCluster(t, 1, 1)
+	assert.Equal(t, charge(t, c.Entry(1), "k", "x").outcome(), wire.OutcomeCompleted)
+	assert.NilError(t, c.Plain(1).Restart())
+	charged(t, c)
+	assert.NilError(t, c.StoreDown(true))
+	told := charge(t, c.Entry(1), "k", "x")
+	assert.Equal(t, told.outcome(), wire.OutcomeUnknown, told.body)
+	assert.Equal(t, charge(t, c.Entry(1), "", "x").outcome(), wire.OutcomeNotRun, "no other request can have the key")
+	assert.Equal(t, len(calls(t, c, "k")), 1)
+}
+
 func TestServiceThatCutsItsAnswer(t *testing.T) {
 	c, proxies := actionCluster(t, 1, 1)
 	behave(t, c.Plain(1), plain.Behaviour{Cut: true})
--- a/integration/stream_test.go
+++ b/integration/stream_test.go
@@ -124,6 +124,7 @@
 		assert.NilError(t, err)
 		req.Header.Set("Authorization", "Bearer "+cluster.SampleKey)
 		req.Header.Set(wire.HeaderRequestID, id)
+		req.Header.Set("X-Request-Timeout-Ms", "3600000")
 		left := make(chan error, 1)
 		go func() {
 			resp, err := http.DefaultClient.Do(req)
