Strangers cannot hold or fill control connections

A connection that never said hello stayed open for ever, a peer without the key could announce a message of any length, and one failed accept, such as too many open files, ended the control listener. Without the limit of time the new test waits until its end.

--- /dev/null
+++ b/rpc/guard_test.go
@@ -0,0 +1,63 @@
+package rpc
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// untilClosed connects without a hello and returns once the other end has closed.
+func untilClosed(t *testing.T, address string, first string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, first)
+	assert.NilError(t, err)
+	_, _ = io.Copy(io.Discard, conn) // ends when the server closes
+}
+
+func TestStrangerThatSaysNothingIsClosed(t *testing.T) {
+	untilClosed(t, startServer(t, "k"), "")
+}
+
+func TestStrangerCannotSendMuch(t *testing.T) {
+	const claimed = 1 << 40
+	long := make([]byte, 2*maxHelloBytes)
+	for i := range long {
+		long[i] = ' '
+	}
+	conn, other := net.Pipe()
+	defer other.Close()
+	g := &guardedConn{Conn: conn, known: func() bool { return false }, left: maxHelloBytes}
+	var sent sync.WaitGroup
+	sent.Go(func() { _, _ = fmt.Fprintf(other, "Content-Length: %d\r\n\r\n%s", claimed, long) })
+	n, err := io.Copy(io.Discard, g)
+	assert.ErrorContains(t, err, "too much before the hello")
+	assert.Assert(t, n <= 2*maxHelloBytes, "%d bytes were read", n)
+	_ = conn.Close()
+	sent.Wait()
+}
+
+// failing fails once to accept, then ends.
+type failing struct {
+	net.Listener
+	errs []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	err := f.errs[0]
+	f.errs = f.errs[1:]
+	return nil, err
+}
+
+func TestAcceptGoesOnAfterAFailure(t *testing.T) {
+	ln := &failing{errs: []error{errors.New("too many open files"), net.ErrClosed}}
+	NewServer(Local{}, NewHandlers(), nil).accept(ln)
+	assert.Equal(t, len(ln.errs), 0)
+}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -171,6 +171,11 @@
 		case <-conn.DisconnectNotify():
 		}
 	}
+	return s.known()
+}
+
+// known reports whether the hellos were exchanged.
+func (s *session) known() bool {
 	select {
 	case <-s.ready:
 		return true
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"peridotchute.example/common/fault"
 )
 
+// acceptRetry is the wait after a connection could not be accepted.
+const acceptRetry = 50 * time.Millisecond
+
 // Server accepts control connections.
 type Server struct {
 	local    Local
@@ -67,15 +72,21 @@
 func (s *Server) accept(ln net.Listener) {
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // such as too many open files, which passes
+			time.Sleep(acceptRetry)
+			continue
+		}
 		s.open(conn)
 	}
 }
 
 func (s *Server) open(conn net.Conn) {
 	ses := &session{local: s.local, handlers: s.handlers, onPeer: s.onPeer, ready: make(chan struct{})}
+	expire(ses, conn)
+	conn = &guardedConn{Conn: conn, known: ses.known, left: maxHelloBytes}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := jsonrpc2.NewConn(context.Background(), stream(conn), jsonrpc2.AsyncHandler(ses))
