The time of a load rejects no request

Cause: the fault soak did not begin: 'entry-1 told unknown'. The door took a plain service, for which nothing is resident, for a model that must be loaded first, and rejected deadlines below 8 s; a model that is resident nowhere was rejected the same way, so that no request would ever have caused its load. Ruled out: the soak's limits (it has none); a slow store. Change: the door's estimate leaves loading out, since only requests cause loads.

--- a/entry/admit/room.go
+++ b/entry/admit/room.go
@@ -33,6 +33,8 @@
 		if !c.Server.Serving {
 			continue
 		}
+		// Only requests cause loads, so the time of a load rejects none.
+		c.Resident = true
 		w := routing.Wait(c, &want, &a.opts.Costs, now)
 		if serving == 0 || w < out.wait {
 			out.wait = w
