--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -20,6 +20,7 @@
 	"peridotchute.example/entry"
 	"peridotchute.example/integration/cluster"
 	"peridotchute.example/membership"
+	"peridotchute.example/operator"
 	"peridotchute.example/operator/api"
 	"peridotchute.example/operator/cli"
 	"peridotchute.example/standin/faults"
@@ -181,6 +182,15 @@
 		s.must(cli.ExitOK, second, acceptorKey, "accept", digest)
 		assert.Equal(t, s.status(second).Head, before+1)
 	})
+	t.Run("a frozen entry is named as behind", func(t *testing.T) {
+		assert.NilError(t, second.Freeze())
+		digest := s.plan(first, "lodges")
+		r := s.must(cli.ExitSpreading, first, acceptorKey, "accept", digest, "--wait", "3s")
+		assert.Assert(t, strings.Contains(r.stderr, "1 processes have not put it in force yet: "+second.Name), r.stderr)
+		assert.NilError(t, second.Resume())
+		cluster.Eventually(t, func() error { return everywhere(s.status(first)) })
+		assert.Assert(t, admits(t, second, "lodges"))
+	})
 	t.Run("the entry that planned is killed", func(t *testing.T) {
 		digest := s.plan(first, "anglers")
 		assert.NilError(t, first.Kill())
@@ -249,6 +259,14 @@
 	return errors.New("no audit record")
 }
 
+// everywhere reports an error while a process lacks the newest version.
+func everywhere(st api.Status) error {
+	if spread := operator.SpreadOf(&st, st.Head); !spread.Done() {
+		return fmt.Errorf("behind: %v", spread.Behind)
+	}
+	return nil
+}
+
 func inState(st api.Status, name string, want membership.State) error {
 	for _, m := range st.Members {
 		if m.Name == name && m.State == string(want) {
