Reports keep to a budget however many entries listen

Cause: each side process sent every change of its load, up to four a second, to every entry; at 380 entries that is hundreds of KB a second against 4 allowed. Change: the pace of reports follows from the number of listening entries; each report tells the longest silence to come, and membership doubts a member only after two and a half of those. A change of state goes out at once, a new connection gets the present figures alone instead of everyone.

--- a/entry/pool/members.go
+++ b/entry/pool/members.go
@@ -110,7 +110,7 @@
 	defer p.mu.RUnlock()
 	for name, m := range p.members {
 		peer := p.servers[name].Peer()
-		if peer != nil && now.Sub(m.Heard) >= membership.GoneAfter {
+		if peer != nil && now.Sub(m.Heard) >= max(membership.GoneAfter, 2*m.Patience()) {
 			_ = peer.Close()
 		}
 	}
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -270,7 +270,12 @@
 		if !ok {
 			continue
 		}
-		p.observe(membership.Heard{Name: r.Name, Incarnation: r.Incarnation, Draining: r.State == rpc.StateDraining})
+		p.observe(membership.Heard{
+			Name:        r.Name,
+			Incarnation: r.Incarnation,
+			Draining:    r.State == rpc.StateDraining,
+			Next:        time.Duration(r.NextMS) * time.Millisecond,
+		})
 		stale := s.accept(r, time.Now())
 		peer := s.Peer()
 		if stale && peer != nil {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -22,8 +22,9 @@
 
 // Times and limits of the rules.
 const (
-	SuspectAfter    = 5 * time.Second  // of silence
-	GoneAfter       = 10 * time.Second // of silence, when the list does not show the member
+	SuspectAfter    = 5 * time.Second  // of silence, at least
+	missedReports   = 2.5              // of the member's own pace that make a suspect
+	GoneAfter       = 10 * time.Second // of silence, at least, when the list does not show the member
 	MassGoneAfter   = 2 * time.Minute  // the same, while most members of its zone are silent
 	FailuresToDoubt = 3                // consecutive failed requests that make a suspect
 	flapHalfLife    = time.Minute      // of Penalty
@@ -42,18 +43,19 @@
 	RPCAddress  string
 	Incarnation string
 	State       State
-	Reason      string    // of State
-	Since       time.Time // of State
-	Heard       time.Time // last heartbeat or answer; zero when never
-	Listed      bool      // in the newest VM list
-	ListLeaving bool      // the VM list shows it as leaving
-	Draining    bool      // said so itself, in this incarnation
-	Lost        bool      // its connection ended and it was not heard of since
-	Failures    int       // consecutive failed requests
-	Penalty     float64   // recent losses, halved every minute
-	PenaltyAt   time.Time // when Penalty held
-	HoldUntil   time.Time // stays suspect until then
-	Retired     []string  // earlier incarnations, the latest last
+	Reason      string        // of State
+	Since       time.Time     // of State
+	Heard       time.Time     // last heartbeat or answer; zero when never
+	Next        time.Duration // longest silence that the member has announced
+	Listed      bool          // in the newest VM list
+	ListLeaving bool          // the VM list shows it as leaving
+	Draining    bool          // said so itself, in this incarnation
+	Lost        bool          // its connection ended and it was not heard of since
+	Failures    int           // consecutive failed requests
+	Penalty     float64       // recent losses, halved every minute
+	PenaltyAt   time.Time     // when Penalty held
+	HoldUntil   time.Time     // stays suspect until then
+	Retired     []string      // earlier incarnations, the latest last
 }
 
 // Members are the known members by name.
@@ -104,9 +106,9 @@
 
 func verdict(m Member, now time.Time, zoneSilent bool) (State, string) {
 	silence := now.Sub(m.lastSign())
-	goneAfter := GoneAfter
+	goneAfter := max(GoneAfter, 2*m.Patience())
 	if zoneSilent {
-		goneAfter = MassGoneAfter
+		goneAfter = max(MassGoneAfter, 2*m.Patience())
 	}
 	switch {
 	case !m.Listed && silence >= goneAfter:
@@ -119,7 +121,7 @@
 		return StateSuspect, "never heard of"
 	case m.Lost:
 		return StateSuspect, "connection lost"
-	case silence >= SuspectAfter:
+	case silence >= m.Patience():
 		return StateSuspect, "silent"
 	case now.Before(m.HoldUntil):
 		return StateSuspect, "failed or was lost too often lately"
@@ -127,6 +129,11 @@
 	return StateLive, "heard of"
 }
 
+// Patience returns the silence after which the member is suspect.
+func (m Member) Patience() time.Duration {
+	return max(SuspectAfter, time.Duration(missedReports*float64(m.Next)))
+}
+
 // lastSign returns when the member was last heard of, or first known.
 func (m Member) lastSign() time.Time {
 	if m.Heard.IsZero() {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -42,6 +42,8 @@
 		{"listed only", []step{{0, listed}}, StateSuspect},
 		{"listed and heard", []step{{0, listed}, {s, heard("1")}}, StateLive},
 		{"silent", []step{{0, listed}, {s, heard("1")}, {7 * s, Tick{}}}, StateSuspect},
+		{"within its own pace", []step{{0, listed}, {s, Heard{Name: "a1", Incarnation: "1", Next: 20 * s}}, {40 * s, Tick{}}}, StateLive},
+		{"silent beyond its own pace", []step{{0, listed}, {s, Heard{Name: "a1", Incarnation: "1", Next: 20 * s}}, {52 * s, Tick{}}}, StateSuspect},
 		{"silent for long but listed", []step{{0, listed}, {s, heard("1")}, {900 * s, Tick{}}}, StateSuspect},
 		{"silent and not listed", []step{{0, listed}, {s, heard("1")}, {2 * s, Listed{}}, {12 * s, Tick{}}}, StateGone},
 		{"heard but not listed", []step{{0, listed}, {s, heard("1")}, {2 * s, Listed{}}, {12 * s, heard("1")}, {13 * s, Tick{}}}, StateLive},
--- a/membership/observation.go
+++ b/membership/observation.go
@@ -27,7 +27,8 @@
 	Name        string
 	Incarnation string
 	Draining    bool
-	Answered    bool // a request was answered, which ends a series of failures
+	Answered    bool          // a request was answered, which ends a series of failures
+	Next        time.Duration // longest silence until the next heartbeat; 0 when it says nothing of it
 }
 
 // Lost is the end of the connection to an incarnation.
@@ -83,6 +84,9 @@
 	}
 	member.Heard = now
 	member.Lost = false
+	if o.Next > 0 {
+		member.Next = o.Next
+	}
 	member.Draining = member.Draining || o.Draining
 	if o.Answered {
 		member.Failures = 0
@@ -101,6 +105,7 @@
 	m.Incarnation = incarnation
 	m.Draining = false
 	m.Failures = 0
+	m.Next = 0
 	return m
 }
 
@@ -145,7 +150,7 @@
 	silent := map[string]int{}
 	for _, member := range m {
 		total[member.Zone]++
-		if now.Sub(member.lastSign()) >= SuspectAfter {
+		if now.Sub(member.lastSign()) >= member.Patience() {
 			silent[member.Zone]++
 		}
 	}
--- a/rpc/messages.go
+++ b/rpc/messages.go
@@ -77,6 +77,7 @@
 	Cache         uint64 `json:"cache,omitempty"`
 	FreeBytes     int64  `json:"free_bytes"`
 	ConfigVersion uint64 `json:"config_version"`
+	NextMS        int64  `json:"next_ms"` // the next report comes within this time
 }
 
 // Offer tells the highest configuration version that a peer knows.
--- a/side/report/report.go
+++ b/side/report/report.go
@@ -10,10 +10,7 @@
 	"peridotchute.example/rpc"
 )
 
-const (
-	interval  = 250 * time.Millisecond // between looks at what has changed
-	heartbeat = 2 * time.Second        // longest silence
-)
+const interval = 250 * time.Millisecond // between looks at what has changed
 
 // Source gives the figures of the next report; Seq is filled in here.
 type Source func() rpc.Report
@@ -41,9 +38,9 @@
 	}
 	r.mu.Lock()
 	r.peers[p] = struct{}{}
-	r.sent = time.Time{}
 	r.mu.Unlock()
 	go func() {
+		r.greet(p)
 		<-p.Done()
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -51,6 +48,16 @@
 	}()
 }
 
+// greet sends the present figures to one peer, under the number of the last report.
+func (r *Reporter) greet(p *rpc.Peer) {
+	now := r.source()
+	r.mu.Lock()
+	_, most := Pace(len(r.peers))
+	now.Seq, now.NextMS = r.seq, most.Milliseconds()
+	r.mu.Unlock()
+	_ = rpc.Notify(context.Background(), p, rpc.MethodReport, now)
+}
+
 // Run sends reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
@@ -65,12 +72,14 @@
 	}
 }
 
-// SendIfDue sends a report when the figures have changed or the last one is old.
+// SendIfDue sends a report when the state has changed, when other figures have
+// changed and the pace allows it, or when the last report is old.
 func (r *Reporter) SendIfDue(ctx context.Context, now time.Time) {
 	next := r.source()
 	r.mu.Lock()
-	next.Seq = r.last.Seq
-	if next == r.last && now.Sub(r.sent) < heartbeat {
+	least, most := Pace(len(r.peers))
+	next.Seq, next.NextMS = r.last.Seq, most.Milliseconds()
+	if !r.due(next, now.Sub(r.sent), least, most) {
 		r.mu.Unlock()
 		return
 	}
@@ -86,3 +95,14 @@
 		_ = rpc.Notify(ctx, p, rpc.MethodReport, next)
 	}
 }
+
+// due decides whether a report is sent, with the last one sent silence ago.
+func (r *Reporter) due(next rpc.Report, silence, least, most time.Duration) bool {
+	switch {
+	case next.State != r.last.State || silence >= most:
+		return true
+	case next != r.last:
+		return silence >= least
+	}
+	return false
+}
