--- a/common/settings/position.go
+++ b/common/settings/position.go
@@ -124,6 +124,9 @@
 // Locate sets the line of each problem whose field is a path into text, which
 // is JSON with comments.
 func Locate(text []byte, problems []Problem) {
+	if len(problems) == 0 {
+		return
+	}
 	standard, err := standardize(text)
 	if err != nil {
 		return
--- a/entry/adminapi/cli_test.go
+++ b/entry/adminapi/cli_test.go
@@ -78,6 +78,7 @@
 		{"plan bad", planKey, []string{"plan", bad}, cli.ExitInvalid, bad + ":4:"},
 		{"no such file", planKey, []string{"plan", "none.json"}, cli.ExitInvalid, "none.json"},
 		{"no argument", planKey, []string{"plan"}, cli.ExitInvalid, "want 1 arguments [FILE], have 0"},
+		{"unknown command", planKey, []string{"apply", file}, cli.ExitInvalid, `unknown command "apply"`},
 		{"flag", planKey, []string{"plan", "--force", file}, cli.ExitInvalid, "unknown flag"},
 		{"output", planKey, []string{"status", "-o", "xml"}, cli.ExitInvalid, `--output is "xml"`},
 		{"wrong role", readKey, []string{"plan", file}, cli.ExitRefused, `operator "rita" lacks the role "plan"`},
--- a/operator/cli/cli.go
+++ b/operator/cli/cli.go
@@ -51,6 +51,8 @@
 		SilenceUsage:      true,
 		SilenceErrors:     true,
 		PersistentPreRunE: func(*cobra.Command, []string) error { return s.check() },
+		Args:              knownCommand,
+		RunE:              func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usagef("%v", err) })
 	flags := root.PersistentFlags()
@@ -130,6 +132,14 @@
 	return &usageError{message: fmt.Sprintf(format, args...)}
 }
 
+// knownCommand refuses what cobra did not find among the subcommands.
+func knownCommand(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return usagef("unknown command %q; see peridotchute --help", args[0])
+	}
+	return nil
+}
+
 func (s *session) check() error {
 	if s.output != outputTable && s.output != outputJSON {
 		return usagef("--output is %q, want %s or %s", s.output, outputTable, outputJSON)
--- a/operator/follow.go
+++ b/operator/follow.go
@@ -9,7 +9,7 @@
 )
 
 // followInterval is the time between two looks at the status.
-const followInterval = 250 * time.Millisecond
+const followInterval = 500 * time.Millisecond
 
 // Spread is how far a version has got.
 type Spread struct {
