Adapters do not make room for models; a move has a price in routing

Models now make room for models, each with its adapters. Routing adds a price to every load on demand, weighed by the deployment, so that an adapter is not loaded beside another replica to save less than that.

--- a/cmd/peridotchute-load/replay/run.go
+++ b/cmd/peridotchute-load/replay/run.go
@@ -100,6 +100,7 @@
 		PrefillNSPerByte: scaled(timing.PrefillPerToken, r.opts.Scale).Nanoseconds() / bytesPerToken,
 		ModelLoadMS:      scaled(r.deployment.ModelLoad, r.opts.Scale).Milliseconds(),
 		AdapterLoadUS:    scaled(r.deployment.AdapterLoad, r.opts.Scale).Microseconds(),
+		MovePriceUS:      scaled(routing.DefaultCosts.Move, r.opts.Scale).Microseconds(),
 		PlanIntervalMS:   scaled(planInterval, r.opts.Scale).Milliseconds(),
 		DemandScale:      r.opts.Scale,
 	}
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -114,6 +114,16 @@
 	return server, nil
 }
 
+// costs returns the costs with the price of a move as the deployment weighs it.
+func (d *Dispatcher) costs() *routing.Costs {
+	c := d.opts.Costs
+	policy := d.opts.Pool.Policy()
+	if policy.AttainmentWeight > 0 && policy.MoveWeight > 0 {
+		c.Move = time.Duration(float64(c.Move) * policy.MoveWeight / policy.AttainmentWeight)
+	}
+	return &c
+}
+
 // wanted is what routing needs to know of the request.
 func (d *Dispatcher) wanted(req Request, prefixes []uint64, exclude string) routing.Request {
 	r := routing.Request{
@@ -122,7 +132,7 @@
 		PromptBytes: len(req.Prompt),
 		Deadline:    time.Until(req.Deadline),
 		Exclude:     exclude,
-		Costs:       &d.opts.Costs,
+		Costs:       d.costs(),
 	}
 	if req.Served != nil {
 		r.Bytes = req.Served.Bytes
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -186,6 +186,14 @@
 	resp.Body = p.opts.Link.Body(resp.Body)
 }
 
+// Policy returns the deployment's policy in force.
+func (p *Pool) Policy() config.Policy {
+	if index := p.opts.Holder.Current(); index != nil {
+		return index.Configuration.Policy
+	}
+	return config.Policy{}
+}
+
 // RegionOf returns the region of a server by the configuration in force.
 func (p *Pool) RegionOf(s *Server) string {
 	return p.opts.Holder.Current().RegionOf(s.VM().Zone)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -37,6 +37,7 @@
 	PrefillNSPerByte int64          `json:"prefill_ns_per_byte,omitempty" validate:"gte=0"` // of prompt that is not cached
 	ModelLoadMS      int64          `json:"model_load_ms,omitempty" validate:"gte=0"`
 	AdapterLoadUS    int64          `json:"adapter_load_us,omitempty" validate:"gte=0"`
+	MovePriceUS      int64          `json:"move_price_us,omitempty" validate:"gte=0"` // wait that a load on demand must save, at equal weights
 	PlanIntervalMS   int64          `json:"plan_interval_ms,omitempty" validate:"gte=0"`
 	DemandScale      float64        `json:"demand_scale,omitempty" validate:"gte=0"` // stretches the time constants of the demand estimate
 }
@@ -52,6 +53,7 @@
 	set(&c.PerRequest, p.PerRequestUS, time.Microsecond)
 	set(&c.PrefillPerByte, p.PrefillNSPerByte, time.Nanosecond)
 	set(&c.ModelLoad, p.ModelLoadMS, time.Millisecond)
+	set(&c.Move, p.MovePriceUS, time.Microsecond)
 	set(&c.Eviction, p.ModelLoadMS, time.Millisecond/2)
 	set(&c.AdapterLoad, p.AdapterLoadUS, time.Microsecond)
 	return c
--- a/placement/place.go
+++ b/placement/place.go
@@ -70,7 +70,7 @@
 			if taken[v] || !p.evictable(v, o.worker, i) {
 				continue
 			}
-			loss := p.lossOf(v) / float64(p.items[v].Bytes)
+			loss := p.lossAt(v, o.worker) / float64(p.bytesAt(v, o.worker))
 			if best < 0 || loss < bestLoss || (loss == bestLoss && v < best) {
 				best, bestLoss = v, loss
 			}
@@ -80,20 +80,22 @@
 		}
 		taken[best] = true
 		o.victims = append(o.victims, best)
-		o.loss += p.lossOf(best)
-		need -= p.items[best].Bytes
+		o.loss += p.lossAt(best, o.worker)
+		need -= p.bytesAt(best, o.worker)
 	}
 	return o, true
 }
 
-// evictable reports whether item v may leave worker n for item i.
+// evictable reports whether item v may leave worker n for item i. Adapters do
+// not make room for a model by themselves: they would come back with the next
+// request and take the room again.
 func (p *planner) evictable(v, n, i int) bool {
 	it, w := &p.items[v], &p.workers[n]
 	if w.fixed[v] || p.items[i].base == v {
 		return false
 	}
 	if it.base >= 0 {
-		return len(it.at) > 1
+		return p.items[i].base >= 0 && len(it.at) > 1
 	}
 	return len(it.at) > max(it.Replicas, 1) && !p.adapterFixed(v, n)
 }
@@ -117,6 +119,28 @@
 	return p.value(v, len(it.at)-1)
 }
 
+// bytesAt is what leaves worker n with item v: a model goes with its adapters.
+func (p *planner) bytesAt(v, n int) int64 {
+	bytes := p.items[v].Bytes
+	for _, a := range p.items[v].adapters {
+		if p.workers[n].holds[a] {
+			bytes += p.items[a].Bytes
+		}
+	}
+	return bytes
+}
+
+// lossAt is what is lost when item v leaves worker n, with a model's adapters.
+func (p *planner) lossAt(v, n int) float64 {
+	loss := p.lossOf(v)
+	for _, a := range p.items[v].adapters {
+		if p.workers[n].holds[a] {
+			loss += p.lossOf(a)
+		}
+	}
+	return loss
+}
+
 // better orders options: least loss, then a zone without the item, then the
 // least loaded worker, then the most free memory, then the name. For what is
 // resident nowhere memory goes before load, since packing it decides whether
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -57,6 +57,7 @@
 	ModelLoad      time.Duration // loading a model on demand
 	AdapterLoad    time.Duration // loading an adapter on demand
 	Eviction       time.Duration // making room first; what goes is needed again
+	Move           time.Duration // added to every load on demand, as the price of the move itself
 	OtherZone      time.Duration // round trip within the region
 	OtherRegion    time.Duration // round trip, and the price of its volume
 	SlowStart      time.Duration // time in which a new server takes less
@@ -69,6 +70,7 @@
 	ModelLoad:      8 * time.Second,
 	AdapterLoad:    30 * time.Millisecond,
 	Eviction:       4 * time.Second,
+	Move:           100 * time.Millisecond,
 	OtherZone:      2 * time.Millisecond,
 	OtherRegion:    150 * time.Millisecond,
 	SlowStart:      10 * time.Second,
@@ -149,6 +151,7 @@
 	if req.Adapter && c.Base {
 		wait = costs.AdapterLoad
 	}
+	wait += costs.Move
 	if c.Server.FreeBytes < req.Bytes {
 		wait += costs.Eviction
 	}
