Keep the servers of an entry in order instead of sorting them for each request

Each request sorted all known servers, copying a row under a lock for every comparison, and allocated a view of each: 900 us at 600 workers, more than the rest of the path. Ruled out: a view cached across requests, since counts in progress change with each. Change: a slice in order of name, replaced when a server comes or goes, and the views of one request in one array.

--- a/entry/pool/members.go
+++ b/entry/pool/members.go
@@ -80,11 +80,11 @@
 	m := u.Member
 	s, known := p.servers[m.Name]
 	if !known {
-		s = &Server{observe: p.observe, firstSeen: time.Now(), limit: newLimit()}
+		s = &Server{name: m.Name, observe: p.observe, firstSeen: time.Now(), limit: newLimit()}
 		s.setMember(m)
 		ctx, stop := context.WithCancel(p.life)
 		s.stop = stop
-		p.servers[m.Name] = s
+		p.add(s)
 		go p.connect(ctx, s)
 	}
 	if known && m.Incarnation != s.known() {
@@ -98,7 +98,7 @@
 	if m.State == membership.StateGone {
 		p.losses[s.VM().Pool] = time.Now()
 		s.stop()
-		delete(p.servers, m.Name)
+		p.remove(m.Name)
 		p.forget(m.Name)
 	}
 }
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -6,7 +6,7 @@
 	"context"
 	"net/http"
 	"slices"
-	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -52,6 +52,7 @@
 	mu      sync.RWMutex
 	members membership.Members
 	servers map[string]*Server   // one for each member
+	sorted  []*Server            // the same in order of name; replaced, never changed
 	listed  bool                 // the VM list was read at least once
 	losses  map[string]time.Time // by pool: when a side process was last seen restarted or gone
 	life    context.Context      // of Run; ends every connection
@@ -120,27 +121,44 @@
 	return p.losses[poolName]
 }
 
-// Servers returns every known server in order of name.
+// Servers returns every known server in order of name. The slice is shared and
+// must not be changed.
 func (p *Pool) Servers() []*Server {
 	p.mu.RLock()
-	out := make([]*Server, 0, len(p.servers))
-	for _, s := range p.servers {
-		out = append(out, s)
+	defer p.mu.RUnlock()
+	return p.sorted
+}
+
+// add takes a server into the pool. p.mu is held.
+func (p *Pool) add(s *Server) {
+	p.servers[s.name] = s
+	at, _ := slices.BinarySearchFunc(p.sorted, s.name, byName)
+	p.sorted = slices.Insert(slices.Clone(p.sorted), at, s)
+}
+
+// remove takes a server out of the pool. p.mu is held.
+func (p *Pool) remove(name string) {
+	delete(p.servers, name)
+	at, found := slices.BinarySearchFunc(p.sorted, name, byName)
+	if found {
+		p.sorted = slices.Delete(slices.Clone(p.sorted), at, at+1)
 	}
-	p.mu.RUnlock()
-	sort.Slice(out, func(i, j int) bool { return out[i].VM().Name < out[j].VM().Name })
-	return out
 }
 
+func byName(s *Server, name string) int { return strings.Compare(s.name, name) }
+
 // Candidates returns the view of one pool that routing chooses from; served is
 // nil for plain services. prefixes are the blocks of the prompt. Suspect
 // servers serve only when no other does.
 func (p *Pool) Candidates(poolName string, served *config.Served, prefixes []uint64) []routing.Candidate {
 	index := p.opts.Holder.Current()
-	var out, suspects []routing.Candidate
+	servers := p.Servers()
+	views := make([]routing.Server, len(servers))
+	out := make([]routing.Candidate, 0, len(servers))
+	var suspects []routing.Candidate
 	serving := false
-	for _, s := range p.Servers() {
-		c, state, ok := s.candidate(poolName, served, index)
+	for i, s := range servers {
+		c, state, ok := s.candidate(&views[i], poolName, served, index)
 		switch {
 		case !ok:
 		case state == membership.StateSuspect && s.Incarnation() != "":
@@ -225,13 +243,15 @@
 	p.prefixes.Add(server, prefixes)
 }
 
-func (s *Server) candidate(poolName string, served *config.Served, index *config.Index) (routing.Candidate, membership.State, bool) {
+// candidate fills view with what is known of the server, and returns it as a
+// candidate for the request; false when the server is of another pool.
+func (s *Server) candidate(view *routing.Server, poolName string, served *config.Served, index *config.Index) (routing.Candidate, membership.State, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.vm.Pool != poolName {
 		return routing.Candidate{}, s.state, false
 	}
-	c := routing.Candidate{Server: &routing.Server{
+	*view = routing.Server{
 		Name:        s.vm.Name,
 		Region:      index.RegionOf(s.vm.Zone),
 		Zone:        s.vm.Zone,
@@ -246,7 +266,8 @@
 		Failures:    s.failures,
 		RetryAt:     s.retryAt,
 		Limit:       s.limit.Value(),
-	}}
+	}
+	c := routing.Candidate{Server: view}
 	if served != nil {
 		c.Resident = s.residents[served.Artifact]
 		c.Base = s.residents[served.Base]
--- a/entry/pool/server.go
+++ b/entry/pool/server.go
@@ -15,6 +15,7 @@
 
 // Server is what this entry knows of one backend server and its side process.
 type Server struct {
+	name     string // of the VM; never changes
 	inFlight atomic.Int64
 	peer     atomic.Pointer[rpc.Peer]
 	stop     func() // ends the connecting goroutine
