Measure the VM list and loads of models in the control budget

The budget left out what entries read of the VM list, which grows with the fleet, and what a load of a model costs the entries that fetch the inventory after it. The VM list is read at its default interval now, not at the tests' 100 ms. Ruled out: counting at the stand-in's process, whose traffic is everybody's.

--- a/cmd/peridotchute-load/control/report.go
+++ b/cmd/peridotchute-load/control/report.go
@@ -26,6 +26,7 @@
 	{"side, heap", "MB", func(w window) float64 { return w.side.heap }},
 	{"table, reads", "a second", func(w window) float64 { return w.reads }},
 	{"table, writes", "a second", func(w window) float64 { return w.writes }},
+	{"entry, VM list read", "B/s", func(w window) float64 { return w.list }},
 }
 
 // series is what was varied in one set of samples.
@@ -42,6 +43,7 @@
 		{"entries before two side processes", "entry", r.entries},
 		{"declared models, two adapters each", "model", r.models},
 		{"declared models, two changes a second", "model", r.changes},
+		{"loads of models a second", "load a second", r.moves},
 	}
 }
 
--- a/cmd/peridotchute-load/control/run.go
+++ b/cmd/peridotchute-load/control/run.go
@@ -15,6 +15,8 @@
 	sidesBeforeEntries = 2
 	sidesOfModels      = 10
 	changeEvery        = 500 * time.Millisecond
+	modelsOfMoves      = 400
+	moveEvery          = 250 * time.Millisecond
 	replaceEvery       = 2 * time.Second
 	smallModelBytes    = 1 << 20
 	adaptersPerModel   = 2
@@ -33,12 +35,13 @@
 	entries []sample // x: entries before two side processes, idle
 	models  []sample // x: models, idle
 	changes []sample // x: models, at changeEvery
+	moves   []sample // x: loads a second, at modelsOfMoves models
 }
 
 // Run performs every measurement and writes the figures to out.
 func Run(ctx context.Context, o Options, out io.Writer) error {
 	var r results
-	for _, step := range []func(context.Context, Options) error{r.varySides, r.varyEntries, r.varyModels} {
+	for _, step := range []func(context.Context, Options) error{r.varySides, r.varyEntries, r.varyModels, r.varyMoves} {
 		if err := step(ctx, o); err != nil {
 			return err
 		}
@@ -127,6 +130,30 @@
 	return nil
 }
 
+// varyMoves has side processes load models that they do not hold.
+func (r *results) varyMoves(ctx context.Context, o Options) error {
+	declared := declare(modelsOfMoves)
+	return withCluster(ctx, cluster.Options{Entries: 2, Sides: sidesOfModels, Config: declared}, func(c *cluster.Cluster) error {
+		if err := repeat(o, c, 0, &r.moves, idle(ctx, o.Window)); err != nil {
+			return err
+		}
+		next := 0
+		return repeat(o, c, 1/moveEvery.Seconds(), &r.moves, func() error {
+			for range int(o.Window / moveEvery) {
+				side := c.Side(1 + next%sidesOfModels)
+				if err := c.Warm(side, declared.Models[next*sidesOfModels%modelsOfMoves+next/sidesOfModels].Name); err != nil {
+					return err
+				}
+				next++
+				if err := idle(ctx, moveEvery)(); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	})
+}
+
 // change accepts a new configuration every changeEvery for the window. Each
 // changes the target of one model.
 func change(ctx context.Context, o Options, c *cluster.Cluster, declared *config.Configuration) error {
--- a/cmd/peridotchute-load/control/window.go
+++ b/cmd/peridotchute-load/control/window.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotchute.example/cmd/peridotchute-load/procstat"
+	"peridotchute.example/entry"
 	"peridotchute.example/integration/cluster"
 )
 
@@ -21,6 +22,7 @@
 type window struct {
 	entry, side   cost
 	reads, writes float64 // of the table, a second
+	list          float64 // bytes of the VM list, a second and entry
 }
 
 const megabyte = 1 << 20
@@ -31,6 +33,7 @@
 type snapshot struct {
 	entries, sides []procstat.Sample
 	reads, writes  int64
+	list           int64
 	at             time.Time
 }
 
@@ -51,7 +54,7 @@
 		s.sides = append(s.sides, one)
 	}
 	counts, err := c.TableCounts()
-	s.reads, s.writes = counts.Reads, counts.Writes
+	s.reads, s.writes, s.list = counts.Reads, counts.Writes, c.VMListBytes()
 	return s, err
 }
 
@@ -74,6 +77,7 @@
 		side:   mean(before.sides, after.sides),
 		reads:  float64(after.reads-before.reads) / seconds,
 		writes: float64(after.writes-before.writes) / seconds,
+		list:   float64(after.list-before.list) / seconds / float64(len(before.entries)),
 	}, nil
 }
 
@@ -112,6 +116,7 @@
 
 // withCluster runs f on a cluster that has settled.
 func withCluster(ctx context.Context, o cluster.Options, f func(*cluster.Cluster) error) (err error) {
+	o.EditEntry = func(_ int, s *entry.Settings) { s.VMList.IntervalMS = 0 } // the default
 	c, err := cluster.New(o)
 	if c != nil {
 		defer func() { err = errors.Join(err, c.Close()) }()
--- a/integration/cluster/vms.go
+++ b/integration/cluster/vms.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"peridotchute.example/platform"
@@ -77,8 +78,12 @@
 	upstream string
 	proxies  Proxies
 	server   *http.Server
+	served   atomic.Int64 // bytes, to all readers
 }
 
+// VMListBytes returns the bytes of the VM list that all entries have read.
+func (c *Cluster) VMListBytes() int64 { return c.views.served.Load() }
+
 const viewReadTimeout = 10 * time.Second
 
 func newViews(upstream string, proxies Proxies) (*views, error) {
@@ -102,8 +107,14 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
+	raw, err := json.Marshal(groups)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(groups)
+	n, _ := w.Write(raw)
+	v.served.Add(int64(n))
 }
 
 func (v *views) read(reader string) ([]platform.TargetGroup, error) {
