A caller of the closed load sends at least one request

TestClosedCountsFailures failed in a merge under load: with a duration of 1 ms a goroutine could start after its end and send nothing, so the test held a hidden timing bound. Ruled out: a longer duration, which only makes it rarer.

--- a/cmd/peridotchute-load/caller/closed.go
+++ b/cmd/peridotchute-load/caller/closed.go
@@ -62,7 +62,7 @@
 	for i := range callers {
 		all.Go(func() {
 			own := NewResult()
-			for time.Since(start) < d && ctx.Err() == nil {
+			for more := true; more; more = time.Since(start) < d && ctx.Err() == nil {
 				own.Add(c.Do(ctx, targets[i%len(targets)], r))
 			}
 			mu.Lock()
