Clients tell a connection never made from an answer never received

A refused connection or an untrusted certificate was told as 'it may have been changed', although nothing was sent.

--- a/operator/client.go
+++ b/operator/client.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -113,8 +115,13 @@
 // Accept puts the plan with this digest in force. Accepting a digest again has
 // no further effect, so it is repeated while its outcome is not known.
 func (c *Client) Accept(ctx context.Context, digest string) (*api.AcceptReply, error) {
+	uncertain := false // an earlier attempt may have taken effect
 	attempt := func() (*api.AcceptReply, error) {
 		reply, err := post[api.AcceptReply](ctx, c, api.PathAccept, api.AcceptRequest{Digest: digest})
+		if uncertain && fault.Is(err, fault.KindUnavailable) {
+			err = fault.New(fault.KindUnknown, "operator "+api.PathAccept, c.base, err)
+		}
+		uncertain = uncertain || fault.Is(err, fault.KindUnknown)
 		if err != nil && !fault.Is(err, fault.KindUnknown) {
 			return nil, backoff.Permanent(err)
 		}
@@ -179,8 +186,8 @@
 	return send[T](ctx, c, http.MethodPost, path, raw)
 }
 
-// send makes one request. A request that failed on its way may have been
-// handled, which is KindUnknown.
+// send makes one request. One that failed after the connection was made may
+// have been handled, which is KindUnknown.
 func send[T any](ctx context.Context, c *Client, method, path string, body []byte) (*T, error) {
 	step := "operator " + path
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
@@ -191,7 +198,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, fault.New(fault.KindUnknown, step, c.base, err)
+		return nil, fault.New(sendKind(err), step, c.base, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
@@ -208,6 +215,17 @@
 	return v, nil
 }
 
+// sendKind tells a connection that was never made, over which nothing was
+// sent, from every other failure.
+func sendKind(err error) fault.Kind {
+	var op *net.OpError
+	var cert *tls.CertificateVerificationError
+	if errors.As(err, &cert) || (errors.As(err, &op) && op.Op == "dial") {
+		return fault.KindUnavailable
+	}
+	return fault.KindUnknown
+}
+
 func refusal(status int, raw []byte) *Refusal {
 	r := &Refusal{Status: status}
 	if err := json.Unmarshal(raw, &r.Body); err != nil || r.Body.Error.Message == "" {
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -45,6 +45,25 @@
 	assert.DeepEqual(t, digests, []string{"d", "d", "d"})
 }
 
+// TestAcceptStaysUnknownAfterALostAnswer lets the server die after it took an
+// accept: that nothing more can be sent does not mean that nothing was done.
+func TestAcceptStaysUnknownAfterALostAnswer(t *testing.T) {
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		_ = server.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	path := filepath.Join(t.TempDir(), "key")
+	assert.NilError(t, os.WriteFile(path, []byte(testKey), 0o600))
+	c, err := New(Options{URL: server.URL, KeyFile: path})
+	assert.NilError(t, err)
+	_, err = c.Accept(context.Background(), "d")
+	assert.Equal(t, fault.KindOf(err), fault.KindUnknown)
+	_, err = c.Accept(context.Background(), "d")
+	assert.Equal(t, fault.KindOf(err), fault.KindUnavailable, "nothing was sent to a dead address")
+}
+
 func TestAcceptIsNotRepeatedAfterARefusal(t *testing.T) {
 	calls := 0
 	c := newClient(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/operator/python/peridotchute.py
+++ b/operator/python/peridotchute.py
@@ -19,6 +19,7 @@
 """
 
 import hashlib
+import http.client
 import json
 import ssl
 import sys
@@ -181,13 +182,17 @@
         Accepting a digest again has no further effect, so the call is repeated
         while its outcome is not known.
         """
+        uncertain = None  # an earlier attempt may have taken effect
         for attempt in range(ACCEPT_ATTEMPTS):
             try:
                 return self._send("POST", "/accept", json.dumps({"digest": digest}))
-            except Unknown:
-                if attempt == ACCEPT_ATTEMPTS - 1:
+            except Unknown as err:
+                uncertain = err
+            except Unavailable:
+                if uncertain is None:
                     raise
-                time.sleep(min(0.25 * 2**attempt, 4.0))
+            time.sleep(min(0.25 * 2**attempt, 4.0))
+        raise uncertain
 
     def configuration(self):
         """Returns the configuration in force at the answering entry."""
@@ -242,8 +247,15 @@
                 return json.loads(answer.read())
         except urllib.error.HTTPError as err:
             raise _error(err.code, err.read()) from None
-        except (OSError, ValueError) as err:
-            raise Unknown(f"no answer from {self._base}: {err}") from None
+        except (OSError, ValueError, http.client.HTTPException) as err:
+            kind = Unavailable if _never_connected(err) else Unknown
+            raise kind(f"no answer from {self._base}: {err}") from None
+
+
+def _never_connected(err):
+    """Reports whether nothing can have been sent."""
+    reason = getattr(err, "reason", err)
+    return isinstance(reason, (ConnectionRefusedError, ssl.SSLCertVerificationError))
 
 
 def _query(name, value):
