Work that may be answered later, and refusals that hold for repeats

Cause: trail briefings may be late but never lost; and a repeat turned away at the door was told not-run of an action that had run before. Non-idempotent jobs run as actions under the job's key. A refused action under a caller's key is not-run only when the table knows of no run.

--- a/cmd/peridotchute-load/faults/command.go
+++ b/cmd/peridotchute-load/faults/command.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"peridotchute.example/common/wire"
 	"peridotchute.example/entry/action"
 	"peridotchute.example/integration/cluster"
 	"peridotchute.example/integration/proxy"
@@ -125,8 +126,8 @@
 		err := cluster.Await(func() error {
 			n++
 			outcome, _ := c.exchange(e, fmt.Sprintf("first-%d-%d", i, n), "first")
-			if outcome != "completed" {
-				return fmt.Errorf("%s told %q", e.Name, outcome)
+			if outcome != wire.OutcomeCompleted {
+				return fmt.Errorf("%s told %q\n%s", e.Name, outcome, c.cluster.Output())
 			}
 			return nil
 		})
--- a/entry/action/action_test.go
+++ b/entry/action/action_test.go
@@ -12,6 +12,7 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
+	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
@@ -145,6 +146,20 @@
 	assert.Equal(t, f.server.runs, 1)
 }
 
+func TestRefusalOfARepeatIsNotTold(t *testing.T) {
+	f := newFixture(t)
+	ctx := context.Background()
+	s := NewServer(Options{Runner: f.runner})
+	refuse := func(key string) wire.Outcome {
+		failure := wire.NewFailure(429, wire.OutcomeNotRun, "overloaded", "too many requests")
+		return s.Refuse(ctx, dispatch.Request{Team: "till/4", Key: key}, failure).Outcome
+	}
+	assert.Equal(t, refuse("k"), wire.OutcomeNotRun)
+	assert.Equal(t, f.run("k", "a").Outcome, wire.OutcomeCompleted)
+	assert.Equal(t, refuse("k"), wire.OutcomeUnknown)
+	assert.Equal(t, refuse(""), wire.OutcomeNotRun)
+}
+
 func TestBrokenAfterTheRunIsNotRepeated(t *testing.T) {
 	f := newFixture(t)
 	f.server.breaks = true
--- a/entry/action/reconcile.go
+++ b/entry/action/reconcile.go
@@ -64,10 +64,10 @@
 
 // Scan goes once through the shards of this entry.
 func (r *Reconciler) Scan(ctx context.Context, now time.Time) {
-	entries := r.entries(ctx)
+	owns := r.Owns(ctx)
 	for shard := range shardCount {
 		name := fmt.Sprintf("%02x", shard)
-		if owner(name, entries) != r.self {
+		if !owns(name) {
 			continue
 		}
 		if err := r.scanShard(ctx, name, now); err != nil {
@@ -82,6 +82,12 @@
 	}
 }
 
+// Owns returns which shards this entry scans, by the VM list as it is now.
+func (r *Reconciler) Owns(ctx context.Context) func(shard string) bool {
+	entries := r.entries(ctx)
+	return func(shard string) bool { return owner(shard, entries) == r.self }
+}
+
 // entries returns the names of the live entries. This entry is always one.
 func (r *Reconciler) entries(ctx context.Context) []string {
 	names := []string{r.self}
--- a/entry/action/serve.go
+++ b/entry/action/serve.go
@@ -60,6 +60,25 @@
 	return f
 }
 
+// Refuse returns the failure of a request that was turned away before it
+// became an action. Under a caller's key an earlier request may have run: then,
+// or when that cannot be found out, the outcome is unknown.
+func (s *Server) Refuse(ctx context.Context, req dispatch.Request, f *wire.Failure) *wire.Failure {
+	if req.Key == "" {
+		return f
+	}
+	switch row := s.opts.Runner.rows.read(ctx, req.Team, req.Key).(type) {
+	case idempotency.NoRow:
+		return f
+	case idempotency.Row:
+		if row.Record.State == idempotency.StateNotRun {
+			return f
+		}
+	}
+	f.Outcome = wire.OutcomeUnknown
+	return f
+}
+
 func (s *Server) action(req dispatch.Request) idempotency.Action {
 	a := idempotency.Action{
 		Mode:      idempotency.ModeRun,
--- a/entry/caller/action.go
+++ b/entry/caller/action.go
@@ -13,10 +13,17 @@
 // serve lets a request in and hands it on: actions to where they run at most once, the rest
 // to the dispatcher.
 func (a *API) serve(w http.ResponseWriter, r *http.Request, req dispatch.Request) *wire.Failure {
-	if !req.Idempotent {
+	async := respondAsync(r)
+	if !req.Idempotent || async {
 		req.Key = r.Header.Get(wire.HeaderIdempotency)
 	}
+	if async {
+		return a.jobs.Accept(r.Context(), w, req)
+	}
 	release, f := a.admitter.Admit(r.Context(), req)
+	if f != nil && !req.Idempotent {
+		return a.actions.Refuse(r.Context(), req, f)
+	}
 	if f != nil {
 		return f
 	}
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -48,6 +48,19 @@
 	// Outcome answers what became of the team's action on w, or returns the
 	// failure to be written.
 	Outcome(ctx context.Context, w http.ResponseWriter, team, key string) *wire.Failure
+	// Refuse returns the failure of a request that was not let in, with the
+	// outcome that its key allows to be told.
+	Refuse(ctx context.Context, req dispatch.Request, f *wire.Failure) *wire.Failure
+}
+
+// Jobs accepts work that may be answered later.
+type Jobs interface {
+	// Accept answers 202 on w once the work is durable, or returns the failure
+	// to be written.
+	Accept(ctx context.Context, w http.ResponseWriter, req dispatch.Request) *wire.Failure
+	// Result answers what became of the team's job on w, or returns the failure
+	// to be written.
+	Result(ctx context.Context, w http.ResponseWriter, team, id string) *wire.Failure
 }
 
 // Admitter decides whether a request is let in. release is called when it has
@@ -62,11 +75,12 @@
 	admitter Admitter
 	backend  Backend
 	actions  Actions
+	jobs     Jobs
 }
 
 // New returns the API over the configuration in force.
-func New(holder *config.Holder, admitter Admitter, backend Backend, actions Actions) *API {
-	return &API{holder: holder, admitter: admitter, backend: backend, actions: actions}
+func New(holder *config.Holder, admitter Admitter, backend Backend, actions Actions, jobs Jobs) *API {
+	return &API{holder: holder, admitter: admitter, backend: backend, actions: actions, jobs: jobs}
 }
 
 // Handler returns the API's routes.
@@ -76,6 +90,7 @@
 	r.HandleFunc("/v1/completions", a.inference).Methods(http.MethodPost)
 	r.HandleFunc("/v1/models", a.models).Methods(http.MethodGet)
 	r.HandleFunc("/v1/actions/{key:.+}", a.outcome).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs/{id}", a.job).Methods(http.MethodGet)
 	r.PathPrefix("/services/{service}").HandlerFunc(a.service)
 	return r
 }
--- /dev/null
+++ b/entry/job/lease.go
@@ -0,0 +1,143 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"peridotchute.example/common/event"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/wire"
+	"peridotchute.example/idempotency"
+	"peridotchute.example/platform"
+)
+
+// lease is a job that this entry runs.
+type lease struct {
+	server *Server
+
+	mu      sync.Mutex
+	rec     Record
+	version string
+	lost    bool // another entry has the row
+}
+
+func (l *lease) record() Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rec
+}
+
+// write changes the row if it is still this entry's. A lost answer is read back.
+func (l *lease) write(ctx context.Context, change func(*Record)) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost {
+		return fault.Newf(fault.KindConflict, "job.write", l.rec.ID, "the lease is lost")
+	}
+	next := l.rec
+	change(&next)
+	next.Beat++
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fault.New(fault.KindInternal, "job.write", l.rec.ID, err)
+	}
+	row, err := l.server.opts.Table.CompareAndSet(ctx, rowKey(next.Team, next.ID), l.version, value)
+	if err != nil {
+		row, err = l.readBack(ctx, next, err)
+	}
+	switch {
+	case err == nil:
+		l.rec, l.version = next, row.Version
+	case fault.Is(err, fault.KindConflict):
+		l.lost = true
+	}
+	return err
+}
+
+// readBack finds out whether a write whose answer was lost took effect.
+func (l *lease) readBack(ctx context.Context, next Record, cause error) (platform.Row, error) {
+	if !fault.Is(cause, fault.KindUnknown) && !fault.Is(cause, fault.KindConflict) {
+		return platform.Row{}, cause
+	}
+	stored, row, err := l.server.read(ctx, next.Team, next.ID)
+	if err != nil {
+		return row, cause
+	}
+	if stored.Holder == next.Holder && stored.Beat == next.Beat && stored.State == next.State {
+		return row, nil
+	}
+	if stored.Holder == next.Holder && stored.Tries == next.Tries && stored.State == StateRunning {
+		l.rec.Beat, l.version = stored.Beat, row.Version // an earlier renewal took effect
+		return row, fault.New(fault.KindUnavailable, "job.write", next.ID, cause)
+	}
+	return row, cause
+}
+
+// keep renews the lease until stop is called.
+func (l *lease) keep(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(beatInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				_ = l.write(ctx, func(*Record) {})
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// finish writes the end of a try, again and again while the table is down,
+// until the process is asked to stop: the job is then run again elsewhere.
+func (l *lease) finish(life context.Context, answer *wire.Answer, f *wire.Failure) {
+	if f != nil {
+		event.Log(l.server.opts.Log, event.JobRetried, event.Subject(l.record().ID), event.Reason(f.Error()))
+	}
+	ctx := context.WithoutCancel(life)
+	pause := 100 * time.Millisecond
+	for {
+		err := l.write(ctx, func(rec *Record) { conclude(rec, answer, f) })
+		if err == nil || fault.Is(err, fault.KindConflict) || life.Err() != nil {
+			return
+		}
+		event.Log(l.server.opts.Log, event.JobUnwritten, event.Subject(l.record().ID), event.Err(err))
+		sleep(life, pause)
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// conclude changes the record to what one try came to.
+func conclude(rec *Record, answer *wire.Answer, f *wire.Failure) {
+	rec.State = StateAccepted
+	switch {
+	case f == nil:
+		rec.State = StateDone
+		if answer.Size() <= maxRowAnswer {
+			rec.Answer = answer
+		}
+	case f.Detail.Code == string(idempotency.CodeUnresolved):
+		rec.State = StateUnresolved
+	case f.Outcome == wire.OutcomeCompleted:
+		rec.State = StateDone
+	}
+}
--- /dev/null
+++ b/entry/job/serve.go
@@ -0,0 +1,163 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"peridotchute.example/common/event"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/wire"
+	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/idempotency"
+	"peridotchute.example/platform"
+)
+
+const (
+	storeRetry   = 2 * time.Second
+	pollAfter    = time.Second // told to callers who ask for a job that has not ended
+	codeStore    = "store_unavailable"
+	codeTooLong  = "request_too_large"
+	codeNoJob    = "job_not_found"
+	codeLost     = "unresolved"
+	codeExpired  = "answer_expired"
+	codeInternal = "internal"
+)
+
+// Accept makes the job durable and answers 202 on w, or returns the failure to
+// be written: without a durable row there is no 202.
+func (s *Server) Accept(ctx context.Context, w http.ResponseWriter, req dispatch.Request) *wire.Failure {
+	rec, f := s.newRecord(req)
+	if f != nil {
+		return f
+	}
+	stored, f := s.store(ctx, rec)
+	if f != nil {
+		return f
+	}
+	if stored.Digest != rec.Digest {
+		return wire.NewFailure(http.StatusUnprocessableEntity, wire.OutcomeNotRun, string(idempotency.CodeMismatch), "this Idempotency-Key was used with another request")
+	}
+	event.Log(s.opts.Log, event.JobAccepted, event.Subject(rec.ID))
+	s.offer(rec.Team, rec.ID)
+	w.Header().Set("Location", "/v1/jobs/"+url.PathEscape(rec.ID))
+	w.Header().Set("Preference-Applied", "respond-async")
+	writeStatus(w, stored)
+	return nil
+}
+
+func (s *Server) newRecord(req dispatch.Request) (Record, *wire.Failure) {
+	if len(req.Body) > maxBodyBytes {
+		return Record{}, wire.NewFailure(http.StatusRequestEntityTooLarge, wire.OutcomeNotRun, codeTooLong, "work answered later may have a body of at most %d bytes", maxBodyBytes)
+	}
+	kept := newRequest(req)
+	digest, err := kept.digest()
+	if err != nil {
+		return Record{}, wire.NewFailure(http.StatusInternalServerError, wire.OutcomeNotRun, codeInternal, "%v", err)
+	}
+	now := time.Now()
+	rec := Record{
+		ID:         uuid.Must(uuid.NewV7()).String(),
+		Team:       req.Team,
+		Digest:     digest,
+		State:      StateAccepted,
+		Request:    kept,
+		AcceptedAt: now,
+		Expires:    now.Add(s.opts.Holder.Current().Configuration.Policy.Retention()),
+	}
+	if req.Key != "" {
+		rec.ID = idOf(req.Team, req.Key)
+	}
+	return rec, nil
+}
+
+// store writes the row unless there is one, and returns the row that stands. A
+// lost answer is read back.
+func (s *Server) store(ctx context.Context, rec Record) (Record, *wire.Failure) {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return rec, wire.NewFailure(http.StatusInternalServerError, wire.OutcomeNotRun, codeInternal, "%v", err)
+	}
+	_, err = s.opts.Table.PutIfAbsent(ctx, rowKey(rec.Team, rec.ID), value)
+	if err == nil {
+		return rec, nil
+	}
+	outcome := wire.OutcomeUnknown
+	if fault.Is(err, fault.KindConflict) || fault.Is(err, fault.KindUnknown) {
+		stored, _, readErr := s.read(ctx, rec.Team, rec.ID)
+		if readErr == nil {
+			return stored, nil
+		}
+	} else if fault.Is(err, fault.KindUnavailable) {
+		outcome = wire.OutcomeNotRun
+	}
+	return rec, wire.NewFailure(http.StatusServiceUnavailable, outcome, codeStore, "the job could not be made durable").After(storeRetry)
+}
+
+// read returns a job and its row. KindNotFound means that there is none.
+func (s *Server) read(ctx context.Context, team, id string) (Record, platform.Row, error) {
+	row, err := s.opts.Table.Get(ctx, rowKey(team, id))
+	if err != nil {
+		return Record{}, row, err
+	}
+	rec, err := decode(row)
+	return rec, row, err
+}
+
+func decode(row platform.Row) (Record, error) {
+	var rec Record
+	if err := json.Unmarshal(row.Value, &rec); err != nil {
+		return rec, fault.New(fault.KindInternal, "job.decode", row.Key, err)
+	}
+	return rec, nil
+}
+
+// Result answers a question for a job of the team on w, or returns the failure
+// to be written.
+func (s *Server) Result(ctx context.Context, w http.ResponseWriter, team, id string) *wire.Failure {
+	rec, _, err := s.read(ctx, team, id)
+	switch {
+	case fault.Is(err, fault.KindNotFound):
+		return wire.NewFailure(http.StatusNotFound, "", codeNoJob, "no job is known under this id")
+	case err != nil:
+		return wire.NewFailure(http.StatusServiceUnavailable, "", codeStore, "the table service cannot be reached").After(storeRetry)
+	case rec.State == StateUnresolved:
+		return wire.NewFailure(http.StatusBadGateway, wire.OutcomeUnknown, codeLost, "nobody can know whether the work was done; an operator will settle it")
+	case rec.State == StateDone && rec.Answer == nil:
+		return wire.NewFailure(http.StatusGone, wire.OutcomeCompleted, codeExpired, "the work was done; its answer was too long to be kept")
+	case rec.State == StateDone:
+		writeAnswer(w, rec.Answer)
+		return nil
+	}
+	writeStatus(w, rec)
+	return nil
+}
+
+// status is the body that tells of a job that has not ended.
+type status struct {
+	ID    string `json:"id"`
+	State State  `json:"state"`
+	Tries int    `json:"tries"`
+}
+
+func writeStatus(w http.ResponseWriter, rec Record) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Retry-After", strconv.Itoa(int(pollAfter/time.Second)))
+	w.WriteHeader(http.StatusAccepted)
+	_ = json.NewEncoder(w).Encode(status{ID: rec.ID, State: rec.State, Tries: rec.Tries})
+}
+
+func writeAnswer(w http.ResponseWriter, a *wire.Answer) {
+	for name, values := range a.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(wire.HeaderOutcome, string(wire.OutcomeCompleted))
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
--- a/entry/module.go
+++ b/entry/module.go
@@ -24,6 +24,7 @@
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/follower"
 	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/job"
 	"peridotchute.example/entry/link"
 	"peridotchute.example/entry/peers"
 	"peridotchute.example/entry/pool"
@@ -45,6 +46,7 @@
 			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer, link.NewMeter,
 		),
 		actionModule(),
+		jobModule(),
 		planModule(),
 		operatorModule(),
 		fx.Invoke(startDuties, startRPC, startListeners),
@@ -165,6 +167,7 @@
 	Spreader   *spread.Spreader
 	Dispatcher *dispatch.Dispatcher
 	Actions    *action.Server
+	Jobs       *job.Server
 	Admitter   *admit.Admitter
 	Link       *link.Meter
 	Admin      *admin.Server
@@ -196,7 +199,7 @@
 		Name:    "caller",
 		Address: p.Settings.CallerAddress,
 		TLS:     callerTLS,
-		Handler: caller.New(p.Holder, p.Admitter, p.Dispatcher, p.Actions).Handler(),
+		Handler: caller.New(p.Holder, p.Admitter, p.Dispatcher, p.Actions, p.Jobs).Handler(),
 		Drain:   drain,
 	})
 	daemon.TellStop(p.Lifecycle, func(context.Context) { p.Admin.Stopping() })
--- a/integration/action_test.go
+++ b/integration/action_test.go
@@ -64,7 +64,8 @@
 	return out
 }
 
-// calls returns what the plain services ran under the key.
+// calls returns what the plain services ran under the key, everything when it
+// is empty.
 func calls(t *testing.T, c *cluster.Cluster, key string) []plain.Call {
 	t.Helper()
 	var out []plain.Call
@@ -78,7 +79,7 @@
 		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&all))
 		assert.NilError(t, resp.Body.Close())
 		for _, call := range all {
-			if strings.HasSuffix(call.Key, "/"+key) {
+			if key == "" || strings.HasSuffix(call.Key, "/"+key) {
 				out = append(out, call)
 			}
 		}
