A request turned away at the door is not-run when the table knows of no run

Cause: every refusal of an action under a caller's key was told unknown, also that of a first request. Change: one read of the action's row decides; without it the outcome stays unknown.

--- a/entry/action/serve.go
+++ b/entry/action/serve.go
@@ -61,22 +61,24 @@
 }
 
 // Refuse returns the failure of a request that was turned away before it
-// became an action. Under a caller's key an earlier request may have run: then,
-// or when that cannot be found out, the outcome is unknown.
+// became an action. Under a caller's key an earlier request may have run: it is
+// not-run only when the table knows that none did.
 func (s *Server) Refuse(ctx context.Context, req dispatch.Request, f *wire.Failure) *wire.Failure {
-	if req.Key == "" {
-		return f
+	f.Outcome = wire.OutcomeUnknown
+	if req.Key == "" || s.knownNotRun(ctx, req) {
+		f.Outcome = wire.OutcomeNotRun
 	}
+	return f
+}
+
+func (s *Server) knownNotRun(ctx context.Context, req dispatch.Request) bool {
 	switch row := s.opts.Runner.rows.read(ctx, req.Team, req.Key).(type) {
 	case idempotency.NoRow:
-		return f
+		return true
 	case idempotency.Row:
-		if row.Record.State == idempotency.StateNotRun {
-			return f
-		}
+		return row.Record.State == idempotency.StateNotRun
 	}
-	f.Outcome = wire.OutcomeUnknown
-	return f
+	return false
 }
 
 func (s *Server) action(req dispatch.Request) idempotency.Action {
