--- a/config/check_test.go
+++ b/config/check_test.go
@@ -106,8 +106,12 @@
 	assert.Equal(t, e.Moves[0].Artifact.String(), "model/fly@2")
 	assert.Assert(t, e.Moves[1].Unload)
 	assert.Equal(t, e.Memory[0], PoolMemory{Pool: "gpu", Servers: 1, Capacity: 100, Before: 70, During: 130, After: 70})
-	assert.Equal(t, len(e.Warnings), 1)
 	assert.Assert(t, strings.HasPrefix(e.Warnings[0], `pool "gpu": old and new versions need 130 bytes together`))
+	assert.DeepEqual(t, e.Warnings[1:], []string{
+		"regions.store is declared, but no decision uses it yet",
+		"policy.concurrent_loads is declared, but no decision uses it yet",
+		"policy.adapter_loads is declared, but no decision uses it yet",
+	})
 }
 
 func TestDigestCoversVersionNotChangeID(t *testing.T) {
--- a/config/effect.go
+++ b/config/effect.go
@@ -134,8 +134,8 @@
 	}
 	e.warnFew(to, fleet)
 	e.warnRemoved(from, to)
-	if len(to.Regions) > 1 && !hasStore(to) {
-		e.warnf("no region is marked as the weight store's, so loads do not prefer its region")
+	for _, field := range inert(to) {
+		e.warnf("%s is declared, but no decision uses it yet", field)
 	}
 }
 
--- /dev/null
+++ b/config/inert.go
@@ -0,0 +1,27 @@
+package config
+
+// inert returns the declared fields that no decision uses yet, so that a plan
+// can say so.
+func inert(c *Configuration) []string {
+	var out []string
+	add := func(field string, declared bool) {
+		if declared {
+			out = append(out, field)
+		}
+	}
+	accelerators, fencing, tokenTarget := false, false, false
+	for _, p := range c.Pools {
+		accelerators = accelerators || p.Accelerators > 0
+		fencing = fencing || p.Fencing
+	}
+	for _, m := range c.Models {
+		tokenTarget = tokenTarget || m.Target.TokenMS > 0
+	}
+	add("pools.accelerators", accelerators)
+	add("pools.fencing (side processes have a setting of their own)", fencing)
+	add("models.target.token_ms", tokenTarget)
+	add("regions.store", hasStore(c))
+	add("policy.concurrent_loads", c.Policy.ConcurrentLoads > 0)
+	add("policy.adapter_loads", c.Policy.AdapterLoads > 0)
+	return out
+}
