--- a/config/delta_test.go
+++ b/config/delta_test.go
@@ -37,3 +37,22 @@
 		assert.ErrorContains(t, err, "does not apply to version 5")
 	})
 }
+
+func FuzzDelta(f *testing.F) {
+	base := &Configuration{Version: 1, Models: []Model{{Name: "a"}, {Name: "b"}}}
+	next := &Configuration{Version: 2, Models: []Model{{Name: "b"}, {Name: "c"}, {Name: "a", Version: "2"}}}
+	seed, err := json.Marshal(NewDelta(base, next))
+	assert.NilError(f, err)
+	f.Add(seed)
+	f.Add([]byte(`{"from":1,"to":1,"models":{"order":["b","b"],"removed":["a","a"],"set":[{"name":""},{"name":"b"}]}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var d Delta
+		if json.Unmarshal(raw, &d) != nil {
+			return
+		}
+		got, err := d.Apply(base)
+		if err == nil && Digest(got) != d.Digest {
+			t.Fatalf("applied to digest %s, want %s", Digest(got), d.Digest)
+		}
+	})
+}
--- a/config/publish/load.go
+++ b/config/publish/load.go
@@ -37,6 +37,9 @@
 				return nil, err
 			}
 		}
+		if rec.Delta == nil {
+			return nil, fault.Newf(fault.KindInternal, "config.record", deltaKey(version, changeID), "neither a delta nor a snapshot")
+		}
 		pending = append(pending, *rec.Delta)
 		version, changeID = version-1, rec.Previous
 	}
--- a/config/publish/publish_test.go
+++ b/config/publish/publish_test.go
@@ -171,3 +171,19 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, accepted)
 }
+
+func TestBrokenRecordIsAnError(t *testing.T) {
+	ctx := context.Background()
+	d := newDeployment(t)
+	accepted, err := d.store().Accept(ctx, change(0, "c0", "m0"))
+	assert.NilError(t, err)
+	tab := platform.NewTable(platform.TableSettings{URL: d.tableURL, Name: "t"})
+	rows, err := tab.List(ctx, "config/delta/", "", 1)
+	assert.NilError(t, err)
+	for _, broken := range []string{"", "null", "{", `{"version":1,"change_id":"c0"}`} {
+		_, err = tab.Put(ctx, rows[0].Key, []byte(broken))
+		assert.NilError(t, err)
+		_, err = d.store().Read(ctx)
+		assert.Assert(t, err != nil, "%q was read as version %d", broken, accepted.Version)
+	}
+}
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
@@ -67,6 +69,22 @@
 	assert.Assert(t, last > 0, "%s logged no version", p.Name)
 }
 
+// holdVariable names the environment variable that makes faults last longer
+// than the tests need, such as "60s".
+const holdVariable = "PERIDOTCHUTE_HOLD"
+
+// hold lets a fault last on for the time that the environment asks for.
+func hold(t *testing.T) {
+	t.Helper()
+	text := os.Getenv(holdVariable)
+	if text == "" {
+		return
+	}
+	d, err := time.ParseDuration(text)
+	assert.NilError(t, err, holdVariable)
+	time.Sleep(d)
+}
+
 func quiet(t *testing.T) logrus.FieldLogger {
 	log := logrus.New()
 	log.SetOutput(t.Output())
@@ -91,7 +109,9 @@
 		assert.NilError(t, c.Side(i).Restart())
 	}
 	inForce(t, c.Version(), c.AdminAddresses()...)
+	hold(t)
 	served(t, c.Entry(1))
+	inForce(t, c.Version(), c.AdminAddresses()...)
 	assert.NilError(t, c.StoreDown(false))
 	publishNext(t, c)
 	inForce(t, c.Version(), c.AdminAddresses()...)
@@ -127,6 +147,7 @@
 		inForce(t, c.Version(), c.Entry(1).Settings.AdminAddress, c.Entry(2).Settings.AdminAddress, c.Side(1).Settings.AdminAddress)
 	}
 	cluster.Eventually(t, func() error { return parted(c, "side-3", "entry-3") })
+	hold(t)
 	assert.NilError(t, c.StoreDown(true)) // leaves the peers as the only source
 	assert.NilError(t, entry.Resume())
 	assert.NilError(t, side.Resume())
--- a/integration/membership_test.go
+++ b/integration/membership_test.go
@@ -155,8 +155,14 @@
 	believed(t, far, membership.StateLive, "side-3", "plain-3")
 	publishNext(t, c)
 	inForce(t, c.Version(), near.Settings.AdminAddress, c.Side(1).Settings.AdminAddress)
+	hold(t)
 	served(t, far)
 	served(t, near)
+	for _, e := range c.Entries() {
+		states, err := statesAt(e)
+		assert.NilError(t, err)
+		assert.Equal(t, len(states), len(everyone), "%s lost members", e.Name)
+	}
 	for _, l := range links {
 		assert.NilError(t, l.Restore())
 	}
@@ -247,7 +253,7 @@
 }
 
 func (tr *traffic) streams(b *balancer) {
-	const tokens = 20
+	const tokens = 200 // longer than the notice of a stop
 	tr.run(func(int) error {
 		a, err := b.post("/v1/completions", "", completion(cluster.SampleModel, tokens, true))
 		if err == nil && (a.outcome() != wire.OutcomeCompleted || !strings.HasSuffix(a.body, streamEnd+"\n\n")) {
@@ -268,6 +274,8 @@
 	tr := &traffic{stop: make(chan struct{})}
 	for worker := range 2 {
 		tr.charge(b, worker)
+	}
+	for range 6 {
 		tr.streams(b)
 	}
 	processes := c.Processes()
