--- a/common/daemon/daemon.go
+++ b/common/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -79,12 +80,19 @@
 func Run(options ...fx.Option) error {
 	floor := make([]byte, heapFloor)
 	defer runtime.KeepAlive(floor)
-	app := fx.New(append(options, Logging(), fx.StopTimeout(StopTimeout))...)
+	app := fx.New(append(options, Logging())...)
 	if err := app.Err(); err != nil {
 		return err
 	}
-	app.Run()
-	return nil
+	startCtx, cancel := context.WithTimeout(context.Background(), fx.DefaultTimeout)
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return err
+	}
+	<-app.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), StopTimeout)
+	defer cancel()
+	return app.Stop(stopCtx)
 }
 
 // Logging provides the process's logger and silences fx's own log.
--- a/entry/pool/members.go
+++ b/entry/pool/members.go
@@ -87,7 +87,7 @@
 		p.add(s)
 		go p.connect(ctx, s)
 	}
-	if known && m.Incarnation != s.known() {
+	if old := s.known(); known && old != "" && m.Incarnation != old {
 		p.losses[s.VM().Pool] = time.Now()
 	}
 	s.setMember(m)
--- a/integration/settings_test.go
+++ b/integration/settings_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -54,3 +55,20 @@
 	assert.Equal(t, code, 2)
 	assert.Assert(t, strings.Contains(p.Stderr(), `field "zone": missing`), p.Stderr())
 }
+
+// TestTakenAddressIsNamed runs a daemon on an address that something listens on.
+func TestTakenAddressIsNamed(t *testing.T) {
+	bin, err := cluster.Programs()
+	assert.NilError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	address := ln.Addr().String()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	assert.NilError(t, os.WriteFile(file, []byte(`{"table_address": "`+address+`"}`), 0o600))
+	p := &cluster.Process{Name: "standin", Path: filepath.Join(bin, cluster.ProgramStandIn), Args: []string{"--settings", file}}
+	code, err := p.Run()
+	assert.NilError(t, err)
+	assert.Equal(t, code, 1)
+	assert.Assert(t, strings.Contains(p.Stderr(), address), p.Stderr())
+}
