A pool in one availability zone is not spread over zones

Loads cost moves, and each makes the entries fetch an inventory. Ruled out: leaving the reason out where the pool has one zone, which misses a second zone that is full. Change: for this reason only servers in a zone without the model are options. The test fails on the old code (2 moves for 2 models, want 0).

--- a/placement/place.go
+++ b/placement/place.go
@@ -20,6 +20,9 @@
 	evict := reason != ReasonZones
 	best := option{worker: -1}
 	for n := range p.workers {
+		if reason == ReasonZones && p.zoneCount(i, p.workers[n].Zone) > 0 {
+			continue
+		}
 		o, ok := p.option(i, n, room, evict)
 		if ok && (best.worker < 0 || p.better(i, o, best, reason)) {
 			best = o
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -193,3 +193,14 @@
 		}
 	})
 }
+
+// TestOneZoneIsNotSpread has a pool in one availability zone, where a further
+// replica cannot bring another zone.
+func TestOneZoneIsNotSpread(t *testing.T) {
+	cell := Cell{Items: []Item{item("a", "1", 10), item("b", "1", 10)}, Workers: workers(4, 1000)}
+	for n := range cell.Workers {
+		cell.Workers[n].Zone = "only"
+	}
+	cell = carryOut(t, cell, Plan(cell, nil, DefaultWeights, planTime))
+	assert.Equal(t, len(Plan(cell, nil, DefaultWeights, planTime)), 0)
+}
