Control windows of models begin after the first loads

The first windows at 400 and 1,900 models measured the loads that make every model resident, not the idle state. Ruled out: waiting for an entry's word that its plan is done; it has none. The windows begin 20 s after the start.

--- a/cmd/peridotchute-load/control/command.go
+++ b/cmd/peridotchute-load/control/command.go
@@ -45,7 +45,7 @@
 
 // limit bounds the whole run.
 func (o Options) limit() time.Duration {
-	const setUp = 2 * time.Minute
+	const setUp = 3 * time.Minute
 	points := len(o.Sides) + len(o.Entries) + len(o.Models)
 	return time.Duration(points) * (setUp + 4*time.Duration(o.Repeats)*o.Window)
 }
--- a/cmd/peridotchute-load/control/run.go
+++ b/cmd/peridotchute-load/control/run.go
@@ -66,7 +66,7 @@
 
 func (r *results) varySides(ctx context.Context, o Options) error {
 	for i, n := range o.Sides {
-		err := withCluster(ctx, cluster.Options{Entries: 1, Sides: n}, func(c *cluster.Cluster) error {
+		err := withCluster(ctx, cluster.Options{Entries: 1, Sides: n}, settle, func(c *cluster.Cluster) error {
 			if err := repeat(o, c, float64(n), &r.sides, idle(ctx, o.Window)); err != nil {
 				return err
 			}
@@ -104,7 +104,7 @@
 
 func (r *results) varyEntries(ctx context.Context, o Options) error {
 	for _, n := range o.Entries {
-		err := withCluster(ctx, cluster.Options{Entries: n, Sides: sidesBeforeEntries}, func(c *cluster.Cluster) error {
+		err := withCluster(ctx, cluster.Options{Entries: n, Sides: sidesBeforeEntries}, settle, func(c *cluster.Cluster) error {
 			return repeat(o, c, float64(n), &r.entries, idle(ctx, o.Window))
 		})
 		if err != nil {
@@ -117,7 +117,7 @@
 func (r *results) varyModels(ctx context.Context, o Options) error {
 	for _, n := range o.Models {
 		declared := declare(n)
-		err := withCluster(ctx, cluster.Options{Entries: 1, Sides: sidesOfModels, Config: declared}, func(c *cluster.Cluster) error {
+		err := withCluster(ctx, cluster.Options{Entries: 1, Sides: sidesOfModels, Config: declared}, settleModels, func(c *cluster.Cluster) error {
 			if err := repeat(o, c, float64(n), &r.models, idle(ctx, o.Window)); err != nil {
 				return err
 			}
@@ -133,7 +133,7 @@
 // varyMoves has side processes load models that they do not hold.
 func (r *results) varyMoves(ctx context.Context, o Options) error {
 	declared := declare(modelsOfMoves)
-	return withCluster(ctx, cluster.Options{Entries: 2, Sides: sidesOfModels, Config: declared}, func(c *cluster.Cluster) error {
+	return withCluster(ctx, cluster.Options{Entries: 2, Sides: sidesOfModels, Config: declared}, settleModels, func(c *cluster.Cluster) error {
 		if err := repeat(o, c, 0, &r.moves, idle(ctx, o.Window)); err != nil {
 			return err
 		}
--- a/cmd/peridotchute-load/control/window.go
+++ b/cmd/peridotchute-load/control/window.go
@@ -27,8 +27,11 @@
 
 const megabyte = 1 << 20
 
-// settle is the time between the start of a cluster and its first window.
-const settle = 3 * time.Second
+// Time between the start of a cluster and its first window.
+const (
+	settle       = 3 * time.Second
+	settleModels = 20 * time.Second // covers the loads that make every model resident
+)
 
 type snapshot struct {
 	entries, sides []procstat.Sample
@@ -115,7 +118,7 @@
 }
 
 // withCluster runs f on a cluster that has settled.
-func withCluster(ctx context.Context, o cluster.Options, f func(*cluster.Cluster) error) (err error) {
+func withCluster(ctx context.Context, o cluster.Options, wait time.Duration, f func(*cluster.Cluster) error) (err error) {
 	o.EditEntry = func(_ int, s *entry.Settings) { s.VMList.IntervalMS = 0 } // the default
 	c, err := cluster.New(o)
 	if c != nil {
@@ -124,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	if err := idle(ctx, settle)(); err != nil {
+	if err := idle(ctx, wait)(); err != nil {
 		return err
 	}
 	return f(c)
