Late work settled as not run is run

A job whose action became unresolved was ended for good: when an operator found that the action had not taken effect and settled it so, the job was never run, and its caller read 502 for ever.

--- a/entry/job/job.go
+++ b/entry/job/job.go
@@ -68,8 +68,10 @@
 	maxRowAnswer = 128 << 10
 )
 
-// ended reports whether the job needs no further try.
-func (r Record) ended() bool { return r.State == StateDone || r.State == StateUnresolved }
+// ended reports whether the job needs no further try. An unresolved job is
+// tried again: that runs nothing until an operator has settled its action, and
+// then brings the answer, or runs the work that did not take effect.
+func (r Record) ended() bool { return r.State == StateDone }
 
 func shardName(n int) string { return fmt.Sprintf("%02x", n) }
 
--- a/integration/settle_test.go
+++ b/integration/settle_test.go
@@ -52,14 +52,50 @@
 	assert.Equal(t, len(calls(t, c, "did-not")), 2, "an action settled as not run may run again")
 }
 
-// unresolvedAre reports an error unless the list has n actions.
-func unresolvedAre(s *shell, e *cluster.Entry, n int) error {
+// TestSettledJobIsRunAgain loses late work that is not idempotent: once an
+// operator has found that it did not take effect, it is run.
+func TestSettledJobIsRunAgain(t *testing.T) {
+	s := newShell(t)
+	c := cluster.Start(t, cluster.Options{Plain: 1, EditEntry: s.edit})
+	e := c.Entry(1)
+	charged(t, c)
+	before := callsTo(t, c, "/charge")
+	behave(t, c.Plain(1), plain.Behaviour{DelayMS: 2000})
+	accepted := later(t, e, chargePath, "k", "x")
+	assert.Equal(t, accepted.StatusCode, http.StatusAccepted, accepted.body)
+	cluster.Eventually(t, func() error {
+		if n := callsTo(t, c, "/charge"); n != before+1 {
+			return fmt.Errorf("%d charges", n)
+		}
+		return nil
+	})
+	assert.NilError(t, c.Plain(1).Restart())
+	behave(t, c.Plain(1), plain.Behaviour{})
+	lost := jobResult(t, e, accepted.Header.Get("Location"))
+	assert.Equal(t, lost.outcome(), wire.OutcomeUnknown, lost.body)
+	list := unresolvedOf(s, e)
+	assert.Equal(t, len(list.Actions), 1)
+	s.must(cli.ExitOK, e, acceptorKey, "settle", "sample", list.Actions[0].Key, "--not-run", "--note", "not in the bank's list")
+	cluster.Eventually(t, func() error {
+		if a := jobResult(t, e, accepted.Header.Get("Location")); a.StatusCode != http.StatusOK {
+			return fmt.Errorf("%d %s", a.StatusCode, a.body)
+		}
+		return nil
+	})
+	assert.Equal(t, len(unresolvedOf(s, e).Actions), 0)
+}
+
+func unresolvedOf(s *shell, e *cluster.Entry) api.UnresolvedList {
+	s.t.Helper()
 	r := s.must(cli.ExitOK, e, plannerKey, "unresolved", "-o", "json")
 	var list api.UnresolvedList
-	if err := json.Unmarshal([]byte(r.stdout), &list); err != nil {
-		return err
-	}
-	if len(list.Actions) != n {
+	assert.NilError(s.t, json.Unmarshal([]byte(r.stdout), &list))
+	return list
+}
+
+// unresolvedAre reports an error unless the list has n actions.
+func unresolvedAre(s *shell, e *cluster.Entry, n int) error {
+	if list := unresolvedOf(s, e); len(list.Actions) != n {
 		return fmt.Errorf("unresolved: %+v", list.Actions)
 	}
 	return nil
