--- a/cmd/peridotchute-load/replay/place.go
+++ b/cmd/peridotchute-load/replay/place.go
@@ -27,15 +27,11 @@
 // place loads the first placement. The static policy knows the demand before
 // the shift; every other policy begins with equal shares.
 func (r *run) place(ctx context.Context) error {
-	peers, err := r.dial(ctx)
-	defer func() {
-		for _, p := range peers {
-			_ = p.Close()
-		}
-	}()
+	peers, err := r.dial()
 	if err != nil {
 		return err
 	}
+	defer peers.close()
 	for _, kind := range []wire.ArtifactKind{wire.KindModel, wire.KindAdapter} {
 		want := r.firstPlacement(kind)
 		if err := r.order(ctx, peers, want); err != nil {
@@ -45,7 +41,37 @@
 	return nil
 }
 
-func (r *run) dial(ctx context.Context) ([]*rpc.Peer, error) {
+// peers are the control connections to the side processes, opened when needed.
+type peers struct {
+	local    rpc.Local
+	handlers *rpc.Handlers
+	open     map[string]*rpc.Peer // by address
+}
+
+// to returns a connection to the side process, a new one when the last has ended.
+func (p *peers) to(ctx context.Context, s *cluster.Side) (*rpc.Peer, error) {
+	address := s.Settings.RPCAddress
+	if peer, ok := p.open[address]; ok {
+		select {
+		case <-peer.Done():
+		default:
+			return peer, nil
+		}
+	}
+	peer, err := rpc.Dial(ctx, address, p.local, p.handlers)
+	if err == nil {
+		p.open[address] = peer
+	}
+	return peer, err
+}
+
+func (p *peers) close() {
+	for _, peer := range p.open {
+		_ = peer.Close()
+	}
+}
+
+func (r *run) dial() (*peers, error) {
 	key, err := os.ReadFile(r.cluster.Side(1).Settings.DeploymentKeyFile)
 	if err != nil {
 		return nil, err
@@ -58,28 +84,20 @@
 	rpc.Handle(handlers, rpc.MethodOffer, func(_ context.Context, _ *rpc.Peer, o rpc.Offer) (rpc.OfferReply, error) {
 		return rpc.OfferReply(o), nil
 	})
-	var peers []*rpc.Peer
-	for _, s := range r.cluster.Sides() {
-		p, err := rpc.Dial(ctx, s.Settings.RPCAddress, local, handlers)
-		if err != nil {
-			return peers, err
-		}
-		peers = append(peers, p)
-	}
-	return peers, nil
+	return &peers{local: local, handlers: handlers, open: map[string]*rpc.Peer{}}, nil
 }
 
 // order has each side process load its artifacts and waits until it holds them.
-func (r *run) order(ctx context.Context, peers []*rpc.Peer, want map[string][]wire.Artifact) error {
-	for i, s := range r.cluster.Sides() {
+func (r *run) order(ctx context.Context, peers *peers, want map[string][]wire.Artifact) error {
+	for _, s := range r.cluster.Sides() {
 		for _, a := range want[s.Name] {
-			if err := r.orderOne(ctx, peers[i], a); err != nil {
+			if err := r.orderOne(ctx, peers, s, a); err != nil {
 				return err
 			}
 		}
 	}
-	for i, s := range r.cluster.Sides() {
-		if err := cluster.Await(func() error { return holds(ctx, peers[i], want[s.Name]) }); err != nil {
+	for _, s := range r.cluster.Sides() {
+		if err := cluster.Await(func() error { return holds(ctx, peers, s, want[s.Name]) }); err != nil {
 			return fmt.Errorf("%s: %w", s.Name, err)
 		}
 	}
@@ -88,8 +106,12 @@
 
 // orderOne gives the order until it is taken; a side process refuses loads
 // until it knows its engine and the configuration.
-func (r *run) orderOne(ctx context.Context, p *rpc.Peer, a wire.Artifact) error {
+func (r *run) orderOne(ctx context.Context, peers *peers, s *cluster.Side, a wire.Artifact) error {
 	return cluster.Await(func() error {
+		p, err := peers.to(ctx, s)
+		if err != nil {
+			return err
+		}
 		inv, err := rpc.Call[rpc.InventoryQuery, rpc.InventoryReply](ctx, p, rpc.MethodInventory, rpc.InventoryQuery{})
 		if err != nil || inv.FreeBytes == 0 || inv.ConfigVersion == 0 {
 			return errors.Join(err, errors.New("side process is not ready for orders"))
@@ -105,7 +127,11 @@
 	})
 }
 
-func holds(ctx context.Context, p *rpc.Peer, want []wire.Artifact) error {
+func holds(ctx context.Context, peers *peers, s *cluster.Side, want []wire.Artifact) error {
+	p, err := peers.to(ctx, s)
+	if err != nil {
+		return err
+	}
 	inv, err := rpc.Call[rpc.InventoryQuery, rpc.InventoryReply](ctx, p, rpc.MethodInventory, rpc.InventoryQuery{})
 	if err != nil {
 		return err
@@ -157,9 +183,10 @@
 	for _, a := range r.declared.Adapters {
 		cell.Items = append(cell.Items, placement.Item{Artifact: a.Artifact(), Base: bases[a.Model], Pool: pool, Bytes: a.MemoryBytes})
 	}
-	for _, s := range r.cluster.Sides() {
+	for i := range r.deployment.Workers {
+		zone := r.deployment.Zones[i%len(r.deployment.Zones)]
 		cell.Workers = append(cell.Workers, placement.Worker{
-			Name: s.Name, Zone: s.Settings.Zone, Pool: pool, Serving: true,
+			Name: fmt.Sprintf("side-%d", i+1), Zone: zone, Pool: pool, Serving: true,
 			MemoryBytes: r.deployment.WorkerBytes, FreeBytes: r.deployment.WorkerBytes,
 		})
 	}
--- a/cmd/peridotchute-load/replay/run.go
+++ b/cmd/peridotchute-load/replay/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
 	"peridotchute.example/entry"
 	"peridotchute.example/integration/cluster"
@@ -119,11 +120,20 @@
 		ConcurrentLoads: d.ConcurrentLoads,
 		ModelMS:         int(d.ModelLoad.Milliseconds()),
 		AdapterLoads:    d.AdapterLoads,
+		FreeModels:      placedModels(r.firstPlacement(wire.KindModel)),
 		AdapterMS:       int(d.AdapterLoad.Milliseconds()),
 		TimeScale:       r.opts.Scale,
 	}
 }
 
+func placedModels(byWorker map[string][]wire.Artifact) int {
+	n := 0
+	for _, list := range byWorker {
+		n += len(list)
+	}
+	return n
+}
+
 func (r *run) callerAddresses() []string {
 	var out []string
 	for _, e := range r.cluster.Entries() {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -70,7 +70,7 @@
 	ModelLoad:      8 * time.Second,
 	AdapterLoad:    30 * time.Millisecond,
 	Eviction:       4 * time.Second,
-	Move:           100 * time.Millisecond,
+	Move:           time.Second,
 	OtherZone:      2 * time.Millisecond,
 	OtherRegion:    150 * time.Millisecond,
 	SlowStart:      10 * time.Second,
--- a/standin/server/module.go
+++ b/standin/server/module.go
@@ -70,6 +70,7 @@
 		ConcurrentLoads: w.ConcurrentLoads,
 		ModelTime:       time.Duration(w.ModelMS) * time.Millisecond,
 		AdapterLoads:    w.AdapterLoads,
+		FreeModels:      w.FreeModels,
 		AdapterTime:     time.Duration(w.AdapterMS) * time.Millisecond,
 		TimeScale:       w.TimeScale,
 	}
--- a/standin/server/settings.go
+++ b/standin/server/settings.go
@@ -21,6 +21,7 @@
 	ModelMS         int     `json:"model_ms,omitempty" validate:"gte=0"`         // one model at full speed
 	AdapterLoads    int     `json:"adapter_loads,omitempty" validate:"gte=0"`    // adapters at full speed
 	AdapterMS       int     `json:"adapter_ms,omitempty" validate:"gte=0"`       // one adapter at full speed
+	FreeModels      int     `json:"free_models,omitempty" validate:"gte=0"`      // models served at once before the limits begin to count
 	TimeScale       float64 `json:"time_scale,omitempty" validate:"gte=0"`       // 1 is real time; 0 means no delays
 }
 
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -24,12 +24,14 @@
 	ModelTime       time.Duration // one model at full speed
 	AdapterLoads    int           // adapters at full speed at once; 0 means no limit
 	AdapterTime     time.Duration // one adapter at full speed
+	FreeModels      int           // models served at once before the limits begin to count
 	TimeScale       float64       // 1 is real time, smaller is faster, 0 means no delays
 }
 
 // Counts is what the store has served.
 type Counts struct {
 	Models       int `json:"models"`
+	Free         int `json:"free"` // models served before the limits counted
 	Adapters     int `json:"adapters"`
 	PeakModels   int `json:"peak_models"`
 	PeakAdapters int `json:"peak_adapters"`
@@ -89,12 +91,26 @@
 	if a.Kind == wire.KindAdapter {
 		return s.transfer(ctx, &s.adapters, s.opts.AdapterLoads, s.opts.AdapterTime)
 	}
+	if s.free() {
+		return nil
+	}
 	if err := s.limiter.Wait(ctx); err != nil {
 		return err
 	}
 	return s.transfer(ctx, &s.models, s.opts.ConcurrentLoads, s.opts.ModelTime)
 }
 
+// free counts a model that is served at once, while any are left.
+func (s *Store) free() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts.Free >= s.opts.FreeModels {
+		return false
+	}
+	s.counts.Free++
+	return true
+}
+
 // transfer takes full, or longer in proportion when more than knee are in flight.
 func (s *Store) transfer(ctx context.Context, inFlight *int, knee int, full time.Duration) error {
 	s.mu.Lock()
