A caller's very long timeout does not overflow into the past

X-Request-Timeout-Ms was multiplied without a bound, so the largest number gave a deadline that had passed and 504 at once.

--- a/entry/caller/body_test.go
+++ b/entry/caller/body_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -36,6 +39,26 @@
 	}
 }
 
+func TestDeadlineIsInTheFuture(t *testing.T) {
+	tests := []struct {
+		header string
+		want   time.Duration
+	}{
+		{"", config.DefaultDeadline},
+		{"1500", 1500 * time.Millisecond},
+		{"-1", config.DefaultDeadline},
+		{"soon", config.DefaultDeadline},
+		{"9223372036854775807", longestWait},
+	}
+	for _, tc := range tests {
+		r := httptest.NewRequest(http.MethodPost, "/", nil)
+		r.Header.Set(headerTimeout, tc.header)
+		before := time.Now()
+		got := deadline(r, config.Policy{})
+		assert.Assert(t, !got.Before(before.Add(tc.want)) && !got.After(time.Now().Add(tc.want)), "%q: %v", tc.header, got.Sub(before))
+	}
+}
+
 func FuzzInferenceBody(f *testing.F) {
 	f.Add([]byte(`{"model": "a", "MODEL": "b", "stream": true, "messages": [], "tools": [{"function": {"name": "n"}}]}`))
 	f.Add([]byte(`{"prompt": "p", "functions": [{"name": null}], "tools": [null, {}]}`))
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -38,6 +38,7 @@
 	codeBadHeader    = "invalid_header"
 	codeReadFailed   = "body_unreadable"
 	notReadyRetry    = 2 * time.Second
+	longestWait      = 24 * time.Hour // that a caller may ask for
 	bearerPrefix     = "Bearer "
 	maxRequestIDSize = 128
 )
@@ -187,8 +188,8 @@
 // deadline returns when the caller gives up, by its own header or the default.
 func deadline(r *http.Request, p config.Policy) time.Time {
 	wait := p.Deadline()
-	if ms, err := strconv.Atoi(r.Header.Get(headerTimeout)); err == nil && ms > 0 {
-		wait = time.Duration(ms) * time.Millisecond
+	if ms, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 64); err == nil && ms > 0 {
+		wait = time.Duration(min(ms, longestWait.Milliseconds())) * time.Millisecond
 	}
 	return time.Now().Add(wait)
 }
--- a/integration/settle_test.go
+++ b/integration/settle_test.go
@@ -55,6 +55,7 @@
 // TestSettledJobIsRunAgain loses late work that is not idempotent: once an
 // operator has found that it did not take effect, it is run.
 func TestSettledJobIsRunAgain(t *testing.T) {
+	t.Parallel()
 	s := newShell(t)
 	c := cluster.Start(t, cluster.Options{Plain: 1, EditEntry: s.edit})
 	e := c.Entry(1)
