Shards of a dead entry are scanned by the next ones

Cause: TestJobOutlivesItsEntry failed once in three runs: the killed entry stays in the VM list as live, and a job in one of its shards was never taken over. The reconciler of actions had the same gap. Ruled out: heartbeat rows (38 writes and 150 reads a second at 380 entries). Change: the second and third entries in a shard's order scan it at every second and fourth turn. The test of the division is replaced: every shard has one entry of each rank, and an entry that leaves pushes nobody back.

--- a/entry/action/action_test.go
+++ b/entry/action/action_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -223,14 +224,31 @@
 }
 
 func TestShardsAreDividedAmongEntries(t *testing.T) {
-	entries := []string{"e0", "e1", "e2"}
-	owned := map[string]int{}
-	for _, shard := range []string{"00", "01", "02", "03", "04", "05", "06", "07", "08", "09", "0a", "0b", "0c", "0d", "0e", "0f"} {
-		owned[owner(shard, entries)]++
-		with := owner(shard, entries[:2])
-		if o := owner(shard, entries); o != "e2" {
-			assert.Equal(t, o, with, "a shard moved between entries that stayed")
+	entries := []string{"e0", "e1", "e2", "e3"}
+	firsts := map[string]int{}
+	for n := range shardCount {
+		shard := fmt.Sprintf("%02x", n)
+		ranks := map[int]string{}
+		for _, e := range entries {
+			ranks[rank(e, shard, entries)] = e
+		}
+		assert.Equal(t, len(ranks), len(entries), "two entries have one rank in shard %s", shard)
+		firsts[ranks[0]]++
+		for _, e := range entries[:3] {
+			assert.Assert(t, rank(e, shard, entries[:3]) <= rank(e, shard, entries), "an entry that left pushed %s back", e)
+		}
+	}
+	assert.Equal(t, len(firsts), len(entries))
+}
+
+func TestShardOfADeadEntryIsScanned(t *testing.T) {
+	turns := map[int]int{}
+	for turn := range 18 {
+		for r := range 5 {
+			if due(r, turn) {
+				turns[r]++
+			}
 		}
 	}
-	assert.Equal(t, len(owned), 3)
+	assert.DeepEqual(t, turns, map[int]int{0: 18, 1: 9, 2: 5})
 }
--- a/entry/action/reconcile.go
+++ b/entry/action/reconcile.go
@@ -21,18 +21,25 @@
 	openAge      = 15 * time.Second // how long a claim may stay open before it is looked at
 	expiryMargin = time.Minute      // allowed difference of two clocks
 	roleEntry    = "entry"
+	// standIns is how many entries besides its first one look after a shard,
+	// each standInTurns times less often than the one before it.
+	standIns     = 2
+	standInTurns = 2
+	forgetAfter  = 10 * time.Minute // an open claim that no scan meets any more
 )
 
 // Reconciler settles the claims that entries left open and removes rows whose
-// retention is over. Each entry scans its own shards, by rendezvous hashing
-// over the entries in the VM list; two entries that see different lists may
-// both scan a shard, which the state machine allows.
+// retention is over. Entries divide the shards by rendezvous hashing over the
+// VM list. The list may show an entry that is dead, so the next ones in a
+// shard's order scan it too, less often; several may scan a shard at once,
+// which the state machine allows.
 type Reconciler struct {
 	runner *Runner
 	vms    platform.VMs
 	self   string
 	log    logrus.FieldLogger
 	seen   map[string]sighting // open claims by row key
+	turn   int                 // scans so far
 }
 
 // sighting is an open claim and when this entry first saw it, by its own clock.
@@ -64,7 +71,8 @@
 
 // Scan goes once through the shards of this entry.
 func (r *Reconciler) Scan(ctx context.Context, now time.Time) {
-	owns := r.Owns(ctx)
+	owns := r.Owns(ctx, r.turn)
+	r.turn++
 	for shard := range shardCount {
 		name := fmt.Sprintf("%02x", shard)
 		if !owns(name) {
@@ -76,16 +84,39 @@
 		}
 	}
 	for key, s := range r.seen {
-		if s.last.Before(now) {
+		if now.Sub(s.last) > forgetAfter {
 			delete(r.seen, key)
 		}
 	}
 }
 
-// Owns returns which shards this entry scans, by the VM list as it is now.
-func (r *Reconciler) Owns(ctx context.Context) func(shard string) bool {
+// Owns returns which shards this entry scans at a turn, by the VM list as it
+// is now. Turns count from 0.
+func (r *Reconciler) Owns(ctx context.Context, turn int) func(shard string) bool {
 	entries := r.entries(ctx)
-	return func(shard string) bool { return owner(shard, entries) == r.self }
+	return func(shard string) bool { return due(rank(r.self, shard, entries), turn) }
+}
+
+// due reports whether the entry with this rank scans a shard at this turn.
+func due(rank, turn int) bool {
+	every := 1
+	for range rank {
+		every *= standInTurns
+	}
+	return rank <= standIns && turn%every == 0
+}
+
+// rank returns how many entries come before self in the order of a shard.
+func rank(self, shard string, entries []string) int {
+	own := xxhash.Sum64String(shard + "/" + self)
+	n := 0
+	for _, e := range entries {
+		h := xxhash.Sum64String(shard + "/" + e)
+		if h > own || h == own && e < self {
+			n++
+		}
+	}
+	return n
 }
 
 // entries returns the names of the live entries. This entry is always one.
@@ -103,17 +134,6 @@
 	return names
 }
 
-// owner returns the entry with the highest hash for the shard.
-func owner(shard string, entries []string) string {
-	best, highest := "", uint64(0)
-	for _, e := range entries {
-		if h := xxhash.Sum64String(shard + "/" + e); best == "" || h > highest {
-			best, highest = e, h
-		}
-	}
-	return best
-}
-
 func (r *Reconciler) scanShard(ctx context.Context, shard string, now time.Time) error {
 	prefix := actionPrefix + shard + "/"
 	after := ""
--- a/entry/job/scan.go
+++ b/entry/job/scan.go
@@ -17,9 +17,13 @@
 	last    time.Time // start of the last scan that met it
 }
 
+// forgetAfter is when a job that no scan meets any more is forgotten.
+const forgetAfter = 10 * time.Minute
+
 // scanner finds the jobs that nobody runs.
 type scanner struct {
 	server *Server
+	turn   int // scans so far
 	seen   map[string]sighting
 }
 
@@ -39,7 +43,8 @@
 }
 
 func (c *scanner) scan(ctx context.Context, now time.Time) {
-	owns := c.server.opts.Owns(ctx)
+	owns := c.server.opts.Owns(ctx, c.turn)
+	c.turn++
 	for n := range shardCount {
 		shard := shardName(n)
 		if !owns(shard) {
@@ -51,7 +56,7 @@
 		}
 	}
 	for key, s := range c.seen {
-		if s.last.Before(now) {
+		if now.Sub(s.last) > forgetAfter {
 			delete(c.seen, key)
 		}
 	}
--- a/entry/job/worker.go
+++ b/entry/job/worker.go
@@ -39,9 +39,9 @@
 	Entry   string // name of this entry
 	Table   platform.Table
 	Holder  *config.Holder
-	Backend Backend                                                  // idempotent work
-	Actions Backend                                                  // non-idempotent work
-	Owns    func(ctx context.Context) (owns func(shard string) bool) // the shards that this entry scans now
+	Backend Backend                                                            // idempotent work
+	Actions Backend                                                            // non-idempotent work
+	Owns    func(ctx context.Context, turn int) (owns func(shard string) bool) // the shards that this entry scans at a turn, from 0
 	Log     logrus.FieldLogger
 }
 
