--- a/entry/adminapi/cli_test.go
+++ b/entry/adminapi/cli_test.go
@@ -141,6 +141,8 @@
 assert acceptor.accept(plan["digest"])["version"] == 1
 assert acceptor.accept(plan["digest"])["version"] == 1
 assert reader.status()["version"] == 1
+assert reader.follow(0) == []
+assert reader.follow(1, timeout=0.1) == ["entry-1"]
 edit = p.Declaration(reader.configuration())
 edit.model("fly", version="2", pool="gpu", memory_bytes=30)
 second = planner.plan(edit)
