--- /dev/null
+++ b/side/permit/permit_test.go
@@ -0,0 +1,110 @@
+package permit
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/config"
+	"peridotchute.example/platform"
+	"peridotchute.example/standin/faults"
+	"peridotchute.example/standin/table"
+)
+
+func newTestPermits(t *testing.T, server *table.Server, policy config.Policy) *Permits {
+	t.Helper()
+	s := httptest.NewServer(server)
+	t.Cleanup(s.Close)
+	holder := config.NewHolder()
+	holder.Offer(&config.Configuration{Version: 1, Policy: policy})
+	return New(Options{Table: platform.NewTable(platform.TableSettings{URL: s.URL, Name: "t"}), Holder: holder, Name: "vm", Log: logrus.New()})
+}
+
+func TestNoMoreLoadsThanPermits(t *testing.T) {
+	server := table.New()
+	policy := config.Policy{ConcurrentLoads: 3}
+	var mu sync.Mutex
+	loading, most := 0, 0
+	var group sync.WaitGroup
+	for range 4 {
+		p := newTestPermits(t, server, policy)
+		group.Go(func() {
+			for range 4 {
+				release, err := p.Take(context.Background(), wire.KindModel)
+				assert.Check(t, err)
+				mu.Lock()
+				loading++
+				most = max(most, loading)
+				mu.Unlock()
+				time.Sleep(time.Millisecond)
+				mu.Lock()
+				loading--
+				mu.Unlock()
+				release()
+			}
+		})
+	}
+	group.Wait()
+	assert.Assert(t, most <= 3 && most > 0, "%d at once", most)
+}
+
+func TestLostAnswerOfATakingIsReadBack(t *testing.T) {
+	server := table.New()
+	p := newTestPermits(t, server, config.Policy{ConcurrentLoads: 1})
+	server.Set(faults.Settings{LoseNext: 1, Match: "PutItem"})
+	release, err := p.Take(context.Background(), wire.KindModel)
+	assert.NilError(t, err)
+	row, err := p.tryRows(context.Background(), 1)
+	assert.NilError(t, err)
+	assert.Assert(t, row == nil, "the row is taken")
+	release()
+}
+
+func TestLoadsGoOnWithoutTheTable(t *testing.T) {
+	server := table.New()
+	server.Set(faults.Settings{Down: true})
+	p := newTestPermits(t, server, config.Policy{ConcurrentLoads: 1, LoadsPerSecond: 1000})
+	release, err := p.Take(context.Background(), wire.KindModel)
+	assert.NilError(t, err)
+	release()
+}
+
+func TestRowOfADeadHolderIsFreeAfterItsLease(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := sightings{}
+	rows := []platform.Row{{Key: rowKey(0), Version: "1", Value: []byte(`{"holder":"a","token":"x"}`)}}
+	assert.Equal(t, len(s.free(rows, 1, now)), 0)
+	assert.Equal(t, len(s.free(rows, 1, now.Add(lease-1))), 0)
+	assert.Equal(t, len(s.free(rows, 1, now.Add(lease))), 1)
+	rows[0].Version = "2"
+	assert.Equal(t, len(s.free(rows, 1, now.Add(lease))), 0, "a new taking has a new lease")
+	assert.Equal(t, len(s.free(rows, 2, now.Add(lease))), 1, "an absent row is free")
+}
+
+func TestRowsTogetherKeepTheRate(t *testing.T) {
+	assert.Equal(t, hold(config.Policy{ConcurrentLoads: 10, LoadsPerSecond: 2}), 5*time.Second)
+	assert.Equal(t, hold(config.Policy{ConcurrentLoads: 10}), time.Duration(0))
+}
+
+func TestAdaptersShareTheirLoads(t *testing.T) {
+	p := newTestPermits(t, table.New(), config.Policy{AdapterLoads: 90})
+	p.Learn(45)
+	ctx := context.Background()
+	release, err := p.Take(ctx, wire.KindAdapter)
+	assert.NilError(t, err)
+	_, err = p.Take(ctx, wire.KindAdapter)
+	assert.NilError(t, err)
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err = p.Take(ended, wire.KindAdapter)
+	assert.ErrorContains(t, err, "canceled")
+	release()
+	_, err = p.Take(ctx, wire.KindAdapter)
+	assert.NilError(t, err)
+}
