Load permits share the weight store among the side processes

Cause: concurrent_loads and adapter_loads were declared and no decision used them; loads on demand of many servers at once passed the store's rate. Change: side/permit takes one of concurrent_loads rows for a model's load and keeps it long enough that all rows together hold the rate; adapters have a share at each process; with the table down loads are spread at random. The entry's hello tells a side process how many backend servers there are. Ruled out: fixed shares, a counter in one row, permits from the plan holder, a rotation by clocks (docs/design/policy.md).

--- a/cmd/peridotchute/dev/dev.go
+++ b/cmd/peridotchute/dev/dev.go
@@ -139,15 +139,20 @@
 	}}
 	for i, e := range l.standIns.Engines {
 		backend := side.BackendSetting{Kind: "engine", URL: "http://" + e.Address, MemoryBytes: engineMemory, SettleMS: settleMS}
-		l.sides = append(l.sides, sideSettings(fmt.Sprintf("assistant-%d", i+1), "assistant", keyFile, backend, next))
+		l.sides = append(l.sides, l.sideSettings(fmt.Sprintf("assistant-%d", i+1), "assistant", keyFile, backend, next))
 	}
 	plain := side.BackendSetting{Kind: "plain", URL: "http://" + l.standIns.Plain[0].Address}
-	l.sides = append(l.sides, sideSettings("till-1", "till", keyFile, plain, next))
+	l.sides = append(l.sides, l.sideSettings("till-1", "till", keyFile, plain, next))
 	l.entry = l.entrySettings(keyFile, next())
 	return l, nil
 }
 
-func sideSettings(name, pool, keyFile string, backend side.BackendSetting, next func() string) side.Settings {
+func (l *layout) table() platform.TableSettings {
+	return platform.TableSettings{URL: "http://" + l.standIns.TableAddress, Name: tableName}
+}
+
+func (l *layout) sideSettings(name, pool, keyFile string, backend side.BackendSetting, next func() string) side.Settings {
+	table := l.table()
 	return side.Settings{
 		Name:              name,
 		Region:            region,
@@ -158,6 +163,7 @@
 		AdminAddress:      next(),
 		DeploymentKeyFile: keyFile,
 		Backend:           backend,
+		Table:             &table,
 	}
 }
 
@@ -170,7 +176,7 @@
 		AdminAddress:      adminAddress,
 		RPCAddress:        rpcAddress,
 		DeploymentKeyFile: keyFile,
-		Table:             platform.TableSettings{URL: "http://" + l.standIns.TableAddress, Name: tableName},
+		Table:             l.table(),
 		Objects:           platform.ObjectSettings{URL: "http://" + l.standIns.ObjectAddress, Bucket: bucket},
 		VMList:            platform.VMSettings{URL: "http://" + l.standIns.VMListAddress, IntervalMS: 1000},
 	}
--- a/config/inert.go
+++ b/config/inert.go
@@ -21,7 +21,5 @@
 	add("pools.fencing (side processes have a setting of their own)", fencing)
 	add("models.target.token_ms", tokenTarget)
 	add("regions.store", hasStore(c))
-	add("policy.concurrent_loads", c.Policy.ConcurrentLoads > 0)
-	add("policy.adapter_loads", c.Policy.AdapterLoads > 0)
 	return out
 }
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -75,6 +75,7 @@
 		prefixes: routing.NewPrefixIndex(prefixBlocks),
 		life:     context.Background(),
 	}
+	p.opts.Local.Servers = p.count
 	rpc.Handle(opts.Handlers, rpc.MethodReport, p.onReport)
 	return p
 }
@@ -98,6 +99,13 @@
 	}
 }
 
+// count returns the number of known backend servers.
+func (p *Pool) count() int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return len(p.servers)
+}
+
 // Listed reports whether the VM list was read at least once.
 func (p *Pool) Listed() bool {
 	p.mu.RLock()
--- a/integration/cluster/describe.go
+++ b/integration/cluster/describe.go
@@ -112,6 +112,10 @@
 		if err := c.link(&s.Settings.Backend.URL, s.Name, Backend, s.backend); err != nil {
 			return err
 		}
+		s.Settings.Table = &platform.TableSettings{Name: tableName}
+		if err := c.link(&s.Settings.Table.URL, s.Name, Table, c.StandIn.Settings.TableAddress); err != nil {
+			return err
+		}
 		c.vms[s.Name] = platform.VM{
 			Name: s.Name, Role: roleBackend, Zone: s.Settings.Zone, Pool: s.Settings.Pool, State: platform.VMLive,
 			DataAddress: s.Settings.DataAddress, RPCAddress: s.Settings.RPCAddress,
--- a/rpc/messages.go
+++ b/rpc/messages.go
@@ -47,6 +47,7 @@
 	Identity      Identity `json:"identity"`
 	Key           string   `json:"key"`
 	ConfigVersion uint64   `json:"config_version"`
+	Servers       int      `json:"servers,omitempty"` // backend servers that the sender knows; 0 when it does not count them
 }
 
 // HelloReply answers Hello. Key proves that the listener knows it as well.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -52,6 +52,7 @@
 	Identity      Identity
 	Key           string        // deployment key
 	ConfigVersion func() uint64 // version in force now
+	Servers       func() int    // backend servers known now; nil tells none
 	TLS           *tls.Config   // nil for plain TCP
 }
 
@@ -59,6 +60,7 @@
 type Peer struct {
 	Identity Identity
 	Version  uint64 // configuration version told in its hello
+	Servers  int    // backend servers that it knew at its hello
 	conn     *jsonrpc2.Conn
 }
 
@@ -108,7 +110,7 @@
 	}
 	s := &session{local: local, handlers: handlers, dialed: true, ready: make(chan struct{})}
 	s.peer.conn = jsonrpc2.NewConn(context.Background(), stream(conn), jsonrpc2.AsyncHandler(s))
-	hello := Hello{Identity: local.Identity, Key: local.Key, ConfigVersion: local.version()}
+	hello := Hello{Identity: local.Identity, Key: local.Key, ConfigVersion: local.version(), Servers: local.servers()}
 	var reply HelloReply
 	if err := s.peer.conn.Call(ctx, MethodHello, hello, &reply); err != nil {
 		_ = s.peer.conn.Close()
@@ -140,6 +142,13 @@
 	return l.ConfigVersion()
 }
 
+func (l Local) servers() int {
+	if l.Servers == nil {
+		return 0
+	}
+	return l.Servers()
+}
+
 func sameKey(a, b string) bool {
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
@@ -233,6 +242,7 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "wrong deployment key"}
 	}
 	s.peer.conn = conn
+	s.peer.Servers = hello.Servers
 	s.admit(hello.Identity, hello.ConfigVersion)
 	if s.onPeer != nil {
 		s.onPeer(&s.peer)
--- a/side/module.go
+++ b/side/module.go
@@ -16,10 +16,12 @@
 	"peridotchute.example/config"
 	"peridotchute.example/config/spread"
 	"peridotchute.example/engine"
+	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
 	"peridotchute.example/side/action"
 	"peridotchute.example/side/gate"
 	"peridotchute.example/side/memory"
+	"peridotchute.example/side/permit"
 	"peridotchute.example/side/report"
 )
 
@@ -36,7 +38,7 @@
 	return fx.Module("side",
 		fx.Supply(s),
 		fx.Provide(
-			newKey, newLocal, newMemory, newGate, newReporter, newServer, newRegister, action.NewRunner,
+			newKey, newLocal, newPermits, newMemory, newGate, newReporter, newServer, newRegister, action.NewRunner,
 			newSpreader, config.NewHolder, rpc.NewHandlers, admin.NewServer,
 		),
 		fx.Invoke(handleControl, startControl, startListeners, announceDrain),
@@ -69,8 +71,16 @@
 	}, nil
 }
 
+func newPermits(s Settings, holder *config.Holder, log logrus.FieldLogger) *permit.Permits {
+	opts := permit.Options{Holder: holder, Name: s.Name, Log: log}
+	if s.Table != nil {
+		opts.Table = platform.NewTable(*s.Table)
+	}
+	return permit.New(opts)
+}
+
 // newMemory returns nil before plain services, which hold no artifacts.
-func newMemory(s Settings, holder *config.Holder, log logrus.FieldLogger) *memory.Memory {
+func newMemory(s Settings, holder *config.Holder, permits *permit.Permits, log logrus.FieldLogger) *memory.Memory {
 	if s.Backend.Kind != kindEngine {
 		return nil
 	}
@@ -80,6 +90,7 @@
 		Fencing:  s.Backend.Fencing,
 		Settle:   time.Duration(s.Backend.SettleMS) * time.Millisecond,
 		Holder:   holder,
+		Permits:  permits,
 		Log:      log,
 	})
 }
@@ -139,8 +150,9 @@
 	return spread.New(rpc.RoleSide, holder, handlers, log)
 }
 
-func newServer(local rpc.Local, handlers *rpc.Handlers, reporter *report.Reporter, spreader *spread.Spreader) *rpc.Server {
+func newServer(local rpc.Local, handlers *rpc.Handlers, reporter *report.Reporter, spreader *spread.Spreader, permits *permit.Permits) *rpc.Server {
 	return rpc.NewServer(local, handlers, func(p *rpc.Peer) {
+		permits.Learn(p.Servers)
 		reporter.Add(p)
 		spreader.Add(p)
 	})
