Roster without an index between two lists

A newcomer had to follow a map of indices to see which VM is asked for which member. One loop over the other entries does both.

--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -83,44 +84,38 @@
 // connection are asked, unless they have told a version as high as this one's.
 func (r *Roster) entries(ctx context.Context, versions map[string]uint64) []api.Member {
 	self := r.opts.Local.Identity
-	out := []api.Member{{Name: self.Name, Role: string(rpc.RoleEntry), Zone: self.Zone, State: stateLive, Version: versions[self.Name]}}
-	vms, err := r.opts.VMs.List(ctx)
-	if err != nil {
-		return out
-	}
+	own := versions[self.Name]
+	others := r.otherEntries(ctx)
+	out := make([]api.Member, len(others)+1)
+	out[0] = api.Member{Name: self.Name, Role: string(rpc.RoleEntry), Zone: self.Zone, State: stateLive, Version: own}
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, askAtOnce)
-	for _, vm := range vms {
-		if vm.Role != roleEntry || vm.Name == self.Name || vm.State == platform.VMLeaving {
-			continue
-		}
-		out = append(out, api.Member{Name: vm.Name, Role: string(rpc.RoleEntry), Zone: vm.Zone, State: stateLive, Version: max(versions[vm.Name], r.told(vm.Name))})
-	}
-	for i, vm := range addresses(out, vms) {
-		if out[i].Version >= versions[self.Name] {
+	for i, vm := range others {
+		m := &out[i+1]
+		*m = api.Member{Name: vm.Name, Role: string(rpc.RoleEntry), Zone: vm.Zone, State: stateLive, Version: max(versions[vm.Name], r.told(vm.Name))}
+		if m.Version >= own {
 			continue
 		}
 		wg.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			r.ask(ctx, vm.RPCAddress, &out[i])
+			r.ask(ctx, vm.RPCAddress, m)
 		})
 	}
 	wg.Wait()
 	return out
 }
 
-// addresses returns the VM of each member by the member's index.
-func addresses(members []api.Member, vms []platform.VM) map[int]platform.VM {
-	byName := make(map[string]platform.VM, len(vms))
-	for _, vm := range vms {
-		byName[vm.Name] = vm
-	}
-	out := map[int]platform.VM{}
-	for i := 1; i < len(members); i++ { // the first is this entry
-		out[i] = byName[members[i].Name]
+// otherEntries returns the entries of the VM list that stay; none when the
+// list cannot be read.
+func (r *Roster) otherEntries(ctx context.Context) []platform.VM {
+	vms, err := r.opts.VMs.List(ctx)
+	if err != nil {
+		return nil
 	}
-	return out
+	return slices.DeleteFunc(vms, func(vm platform.VM) bool {
+		return vm.Role != roleEntry || vm.Name == r.opts.Local.Identity.Name || vm.State == platform.VMLeaving
+	})
 }
 
 func (r *Roster) told(name string) uint64 {
