--- a/entry/action/peers.go
+++ b/entry/action/peers.go
@@ -21,6 +21,8 @@
 	// lossWindow is how long after a side process lost its memory the others'
 	// ignorance of an action proves nothing.
 	lossWindow = 10 * time.Minute
+	// maxLookup bounds how many side processes are asked for one request.
+	maxLookup = 64
 )
 
 // Peers asks side processes over the pool's control connections.
@@ -86,7 +88,8 @@
 }
 
 // Lookup asks every server of the pool at once. It is sure only when each one
-// replied and none has lost its memory lately.
+// replied and none has lost its memory lately. A larger pool than maxLookup is
+// not asked.
 func (p *Peers) Lookup(ctx context.Context, poolName, scoped string) idempotency.Looked {
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -102,6 +105,10 @@
 			out.Sure = false
 		}
 	}
+	if len(peers) > maxLookup {
+		out.Sure = false
+		return out
+	}
 	for _, found := range lookupAll(ctx, peers, scoped) {
 		out = merge(out, found)
 	}
