--- a/config/check_test.go
+++ b/config/check_test.go
@@ -112,6 +112,12 @@
 	})
 }
 
+func TestLoadsWithoutPermitsAreWarnedOf(t *testing.T) {
+	to := parsed(t, `"concurrent_loads": 3`, `"concurrent_loads": 0`)
+	warnings := strings.Join(EffectsOf(to, to, nil).Warnings, "\n")
+	assert.Assert(t, strings.Contains(warnings, "loads_per_second limits no load"), warnings)
+}
+
 func TestDigestCoversVersionNotChangeID(t *testing.T) {
 	a, b := parsed(t), parsed(t)
 	b.ChangeID = "x"
--- a/config/effect.go
+++ b/config/effect.go
@@ -134,6 +134,9 @@
 	}
 	e.warnFew(to, fleet)
 	e.warnRemoved(from, to)
+	if to.Policy.LoadsPerSecond > 0 && to.Policy.ConcurrentLoads == 0 {
+		e.warnf("policy.loads_per_second limits no load, since concurrent_loads is 0")
+	}
 	for _, field := range inert(to) {
 		e.warnf("%s is declared, but no decision uses it yet", field)
 	}
