Entries ask for changes of residence, and wait for no slow server

Cause: an entry fetched a whole inventory, demand included, at each change of residence, and did so in the one goroutine that applies reports: a server that did not answer held up the reports of all others for 5 s, which makes them suspect. Two test logs could be written to after their test had ended. Ruled out: a second goroutine for all fetches (the same fault one step later).

--- a/config/spread/spread_test.go
+++ b/config/spread/spread_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -30,7 +31,7 @@
 	t.Helper()
 	n := &node{name: name, holder: config.NewHolder(), handlers: rpc.NewHandlers()}
 	log := logrus.New()
-	log.SetOutput(t.Output())
+	log.SetOutput(io.Discard)
 	n.spreader = New(rpc.RoleEntry, n.holder, n.handlers, log)
 	n.server = rpc.NewServer(n.local(), n.handlers, n.spreader.Add)
 	assert.NilError(t, n.server.Start("127.0.0.1:0"))
--- a/entry/pool/members.go
+++ b/entry/pool/members.go
@@ -132,7 +132,7 @@
 		return
 	}
 	event.Log(p.opts.Log, event.PeerConnected, event.Peer(id.Name))
-	p.fetchInventory(ctx, s, peer)
+	p.fetchResidence(ctx, s, peer)
 	s.peer.Store(peer)
 	p.observe(membership.Heard{Name: id.Name, Incarnation: id.Incarnation})
 	if p.opts.OnPeer != nil {
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -315,17 +315,23 @@
 		})
 		stale := s.accept(r, time.Now())
 		peer := s.Peer()
-		if stale && peer != nil {
-			p.fetchInventory(ctx, s, peer)
+		if stale && peer != nil && s.asking.CompareAndSwap(false, true) {
+			go func() {
+				defer s.asking.Store(false)
+				p.fetchResidence(ctx, s, peer)
+			}()
 		}
 	}
 }
 
-func (p *Pool) fetchInventory(ctx context.Context, s *Server, peer *rpc.Peer) {
-	inv, err := rpc.Call[rpc.InventoryQuery, rpc.InventoryReply](ctx, peer, rpc.MethodInventory, rpc.InventoryQuery{})
+// fetchResidence asks what has become resident or has left. A server that does
+// not answer holds up nothing else.
+func (p *Pool) fetchResidence(ctx context.Context, s *Server, peer *rpc.Peer) {
+	known := s.knownResidence(peer.Identity.Incarnation)
+	reply, err := rpc.Call[rpc.ResidenceQuery, rpc.ResidenceReply](ctx, peer, rpc.MethodResidence, rpc.ResidenceQuery{Known: known})
 	if err != nil {
 		event.Log(p.opts.Log, event.PeerInventoryFailed, event.Peer(peer.Identity.Name), event.Err(err))
 		return
 	}
-	s.setInventory(inv)
+	s.setResidence(peer.Identity.Incarnation, reply)
 }
--- a/entry/pool/server.go
+++ b/entry/pool/server.go
@@ -20,6 +20,7 @@
 	peer     atomic.Pointer[rpc.Peer]
 	stop     func() // ends the connecting goroutine
 	observe  func(membership.Observation)
+	asking   atomic.Bool // what is resident is being asked for
 
 	mu          sync.Mutex
 	vm          platform.VM
@@ -30,7 +31,8 @@
 	reportedAt  time.Time
 	residence   uint64 // digest of residents
 	residents   map[wire.Artifact]bool
-	ownInFlight int // own requests in progress when the report arrived
+	residentsOf string // incarnation
+	ownInFlight int    // own requests in progress when the report arrived
 	failures    int
 	retryAt     time.Time // ejected until then
 	firstSeen   time.Time
@@ -155,17 +157,32 @@
 	return r.Residence != s.residence
 }
 
-func (s *Server) setInventory(inv rpc.InventoryReply) {
-	residents := make(map[wire.Artifact]bool, len(inv.Residents))
-	for _, r := range inv.Residents {
-		if !r.Loading {
-			residents[r.Artifact] = true
-		}
+// knownResidence returns the digest of what is known to be resident before an
+// incarnation, 0 for nothing.
+func (s *Server) knownResidence(incarnation string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.residentsOf != incarnation {
+		return 0
 	}
+	return s.residence
+}
+
+// setResidence takes over what an incarnation told. A reply that does not start
+// from what is known is dropped; everything is asked for next time.
+func (s *Server) setResidence(incarnation string, reply rpc.ResidenceReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.residents = residents
-	s.residence = inv.Residence
+	known := s.residence
+	if s.residentsOf != incarnation {
+		known = 0
+	}
+	residents := reply.Apply(known, s.residents)
+	if residents == nil {
+		s.residence = 0
+		return
+	}
+	s.residents, s.residence, s.residentsOf = residents, reply.Residence, incarnation
 }
 
 // Dump is a server's section of the state dump.
--- a/integration/config_test.go
+++ b/integration/config_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -85,9 +86,9 @@
 	time.Sleep(d)
 }
 
-func quiet(t *testing.T) logrus.FieldLogger {
+func quiet() logrus.FieldLogger {
 	log := logrus.New()
-	log.SetOutput(t.Output())
+	log.SetOutput(io.Discard)
 	return log
 }
 
@@ -208,7 +209,7 @@
 	inForce(t, c.Version(), c.AdminAddresses()...)
 	setReplica(t, c, true)
 	publishNext(t, c) // hidden from every reader of the table
-	j, err := c.Join(t.Context(), "joined", c.Entry(1), quiet(t))
+	j, err := c.Join(t.Context(), "joined", c.Entry(1), quiet())
 	assert.NilError(t, err)
 	newest := sample(int(c.Version()))
 	newest.Version = c.Version()
--- a/rpc/messages.go
+++ b/rpc/messages.go
@@ -13,6 +13,7 @@
 const (
 	MethodHello     = "member.hello"
 	MethodReport    = "member.report" // notification
+	MethodResidence = "member.residence"
 	MethodOffer     = "config.offer"
 	MethodFetch     = "config.fetch"
 	MethodBar       = "action.bar"
--- a/side/module.go
+++ b/side/module.go
@@ -23,6 +23,7 @@
 	"peridotchute.example/side/memory"
 	"peridotchute.example/side/permit"
 	"peridotchute.example/side/report"
+	"peridotchute.example/side/residence"
 )
 
 const (
@@ -181,6 +182,14 @@
 		inv.ConfigVersion = c.Holder.Version()
 		return inv.For(q), nil
 	})
+	told := &residence.History{}
+	rpc.Handle(c.Handlers, rpc.MethodResidence, func(_ context.Context, _ *rpc.Peer, q rpc.ResidenceQuery) (rpc.ResidenceReply, error) {
+		if c.Memory == nil {
+			return rpc.ResidenceReply{}, nil
+		}
+		inv := c.Memory.Inventory()
+		return told.Answer(q, inv.Residence, inv.Residents), nil
+	})
 	rpc.Handle(c.Handlers, rpc.MethodOrder, func(_ context.Context, _ *rpc.Peer, o rpc.Order) (rpc.OrderReply, error) {
 		if c.Memory == nil {
 			return rpc.OrderReply{Reason: "the backend server holds no artifacts"}, nil
