Bound declared times and rates; a plan warns of a short retention

A retention of 9,223,372,036 s was accepted; as a duration it is past the largest one, and outcomes of actions would have expired at once, so that a repeat ran again. Rates near zero gave endless holds of permits.

--- a/config/config.go
+++ b/config/config.go
@@ -61,8 +61,8 @@
 
 // Target is a model's latency target, in milliseconds; zero means none.
 type Target struct {
-	FirstTokenMS int `json:"first_token_ms,omitempty" validate:"gte=0"`
-	TokenMS      int `json:"token_ms,omitempty" validate:"gte=0"`
+	FirstTokenMS int `json:"first_token_ms,omitempty" validate:"gte=0,lte=86400000"`
+	TokenMS      int `json:"token_ms,omitempty" validate:"gte=0,lte=86400000"`
 }
 
 // FirstToken returns the target for the first token, zero for none.
@@ -88,7 +88,7 @@
 type Team struct {
 	Name          string   `json:"name" validate:"required"`
 	KeyHashes     []string `json:"key_hashes" validate:"required"` // SHA-256 of each key, hexadecimal
-	RatePerSecond float64  `json:"rate_per_second,omitempty" validate:"gte=0"`
+	RatePerSecond float64  `json:"rate_per_second,omitempty" validate:"omitempty,gte=0.001,lte=1000000"`
 	Concurrency   int      `json:"concurrency,omitempty" validate:"gte=0"`
 	Priority      int      `json:"priority,omitempty" validate:"gte=0"` // 0 is served first
 }
@@ -97,13 +97,13 @@
 type Policy struct {
 	AttainmentWeight    float64 `json:"attainment_weight" validate:"gte=0"`
 	MoveWeight          float64 `json:"move_weight" validate:"gte=0"`
-	LoadsPerSecond      float64 `json:"loads_per_second" validate:"gte=0"`      // weight store, whole deployment
-	ConcurrentLoads     int     `json:"concurrent_loads" validate:"gte=0"`      // weight store, whole deployment
-	AdapterLoads        int     `json:"adapter_loads" validate:"gte=0"`         // adapters in flight before loads slow down
-	LinkBytesPerSecond  int64   `json:"link_bytes_per_second" validate:"gte=0"` // cap on traffic between regions
-	OutcomeRetentionSec int     `json:"outcome_retention_s" validate:"gte=0"`
-	DefaultDeadlineMS   int     `json:"default_deadline_ms" validate:"gte=0"`
-	MaxBodyBytes        int64   `json:"max_body_bytes" validate:"gte=0"`
+	LoadsPerSecond      float64 `json:"loads_per_second" validate:"omitempty,gte=0.001,lte=1000000"` // weight store, whole deployment
+	ConcurrentLoads     int     `json:"concurrent_loads" validate:"gte=0,lte=10000"`                 // weight store, whole deployment
+	AdapterLoads        int     `json:"adapter_loads" validate:"gte=0,lte=1000000"`                  // adapters in flight before loads slow down
+	LinkBytesPerSecond  int64   `json:"link_bytes_per_second" validate:"gte=0"`                      // cap on traffic between regions
+	OutcomeRetentionSec int     `json:"outcome_retention_s" validate:"gte=0,lte=31536000"`
+	DefaultDeadlineMS   int     `json:"default_deadline_ms" validate:"gte=0,lte=86400000"`
+	MaxBodyBytes        int64   `json:"max_body_bytes" validate:"gte=0,lte=1073741824"`
 }
 
 // Defaults of Policy.
--- a/config/effect.go
+++ b/config/effect.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"time"
 
 	"peridotchute.example/common/wire"
 )
 
+// shortRetention is the retention of outcomes below which a plan warns.
+const shortRetention = time.Hour
+
 // Move is the loads or unloads of one artifact that a change causes.
 type Move struct {
 	Artifact wire.Artifact `json:"artifact"`
@@ -137,6 +141,9 @@
 	if to.Policy.LoadsPerSecond > 0 && to.Policy.ConcurrentLoads == 0 {
 		e.warnf("policy.loads_per_second limits no load, since concurrent_loads is 0")
 	}
+	if r := to.Policy.Retention(); r < shortRetention {
+		e.warnf("an action that is repeated under its key after %s runs again, since its outcome is kept no longer", r)
+	}
 	for _, field := range inert(to) {
 		e.warnf("%s is declared, but no decision uses it yet", field)
 	}
