--- a/config/check_test.go
+++ b/config/check_test.go
@@ -52,7 +52,7 @@
 		{name: "adapter not beside its model", old: `"memory_bytes": 10}`, new: `"memory_bytes": 50}`,
 			fleet: Fleet{{Pool: "gpu", Servers: 2}, {Pool: "till", Servers: 1}}, want: []string{`d:6: field "adapters[0].memory_bytes": adapter "trout" cannot be resident beside its model "fly"`}},
 		{name: "more replicas than servers", old: `"memory_bytes": 60`, new: `"memory_bytes": 20, "replicas": 2`, want: []string{`d:5: field "models[0].replicas": 2 replicas need as many servers, pool "gpu" has 1`}},
-		{name: "retention that overflows", old: `"outcome_retention_s": 0`, new: `"outcome_retention_s": 9223372036`, want: []string{`d:10: field "policy.outcome_retention_s": 9223372036 breaks the rule lte=31536000`}},
+		{name: "retention that overflows", old: `"outcome_retention_s": 0`, new: `"outcome_retention_s": 9223372037`, want: []string{`d:10: field "policy.outcome_retention_s": 9223372037 breaks the rule lte=31536000`}},
 		{name: "rate that overflows", old: `"loads_per_second": 2`, new: `"loads_per_second": 1e-300`, want: []string{`d:9: field "policy.loads_per_second": 1e-300 breaks the rule gte=0.001`}},
 		{name: "two at once", old: `"pool": "gpu", "memory_bytes": 60}`, new: `"pool": "gpus", "memory_bytes": 60, "size": 1}`,
 			want: []string{`d:5: field "models[0].size": unknown field`, `d:5: field "models[0].pool": pool "gpus" is not declared`}},
