An attempt after a lost one may start once an operator has settled it

Cause: a side process refused every further attempt of an action whose answer its service had cut, so that an operator's verdict of not-run had no effect while that process lived. Change: a higher attempt may start after a lost one; such a claim exists only after an operator's verdict.

--- a/idempotency/mark.go
+++ b/idempotency/mark.go
@@ -9,9 +9,12 @@
 }
 
 // Start decides whether an attempt may start now. It may only when no attempt
-// of the action has started here and this one is not barred.
+// of the action has started here and this one is not barred. After a lost
+// attempt a further one may: it is claimed only when an operator has settled
+// the lost one as not run.
 func (m Mark) Start(attempt int) (Mark, bool) {
-	if m.Started > 0 || attempt <= m.Barred {
+	settled := m.Verdict == VerdictLost && attempt > m.Started
+	if m.Started > 0 && !settled || attempt <= m.Barred {
 		return m, false
 	}
 	m.Started = attempt
--- a/idempotency/world_test.go
+++ b/idempotency/world_test.go
@@ -235,6 +235,11 @@
 		w.tell(m, Broken{})
 		return
 	}
+	if w.fault(10) { // the backend server ran it and cut its answer
+		s.marks = s.marks.Finish(EndBroken)
+		w.tell(m, Broken{})
+		return
+	}
 	s.answer = &wire.Answer{Status: 200, Body: []byte(m.record.Token)}
 	s.marks = s.marks.Finish(EndWhole)
 	w.tell(m, Answered{Answer: s.answer})
--- a/side/action/action_test.go
+++ b/side/action/action_test.go
@@ -48,6 +48,14 @@
 	assert.Equal(t, verdict, idempotency.VerdictForgotten)
 }
 
+func TestAttemptAfterALostOne(t *testing.T) {
+	r := newTestRegister(Options{})
+	assert.Equal(t, r.Start(claim("k", 1)), Refusal(""))
+	r.Finish(claim("k", 1), idempotency.EndBroken, nil)
+	assert.Equal(t, r.Start(claim("k", 1)), RefusedStarted)
+	assert.Equal(t, r.Start(claim("k", 2)), Refusal(""))
+}
+
 func TestFullRegisterRefusesAndForgetsOnlyAfterRetention(t *testing.T) {
 	now := time.Unix(0, 0)
 	r := newTestRegister(Options{MaxMarks: 2, Now: func() time.Time { return now }})
