Long answers are kept in the object store

Cause: an answer longer than a row's bound lived only in the memory of the side process that ran the action, and a long answer of work answered later was not kept at all, although its caller was told 202. An object that cannot be read now is not taken for an answer that was not kept. A job's row holds request, prompt and answer in base 64, so a body may have 96 KiB in place of 128: three of 128 KiB would have passed the 400 KB that the protocol allows for an item. Ruled out: several rows for one answer (writes are the scarcest budget).

--- a/cmd/peridotchute-load/faults/command.go
+++ b/cmd/peridotchute-load/faults/command.go
@@ -189,7 +189,7 @@
 func (c *caller) unresolved(ctx context.Context, h History) error {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	runner := action.NewRunner(c.cluster.Table(), nil, log)
+	runner := action.NewRunner(c.cluster.Table(), nil, nil, log)
 	for cursor := ""; ; {
 		page, next, err := runner.Unresolved(ctx, cursor, listPage)
 		if err != nil {
--- a/entry/action/action_test.go
+++ b/entry/action/action_test.go
@@ -93,7 +93,7 @@
 	t.Cleanup(web.Close)
 	f := &fixture{table: tab, server: &fakeServer{}}
 	f.client = platform.NewTable(platform.TableSettings{URL: web.URL, Name: "t"})
-	f.runner = NewRunner(f.client, f.server, logrus.New())
+	f.runner = NewRunner(f.client, nil, f.server, logrus.New())
 	return f
 }
 
--- a/entry/action/rows.go
+++ b/entry/action/rows.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/answer"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/platform"
 )
@@ -40,7 +41,19 @@
 
 // rows reads and writes the rows of actions.
 type rows struct {
-	table platform.Table
+	table   platform.Table
+	answers *answer.Store
+}
+
+// encode returns the value of a row. An answer too long for the row goes to the
+// object store; when that cannot take it, only the side process keeps it.
+func (r rows) encode(ctx context.Context, rec idempotency.Record) ([]byte, error) {
+	kept, err := r.answers.Keep(ctx, actionKey(rec.Team, rec.Key)+"#"+rec.Token, rec.Answer)
+	if err != nil {
+		kept = answer.Stored{}
+	}
+	rec.Answer, rec.Object = kept.Answer, kept.Object
+	return json.Marshal(rec)
 }
 
 func decode(row platform.Row) (idempotency.Record, error) {
@@ -63,11 +76,15 @@
 	if err != nil {
 		return idempotency.StoreFailed{}
 	}
+	rec.Answer, err = r.answers.Load(ctx, answer.Stored{Answer: rec.Answer, Object: rec.Object})
+	if err != nil {
+		return idempotency.StoreFailed{}
+	}
 	return idempotency.Row{Record: rec, Version: row.Version}
 }
 
 func (r rows) putIfAbsent(ctx context.Context, rec idempotency.Record) idempotency.Event {
-	value, err := json.Marshal(rec)
+	value, err := r.encode(ctx, rec)
 	if err != nil {
 		return idempotency.StoreFailed{}
 	}
@@ -76,7 +93,7 @@
 }
 
 func (r rows) compareAndSet(ctx context.Context, version string, rec idempotency.Record) idempotency.Event {
-	value, err := json.Marshal(rec)
+	value, err := r.encode(ctx, rec)
 	if err != nil {
 		return idempotency.StoreFailed{}
 	}
--- a/entry/action/runner.go
+++ b/entry/action/runner.go
@@ -10,6 +10,7 @@
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/answer"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/platform"
 )
@@ -45,8 +46,8 @@
 }
 
 // NewRunner returns a runner over the table and the side processes.
-func NewRunner(table platform.Table, asker Asker, log logrus.FieldLogger) *Runner {
-	r := &Runner{rows: rows{table: table}, asker: asker, log: log}
+func NewRunner(table platform.Table, answers *answer.Store, asker Asker, log logrus.FieldLogger) *Runner {
+	r := &Runner{rows: rows{table: table, answers: answers}, asker: asker, log: log}
 	r.settler = newSettler(r)
 	return r
 }
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -7,6 +7,7 @@
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/config"
 	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/answer"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/forward"
 	"peridotchute.example/entry/pool"
@@ -16,13 +17,13 @@
 // actionModule wires non-idempotent actions.
 func actionModule() fx.Option {
 	return fx.Options(
-		fx.Provide(action.NewPeers, newActionRunner, newActions, newReconciler),
+		fx.Provide(answer.NewStore, action.NewPeers, newActionRunner, newActions, newReconciler),
 		fx.Invoke(startReconciler),
 	)
 }
 
-func newActionRunner(table platform.Table, peers *action.Peers, log logrus.FieldLogger) *action.Runner {
-	return action.NewRunner(table, peers, log)
+func newActionRunner(table platform.Table, answers *answer.Store, peers *action.Peers, log logrus.FieldLogger) *action.Runner {
+	return action.NewRunner(table, answers, peers, log)
 }
 
 func newActions(s Settings, runner *action.Runner, p *pool.Pool, f *forward.Forwarder, d *dispatch.Dispatcher, h *config.Holder) *action.Server {
--- /dev/null
+++ b/entry/answer/answer_test.go
@@ -0,0 +1,42 @@
+package answer
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/wire"
+	"peridotchute.example/platform"
+	"peridotchute.example/standin/faults"
+	"peridotchute.example/standin/objects"
+)
+
+func TestLongAnswersGoToTheObjectStore(t *testing.T) {
+	server := objects.New()
+	web := httptest.NewServer(server)
+	defer web.Close()
+	s := NewStore(platform.NewObjects(platform.ObjectSettings{URL: web.URL, Bucket: "b"}))
+	ctx := context.Background()
+
+	short := &wire.Answer{Status: 200, Body: []byte("short")}
+	kept, err := s.Keep(ctx, "short", short)
+	assert.NilError(t, err)
+	assert.Equal(t, kept, Stored{Answer: short})
+
+	long := &wire.Answer{Status: 200, Body: bytes.Repeat([]byte("x"), maxRowBytes+1)}
+	kept, err = s.Keep(ctx, "long", long)
+	assert.NilError(t, err)
+	assert.Assert(t, kept.Answer == nil)
+	loaded, err := s.Load(ctx, kept)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, loaded, long)
+
+	server.Set(faults.Settings{Down: true})
+	_, err = s.Load(ctx, kept)
+	assert.Assert(t, err != nil, "an answer that cannot be read is not an answer that was not kept")
+	_, err = s.Keep(ctx, "other", long)
+	assert.Assert(t, err != nil)
+}
--- a/entry/job/job.go
+++ b/entry/job/job.go
@@ -41,6 +41,7 @@
 	Tries      int          `json:"tries"`
 	Request    Request      `json:"request"`
 	Answer     *wire.Answer `json:"answer,omitempty"`
+	Object     string       `json:"answer_object,omitempty"` // holds the answer in place of the row
 	AcceptedAt time.Time    `json:"accepted_at"`
 	Expires    time.Time    `json:"expires"`
 }
@@ -62,10 +63,9 @@
 const (
 	jobPrefix  = "job/"
 	shardCount = 64
-	// maxBodyBytes bounds what one row holds.
-	maxBodyBytes = 128 << 10
-	// maxRowAnswer is the longest answer kept, in bytes.
-	maxRowAnswer = 128 << 10
+	// maxBodyBytes bounds the body of a request. With its prompt and a short
+	// answer, each in base 64, the row stays below the 400 KB of the protocol.
+	maxBodyBytes = 96 << 10
 )
 
 // ended reports whether the job needs no further try. An unresolved job is
--- a/entry/job/lease.go
+++ b/entry/job/lease.go
@@ -39,6 +39,11 @@
 	next := l.rec
 	change(&next)
 	next.Beat++
+	kept, err := l.server.opts.Answers.Keep(ctx, rowKey(next.Team, next.ID), next.Answer)
+	if err != nil {
+		return err
+	}
+	next.Answer, next.Object = kept.Answer, kept.Object
 	value, err := json.Marshal(next)
 	if err != nil {
 		return fault.New(fault.KindInternal, "job.write", l.rec.ID, err)
@@ -132,9 +137,7 @@
 	switch {
 	case f == nil:
 		rec.State = StateDone
-		if answer.Size() <= maxRowAnswer {
-			rec.Answer = answer
-		}
+		rec.Answer = answer
 	case f.Detail.Code == string(idempotency.CodeUnresolved):
 		rec.State = StateUnresolved
 	case f.Outcome == wire.OutcomeCompleted:
--- a/entry/job/serve.go
+++ b/entry/job/serve.go
@@ -13,6 +13,7 @@
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
+	"peridotchute.example/entry/answer"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/platform"
@@ -121,15 +122,18 @@
 // to be written.
 func (s *Server) Result(ctx context.Context, w http.ResponseWriter, team, id string) *wire.Failure {
 	rec, _, err := s.read(ctx, team, id)
+	if err == nil {
+		rec.Answer, err = s.opts.Answers.Load(ctx, answer.Stored{Answer: rec.Answer, Object: rec.Object})
+	}
 	switch {
 	case fault.Is(err, fault.KindNotFound):
 		return wire.NewFailure(http.StatusNotFound, "", codeNoJob, "no job is known under this id")
 	case err != nil:
-		return wire.NewFailure(http.StatusServiceUnavailable, "", codeStore, "the table service cannot be reached").After(storeRetry)
+		return wire.NewFailure(http.StatusServiceUnavailable, "", codeStore, "the table service or the object store cannot be reached").After(storeRetry)
 	case rec.State == StateUnresolved:
 		return wire.NewFailure(http.StatusBadGateway, wire.OutcomeUnknown, codeLost, "nobody can know whether the work was done; an operator will settle it")
 	case rec.State == StateDone && rec.Answer == nil:
-		return wire.NewFailure(http.StatusGone, wire.OutcomeCompleted, codeExpired, "the work was done; its answer was too long to be kept")
+		return wire.NewFailure(http.StatusGone, wire.OutcomeCompleted, codeExpired, "the work was done; its answer is no longer kept")
 	case rec.State == StateDone:
 		writeAnswer(w, rec.Answer)
 		return nil
--- a/entry/job/worker.go
+++ b/entry/job/worker.go
@@ -13,6 +13,7 @@
 	"peridotchute.example/common/ring"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
+	"peridotchute.example/entry/answer"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/platform"
 )
@@ -38,6 +39,7 @@
 type Options struct {
 	Entry   string // name of this entry
 	Table   platform.Table
+	Answers *answer.Store
 	Holder  *config.Holder
 	Backend Backend                                                            // idempotent work
 	Actions Backend                                                            // non-idempotent work
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -12,6 +12,7 @@
 	"peridotchute.example/config"
 	"peridotchute.example/entry/action"
 	"peridotchute.example/entry/admit"
+	"peridotchute.example/entry/answer"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/job"
 	"peridotchute.example/platform"
@@ -27,6 +28,7 @@
 	fx.In
 	Settings   Settings
 	Table      platform.Table
+	Answers    *answer.Store
 	Holder     *config.Holder
 	Admitter   *admit.Admitter
 	Dispatcher *dispatch.Dispatcher
@@ -39,6 +41,7 @@
 	return job.New(job.Options{
 		Entry:   p.Settings.Name,
 		Table:   p.Table,
+		Answers: p.Answers,
 		Holder:  p.Holder,
 		Backend: admitted{p.Admitter, p.Dispatcher},
 		Actions: admitted{p.Admitter, p.Actions},
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -39,8 +39,9 @@
 	Incarnation string       `json:"incarnation"`
 	BodyDigest  string       `json:"body_digest"`
 	State       State        `json:"state"`
-	Answer      *wire.Answer `json:"answer,omitempty"` // nil when too long for a row
-	Reason      string       `json:"reason,omitempty"` // of not-run and unresolved
+	Answer      *wire.Answer `json:"answer,omitempty"`
+	Object      string       `json:"answer_object,omitempty"` // holds the answer in place of the row
+	Reason      string       `json:"reason,omitempty"`        // of not-run and unresolved
 	SettledBy   string       `json:"settled_by,omitempty"`
 	ClaimedAt   time.Time    `json:"claimed_at"`
 	Expires     time.Time    `json:"expires"`
--- a/idempotency/step.go
+++ b/idempotency/step.go
@@ -18,8 +18,6 @@
 	maxAttempts = 3
 	// maxStoreTries bounds how often one write whose answer was lost is tried.
 	maxStoreTries = 4
-	// MaxRowAnswer is the longest answer kept in the table, in bytes.
-	MaxRowAnswer = 256 << 10
 )
 
 // Mode is what an entry wants of an action.
--- a/idempotency/write.go
+++ b/idempotency/write.go
@@ -56,9 +56,7 @@
 	next := a.record
 	next.State = StateDone
 	next.Reason = ""
-	if a.answer.Size() <= MaxRowAnswer {
-		next.Answer = a.answer
-	}
+	next.Answer = a.answer
 	return next
 }
 
--- a/integration/action_faults_test.go
+++ b/integration/action_faults_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	list, _, err := action.NewRunner(c.Table(), nil, log).Unresolved(context.Background(), "", 1000)
+	list, _, err := action.NewRunner(c.Table(), nil, nil, log).Unresolved(context.Background(), "", 1000)
 	assert.NilError(t, err)
 	var keys []string
 	for _, u := range list {
