--- a/cmd/peridotchute-load/replay/report.go
+++ b/cmd/peridotchute-load/replay/report.go
@@ -56,8 +56,8 @@
 // write prints one deployment's table and its comparison.
 func write(out io.Writer, d Deployment, o Options, results []Result) error {
 	fmt.Fprintf(out, "### %s\n\n", d.Title)
-	fmt.Fprintf(out, "%d workers, %d models, %d adapters; %d seeds of %v each, times scaled by %v; means over the seeds.\n\n",
-		d.Workers, d.Models, d.Adapters, len(o.Seeds), o.Length, o.Scale)
+	fmt.Fprintf(out, "%d workers, %d models, %d adapters; %.0f requests a second, %d seeds of %v each, times scaled by %v; means over the seeds.\n\n",
+		d.Workers, d.Models, d.Adapters, d.Rate, len(o.Seeds), o.Length, o.Scale)
 	sums := summarize(o.Policies, results)
 	table(out, sums)
 	compare(out, sums)
--- a/cmd/peridotchute-load/replay/run.go
+++ b/cmd/peridotchute-load/replay/run.go
@@ -24,6 +24,7 @@
 	Seeds      []uint64
 	Length     time.Duration // of one run, before scaling
 	Scale      float64       // of all times; smaller is faster
+	Load       float64       // multiple of the deployment's requests a second
 	Output     string        // Markdown file whose newest section is replaced; empty for none
 }
 
