Remove a field that nothing reads

Cause: NotStarted told whether an attempt was barred, but the row alone decides what follows. Change: the field and the constant it came from are gone; no behaviour changes. Unit tests of the lane pass with the race detector.

--- a/entry/action/action_test.go
+++ b/entry/action/action_test.go
@@ -42,7 +42,7 @@
 	}
 	mark, ok := f.mark.Start(rec.Attempt)
 	if !ok {
-		return idempotency.NotStarted{Reason: "barred", Barred: true}
+		return idempotency.NotStarted{Reason: "barred"}
 	}
 	f.runs++
 	f.mark = mark.Finish(idempotency.EndWhole)
--- a/entry/action/sender.go
+++ b/entry/action/sender.go
@@ -18,7 +18,6 @@
 const (
 	maxAnswerBytes = 64 << 20 // longest answer that is not streamed
 	readBuffer     = 32 << 10
-	codeBarred     = "barred" // of a side process's refusal
 )
 
 // sender sends the attempts of one request.
@@ -96,7 +95,7 @@
 		return idempotency.NotStarted{Reason: "refused"}
 	}
 	f := dispatch.FailureOf(answer)
-	return idempotency.NotStarted{Reason: f.Detail.Code + ": " + f.Detail.Message, Barred: f.Detail.Code == codeBarred}
+	return idempotency.NotStarted{Reason: f.Detail.Code + ": " + f.Detail.Message}
 }
 
 // receive reads the answer and relays it while it comes when it is a stream.
--- a/idempotency/event.go
+++ b/idempotency/event.go
@@ -34,11 +34,8 @@
 	// Answered answers Send: the whole answer came.
 	Answered struct{ Answer *wire.Answer }
 	// NotStarted answers Send: not one byte left, or the side process refused
-	// the attempt. Barred means that another entry had it barred.
-	NotStarted struct {
-		Reason string
-		Barred bool
-	}
+	// the attempt.
+	NotStarted struct{ Reason string }
 	// Broken answers Send: bytes may have left and no whole answer came.
 	Broken struct{ Reason string }
 	// Judged answers Bar and Query.
