What entry and side processes share stands once

Change: rpc/process holds the shared wiring; the key travels in rpc.Local alone, so the type for it is gone; side/permit and entry/job use common/clock. Seen: unit tests of entry, side and rpc, and the integration tests of answers, TLS, graceful shutdown and settings pass as before.

--- a/entry/job/lease.go
+++ b/entry/job/lease.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
@@ -117,20 +118,11 @@
 			return
 		}
 		event.Log(l.server.opts.Log, event.JobUnwritten, event.Subject(l.record().ID), event.Err(err))
-		sleep(life, pause)
+		_ = clock.Sleep(life, pause)
 		pause = min(2*pause, maxPause)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // conclude changes the record to what one try came to.
 func conclude(rec *Record, answer *wire.Answer, f *wire.Failure) {
 	rec.State = StateAccepted
--- a/entry/module.go
+++ b/entry/module.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"hash/fnv"
 	"math/rand/v2"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
-	"peridotchute.example/common/keyfile"
 	"peridotchute.example/common/tlsfile"
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
@@ -30,19 +27,15 @@
 	"peridotchute.example/entry/pool"
 	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/rpc/process"
 )
 
-const defaultDrain = 10 * time.Minute
-
-// deploymentKey is the secret that the deployment's processes share.
-type deploymentKey string
-
 // Module wires an entry process from its settings.
 func Module(s Settings) fx.Option {
 	return fx.Module("entry",
 		fx.Supply(s),
 		fx.Provide(
-			newKey, newLocal, newTable, newObjects, newVMs, newFollower, newSpreader, newPeers, newPool, newForwarder, newDispatcher, newAdmitter,
+			newLocal, newTable, newObjects, newVMs, newFollower, newSpreader, newPeers, newPool, newForwarder, newDispatcher, newAdmitter,
 			config.NewHolder, publish.New, rpc.NewHandlers, admin.NewServer, link.NewMeter,
 		),
 		actionModule(),
@@ -53,28 +46,14 @@
 	)
 }
 
-func newKey(s Settings) (deploymentKey, error) {
-	key, err := keyfile.Read(s.DeploymentKeyFile)
-	return deploymentKey(key), err
-}
-
-func newLocal(s Settings, key deploymentKey, holder *config.Holder) (rpc.Local, error) {
-	conf, err := tlsfile.Mutual(s.PeerTLS)
-	if err != nil {
-		return rpc.Local{}, err
+func newLocal(s Settings, holder *config.Holder) (rpc.Local, error) {
+	id := rpc.Identity{
+		Name:       s.Name,
+		Role:       rpc.RoleEntry,
+		Zone:       s.Zone,
+		RPCAddress: s.RPCAddress,
 	}
-	return rpc.Local{
-		Identity: rpc.Identity{
-			Name:        s.Name,
-			Incarnation: uuid.Must(uuid.NewV7()).String(),
-			Role:        rpc.RoleEntry,
-			Zone:        s.Zone,
-			RPCAddress:  s.RPCAddress,
-		},
-		Key:           string(key),
-		ConfigVersion: holder.Version,
-		TLS:           conf,
-	}, nil
+	return process.NewLocal(id, process.Secrets{KeyFile: s.DeploymentKeyFile, PeerTLS: s.PeerTLS}, holder)
 }
 
 func newTable(s Settings) platform.Table { return platform.NewTable(s.Table) }
@@ -125,8 +104,8 @@
 	})
 }
 
-func newForwarder(key deploymentKey, local rpc.Local) *forward.Forwarder {
-	return forward.New(string(key), local.TLS)
+func newForwarder(local rpc.Local) *forward.Forwarder {
+	return forward.New(local.Key, local.TLS)
 }
 
 func newDispatcher(s Settings, p *pool.Pool, f *forward.Forwarder, log logrus.FieldLogger) *dispatch.Dispatcher {
@@ -149,10 +128,7 @@
 
 func startRPC(lc fx.Lifecycle, s Settings, local rpc.Local, handlers *rpc.Handlers, spreader *spread.Spreader) {
 	server := rpc.NewServer(local, handlers, spreader.Add)
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return server.Start(s.RPCAddress) },
-		OnStop:  func(context.Context) error { return server.Stop() },
-	})
+	process.Serve(lc, server, s.RPCAddress)
 }
 
 // listenerParams are what the listeners are made from.
@@ -182,34 +158,20 @@
 	if err != nil {
 		return err
 	}
-	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
-	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
-	p.Admin.AddSection("config_peers", p.Spreader)
+	process.Describe(p.Admin, p.Local, p.Holder, p.Spreader)
 	p.Admin.AddSection("servers", p.Pool)
 	p.Admin.AddSection("link", p.Link)
 	p.Admin.AddSection("admission", p.Admitter)
-	p.Admin.AddCheck("configuration", func() error { return needed(p.Holder.Version() > 0, "no configuration is in force") })
-	p.Admin.AddCheck("vm_list", func() error { return needed(p.Pool.Listed(), "the VM list was not read yet") })
-	drain := defaultDrain
-	if p.Settings.DrainSeconds > 0 {
-		drain = time.Duration(p.Settings.DrainSeconds) * time.Second
-	}
+	p.Admin.AddCheck("vm_list", p.Pool.Ready)
 	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router(), TLS: adminTLS})
 	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{
 		Name:    "caller",
 		Address: p.Settings.CallerAddress,
 		TLS:     callerTLS,
 		Handler: caller.New(p.Holder, p.Admitter, p.Dispatcher, p.Actions, p.Jobs).Handler(),
-		Drain:   drain,
+		Drain:   process.DrainTime(p.Settings.DrainSeconds),
 	})
 	daemon.TellStop(p.Lifecycle, func(context.Context) { p.Admin.Stopping() })
 	daemon.Announce(p.Lifecycle, p.Log)
 	return nil
 }
-
-func needed(ok bool, reason string) error {
-	if ok {
-		return nil
-	}
-	return errors.New(reason)
-}
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -106,6 +107,14 @@
 	return len(p.servers)
 }
 
+// Ready returns an error before the VM list was read.
+func (p *Pool) Ready() error {
+	if p.Listed() {
+		return nil
+	}
+	return errors.New("the VM list was not read yet")
+}
+
 // Listed reports whether the VM list was read at least once.
 func (p *Pool) Listed() bool {
 	p.mu.RLock()
--- /dev/null
+++ b/rpc/process/process.go
@@ -0,0 +1,72 @@
+// Package process wires what entry and side processes have in common: identity
+// and keys, the control listener, and their part of the administration listener.
+package process
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+
+	"peridotchute.example/common/admin"
+	"peridotchute.example/common/keyfile"
+	"peridotchute.example/common/tlsfile"
+	"peridotchute.example/config"
+	"peridotchute.example/config/spread"
+	"peridotchute.example/rpc"
+)
+
+// defaultDrain is the longest graceful shutdown when the settings name none.
+const defaultDrain = 10 * time.Minute
+
+// Secrets are the files by which the deployment's processes know each other.
+type Secrets struct {
+	KeyFile string         // deployment key
+	PeerTLS *tlsfile.Files // nil for plain TCP
+}
+
+// NewLocal returns this process as its peers see it, under a new incarnation.
+func NewLocal(id rpc.Identity, secrets Secrets, holder *config.Holder) (rpc.Local, error) {
+	key, err := keyfile.Read(secrets.KeyFile)
+	if err != nil {
+		return rpc.Local{}, err
+	}
+	conf, err := tlsfile.Mutual(secrets.PeerTLS)
+	if err != nil {
+		return rpc.Local{}, err
+	}
+	id.Incarnation = uuid.Must(uuid.NewV7()).String()
+	return rpc.Local{Identity: id, Key: key, ConfigVersion: holder.Version, TLS: conf}, nil
+}
+
+// Serve opens the control listener with the application and closes it with it.
+func Serve(lc fx.Lifecycle, server *rpc.Server, address string) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return server.Start(address) },
+		OnStop:  func(context.Context) error { return server.Stop() },
+	})
+}
+
+// Describe adds the identity and the configuration to the dump, and makes the
+// process ready only with a configuration in force.
+func Describe(a *admin.Server, local rpc.Local, holder *config.Holder, spreader *spread.Spreader) {
+	a.AddSection("identity", admin.DumpFunc(func() any { return local.Identity }))
+	a.AddSection("config_version", admin.DumpFunc(func() any { return holder.Version() }))
+	a.AddSection("config_peers", spreader)
+	a.AddCheck("configuration", func() error {
+		if holder.Version() == 0 {
+			return errors.New("no configuration is in force")
+		}
+		return nil
+	})
+}
+
+// DrainTime returns the longest graceful shutdown; zero seconds mean the default.
+func DrainTime(seconds int) time.Duration {
+	if seconds > 0 {
+		return time.Duration(seconds) * time.Second
+	}
+	return defaultDrain
+}
--- a/side/module.go
+++ b/side/module.go
@@ -2,22 +2,20 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
-	"peridotchute.example/common/keyfile"
 	"peridotchute.example/common/tlsfile"
 	"peridotchute.example/config"
 	"peridotchute.example/config/spread"
 	"peridotchute.example/engine"
 	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/rpc/process"
 	"peridotchute.example/side/action"
 	"peridotchute.example/side/gate"
 	"peridotchute.example/side/memory"
@@ -26,50 +24,30 @@
 	"peridotchute.example/side/residence"
 )
 
-const (
-	defaultDrain = 10 * time.Minute
-	kindEngine   = "engine"
-)
-
-// deploymentKey is the secret that the deployment's processes share.
-type deploymentKey string
+const kindEngine = "engine"
 
 // Module wires a side process from its settings.
 func Module(s Settings) fx.Option {
 	return fx.Module("side",
 		fx.Supply(s),
 		fx.Provide(
-			newKey, newLocal, newPermits, newMemory, newGate, newReporter, newServer, newRegister, action.NewRunner,
+			newLocal, newPermits, newMemory, newGate, newReporter, newServer, newRegister, action.NewRunner,
 			newSpreader, config.NewHolder, rpc.NewHandlers, admin.NewServer,
 		),
 		fx.Invoke(handleControl, startControl, startListeners, announceDrain),
 	)
 }
 
-func newKey(s Settings) (deploymentKey, error) {
-	key, err := keyfile.Read(s.DeploymentKeyFile)
-	return deploymentKey(key), err
-}
-
-func newLocal(s Settings, key deploymentKey, holder *config.Holder) (rpc.Local, error) {
-	conf, err := tlsfile.Mutual(s.PeerTLS)
-	if err != nil {
-		return rpc.Local{}, err
+func newLocal(s Settings, holder *config.Holder) (rpc.Local, error) {
+	id := rpc.Identity{
+		Name:        s.Name,
+		Role:        rpc.RoleSide,
+		Zone:        s.Zone,
+		Pool:        s.Pool,
+		DataAddress: s.DataAddress,
+		RPCAddress:  s.RPCAddress,
 	}
-	return rpc.Local{
-		Identity: rpc.Identity{
-			Name:        s.Name,
-			Incarnation: uuid.Must(uuid.NewV7()).String(),
-			Role:        rpc.RoleSide,
-			Zone:        s.Zone,
-			Pool:        s.Pool,
-			DataAddress: s.DataAddress,
-			RPCAddress:  s.RPCAddress,
-		},
-		Key:           string(key),
-		ConfigVersion: holder.Version,
-		TLS:           conf,
-	}, nil
+	return process.NewLocal(id, process.Secrets{KeyFile: s.DeploymentKeyFile, PeerTLS: s.PeerTLS}, holder)
 }
 
 func newPermits(s Settings, holder *config.Holder, log logrus.FieldLogger) *permit.Permits {
@@ -111,9 +89,9 @@
 	return index.Configuration.Policy.Retention()
 }
 
-func newGate(s Settings, key deploymentKey, local rpc.Local, holder *config.Holder, mem *memory.Memory, actions *action.Runner, log logrus.FieldLogger) *gate.Gate {
+func newGate(s Settings, local rpc.Local, holder *config.Holder, mem *memory.Memory, actions *action.Runner, log logrus.FieldLogger) *gate.Gate {
 	opts := gate.Options{
-		Key:         string(key),
+		Key:         local.Key,
 		BackendURL:  s.Backend.URL,
 		Incarnation: local.Identity.Incarnation,
 		Holder:      holder,
@@ -222,35 +200,20 @@
 	if err != nil {
 		return err
 	}
-	p.Admin.AddSection("identity", admin.DumpFunc(func() any { return p.Local.Identity }))
-	p.Admin.AddSection("config_version", admin.DumpFunc(func() any { return p.Holder.Version() }))
-	p.Admin.AddSection("config_peers", p.Spreader)
+	process.Describe(p.Admin, p.Local, p.Holder, p.Spreader)
 	p.Admin.AddSection("gate", p.Gate)
 	p.Admin.AddSection("actions", p.Register)
 	if p.Memory != nil {
 		p.Admin.AddSection("memory", admin.DumpFunc(func() any { return p.Memory.Inventory() }))
 	}
-	p.Admin.AddCheck("configuration", func() error {
-		if p.Holder.Version() == 0 {
-			return errors.New("no configuration is in force")
-		}
-		return nil
-	})
-	drain := defaultDrain
-	if p.Settings.DrainSeconds > 0 {
-		drain = time.Duration(p.Settings.DrainSeconds) * time.Second
-	}
 	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router(), TLS: adminTLS})
-	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "data", Address: p.Settings.DataAddress, Handler: p.Gate, Drain: drain, TLS: p.Local.TLS})
+	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "data", Address: p.Settings.DataAddress, Handler: p.Gate, Drain: process.DrainTime(p.Settings.DrainSeconds), TLS: p.Local.TLS})
 	return nil
 }
 
 // startControl opens the control listener and reports to entries until the end.
 func startControl(lc fx.Lifecycle, s Settings, server *rpc.Server, reporter *report.Reporter, spreader *spread.Spreader, mem *memory.Memory) {
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return server.Start(s.RPCAddress) },
-		OnStop:  func(context.Context) error { return server.Stop() },
-	})
+	process.Serve(lc, server, s.RPCAddress)
 	daemon.Go(lc, reporter.Run)
 	daemon.Go(lc, spreader.Run)
 	if mem != nil {
--- a/side/permit/permit.go
+++ b/side/permit/permit.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
@@ -230,14 +231,10 @@
 func rowKey(n int) string { return rowPrefix + strconv.Itoa(n) }
 
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if clock.Sleep(ctx, d) != nil {
 		return canceled(ctx)
 	}
+	return nil
 }
 
 func canceled(ctx context.Context) error {
