--- a/cmd/peridotchute-load/replay/place.go
+++ b/cmd/peridotchute-load/replay/place.go
@@ -25,13 +25,25 @@
 )
 
 // place loads the first placement. The static policy knows the demand before
-// the shift; every other policy begins with equal shares.
-func (r *run) place(ctx context.Context) error {
+// the shift; every other policy begins with equal shares. The entries are
+// frozen meanwhile, so that no planner gives orders of its own.
+func (r *run) place(ctx context.Context) (err error) {
 	peers, err := r.dial()
 	if err != nil {
 		return err
 	}
 	defer peers.close()
+	for _, e := range r.cluster.Entries() {
+		if err := e.Freeze(); err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, e.Resume()) }()
+	}
+	for _, s := range r.cluster.Sides() {
+		if err := cluster.Await(func() error { return r.empty(ctx, peers, s) }); err != nil {
+			return fmt.Errorf("%s: %w", s.Name, err)
+		}
+	}
 	for _, kind := range []wire.ArtifactKind{wire.KindModel, wire.KindAdapter} {
 		want := r.firstPlacement(kind)
 		if err := r.order(ctx, peers, want); err != nil {
@@ -87,6 +99,37 @@
 	return &peers{local: local, handlers: handlers, open: map[string]*rpc.Peer{}}, nil
 }
 
+// empty orders the unload of what a side process holds, and returns nil when
+// that is nothing.
+func (r *run) empty(ctx context.Context, peers *peers, s *cluster.Side) error {
+	p, err := peers.to(ctx, s)
+	if err != nil {
+		return err
+	}
+	inv, err := rpc.Call[rpc.InventoryQuery, rpc.InventoryReply](ctx, p, rpc.MethodInventory, rpc.InventoryQuery{})
+	if err != nil || len(inv.Residents)+len(inv.Pending) == 0 {
+		return err
+	}
+	for _, resident := range inv.Residents {
+		if resident.Artifact.Kind == wire.KindModel {
+			_ = r.give(ctx, p, engine.VerbUnload, resident.Artifact)
+		}
+	}
+	return fmt.Errorf("%d artifacts are resident before the first placement", len(inv.Residents)+len(inv.Pending))
+}
+
+// give gives one order. A refusal is an error.
+func (r *run) give(ctx context.Context, p *rpc.Peer, kind rpc.OrderKind, a wire.Artifact) error {
+	r.sequence++
+	reply, err := rpc.Call[rpc.Order, rpc.OrderReply](ctx, p, rpc.MethodOrder, rpc.Order{
+		Cell: initialCell, Term: 1, Sequence: r.sequence, TTL: orderTTL, Kind: kind, Artifact: a,
+	})
+	if err == nil && !reply.Accepted {
+		err = errors.New(reply.Reason)
+	}
+	return err
+}
+
 // order has each side process load its artifacts and waits until it holds them.
 func (r *run) order(ctx context.Context, peers *peers, want map[string][]wire.Artifact) error {
 	for _, s := range r.cluster.Sides() {
@@ -116,14 +159,7 @@
 		if err != nil || inv.FreeBytes == 0 || inv.ConfigVersion == 0 {
 			return errors.Join(err, errors.New("side process is not ready for orders"))
 		}
-		r.sequence++
-		reply, err := rpc.Call[rpc.Order, rpc.OrderReply](ctx, p, rpc.MethodOrder, rpc.Order{
-			Cell: initialCell, Term: 1, Sequence: r.sequence, TTL: orderTTL, Kind: engine.VerbLoad, Artifact: a,
-		})
-		if err == nil && !reply.Accepted {
-			err = errors.New(reply.Reason)
-		}
-		return err
+		return r.give(ctx, p, engine.VerbLoad, a)
 	})
 }
 
