--- a/admission/admission.go
+++ b/admission/admission.go
@@ -4,7 +4,7 @@
 
 import "time"
 
-// Action is what becomes of a request at the door.
+// Action is what becomes of an arriving request.
 type Action int
 
 // The actions.
@@ -14,7 +14,7 @@
 	Reject
 )
 
-// State is what the door knows when a request arrives.
+// State is what the entry knows when a request arrives.
 type State struct {
 	Queued       int           // requests waiting
 	QueueLimit   int           // most requests waiting; 0 means no limit
@@ -28,7 +28,7 @@
 	Wait         time.Duration // expected until the first token
 }
 
-// Request is what matters of a request at the door.
+// Request is what matters of an arriving request.
 type Request struct {
 	Priority int           // 0 is served first
 	Deadline time.Duration // left until the caller gives up
--- a/entry/admit/admit.go
+++ b/entry/admit/admit.go
@@ -1,6 +1,6 @@
-// Package admit holds the door of an entry: it keeps each team to its limits,
-// lets requests wait for a turn while every server that could take them is
-// busy, and rejects at once what cannot be served in time.
+// Package admit applies admission control at an entry: it keeps each team to
+// its limits, lets requests wait for a turn while every server that could take
+// them is busy, and rejects at once what cannot be served in time.
 package admit
 
 import (
@@ -54,7 +54,7 @@
 	Log    logrus.FieldLogger
 }
 
-// Admitter decides at the door. Run must be running.
+// Admitter decides whether requests are let in. Run must be running.
 type Admitter struct {
 	opts Options
 
@@ -63,7 +63,7 @@
 	waiting *admission.Waiting[*ticket]
 }
 
-// team is what the door keeps of one team.
+// team is the admission state of one team.
 type team struct {
 	inFlight int // waiting or in progress
 	bucket   admission.Bucket
@@ -229,13 +229,13 @@
 	return config.Team{Name: name}
 }
 
-// Dump is the door's section of the state dump.
+// Dump is the admitter's section of the state dump.
 type Dump struct {
 	Waiting int            `json:"waiting"`
 	Teams   map[string]int `json:"in_flight_by_team"`
 }
 
-// DumpState returns the door's section of the state dump.
+// DumpState returns the admitter's section of the state dump.
 func (a *Admitter) DumpState() any {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -54,13 +54,13 @@
 
 // admitted is a backend behind the entry's admission.
 type admitted struct {
-	door *admit.Admitter
-	next job.Backend
+	admitter *admit.Admitter
+	next     job.Backend
 }
 
 // Serve lets the request in and hands it on.
 func (a admitted) Serve(ctx context.Context, w http.ResponseWriter, req dispatch.Request) *wire.Failure {
-	release, f := a.door.Admit(ctx, req)
+	release, f := a.admitter.Admit(ctx, req)
 	if f != nil {
 		return f
 	}
--- a/entry/module.go
+++ b/entry/module.go
@@ -119,11 +119,11 @@
 }
 
 // startDuties runs the goroutines of the process between start and stop.
-func startDuties(lc fx.Lifecycle, f *follower.Follower, spreader *spread.Spreader, p *pool.Pool, door *admit.Admitter) {
+func startDuties(lc fx.Lifecycle, f *follower.Follower, spreader *spread.Spreader, p *pool.Pool, admitter *admit.Admitter) {
 	daemon.Go(lc, f.Run)
 	daemon.Go(lc, spreader.Run)
 	daemon.Go(lc, p.Run)
-	daemon.Go(lc, door.Run)
+	daemon.Go(lc, admitter.Run)
 }
 
 func startRPC(lc fx.Lifecycle, s Settings, local rpc.Local, handlers *rpc.Handlers, spreader *spread.Spreader) {
--- a/side/permit/permit_test.go
+++ b/side/permit/permit_test.go
@@ -32,17 +32,17 @@
 	var mu sync.Mutex
 	loading, most := 0, 0
 	var group sync.WaitGroup
-	for range 4 {
+	for range 8 {
 		p := newTestPermits(t, server, policy)
 		group.Go(func() {
-			for range 4 {
+			for range 3 {
 				release, err := p.Take(context.Background(), wire.KindModel)
 				assert.Check(t, err)
 				mu.Lock()
 				loading++
 				most = max(most, loading)
 				mu.Unlock()
-				time.Sleep(time.Millisecond)
+				time.Sleep(10 * time.Millisecond)
 				mu.Lock()
 				loading--
 				mu.Unlock()
