A side process is ready when it can load; dev says what to try only then

Cause: from a fresh clone, 'make run' and the printed curl at once answered 503, 'cannot be made resident: unavailable'. Orders of an earlier side process may be on their way for settle_ms after a start, so nothing is loaded, while every process said that it was ready. Ruled out: a load that failed (no event 402 in the log); a base model that was missing; the permits. Change: the side process's readiness includes its memory, and dev waits for every process before it prints.

--- a/cmd/peridotchute/dev/dev.go
+++ b/cmd/peridotchute/dev/dev.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -22,6 +23,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/settings"
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
@@ -42,6 +44,7 @@
 	bucket        = "peridotchute"
 	engineMemory  = 24_000_000_000 // bytes, as declared in sample.json
 	settleMS      = 500            // the stand-in engine begins each order at once
+	readyPause    = 20 * time.Millisecond
 	startTimeout  = 30 * time.Second
 	stopTimeout   = 30 * time.Second
 	keyBytes      = 32
@@ -89,6 +92,9 @@
 	if err != nil {
 		return err
 	}
+	if err := l.awaitReady(ctx); err != nil {
+		return err
+	}
 	printHelp(out)
 	printOperatorHelp(out, operator)
 	<-ctx.Done()
@@ -217,6 +223,37 @@
 	return stop, run(entry.Module(l.entry))
 }
 
+// awaitReady waits until every process says that it is ready.
+func (l *layout) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	addresses := []string{l.entry.AdminAddress}
+	for _, s := range l.sides {
+		addresses = append(addresses, s.AdminAddress)
+	}
+	for _, address := range addresses {
+		for !ready(ctx, address) {
+			if err := clock.Sleep(ctx, readyPause); err != nil {
+				return fmt.Errorf("process with the administration address %s: not ready: %w", address, err)
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
 func newApp(module fx.Option) *fx.App {
 	log := logrus.New()
 	log.SetLevel(logrus.WarnLevel)
--- a/side/memory/memory.go
+++ b/side/memory/memory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"sync"
 	"time"
@@ -132,6 +133,20 @@
 	group.Wait()
 }
 
+// Ready returns why no artifact can be loaded yet, or nil: the engine's inventory
+// is needed, and orders of an earlier process must have settled.
+func (m *Memory) Ready() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case !m.known:
+		return errors.New("the engine's inventory was not read yet")
+	case m.ledger.Quarantined():
+		return errors.New("orders of an earlier process may be on their way")
+	}
+	return nil
+}
+
 // Acquire returns when the artifact and its base model are usable, and keeps
 // them so until release is called. It loads what is missing. The error has
 // KindRefused when other work needs the memory, KindUnavailable when loading
--- a/side/memory/memory_test.go
+++ b/side/memory/memory_test.go
@@ -138,6 +138,20 @@
 	b.assertNoBreach(t)
 }
 
+func TestReadyMeansThatTheFirstRequestIsServed(t *testing.T) {
+	b := newBench(t, false, 0)
+	assert.Assert(t, b.memory.Ready() != nil, "before the orders of an earlier process have settled")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := b.memory.Ready(); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+	release, err := b.acquire(context.Background(), "m0")
+	assert.NilError(t, err)
+	release()
+}
+
 func TestWhatIsInUseIsNotUnloaded(t *testing.T) {
 	b := newBench(t, false, 0)
 	releaseFirst := b.eventually(t, "m0")
--- a/side/module.go
+++ b/side/module.go
@@ -204,6 +204,7 @@
 	p.Admin.AddSection("gate", p.Gate)
 	p.Admin.AddSection("actions", p.Register)
 	if p.Memory != nil {
+		p.Admin.AddCheck("memory", p.Memory.Ready)
 		p.Admin.AddSection("memory", admin.DumpFunc(func() any { return p.Memory.Inventory() }))
 	}
 	daemon.Serve(p.Lifecycle, p.Log, daemon.Listener{Name: "admin", Address: p.Settings.AdminAddress, Handler: p.Admin.Router(), TLS: adminTLS})
