--- a/cmd/peridotchute-load/caller/caller.go
+++ b/cmd/peridotchute-load/caller/caller.go
@@ -10,13 +10,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"peridotchute.example/common/wire"
 )
 
-// maxConns bounds the connections that are kept open to one host.
-const maxConns = 1024
+const (
+	maxConns      = 1024 // kept open to one host
+	headerTimeout = "X-Request-Timeout-Ms"
+)
 
 // Request is one completion request.
 type Request struct {
@@ -24,6 +27,8 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	Stream    bool   `json:"stream"`
+
+	Timeout time.Duration `json:"-"` // told to the entry; 0 tells none
 }
 
 // Answer is what came back for one request.
@@ -70,6 +75,9 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+c.key)
+	if r.Timeout > 0 {
+		req.Header.Set(headerTimeout, strconv.FormatInt(r.Timeout.Milliseconds(), 10))
+	}
 	start := time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/cmd/peridotchute-load/survival/overload.go
+++ b/cmd/peridotchute-load/survival/overload.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"peridotchute.example/cmd/peridotchute-load/caller"
 	"peridotchute.example/cmd/peridotchute-load/measure"
 	"peridotchute.example/cmd/peridotchute-load/procstat"
 	"peridotchute.example/integration/cluster"
@@ -28,7 +29,9 @@
 	rejected   float64 // share told to come later
 	told       float64 // of these, the share with Retry-After
 	rejectP99  float64 // ms until a rejection was told
-	other      float64 // share with neither an answer nor a rejection
+	late       float64 // share answered whole after the target
+	given      float64 // share given up by the entry at its deadline, with status 504
+	other      float64 // share with none of these
 	entryRest  float64 // resident MB of the largest entry before
 	entryPeak  float64
 	entryAfter float64
@@ -38,13 +41,13 @@
 // overload offers many times the capacity and watches the entries' memory.
 func (o Options) overload(ctx context.Context, c *cluster.Cluster) (overload, error) {
 	b := newBalancer(c)
-	probe := b.client.Closed(ctx, b.urls, request, probeCallers*o.Sides, capacityProbe)
+	probe := b.client.Closed(ctx, b.urls, o.probe(), probeCallers*o.Sides, capacityProbe)
 	out := overload{capacity: probe.Rate(), entryRest: memory(c)}
 	out.offered = out.capacity * o.Overload
 	done := make(chan struct{})
 	peaks := make(chan []float64, 1)
 	go func() { peaks <- watch(c, done) }()
-	events := offer(ctx, b, request, out.offered, overloadTime)
+	events := offer(ctx, b, o.request(), out.offered, overloadTime)
 	close(done)
 	out.count(events, o.Target)
 	out.growth(<-peaks)
@@ -53,9 +56,16 @@
 	return out, nil
 }
 
+// probe is a request that waits as long as it takes.
+func (o Options) probe() caller.Request {
+	r := o.request()
+	r.Timeout = 0
+	return r
+}
+
 func (v *overload) count(events []event, target time.Duration) {
 	rejections := measure.NewDurations()
-	var good, rejected, told, other float64
+	var good, rejected, told, late, given, other float64
 	for _, e := range events {
 		switch {
 		case e.good(target):
@@ -66,13 +76,17 @@
 			if e.answer.RetryAfter != "" {
 				told++
 			}
+		case e.err == nil && e.answer.OK():
+			late++
+		case e.err == nil && e.answer.Status == http.StatusGatewayTimeout:
+			given++
 		default:
 			other++
 		}
 	}
 	n := float64(max(len(events), 1))
 	v.good = good / overloadTime.Seconds()
-	v.rejected, v.other = rejected/n, other/n
+	v.rejected, v.late, v.given, v.other = rejected/n, late/n, given/n, other/n
 	if rejected > 0 {
 		v.told = told / rejected
 		v.rejectP99 = rejections.Milliseconds(0.99)
@@ -133,7 +147,9 @@
 	{"rejected, %", 1, func(v overload) float64 { return 100 * v.rejected }},
 	{"rejections with Retry-After, %", 1, func(v overload) float64 { return 100 * v.told }},
 	{"time until a rejection, p99, ms", 0, func(v overload) float64 { return v.rejectP99 }},
-	{"neither in time nor rejected, %", 1, func(v overload) float64 { return 100 * v.other }},
+	{"answered late, %", 1, func(v overload) float64 { return 100 * v.late }},
+	{"given up at the deadline with 504, %", 1, func(v overload) float64 { return 100 * v.given }},
+	{"anything else, %", 1, func(v overload) float64 { return 100 * v.other }},
 	{"largest entry before, MB", 0, func(v overload) float64 { return v.entryRest }},
 	{"largest entry at its peak, MB", 0, func(v overload) float64 { return v.entryPeak }},
 	{"largest entry afterwards, MB", 0, func(v overload) float64 { return v.entryAfter }},
--- a/cmd/peridotchute-load/survival/run.go
+++ b/cmd/peridotchute-load/survival/run.go
@@ -18,7 +18,10 @@
 	shortAnswer = 16 // tokens
 )
 
-var request = caller.Request{Model: cluster.SampleModel, Prompt: prompt, MaxTokens: shortAnswer}
+// request is what every caller sends; the entry is told its target as timeout.
+func (o Options) request() caller.Request {
+	return caller.Request{Model: cluster.SampleModel, Prompt: prompt, MaxTokens: shortAnswer, Timeout: o.Target}
+}
 
 // loss is one part of the deployment that is lost and comes back.
 type loss struct {
@@ -139,7 +142,7 @@
 		sleep(ctx, o.During)
 		errs <- errors.Join(err, l.restore(c))
 	}()
-	events := offer(ctx, newBalancer(c), request, o.Rate, o.Before+o.During+o.After)
+	events := offer(ctx, newBalancer(c), o.request(), o.Rate, o.Before+o.During+o.After)
 	if err := <-errs; err != nil {
 		return timeline{}, err
 	}
@@ -160,7 +163,7 @@
 }
 
 func (o Options) report(out io.Writer, lines map[string][]timeline) error {
-	if _, err := fmt.Fprintln(out, "| lost | good before, % | good during, % | good after, % | time to recover, s |\n|---|---|---|---|---|"); err != nil {
+	if _, err := fmt.Fprintln(out, "| lost | good before, % | sent in the second before and failed | good during, % | good after, % | time to recover, s |\n|---|---|---|---|---|---|"); err != nil {
 		return err
 	}
 	back := o.Before + o.During
@@ -173,8 +176,9 @@
 			}
 			return measure.Of(values).Format(1)
 		}
-		_, err := fmt.Fprintf(out, "| %s | %s | %s | %s | %s |\n", l.name,
+		_, err := fmt.Fprintf(out, "| %s | %s | %s | %s | %s | %s |\n", l.name,
 			spread(func(t timeline) float64 { return 100 * t.share(0, o.Before-time.Second) }),
+			spread(func(t timeline) float64 { return t.failed(o.Before-time.Second, o.Before) }),
 			spread(func(t timeline) float64 { return 100 * t.share(o.Before, back) }),
 			spread(func(t timeline) float64 { return 100 * t.share(back, end) }),
 			spread(func(t timeline) float64 { return t.recovery(o.Before, back).Seconds() }))
--- a/cmd/peridotchute-load/survival/timeline.go
+++ b/cmd/peridotchute-load/survival/timeline.go
@@ -32,9 +32,8 @@
 	return t
 }
 
-// share returns the share of good requests sent between two times.
-func (t timeline) share(from, to time.Duration) float64 {
-	var sent, good float64
+// count returns the requests sent between two times, and the good ones.
+func (t timeline) count(from, to time.Duration) (sent, good float64) {
 	for i := range t.sent {
 		at := time.Duration(i) * bin
 		if at >= from && at < to {
@@ -42,12 +41,24 @@
 			good += t.good[i]
 		}
 	}
+	return sent, good
+}
+
+// share returns the share of good requests sent between two times.
+func (t timeline) share(from, to time.Duration) float64 {
+	sent, good := t.count(from, to)
 	if sent == 0 {
 		return 0
 	}
 	return good / sent
 }
 
+// failed returns how many requests sent between two times were not good.
+func (t timeline) failed(from, to time.Duration) float64 {
+	sent, good := t.count(from, to)
+	return sent - good
+}
+
 // recovery returns the time from the loss until the end of the last bin before
 // to in which too few requests were good; 0 when there was none.
 func (t timeline) recovery(loss, to time.Duration) time.Duration {
--- a/cmd/peridotchute-load/survival/timeline_test.go
+++ b/cmd/peridotchute-load/survival/timeline_test.go
@@ -21,6 +21,7 @@
 	line := newTimeline(events, time.Second)
 	assert.Equal(t, line.share(0, time.Second), 1.0)
 	assert.Equal(t, line.share(time.Second, 2*time.Second), 0.0)
+	assert.Equal(t, line.failed(0, 4*time.Second), 20.0)
 	assert.Equal(t, line.recovery(time.Second, 4*time.Second), time.Second)
 	assert.Equal(t, line.recovery(3*time.Second, 4*time.Second), time.Duration(0))
 	assert.Equal(t, len(line.points()), 16)
