--- a/cmd/peridotchute-load/rollout/leave.go
+++ b/cmd/peridotchute-load/rollout/leave.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"peridotchute.example/integration/cluster"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/plain"
+	"peridotchute.example/store"
 )
 
 const (
@@ -47,7 +47,7 @@
 		return err
 	}
 	at := time.Now()
-	if err := c.SetVMState(s.Name, platform.VMLeaving); err != nil {
+	if err := c.SetVMState(s.Name, store.VMLeaving); err != nil {
 		return err
 	}
 	if err := pause(ctx, watchFor); err != nil {
@@ -58,7 +58,7 @@
 		return err
 	}
 	r.left.Add(max(last.Sub(at), 0))
-	return c.SetVMState(s.Name, platform.VMLive)
+	return c.SetVMState(s.Name, store.VMLive)
 }
 
 // call sends idempotent calls to every entry until the returned function is called.
--- a/cmd/peridotchute/dev/dev.go
+++ b/cmd/peridotchute/dev/dev.go
@@ -28,10 +28,10 @@
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
 	"peridotchute.example/entry"
-	"peridotchute.example/platform"
 	"peridotchute.example/side"
 	"peridotchute.example/standin/server"
 	"peridotchute.example/standin/vmlist"
+	"peridotchute.example/store"
 )
 
 const (
@@ -153,8 +153,8 @@
 	return l, nil
 }
 
-func (l *layout) table() platform.TableSettings {
-	return platform.TableSettings{URL: "http://" + l.standIns.TableAddress, Name: tableName}
+func (l *layout) table() store.TableSettings {
+	return store.TableSettings{URL: "http://" + l.standIns.TableAddress, Name: tableName}
 }
 
 func (l *layout) sideSettings(name, pool, keyFile string, backend side.BackendSetting, next func() string) side.Settings {
@@ -183,8 +183,8 @@
 		RPCAddress:        rpcAddress,
 		DeploymentKeyFile: keyFile,
 		Table:             l.table(),
-		Objects:           platform.ObjectSettings{URL: "http://" + l.standIns.ObjectAddress, Bucket: bucket},
-		VMList:            platform.VMSettings{URL: "http://" + l.standIns.VMListAddress, IntervalMS: 1000},
+		Objects:           store.ObjectSettings{URL: "http://" + l.standIns.ObjectAddress, Bucket: bucket},
+		VMList:            store.VMSettings{URL: "http://" + l.standIns.VMListAddress, IntervalMS: 1000},
 	}
 }
 
@@ -273,8 +273,8 @@
 	if err := vmlist.Put(ctx, l.standIns.VMListAddress, l.vms()); err != nil {
 		return err
 	}
-	table := platform.NewTable(l.entry.Table)
-	objects := platform.NewObjects(l.entry.Objects)
+	table := store.NewTable(l.entry.Table)
+	objects := store.NewObjects(l.entry.Objects)
 	_, err := publish.New(table, objects).Accept(ctx, publish.Change{
 		Declared: &declared,
 		ChangeID: uuid.Must(uuid.NewV7()).String(),
@@ -284,17 +284,17 @@
 	return err
 }
 
-func (l *layout) vms() []platform.VM {
-	var out []platform.VM
+func (l *layout) vms() []store.VM {
+	var out []store.VM
 	for _, s := range l.sides {
-		out = append(out, platform.VM{
+		out = append(out, store.VM{
 			Name:        s.Name,
 			Role:        "backend",
 			Zone:        s.Zone,
 			Pool:        s.Pool,
 			DataAddress: s.DataAddress,
 			RPCAddress:  s.RPCAddress,
-			State:       platform.VMLive,
+			State:       store.VMLive,
 		})
 	}
 	return out
--- a/config/publish/accept.go
+++ b/config/publish/accept.go
@@ -6,7 +6,7 @@
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // Accept makes the declared configuration the version after its base. Exactly
@@ -138,7 +138,7 @@
 	return fault.New(fault.KindUnavailable, "config.accept", "", err)
 }
 
-func (s *Store) writeHead(ctx context.Context, row platform.Row, h head) error {
+func (s *Store) writeHead(ctx context.Context, row store.Row, h head) error {
 	var err error
 	if row.Version == "" {
 		_, err = s.table.PutIfAbsent(ctx, headKey, encode(h))
--- a/config/publish/publish.go
+++ b/config/publish/publish.go
@@ -15,7 +15,7 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 const (
@@ -29,15 +29,15 @@
 //
 // Invariant: the versions that Read returns never decrease.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 
 	mu     sync.Mutex
 	newest *config.Configuration // highest version read or accepted; nil before the first
 }
 
 // New returns a store on the platform's table service and object store.
-func New(table platform.Table, objects platform.Objects) *Store {
+func New(table store.Table, objects store.Objects) *Store {
 	return &Store{table: table, objects: objects}
 }
 
@@ -119,10 +119,10 @@
 	return s.newest
 }
 
-func (s *Store) readHead(ctx context.Context) (head, platform.Row, error) {
+func (s *Store) readHead(ctx context.Context) (head, store.Row, error) {
 	row, err := s.table.Get(ctx, headKey)
 	if err != nil {
-		return head{}, platform.Row{}, err
+		return head{}, store.Row{}, err
 	}
 	h, err := decode[head](row)
 	return h, row, err
--- a/config/publish/publish_test.go
+++ b/config/publish/publish_test.go
@@ -14,10 +14,10 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/objects"
 	"peridotchute.example/standin/table"
+	"peridotchute.example/store"
 )
 
 // deployment is a platform of stand-ins.
@@ -42,8 +42,8 @@
 // store returns a store that knows nothing yet, as in a process just started.
 func (d *deployment) store() *publish.Store {
 	return publish.New(
-		platform.NewTable(platform.TableSettings{URL: d.tableURL, Name: "t"}),
-		platform.NewObjects(platform.ObjectSettings{URL: d.objURL, Bucket: "b"}),
+		store.NewTable(store.TableSettings{URL: d.tableURL, Name: "t"}),
+		store.NewObjects(store.ObjectSettings{URL: d.objURL, Bucket: "b"}),
 	)
 }
 
@@ -177,7 +177,7 @@
 	d := newDeployment(t)
 	accepted, err := d.store().Accept(ctx, change(0, "c0", "m0"))
 	assert.NilError(t, err)
-	tab := platform.NewTable(platform.TableSettings{URL: d.tableURL, Name: "t"})
+	tab := store.NewTable(store.TableSettings{URL: d.tableURL, Name: "t"})
 	rows, err := tab.List(ctx, "config/delta/", "", 1)
 	assert.NilError(t, err)
 	for _, broken := range []string{"", "null", "{", `{"version":1,"change_id":"c0"}`} {
--- a/config/publish/record.go
+++ b/config/publish/record.go
@@ -8,7 +8,7 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // Keys of the rows and objects.
@@ -48,7 +48,7 @@
 	return fmt.Sprintf("%s%020d/%s", snapshotPrefix, version, digest)
 }
 
-func decode[T any](row platform.Row) (T, error) {
+func decode[T any](row store.Row) (T, error) {
 	var v T
 	if err := json.Unmarshal(row.Value, &v); err != nil {
 		return v, fault.New(fault.KindInternal, "config.decode", row.Key, err)
--- a/entry/action/action_test.go
+++ b/entry/action/action_test.go
@@ -15,9 +15,9 @@
 	"peridotchute.example/common/wire"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/idempotency"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/table"
+	"peridotchute.example/store"
 )
 
 // fakeServer is one backend server with its side process.
@@ -81,7 +81,7 @@
 
 type fixture struct {
 	table  *table.Server
-	client platform.Table
+	client store.Table
 	server *fakeServer
 	runner *Runner
 }
@@ -92,7 +92,7 @@
 	web := httptest.NewServer(tab)
 	t.Cleanup(web.Close)
 	f := &fixture{table: tab, server: &fakeServer{}}
-	f.client = platform.NewTable(platform.TableSettings{URL: web.URL, Name: "t"})
+	f.client = store.NewTable(store.TableSettings{URL: web.URL, Name: "t"})
 	f.runner = NewRunner(f.client, nil, f.server, logrus.New())
 	return f
 }
@@ -198,7 +198,7 @@
 
 type noVMs struct{}
 
-func (noVMs) List(context.Context) ([]platform.VM, error) { return nil, nil }
+func (noVMs) List(context.Context) ([]store.VM, error) { return nil, nil }
 
 func TestUnresolvedIsListedAndSettled(t *testing.T) {
 	f := newFixture(t)
--- a/entry/action/reconcile.go
+++ b/entry/action/reconcile.go
@@ -12,7 +12,7 @@
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/idempotency"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 const (
@@ -35,7 +35,7 @@
 // which the state machine allows.
 type Reconciler struct {
 	runner *Runner
-	vms    platform.VMs
+	vms    store.VMs
 	self   string
 	log    logrus.FieldLogger
 	seen   map[string]sighting // open claims by row key
@@ -50,7 +50,7 @@
 }
 
 // NewReconciler returns a reconciler for the entry named self.
-func NewReconciler(runner *Runner, vms platform.VMs, self string, log logrus.FieldLogger) *Reconciler {
+func NewReconciler(runner *Runner, vms store.VMs, self string, log logrus.FieldLogger) *Reconciler {
 	return &Reconciler{runner: runner, vms: vms, self: self, log: log, seen: map[string]sighting{}}
 }
 
@@ -127,7 +127,7 @@
 		return names
 	}
 	for _, vm := range vms {
-		if vm.Role == roleEntry && vm.State == platform.VMLive && vm.Name != r.self {
+		if vm.Role == roleEntry && vm.State == store.VMLive && vm.Name != r.self {
 			names = append(names, vm.Name)
 		}
 	}
@@ -153,7 +153,7 @@
 }
 
 // look settles, removes or leaves one row.
-func (r *Reconciler) look(ctx context.Context, row platform.Row, now time.Time) {
+func (r *Reconciler) look(ctx context.Context, row store.Row, now time.Time) {
 	rec, err := decode(row)
 	if err != nil {
 		event.Log(r.log, event.SettleFailed, event.Subject(row.Key), event.Err(err))
@@ -172,7 +172,7 @@
 	}
 }
 
-func (r *Reconciler) lookOpen(ctx context.Context, row platform.Row, rec idempotency.Record, now time.Time) {
+func (r *Reconciler) lookOpen(ctx context.Context, row store.Row, rec idempotency.Record, now time.Time) {
 	s, ok := r.seen[row.Key]
 	if !ok || s.token != rec.Token {
 		s = sighting{token: rec.Token, since: now}
--- a/entry/action/rows.go
+++ b/entry/action/rows.go
@@ -13,7 +13,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/answer"
 	"peridotchute.example/idempotency"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // shardCount is the number of parts into which the rows of actions are divided
@@ -41,7 +41,7 @@
 
 // rows reads and writes the rows of actions.
 type rows struct {
-	table   platform.Table
+	table   store.Table
 	answers *answer.Store
 }
 
@@ -56,7 +56,7 @@
 	return json.Marshal(rec)
 }
 
-func decode(row platform.Row) (idempotency.Record, error) {
+func decode(row store.Row) (idempotency.Record, error) {
 	var rec idempotency.Record
 	if err := json.Unmarshal(row.Value, &rec); err != nil {
 		return rec, fault.New(fault.KindInternal, "action.decode", row.Key, err)
@@ -111,7 +111,7 @@
 	return writeEvent(row, err)
 }
 
-func writeEvent(row platform.Row, err error) idempotency.Event {
+func writeEvent(row store.Row, err error) idempotency.Event {
 	switch {
 	case err == nil:
 		return idempotency.Written{Version: row.Version}
--- a/entry/action/runner.go
+++ b/entry/action/runner.go
@@ -12,7 +12,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/answer"
 	"peridotchute.example/idempotency"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // Asker reaches the side process that a claim names.
@@ -46,7 +46,7 @@
 }
 
 // NewRunner returns a runner over the table and the side processes.
-func NewRunner(table platform.Table, answers *answer.Store, asker Asker, log logrus.FieldLogger) *Runner {
+func NewRunner(table store.Table, answers *answer.Store, asker Asker, log logrus.FieldLogger) *Runner {
 	r := &Runner{rows: rows{table: table, answers: answers}, asker: asker, log: log}
 	r.settler = newSettler(r)
 	return r
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -11,7 +11,7 @@
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/forward"
 	"peridotchute.example/entry/pool"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // actionModule wires non-idempotent actions.
@@ -22,7 +22,7 @@
 	)
 }
 
-func newActionRunner(table platform.Table, answers *answer.Store, peers *action.Peers, log logrus.FieldLogger) *action.Runner {
+func newActionRunner(table store.Table, answers *answer.Store, peers *action.Peers, log logrus.FieldLogger) *action.Runner {
 	return action.NewRunner(table, answers, peers, log)
 }
 
@@ -30,7 +30,7 @@
 	return action.NewServer(action.Options{Entry: s.Name, Runner: runner, Pool: p, Forwarder: f, Chooser: d, Holder: h})
 }
 
-func newReconciler(s Settings, runner *action.Runner, vms platform.VMs, log logrus.FieldLogger) *action.Reconciler {
+func newReconciler(s Settings, runner *action.Runner, vms store.VMs, log logrus.FieldLogger) *action.Reconciler {
 	return action.NewReconciler(runner, vms, s.Name, log)
 }
 
--- a/entry/adminapi/adminapi_test.go
+++ b/entry/adminapi/adminapi_test.go
@@ -22,10 +22,10 @@
 	"peridotchute.example/config/publish"
 	"peridotchute.example/entry/action"
 	"peridotchute.example/operator/api"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/objects"
 	"peridotchute.example/standin/table"
 	"peridotchute.example/standin/vmlist"
+	"peridotchute.example/store"
 )
 
 // Keys of the operators in tests.
@@ -48,7 +48,7 @@
 // losing loses the answers of writes of one key after they took effect, and
 // holds reads of the head until several have come.
 type losing struct {
-	platform.Table
+	store.Table
 	mu     sync.Mutex
 	key    string
 	left   int
@@ -64,7 +64,7 @@
 	l.answer.Add(n)
 }
 
-func (l *losing) Get(ctx context.Context, key string) (platform.Row, error) {
+func (l *losing) Get(ctx context.Context, key string) (store.Row, error) {
 	row, err := l.Table.Get(ctx, key)
 	l.mu.Lock()
 	held := l.meet > 0 && key == "config/head"
@@ -79,22 +79,22 @@
 	return row, err
 }
 
-func (l *losing) lose(key string, row platform.Row, err error) (platform.Row, error) {
+func (l *losing) lose(key string, row store.Row, err error) (store.Row, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil || key != l.key || l.left == 0 {
 		return row, err
 	}
 	l.left--
-	return platform.Row{}, fault.Newf(fault.KindUnknown, "table.put", "", "answer lost")
+	return store.Row{}, fault.Newf(fault.KindUnknown, "table.put", "", "answer lost")
 }
 
-func (l *losing) PutIfAbsent(ctx context.Context, key string, value []byte) (platform.Row, error) {
+func (l *losing) PutIfAbsent(ctx context.Context, key string, value []byte) (store.Row, error) {
 	row, err := l.Table.PutIfAbsent(ctx, key, value)
 	return l.lose(key, row, err)
 }
 
-func (l *losing) CompareAndSet(ctx context.Context, key, version string, value []byte) (platform.Row, error) {
+func (l *losing) CompareAndSet(ctx context.Context, key, version string, value []byte) (store.Row, error) {
 	row, err := l.Table.CompareAndSet(ctx, key, version, value)
 	return l.lose(key, row, err)
 }
@@ -150,12 +150,12 @@
 	log.SetOutput(&f.log)
 	keys, err := LoadKeys(keyFile(t), log)
 	assert.NilError(t, err)
-	tab := platform.NewTable(platform.TableSettings{URL: serve(t, f.table), Name: "t"})
-	obj := platform.NewObjects(platform.ObjectSettings{URL: serve(t, f.objects), Bucket: "b"})
+	tab := store.NewTable(store.TableSettings{URL: serve(t, f.table), Name: "t"})
+	obj := store.NewObjects(store.ObjectSettings{URL: serve(t, f.objects), Bucket: "b"})
 	f.losing = &losing{Table: tab}
 	New(Options{
 		Entry: "entry-1", Keys: keys, Store: publish.New(f.losing, obj), Holder: f.holder, Table: tab, Objects: obj,
-		VMs: platform.NewVMs(platform.VMSettings{URL: serve(t, f.vms)}),
+		VMs: store.NewVMs(store.VMSettings{URL: serve(t, f.vms)}),
 		Members: func(context.Context) []api.Member {
 			return []api.Member{{Name: "entry-1", Role: "entry", State: "serving"}}
 		},
--- a/entry/adminapi/api.go
+++ b/entry/adminapi/api.go
@@ -14,7 +14,7 @@
 	"peridotchute.example/config/publish"
 	"peridotchute.example/entry/action"
 	"peridotchute.example/operator/api"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // Store keeps the accepted configurations; publish.Store is one.
@@ -41,9 +41,9 @@
 	Keys    *Keys
 	Store   Store
 	Holder  *config.Holder
-	Table   platform.Table   // audit records
-	Objects platform.Objects // plans
-	VMs     platform.VMs     // counts the backend servers of each pool
+	Table   store.Table   // audit records
+	Objects store.Objects // plans
+	VMs     store.VMs     // counts the backend servers of each pool
 	Members func(context.Context) []api.Member
 	Actions Actions
 	// Drain asks a backend server to take no new work and returns how much it
--- a/entry/adminapi/routes_test.go
+++ b/entry/adminapi/routes_test.go
@@ -15,8 +15,8 @@
 	"peridotchute.example/config"
 	"peridotchute.example/entry/action"
 	"peridotchute.example/operator/api"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
+	"peridotchute.example/store"
 )
 
 func TestEveryRouteRequiresItsRole(t *testing.T) {
@@ -96,7 +96,7 @@
 	plan.Configuration.Models[0].MemoryBytes = 1
 	forged, err := json.Marshal(plan)
 	assert.NilError(t, err)
-	obj := platform.NewObjects(platform.ObjectSettings{URL: serve(t, f.objects), Bucket: "b"})
+	obj := store.NewObjects(store.ObjectSettings{URL: serve(t, f.objects), Bucket: "b"})
 	assert.NilError(t, obj.Put(context.Background(), planPrefix+plan.Digest, forged))
 	post[api.Error](f, acceptKey, api.PathAccept, digestBody(plan.Digest), http.StatusInternalServerError)
 	assert.Equal(t, f.holder.Version(), uint64(0))
--- a/entry/adminapi/status.go
+++ b/entry/adminapi/status.go
@@ -4,7 +4,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
 	"peridotchute.example/operator/api"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 const roleBackend = "backend" // of a VM in the platform's list
@@ -50,11 +50,11 @@
 func (a *API) dump(*call) (any, error) { return a.opts.Dump(), nil }
 
 // fleetOf counts the backend servers of each pool that are not leaving.
-func fleetOf(vms []platform.VM) config.Fleet {
+func fleetOf(vms []store.VM) config.Fleet {
 	fleet := config.Fleet{}
 	at := map[string]int{}
 	for _, vm := range vms {
-		if vm.Role != roleBackend || vm.State == platform.VMLeaving {
+		if vm.Role != roleBackend || vm.State == store.VMLeaving {
 			continue
 		}
 		i, ok := at[vm.Pool]
--- a/entry/answer/answer.go
+++ b/entry/answer/answer.go
@@ -10,7 +10,7 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // maxRowBytes is the longest answer kept in a row of the table.
@@ -27,11 +27,11 @@
 
 // Store keeps long answers.
 type Store struct {
-	objects platform.Objects
+	objects store.Objects
 }
 
 // NewStore returns a store over the object store.
-func NewStore(objects platform.Objects) *Store { return &Store{objects: objects} }
+func NewStore(objects store.Objects) *Store { return &Store{objects: objects} }
 
 // Keep returns what the row is to hold. name identifies the answer among all
 // others; keeping the same one twice is harmless.
--- a/entry/answer/answer_test.go
+++ b/entry/answer/answer_test.go
@@ -9,16 +9,16 @@
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/common/wire"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/objects"
+	"peridotchute.example/store"
 )
 
 func TestLongAnswersGoToTheObjectStore(t *testing.T) {
 	server := objects.New()
 	web := httptest.NewServer(server)
 	defer web.Close()
-	s := NewStore(platform.NewObjects(platform.ObjectSettings{URL: web.URL, Bucket: "b"}))
+	s := NewStore(store.NewObjects(store.ObjectSettings{URL: web.URL, Bucket: "b"}))
 	ctx := context.Background()
 
 	short := &wire.Answer{Status: 200, Body: []byte("short")}
--- a/entry/job/job_test.go
+++ b/entry/job/job_test.go
@@ -13,9 +13,9 @@
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
 	"peridotchute.example/entry/dispatch"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/table"
+	"peridotchute.example/store"
 )
 
 // backend counts its runs and answers as told.
@@ -43,7 +43,7 @@
 	one := func(name string) *Server {
 		return New(Options{
 			Entry: name, Holder: holder, Backend: b, Actions: b, Log: logrus.New(),
-			Table: platform.NewTable(platform.TableSettings{URL: web.URL, Name: "t"}),
+			Table: store.NewTable(store.TableSettings{URL: web.URL, Name: "t"}),
 			Owns:  func(context.Context, int) func(string) bool { return func(string) bool { return true } },
 		})
 	}
--- a/entry/job/lease.go
+++ b/entry/job/lease.go
@@ -11,7 +11,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/idempotency"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // lease is a job that this entry runs.
@@ -63,9 +63,9 @@
 }
 
 // readBack finds out whether a write whose answer was lost took effect.
-func (l *lease) readBack(ctx context.Context, next Record, cause error) (platform.Row, error) {
+func (l *lease) readBack(ctx context.Context, next Record, cause error) (store.Row, error) {
 	if !fault.Is(cause, fault.KindUnknown) && !fault.Is(cause, fault.KindConflict) {
-		return platform.Row{}, cause
+		return store.Row{}, cause
 	}
 	stored, row, err := l.server.read(ctx, next.Team, next.ID)
 	if err != nil {
--- a/entry/job/scan.go
+++ b/entry/job/scan.go
@@ -6,7 +6,7 @@
 
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // sighting is a job's row and since when this entry has seen it unchanged, by
@@ -82,7 +82,7 @@
 
 // look queues a job that waits, or whose row has not changed for the time of a
 // lease, and removes one whose retention is over.
-func (c *scanner) look(ctx context.Context, row platform.Row, now time.Time) {
+func (c *scanner) look(ctx context.Context, row store.Row, now time.Time) {
 	rec, err := decode(row)
 	if err != nil {
 		event.Log(c.server.opts.Log, event.JobScan, event.Subject(row.Key), event.Err(err))
--- a/entry/job/serve.go
+++ b/entry/job/serve.go
@@ -16,7 +16,7 @@
 	"peridotchute.example/entry/answer"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/idempotency"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 const (
@@ -101,7 +101,7 @@
 }
 
 // read returns a job and its row. KindNotFound means that there is none.
-func (s *Server) read(ctx context.Context, team, id string) (Record, platform.Row, error) {
+func (s *Server) read(ctx context.Context, team, id string) (Record, store.Row, error) {
 	row, err := s.opts.Table.Get(ctx, rowKey(team, id))
 	if err != nil {
 		return Record{}, row, err
@@ -110,7 +110,7 @@
 	return rec, row, err
 }
 
-func decode(row platform.Row) (Record, error) {
+func decode(row store.Row) (Record, error) {
 	var rec Record
 	if err := json.Unmarshal(row.Value, &rec); err != nil {
 		return rec, fault.New(fault.KindInternal, "job.decode", row.Key, err)
--- a/entry/job/worker.go
+++ b/entry/job/worker.go
@@ -15,7 +15,7 @@
 	"peridotchute.example/config"
 	"peridotchute.example/entry/answer"
 	"peridotchute.example/entry/dispatch"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 const (
@@ -38,7 +38,7 @@
 // Options configure a Server.
 type Options struct {
 	Entry   string // name of this entry
-	Table   platform.Table
+	Table   store.Table
 	Answers *answer.Store
 	Holder  *config.Holder
 	Backend Backend                                                            // idempotent work
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -15,7 +15,7 @@
 	"peridotchute.example/entry/answer"
 	"peridotchute.example/entry/dispatch"
 	"peridotchute.example/entry/job"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // jobModule wires work that may be answered later.
@@ -27,7 +27,7 @@
 type jobParams struct {
 	fx.In
 	Settings   Settings
-	Table      platform.Table
+	Table      store.Table
 	Answers    *answer.Store
 	Holder     *config.Holder
 	Admitter   *admit.Admitter
--- a/entry/module.go
+++ b/entry/module.go
@@ -25,9 +25,9 @@
 	"peridotchute.example/entry/link"
 	"peridotchute.example/entry/peers"
 	"peridotchute.example/entry/pool"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
 	"peridotchute.example/rpc/process"
+	"peridotchute.example/store"
 )
 
 // Module wires an entry process from its settings.
@@ -56,11 +56,11 @@
 	return process.NewLocal(id, process.Secrets{KeyFile: s.DeploymentKeyFile, PeerTLS: s.PeerTLS}, holder)
 }
 
-func newTable(s Settings) platform.Table { return platform.NewTable(s.Table) }
+func newTable(s Settings) store.Table { return store.NewTable(s.Table) }
 
-func newObjects(s Settings) platform.Objects { return platform.NewObjects(s.Objects) }
+func newObjects(s Settings) store.Objects { return store.NewObjects(s.Objects) }
 
-func newVMs(s Settings) platform.VMs { return platform.NewVMs(s.VMList) }
+func newVMs(s Settings) store.VMs { return store.NewVMs(s.VMList) }
 
 func newFollower(store *publish.Store, holder *config.Holder, log logrus.FieldLogger) *follower.Follower {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -81,7 +81,7 @@
 	Settings Settings
 	Local    rpc.Local
 	Handlers *rpc.Handlers
-	VMs      platform.VMs
+	VMs      store.VMs
 	Holder   *config.Holder
 	Spreader *spread.Spreader
 	Peers    *peers.Peers
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -15,8 +15,8 @@
 	"peridotchute.example/entry/adminapi"
 	"peridotchute.example/entry/pool"
 	"peridotchute.example/entry/roster"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 // operatorModule wires the administration API.
@@ -24,7 +24,7 @@
 	return fx.Options(fx.Provide(newRoster), fx.Invoke(serveOperators))
 }
 
-func newRoster(local rpc.Local, handlers *rpc.Handlers, p *pool.Pool, s *spread.Spreader, vms platform.VMs) *roster.Roster {
+func newRoster(local rpc.Local, handlers *rpc.Handlers, p *pool.Pool, s *spread.Spreader, vms store.VMs) *roster.Roster {
 	return roster.New(roster.Options{Local: local, Handlers: handlers, Pool: p, Spreader: s, VMs: vms})
 }
 
@@ -34,9 +34,9 @@
 	Settings Settings
 	Store    *publish.Store
 	Holder   *config.Holder
-	Table    platform.Table
-	Objects  platform.Objects
-	VMs      platform.VMs
+	Table    store.Table
+	Objects  store.Objects
+	VMs      store.VMs
 	Roster   *roster.Roster
 	Actions  *action.Runner
 	Pool     *pool.Pool
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -7,8 +7,8 @@
 	"sync"
 
 	"peridotchute.example/membership"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 const roleEntry = "entry"
@@ -42,11 +42,11 @@
 
 // Update opens and ends connections after a reading of the VM list. They end
 // with ctx as well.
-func (p *Peers) Update(ctx context.Context, vms []platform.VM) {
+func (p *Peers) Update(ctx context.Context, vms []store.VM) {
 	addresses := map[string]string{}
 	var names []string
 	for _, vm := range vms {
-		if vm.Role == roleEntry && vm.State == platform.VMLive && vm.RPCAddress != "" {
+		if vm.Role == roleEntry && vm.State == store.VMLive && vm.RPCAddress != "" {
 			addresses[vm.Name] = vm.RPCAddress
 			names = append(names, vm.Name)
 		}
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -13,9 +13,9 @@
 	"peridotchute.example/entry/planner"
 	"peridotchute.example/entry/pool"
 	"peridotchute.example/membership"
-	"peridotchute.example/platform"
 	"peridotchute.example/routing"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 // planModule wires the planner of placements.
@@ -28,7 +28,7 @@
 	fx.In
 	Settings Settings
 	Local    rpc.Local
-	Table    platform.Table
+	Table    store.Table
 	Holder   *config.Holder
 	Pool     *pool.Pool
 	Spreader *spread.Spreader
--- a/entry/planner/lease.go
+++ b/entry/planner/lease.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"peridotchute.example/common/fault"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 const (
@@ -29,9 +29,9 @@
 type lease struct {
 	cell   string
 	holder string // own incarnation
-	table  platform.Table
+	table  store.Table
 
-	row       platform.Row
+	row       store.Row
 	value     leaseRow
 	firstSeen time.Time // when this version of the row was first seen
 	renewed   time.Time // before the newest renewal that took effect was sent
@@ -50,7 +50,7 @@
 	row, err := l.table.Get(ctx, keyPrefix+l.cell)
 	switch {
 	case fault.Is(err, fault.KindNotFound):
-		l.row = platform.Row{}
+		l.row = store.Row{}
 		return l.write(ctx, leaseRow{Holder: l.holder, Term: l.value.Term + 1}, sent)
 	case err != nil:
 		return err
@@ -72,7 +72,7 @@
 
 // see takes in the row as read. A row of our own that we have not confirmed
 // yet came from a write whose answer was lost; it counts from when it is read.
-func (l *lease) see(row platform.Row, asked time.Time) error {
+func (l *lease) see(row store.Row, asked time.Time) error {
 	if row.Version == l.row.Version {
 		return nil
 	}
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	var row platform.Row
+	var row store.Row
 	if l.row.Version == "" {
 		row, err = l.table.PutIfAbsent(ctx, keyPrefix+l.cell, raw)
 	} else {
--- a/entry/planner/planner.go
+++ b/entry/planner/planner.go
@@ -15,8 +15,8 @@
 	"peridotchute.example/common/event"
 	"peridotchute.example/config"
 	"peridotchute.example/placement"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 const (
@@ -40,7 +40,7 @@
 type Options struct {
 	Name        string // of this entry's VM
 	Incarnation string
-	Table       platform.Table
+	Table       store.Table
 	Holder      *config.Holder
 	Servers     func() []Server
 	Entries     func() []string // names of the entries in reach, this one included
--- a/entry/planner/planner_test.go
+++ b/entry/planner/planner_test.go
@@ -11,20 +11,20 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 // memTable is a table of one process.
 type memTable struct {
-	platform.Table
+	store.Table
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	version int
 	lose    bool // answers to writes
 }
 
-func (m *memTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (m *memTable) Get(_ context.Context, key string) (store.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	row, ok := m.rows[key]
@@ -34,26 +34,26 @@
 	return row, nil
 }
 
-func (m *memTable) PutIfAbsent(ctx context.Context, key string, value []byte) (platform.Row, error) {
+func (m *memTable) PutIfAbsent(ctx context.Context, key string, value []byte) (store.Row, error) {
 	return m.CompareAndSet(ctx, key, "", value)
 }
 
-func (m *memTable) CompareAndSet(_ context.Context, key, version string, value []byte) (platform.Row, error) {
+func (m *memTable) CompareAndSet(_ context.Context, key, version string, value []byte) (store.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.rows[key].Version != version {
-		return platform.Row{}, fault.Newf(fault.KindConflict, "cas", "", "changed")
+		return store.Row{}, fault.Newf(fault.KindConflict, "cas", "", "changed")
 	}
 	m.version++
-	row := platform.Row{Key: key, Value: value, Version: fmt.Sprint(m.version)}
+	row := store.Row{Key: key, Value: value, Version: fmt.Sprint(m.version)}
 	m.rows[key] = row
 	if m.lose {
-		return platform.Row{}, fault.Newf(fault.KindUnknown, "cas", "", "answer lost")
+		return store.Row{}, fault.Newf(fault.KindUnknown, "cas", "", "answer lost")
 	}
 	return row, nil
 }
 
-func leasesOf(table platform.Table, holders ...string) []*lease {
+func leasesOf(table store.Table, holders ...string) []*lease {
 	var out []*lease
 	for _, h := range holders {
 		out = append(out, &lease{cell: "c", holder: h, table: table})
@@ -62,7 +62,7 @@
 }
 
 func TestOneEntryHoldsALease(t *testing.T) {
-	table := &memTable{rows: map[string]platform.Row{}}
+	table := &memTable{rows: map[string]store.Row{}}
 	l := leasesOf(table, "a", "b")
 	ctx := context.Background()
 	assert.NilError(t, l[0].step(ctx))
@@ -75,7 +75,7 @@
 }
 
 func TestALapsedLeaseIsTakenUnderAHigherTerm(t *testing.T) {
-	table := &memTable{rows: map[string]platform.Row{}}
+	table := &memTable{rows: map[string]store.Row{}}
 	l := leasesOf(table, "a", "b")
 	ctx := context.Background()
 	assert.NilError(t, l[0].step(ctx))
@@ -91,7 +91,7 @@
 }
 
 func TestALostAnswerIsReadBack(t *testing.T) {
-	table := &memTable{rows: map[string]platform.Row{}, lose: true}
+	table := &memTable{rows: map[string]store.Row{}, lose: true}
 	l := leasesOf(table, "a")[0]
 	assert.Assert(t, fault.Is(l.step(context.Background()), fault.KindUnknown))
 	_, ok := l.held(time.Now())
--- a/entry/pool/members.go
+++ b/entry/pool/members.go
@@ -6,8 +6,8 @@
 
 	"peridotchute.example/common/event"
 	"peridotchute.example/membership"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 // refresh reads the VM list. A list that cannot be read changes nothing.
@@ -38,14 +38,14 @@
 	}
 }
 
-func row(vm platform.VM) membership.Row {
+func row(vm store.VM) membership.Row {
 	return membership.Row{
 		Name:        vm.Name,
 		Zone:        vm.Zone,
 		Pool:        vm.Pool,
 		DataAddress: vm.DataAddress,
 		RPCAddress:  vm.RPCAddress,
-		Leaving:     vm.State == platform.VMLeaving,
+		Leaving:     vm.State == store.VMLeaving,
 	}
 }
 
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -17,9 +17,9 @@
 	"peridotchute.example/config"
 	"peridotchute.example/entry/link"
 	"peridotchute.example/membership"
-	"peridotchute.example/platform"
 	"peridotchute.example/routing"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 const (
@@ -34,13 +34,13 @@
 type Options struct {
 	Local    rpc.Local
 	Handlers *rpc.Handlers
-	VMs      platform.VMs
+	VMs      store.VMs
 	Interval time.Duration // between reads of the VM list; 0 means the default
 	Holder   *config.Holder
-	Region   string                               // of this entry
-	Link     *link.Meter                          // of traffic with other regions
-	OnPeer   func(*rpc.Peer)                      // called with each new connection; may be nil
-	OnList   func(context.Context, []platform.VM) // called with each reading of the VM list; may be nil
+	Region   string                            // of this entry
+	Link     *link.Meter                       // of traffic with other regions
+	OnPeer   func(*rpc.Peer)                   // called with each new connection; may be nil
+	OnList   func(context.Context, []store.VM) // called with each reading of the VM list; may be nil
 	Log      logrus.FieldLogger
 }
 
--- a/entry/pool/report_test.go
+++ b/entry/pool/report_test.go
@@ -12,20 +12,20 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 const patience = 30 * time.Second
 
 // fixedList is a VM list that never changes.
-type fixedList []platform.VM
+type fixedList []store.VM
 
-func (l fixedList) List(context.Context) ([]platform.VM, error) { return l, nil }
+func (l fixedList) List(context.Context) ([]store.VM, error) { return l, nil }
 
 // fakeSide is a side process that reports when told to.
 type fakeSide struct {
-	vm      platform.VM
+	vm      store.VM
 	entries chan *rpc.Peer
 }
 
@@ -41,7 +41,7 @@
 	server := rpc.NewServer(local, handlers, func(p *rpc.Peer) { s.entries <- p })
 	assert.NilError(t, server.Start("127.0.0.1:0"))
 	t.Cleanup(func() { _ = server.Stop() })
-	s.vm = platform.VM{Name: name, Role: roleBackend, Pool: "p", RPCAddress: server.Address(), State: platform.VMLive}
+	s.vm = store.VM{Name: name, Role: roleBackend, Pool: "p", RPCAddress: server.Address(), State: store.VMLive}
 	return s
 }
 
--- a/entry/pool/server.go
+++ b/entry/pool/server.go
@@ -8,9 +8,9 @@
 	"peridotchute.example/admission"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/membership"
-	"peridotchute.example/platform"
 	"peridotchute.example/routing"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 // Server is what this entry knows of one backend server and its side process.
@@ -23,7 +23,7 @@
 	asking   atomic.Bool // what is resident is being asked for
 
 	mu          sync.Mutex
-	vm          platform.VM
+	vm          store.VM
 	state       membership.State
 	reason      string // of state
 	incarnation string // newest known, "" before the first hello or report
@@ -48,7 +48,7 @@
 }
 
 // VM returns the server's row of the VM list.
-func (s *Server) VM() platform.VM {
+func (s *Server) VM() store.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.vm
@@ -130,12 +130,12 @@
 func (s *Server) setMember(m membership.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vm = platform.VM{
+	s.vm = store.VM{
 		Name: m.Name, Role: roleBackend, Zone: m.Zone, Pool: m.Pool,
-		DataAddress: m.DataAddress, RPCAddress: m.RPCAddress, State: platform.VMLive,
+		DataAddress: m.DataAddress, RPCAddress: m.RPCAddress, State: store.VMLive,
 	}
 	if m.ListLeaving {
-		s.vm.State = platform.VMLeaving
+		s.vm.State = store.VMLeaving
 	}
 	s.state, s.reason, s.incarnation = m.State, m.Reason, m.Incarnation
 }
@@ -187,7 +187,7 @@
 
 // Dump is a server's section of the state dump.
 type Dump struct {
-	VM        platform.VM     `json:"vm"`
+	VM        store.VM        `json:"vm"`
 	State     string          `json:"state"`
 	Reason    string          `json:"reason"` // of the state
 	Connected bool            `json:"connected"`
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -12,8 +12,8 @@
 	"peridotchute.example/config/spread"
 	"peridotchute.example/entry/pool"
 	"peridotchute.example/operator/api"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
+	"peridotchute.example/store"
 )
 
 const (
@@ -30,7 +30,7 @@
 	Handlers *rpc.Handlers
 	Pool     *pool.Pool
 	Spreader *spread.Spreader
-	VMs      platform.VMs
+	VMs      store.VMs
 }
 
 // Roster lists the members of the deployment.
@@ -108,13 +108,13 @@
 
 // otherEntries returns the entries of the VM list that stay; none when the
 // list cannot be read.
-func (r *Roster) otherEntries(ctx context.Context) []platform.VM {
+func (r *Roster) otherEntries(ctx context.Context) []store.VM {
 	vms, err := r.opts.VMs.List(ctx)
 	if err != nil {
 		return nil
 	}
-	return slices.DeleteFunc(vms, func(vm platform.VM) bool {
-		return vm.Role != roleEntry || vm.Name == r.opts.Local.Identity.Name || vm.State == platform.VMLeaving
+	return slices.DeleteFunc(vms, func(vm store.VM) bool {
+		return vm.Role != roleEntry || vm.Name == r.opts.Local.Identity.Name || vm.State == store.VMLeaving
 	})
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,28 +6,28 @@
 	"time"
 
 	"peridotchute.example/common/tlsfile"
-	"peridotchute.example/platform"
 	"peridotchute.example/routing"
+	"peridotchute.example/store"
 )
 
 // Settings are an entry process's settings file.
 type Settings struct {
-	Name              string                  `json:"name" validate:"required"`   // of its VM
-	Region            string                  `json:"region" validate:"required"` //
-	Zone              string                  `json:"zone" validate:"required"`   // availability zone
-	CallerAddress     string                  `json:"caller_address" validate:"required,ip_port"`
-	AdminAddress      string                  `json:"admin_address" validate:"required,ip_port"`
-	RPCAddress        string                  `json:"rpc_address" validate:"required,ip_port"`
-	DeploymentKeyFile string                  `json:"deployment_key_file" validate:"required,file"`
-	OperatorKeyFile   string                  `json:"operator_key_file,omitempty" validate:"omitempty,file"` // without it there is no administration API
-	Table             platform.TableSettings  `json:"table" validate:"required"`
-	Objects           platform.ObjectSettings `json:"objects" validate:"required"`
-	VMList            platform.VMSettings     `json:"vm_list" validate:"required"`
-	CallerTLS         *tlsfile.Files          `json:"caller_tls,omitempty"`               // of caller_address; plain HTTP without it
-	AdminTLS          *tlsfile.Files          `json:"admin_tls,omitempty"`                // of admin_address; plain HTTP without it
-	PeerTLS           *tlsfile.Files          `json:"peer_tls,omitempty"`                 // between the deployment's processes; all have it or none
-	DrainSeconds      int                     `json:"drain_s,omitempty" validate:"gte=0"` // longest graceful shutdown
-	Policy            PolicySetting           `json:"policy"`
+	Name              string               `json:"name" validate:"required"`   // of its VM
+	Region            string               `json:"region" validate:"required"` //
+	Zone              string               `json:"zone" validate:"required"`   // availability zone
+	CallerAddress     string               `json:"caller_address" validate:"required,ip_port"`
+	AdminAddress      string               `json:"admin_address" validate:"required,ip_port"`
+	RPCAddress        string               `json:"rpc_address" validate:"required,ip_port"`
+	DeploymentKeyFile string               `json:"deployment_key_file" validate:"required,file"`
+	OperatorKeyFile   string               `json:"operator_key_file,omitempty" validate:"omitempty,file"` // without it there is no administration API
+	Table             store.TableSettings  `json:"table" validate:"required"`
+	Objects           store.ObjectSettings `json:"objects" validate:"required"`
+	VMList            store.VMSettings     `json:"vm_list" validate:"required"`
+	CallerTLS         *tlsfile.Files       `json:"caller_tls,omitempty"`               // of caller_address; plain HTTP without it
+	AdminTLS          *tlsfile.Files       `json:"admin_tls,omitempty"`                // of admin_address; plain HTTP without it
+	PeerTLS           *tlsfile.Files       `json:"peer_tls,omitempty"`                 // between the deployment's processes; all have it or none
+	DrainSeconds      int                  `json:"drain_s,omitempty" validate:"gte=0"` // longest graceful shutdown
+	Policy            PolicySetting        `json:"policy"`
 }
 
 // PolicySetting says how backend servers are chosen. Zero values mean the defaults.
--- a/integration/cluster/cluster.go
+++ b/integration/cluster/cluster.go
@@ -11,9 +11,9 @@
 	"sync"
 
 	"peridotchute.example/entry"
-	"peridotchute.example/platform"
 	"peridotchute.example/side"
 	"peridotchute.example/standin/server"
+	"peridotchute.example/store"
 )
 
 const deploymentKey = "deployment-key-of-a-test"
@@ -64,8 +64,8 @@
 	views   *views
 
 	mu      sync.Mutex
-	vms     map[string]platform.VM // shown in the VM list, by name
-	version uint64                 // accepted last
+	vms     map[string]store.VM // shown in the VM list, by name
+	version uint64              // accepted last
 }
 
 // Start starts a cluster, waits until every process is ready, and ends it with
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{opts: o.withDefaults(), dir: dir, bin: bin, vms: map[string]platform.VM{}}
+	c := &Cluster{opts: o.withDefaults(), dir: dir, bin: bin, vms: map[string]store.VM{}}
 	c.key = filepath.Join(dir, "deployment.key")
 	if err := os.WriteFile(c.key, []byte(deploymentKey+"\n"), 0o600); err != nil {
 		return c, err
@@ -169,13 +169,13 @@
 }
 
 // Table returns a client of the table service, past any proxy.
-func (c *Cluster) Table() platform.Table {
-	return platform.NewTable(platform.TableSettings{URL: "http://" + c.StandIn.Settings.TableAddress, Name: tableName})
+func (c *Cluster) Table() store.Table {
+	return store.NewTable(store.TableSettings{URL: "http://" + c.StandIn.Settings.TableAddress, Name: tableName})
 }
 
 // Objects returns a client of the object store, past any proxy.
-func (c *Cluster) Objects() platform.Objects {
-	return platform.NewObjects(platform.ObjectSettings{URL: "http://" + c.StandIn.Settings.ObjectAddress, Bucket: bucketName})
+func (c *Cluster) Objects() store.Objects {
+	return store.NewObjects(store.ObjectSettings{URL: "http://" + c.StandIn.Settings.ObjectAddress, Bucket: bucketName})
 }
 
 func (c *Cluster) startStandIns() error {
--- a/integration/cluster/describe.go
+++ b/integration/cluster/describe.go
@@ -7,9 +7,9 @@
 	"path/filepath"
 
 	"peridotchute.example/entry"
-	"peridotchute.example/platform"
 	"peridotchute.example/side"
 	"peridotchute.example/standin/server"
+	"peridotchute.example/store"
 )
 
 const (
@@ -93,9 +93,9 @@
 		Name: name, Region: zone.Region, Zone: zone.Name,
 		CallerAddress: a.next(), AdminAddress: a.next(), RPCAddress: a.next(),
 		DeploymentKeyFile: c.key, DrainSeconds: drainSeconds,
-		Table:   platform.TableSettings{Name: tableName},
-		Objects: platform.ObjectSettings{Bucket: bucketName},
-		VMList:  platform.VMSettings{IntervalMS: vmListIntervalMS},
+		Table:   store.TableSettings{Name: tableName},
+		Objects: store.ObjectSettings{Bucket: bucketName},
+		VMList:  store.VMSettings{IntervalMS: vmListIntervalMS},
 	}
 	return e
 }
@@ -112,12 +112,12 @@
 		if err := c.link(&s.Settings.Backend.URL, s.Name, Backend, s.backend); err != nil {
 			return err
 		}
-		s.Settings.Table = &platform.TableSettings{Name: tableName}
+		s.Settings.Table = &store.TableSettings{Name: tableName}
 		if err := c.link(&s.Settings.Table.URL, s.Name, Table, c.StandIn.Settings.TableAddress); err != nil {
 			return err
 		}
-		c.vms[s.Name] = platform.VM{
-			Name: s.Name, Role: roleBackend, Zone: s.Settings.Zone, Pool: s.Settings.Pool, State: platform.VMLive,
+		c.vms[s.Name] = store.VM{
+			Name: s.Name, Role: roleBackend, Zone: s.Settings.Zone, Pool: s.Settings.Pool, State: store.VMLive,
 			DataAddress: s.Settings.DataAddress, RPCAddress: s.Settings.RPCAddress,
 		}
 	}
@@ -153,8 +153,8 @@
 	if c.opts.EditEntry != nil {
 		c.opts.EditEntry(i+1, s)
 	}
-	c.vms[e.Name] = platform.VM{
-		Name: e.Name, Role: roleEntry, Zone: s.Zone, State: platform.VMLive,
+	c.vms[e.Name] = store.VM{
+		Name: e.Name, Role: roleEntry, Zone: s.Zone, State: store.VMLive,
 		DataAddress: s.CallerAddress, RPCAddress: s.RPCAddress,
 	}
 	return nil
--- a/integration/cluster/vms.go
+++ b/integration/cluster/vms.go
@@ -12,12 +12,12 @@
 	"sync/atomic"
 	"time"
 
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/vmlist"
+	"peridotchute.example/store"
 )
 
 // SetVMState changes the state of a VM in the platform's list.
-func (c *Cluster) SetVMState(name string, state platform.VMState) error {
+func (c *Cluster) SetVMState(name string, state store.VMState) error {
 	c.mu.Lock()
 	vm, ok := c.vms[name]
 	if !ok {
@@ -41,12 +41,12 @@
 // showVMs hands the list to the stand-in.
 func (c *Cluster) showVMs() error {
 	c.mu.Lock()
-	vms := make([]platform.VM, 0, len(c.vms))
+	vms := make([]store.VM, 0, len(c.vms))
 	for _, name := range slices.Sorted(maps.Keys(c.vms)) {
 		vms = append(vms, c.vms[name])
 	}
 	c.mu.Unlock()
-	control := vmlist.Control{VMs: platform.TargetGroups(vms), LagMS: int(c.opts.VMListLag.Milliseconds())}
+	control := vmlist.Control{VMs: store.TargetGroups(vms), LagMS: int(c.opts.VMListLag.Milliseconds())}
 	return c.control(c.StandIn.Settings.VMListAddress, "/control/vms", control)
 }
 
@@ -123,13 +123,13 @@
 	return n, err
 }
 
-func (v *views) read(reader string) ([]platform.TargetGroup, error) {
+func (v *views) read(reader string) ([]store.TargetGroup, error) {
 	resp, err := get(v.upstream)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	groups := []platform.TargetGroup{}
+	groups := []store.TargetGroup{}
 	if err := json.NewDecoder(resp.Body).Decode(&groups); err != nil {
 		return nil, err
 	}
@@ -144,7 +144,7 @@
 	return groups, nil
 }
 
-func (v *views) rewrite(reader string, g *platform.TargetGroup) error {
+func (v *views) rewrite(reader string, g *store.TargetGroup) error {
 	if g.Labels.Name == reader || len(g.Targets) != 1 {
 		return nil
 	}
--- a/integration/membership_test.go
+++ b/integration/membership_test.go
@@ -19,8 +19,8 @@
 	"peridotchute.example/integration/cluster"
 	"peridotchute.example/integration/proxy"
 	"peridotchute.example/membership"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/plain"
+	"peridotchute.example/store"
 )
 
 const slotsPath = "/services/" + cluster.SampleService + "/slots"
@@ -92,7 +92,7 @@
 		leaving = c.Plain(1)
 	}
 	assert.Assert(t, callsAt(t, leaving) > 0, "the server had no work before it left")
-	assert.NilError(t, c.SetVMState(leaving.Name, platform.VMLeaving))
+	assert.NilError(t, c.SetVMState(leaving.Name, store.VMLeaving))
 	believed(t, e, membership.StateLeaving, leaving.Name)
 	before := callsAt(t, leaving)
 	book(t, e, requests)
--- a/side/module.go
+++ b/side/module.go
@@ -13,7 +13,6 @@
 	"peridotchute.example/config"
 	"peridotchute.example/config/spread"
 	"peridotchute.example/engine"
-	"peridotchute.example/platform"
 	"peridotchute.example/rpc"
 	"peridotchute.example/rpc/process"
 	"peridotchute.example/side/action"
@@ -22,6 +21,7 @@
 	"peridotchute.example/side/permit"
 	"peridotchute.example/side/report"
 	"peridotchute.example/side/residence"
+	"peridotchute.example/store"
 )
 
 const kindEngine = "engine"
@@ -53,7 +53,7 @@
 func newPermits(s Settings, holder *config.Holder, log logrus.FieldLogger) *permit.Permits {
 	opts := permit.Options{Holder: holder, Name: s.Name, Log: log}
 	if s.Table != nil {
-		opts.Table = platform.NewTable(*s.Table)
+		opts.Table = store.NewTable(*s.Table)
 	}
 	return permit.New(opts)
 }
--- a/side/permit/decide.go
+++ b/side/permit/decide.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"peridotchute.example/config"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // hold returns the least time for which a row stays taken. Rows that each
@@ -38,16 +38,16 @@
 
 // free returns the rows that may be taken: absent ones without a version, free
 // ones, and those unchanged for longer than their lease.
-func (s sightings) free(rows []platform.Row, permits int, now time.Time) []platform.Row {
-	present := make(map[string]platform.Row, len(rows))
+func (s sightings) free(rows []store.Row, permits int, now time.Time) []store.Row {
+	present := make(map[string]store.Row, len(rows))
 	for _, row := range rows {
 		present[row.Key] = row
 	}
-	var out []platform.Row
+	var out []store.Row
 	for n := range permits {
 		row, ok := present[rowKey(n)]
 		if !ok {
-			out = append(out, platform.Row{Key: rowKey(n)})
+			out = append(out, store.Row{Key: rowKey(n)})
 			continue
 		}
 		if decode(row).Holder == "" || s.expired(row, now) {
@@ -57,7 +57,7 @@
 	return out
 }
 
-func (s sightings) expired(row platform.Row, now time.Time) bool {
+func (s sightings) expired(row store.Row, now time.Time) bool {
 	if known, ok := s[row.Key]; ok && known.version == row.Version {
 		return now.Sub(known.since) >= lease
 	}
--- a/side/permit/permit.go
+++ b/side/permit/permit.go
@@ -20,7 +20,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // Options configure Permits.
 type Options struct {
-	Table  platform.Table // nil: loads are only spread over time
+	Table  store.Table // nil: loads are only spread over time
 	Holder *config.Holder
 	Name   string // of this VM
 	Log    logrus.FieldLogger
@@ -147,7 +147,7 @@
 
 // tryRows takes a free row if there is one. The error means that the table
 // does not answer.
-func (p *Permits) tryRows(ctx context.Context, permits int) (*platform.Row, error) {
+func (p *Permits) tryRows(ctx context.Context, permits int) (*store.Row, error) {
 	if p.opts.Table == nil {
 		return nil, fault.Newf(fault.KindUnavailable, "permit.take", "", "no table is set")
 	}
@@ -172,13 +172,13 @@
 }
 
 // write takes one row; nil means that another process was first.
-func (p *Permits) write(ctx context.Context, row platform.Row) (*platform.Row, error) {
+func (p *Permits) write(ctx context.Context, row store.Row) (*store.Row, error) {
 	mine := record{Holder: p.opts.Name, Token: uuid.NewString()}
 	value, err := json.Marshal(mine)
 	if err != nil {
 		return nil, err
 	}
-	var taken platform.Row
+	var taken store.Row
 	if row.Version == "" {
 		taken, err = p.opts.Table.PutIfAbsent(ctx, row.Key, value)
 	} else {
@@ -196,7 +196,7 @@
 }
 
 // readBack finds out whether a write whose answer was lost took effect.
-func (p *Permits) readBack(ctx context.Context, key string, mine record) (*platform.Row, error) {
+func (p *Permits) readBack(ctx context.Context, key string, mine record) (*store.Row, error) {
 	row, err := p.opts.Table.Get(ctx, key)
 	if err != nil {
 		return nil, err
@@ -210,7 +210,7 @@
 // releaser returns the function that gives a row back, not before it was held
 // for the given time. Other processes take a row that is never given back after
 // its lease.
-func (p *Permits) releaser(row platform.Row, held time.Duration) func() {
+func (p *Permits) releaser(row store.Row, held time.Duration) func() {
 	until := time.Now().Add(held)
 	return sync.OnceFunc(func() {
 		time.AfterFunc(time.Until(until), func() {
@@ -222,7 +222,7 @@
 	})
 }
 
-func decode(row platform.Row) record {
+func decode(row store.Row) record {
 	var r record
 	_ = json.Unmarshal(row.Value, &r)
 	return r
--- a/side/permit/permit_test.go
+++ b/side/permit/permit_test.go
@@ -12,9 +12,9 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/table"
+	"peridotchute.example/store"
 )
 
 func newTestPermits(t *testing.T, server *table.Server, policy config.Policy) *Permits {
@@ -23,7 +23,7 @@
 	t.Cleanup(s.Close)
 	holder := config.NewHolder()
 	holder.Offer(&config.Configuration{Version: 1, Policy: policy})
-	return New(Options{Table: platform.NewTable(platform.TableSettings{URL: s.URL, Name: "t"}), Holder: holder, Name: "vm", Log: logrus.New()})
+	return New(Options{Table: store.NewTable(store.TableSettings{URL: s.URL, Name: "t"}), Holder: holder, Name: "vm", Log: logrus.New()})
 }
 
 func TestNoMoreLoadsThanPermits(t *testing.T) {
@@ -78,7 +78,7 @@
 func TestRowOfADeadHolderIsFreeAfterItsLease(t *testing.T) {
 	now := time.Unix(0, 0)
 	s := sightings{}
-	rows := []platform.Row{{Key: rowKey(0), Version: "1", Value: []byte(`{"holder":"a","token":"x"}`)}}
+	rows := []store.Row{{Key: rowKey(0), Version: "1", Value: []byte(`{"holder":"a","token":"x"}`)}}
 	assert.Equal(t, len(s.free(rows, 1, now)), 0)
 	assert.Equal(t, len(s.free(rows, 1, now.Add(lease-1))), 0)
 	assert.Equal(t, len(s.free(rows, 1, now.Add(lease))), 1)
--- a/standin/vmlist/client.go
+++ b/standin/vmlist/client.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"net/http"
 
-	"peridotchute.example/platform"
+	"peridotchute.example/store"
 )
 
 // Put sets the list of the stand-in that listens on address (IP:port).
-func Put(ctx context.Context, address string, vms []platform.VM) error {
-	body, err := json.Marshal(Control{VMs: platform.TargetGroups(vms)})
+func Put(ctx context.Context, address string, vms []store.VM) error {
+	body, err := json.Marshal(Control{VMs: store.TargetGroups(vms)})
 	if err != nil {
 		return err
 	}
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -13,19 +13,19 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
+	"peridotchute.example/store"
 )
 
 // Control is the body of PUT /control/vms.
 type Control struct {
-	VMs   []platform.TargetGroup `json:"vms"`
-	LagMS int                    `json:"lag_ms"` // until the list shows this change
+	VMs   []store.TargetGroup `json:"vms"`
+	LagMS int                 `json:"lag_ms"` // until the list shows this change
 }
 
 // change is a list and the time from which it is shown.
 type change struct {
-	groups []platform.TargetGroup
+	groups []store.TargetGroup
 	from   time.Time
 }
 
@@ -33,13 +33,13 @@
 type Server struct {
 	*faults.Injector
 	mu      sync.Mutex
-	shown   []platform.TargetGroup
+	shown   []store.TargetGroup
 	pending []change
 }
 
 // New returns an empty list.
 func New() *Server {
-	s := &Server{shown: []platform.TargetGroup{}}
+	s := &Server{shown: []store.TargetGroup{}}
 	r := mux.NewRouter()
 	r.HandleFunc("/", s.get).Methods(http.MethodGet)
 	r.HandleFunc("/control/vms", s.put).Methods(http.MethodPut)
@@ -48,8 +48,8 @@
 }
 
 // SetVMs replaces the list, shown after lag.
-func (s *Server) SetVMs(lag time.Duration, vms ...platform.VM) {
-	s.set(change{groups: platform.TargetGroups(vms), from: time.Now().Add(lag)})
+func (s *Server) SetVMs(lag time.Duration, vms ...store.VM) {
+	s.set(change{groups: store.TargetGroups(vms), from: time.Now().Add(lag)})
 }
 
 func (s *Server) set(c change) {
@@ -74,7 +74,7 @@
 
 // Write answers a reading of the list, with an entity tag and without a body
 // when the reader has this list already.
-func Write(w http.ResponseWriter, r *http.Request, groups []platform.TargetGroup) {
+func Write(w http.ResponseWriter, r *http.Request, groups []store.TargetGroup) {
 	raw, err := json.Marshal(groups)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -85,7 +85,7 @@
 	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(raw))
 }
 
-func (s *Server) visible(now time.Time) []platform.TargetGroup {
+func (s *Server) visible(now time.Time) []store.TargetGroup {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.pending) > 0 && !now.Before(s.pending[0].from) {
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,6 +1,6 @@
-// Package platform holds the narrow interfaces to what the platform provides:
+// Package store holds the narrow interfaces to what the platform provides:
 // the table service, the object store and the VM list.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/platform_test.go
+++ b/store/store_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -11,11 +11,11 @@
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/common/fault"
-	"peridotchute.example/platform"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/objects"
 	"peridotchute.example/standin/table"
 	"peridotchute.example/standin/vmlist"
+	"peridotchute.example/store"
 )
 
 func serve(t *testing.T, h http.Handler) string {
@@ -25,10 +25,10 @@
 	return s.URL
 }
 
-func newTable(t *testing.T) (*table.Server, platform.Table) {
+func newTable(t *testing.T) (*table.Server, store.Table) {
 	t.Helper()
 	standin := table.New()
-	return standin, platform.NewTable(platform.TableSettings{URL: serve(t, standin), Name: "t"})
+	return standin, store.NewTable(store.TableSettings{URL: serve(t, standin), Name: "t"})
 }
 
 func TestTableConditions(t *testing.T) {
@@ -93,7 +93,7 @@
 func TestRefusedConnectionIsUnavailable(t *testing.T) {
 	s := httptest.NewServer(table.New())
 	s.Close()
-	tab := platform.NewTable(platform.TableSettings{URL: s.URL, Name: "t"})
+	tab := store.NewTable(store.TableSettings{URL: s.URL, Name: "t"})
 	_, err := tab.Put(context.Background(), "config/head", []byte("a"))
 	assert.Assert(t, fault.Is(err, fault.KindUnavailable), "%v", err)
 }
@@ -101,7 +101,7 @@
 func TestSlowWriteIsUnknown(t *testing.T) {
 	standin := table.New()
 	standin.Set(faults.Settings{SlowMS: 1000})
-	tab := platform.NewTable(platform.TableSettings{URL: serve(t, standin), Name: "t", Timeout: 20})
+	tab := store.NewTable(store.TableSettings{URL: serve(t, standin), Name: "t", Timeout: 20})
 	_, err := tab.Put(context.Background(), "config/head", []byte("a"))
 	assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
 }
@@ -122,7 +122,7 @@
 func TestObjects(t *testing.T) {
 	ctx := context.Background()
 	standin := objects.New()
-	store := platform.NewObjects(platform.ObjectSettings{URL: serve(t, standin), Bucket: "b"})
+	store := store.NewObjects(store.ObjectSettings{URL: serve(t, standin), Bucket: "b"})
 	_, err := store.Get(ctx, "config/snapshot/1")
 	assert.Assert(t, fault.Is(err, fault.KindNotFound), "%v", err)
 	assert.NilError(t, store.Put(ctx, "config/snapshot/1", []byte("body")))
@@ -137,15 +137,15 @@
 func TestVMListLags(t *testing.T) {
 	ctx := context.Background()
 	standin := vmlist.New()
-	list := platform.NewVMs(platform.VMSettings{URL: serve(t, standin)})
-	vm := platform.VM{Name: "w1", Role: "backend", Zone: "z", Pool: "p", DataAddress: "127.0.0.1:1", RPCAddress: "127.0.0.1:2", State: platform.VMLive}
+	list := store.NewVMs(store.VMSettings{URL: serve(t, standin)})
+	vm := store.VM{Name: "w1", Role: "backend", Zone: "z", Pool: "p", DataAddress: "127.0.0.1:1", RPCAddress: "127.0.0.1:2", State: store.VMLive}
 	standin.SetVMs(0, vm)
 	leaving := vm
-	leaving.State = platform.VMLeaving
+	leaving.State = store.VMLeaving
 	standin.SetVMs(time.Hour, leaving)
 	got, err := list.List(ctx)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, got, []platform.VM{vm})
+	assert.DeepEqual(t, got, []store.VM{vm})
 }
 
 // TestUnchangedListCostsNoBody reads a list again before and after a change.
@@ -162,18 +162,18 @@
 		_, _ = w.Write(rec.Body.Bytes())
 	}))
 	defer front.Close()
-	list := platform.NewVMs(platform.VMSettings{URL: front.URL})
-	vm := platform.VM{Name: "w1", Role: "backend", Zone: "z", Pool: "p", DataAddress: "127.0.0.1:1", RPCAddress: "127.0.0.1:2", State: platform.VMLive}
+	list := store.NewVMs(store.VMSettings{URL: front.URL})
+	vm := store.VM{Name: "w1", Role: "backend", Zone: "z", Pool: "p", DataAddress: "127.0.0.1:1", RPCAddress: "127.0.0.1:2", State: store.VMLive}
 	read := func() {
 		got, err := list.List(ctx)
 		assert.NilError(t, err)
-		assert.DeepEqual(t, got, []platform.VM{vm})
+		assert.DeepEqual(t, got, []store.VM{vm})
 		got[0].Name = "changed by the reader"
 	}
 	standin.SetVMs(0, vm)
 	read()
 	read()
-	vm.State = platform.VMLeaving
+	vm.State = store.VMLeaving
 	standin.SetVMs(0, vm)
 	read()
 	assert.DeepEqual(t, statuses, []int{http.StatusOK, http.StatusNotModified, http.StatusOK})
--- a/platform/vms.go
+++ b/store/vms.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
