Decisions are logged as JSON lines that explain a failed request

Cause: a failed request could not be explained from its id. Change: package common/decisionlog with typed records, a trace for each request, rates by event and one duty that writes; events 600 to 699.

--- /dev/null
+++ b/common/decisionlog/bench_test.go
@@ -0,0 +1,81 @@
+package decisionlog
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+)
+
+func fullTrace(l *Log, end Record) {
+	t := l.Trace("9c41d07be2a35f68")
+	t.Add(Routed{Route: "r1", Service: "llm", Model: "daka510000", PromptTokens: 9190, Deadline: 6 * time.Second, ConfigVersion: 412})
+	t.Add(Waited{Reason: "server busy", Waited: 31 * time.Millisecond, Ahead: 4, Backlog: 18000})
+	t.Add(Chosen{Server: "i-7f3a91c2", Zone: "tweed-a", Attempt: 1, Expected: 310 * time.Millisecond, Backlog: 9000, Candidates: 3, ViewAge: 400 * time.Millisecond})
+	t.End(end)
+}
+
+var (
+	benchServed = Finished{Outcome: OutcomeServed, Status: 200, Service: "llm", Route: "r1", Model: "daka510000", Server: "i-7f3a91c2", Attempts: 1, Expected: 310 * time.Millisecond, FirstByte: 300 * time.Millisecond, Total: time.Second, Objective: 800 * time.Millisecond, Bytes: 4000, Events: 13, ConfigVersion: 412}
+	benchLate   = func() Finished { f := benchServed; f.Outcome = OutcomeLate; return f }()
+)
+
+// BenchmarkServedLeftOut is a served request whose line is over the rate.
+func BenchmarkServedLeftOut(b *testing.B) {
+	l := New(Options{Node: "edge-tweed-a-1", Out: io.Discard})
+	for range limitOf[success].burst {
+		l.Write(benchServed)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		fullTrace(l, benchServed)
+	}
+}
+
+// BenchmarkServedWritten is a served request with the formatting of its line.
+func BenchmarkServedWritten(b *testing.B) { benchmarkWritten(b, benchServed) }
+
+// BenchmarkLateWritten is a late request with the formatting of its four lines.
+func BenchmarkLateWritten(b *testing.B) { benchmarkWritten(b, benchLate) }
+
+func benchmarkWritten(b *testing.B, end Record) {
+	out := &countingWriter{}
+	l := New(Options{Node: "edge-tweed-a-1", Out: out})
+	liftRates(l.limits)
+	b.ReportAllocs()
+	for b.Loop() {
+		fullTrace(l, end)
+		l.drain()
+	}
+	l.flush()
+	b.ReportMetric(float64(out.bytes)/float64(b.N), "bytes/request")
+}
+
+// liftRates lets each line be formatted.
+func liftRates(l *limits) {
+	for _, of := range l.events {
+		of.bucket.SetBurst(1 << 30)
+		of.bucket.SetLimit(1 << 30)
+	}
+}
+
+// BenchmarkRun is a write to the running duty, most of it left out.
+func BenchmarkRun(b *testing.B) {
+	l := New(Options{Node: "edge-tweed-a-1", Out: io.Discard})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); l.Run(ctx) }()
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Write(benchServed)
+	}
+	cancel()
+	<-done
+}
+
+type countingWriter struct{ bytes int64 }
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.bytes += int64(len(p))
+	return len(p), nil
+}
--- /dev/null
+++ b/common/decisionlog/request_fields.go
@@ -0,0 +1,94 @@
+package decisionlog
+
+func (r Routed) encode(e *encoder) {
+	e.textIfSet("route", r.Route)
+	e.textIfSet("service", r.Service)
+	e.textIfSet("model", r.Model)
+	e.textIfSet("adapter", r.Adapter)
+	e.count("priority", int64(r.Priority))
+	e.countIfSet("prompt_tokens", int64(r.PromptTokens))
+	e.countIfSet("output_tokens", int64(r.OutputTokens))
+	e.durationIfSet("deadline_ms", r.Deadline)
+	e.countIfSet("config_version", r.ConfigVersion)
+}
+
+func (r Waited) encode(e *encoder) {
+	e.text("reason", r.Reason)
+	e.duration("waited_ms", r.Waited)
+	e.count("ahead", int64(r.Ahead))
+	e.countIfSet("backlog_tokens", int64(r.Backlog))
+}
+
+func (r Chosen) encode(e *encoder) {
+	e.text("server", r.Server)
+	e.textIfSet("zone", r.Zone)
+	e.count("attempt", int64(r.Attempt))
+	e.duration("expected_ms", r.Expected)
+	e.count("backlog_tokens", int64(r.Backlog))
+	e.count("running", int64(r.Running))
+	e.countIfSet("cached_tokens", int64(r.Cached))
+	e.count("candidates", int64(r.Candidates))
+	e.duration("view_age_ms", r.ViewAge)
+}
+
+func (r AttemptFailed) encode(e *encoder) {
+	e.text("server", r.Server)
+	e.count("attempt", int64(r.Attempt))
+	e.text("kind", string(r.Kind))
+	e.countIfSet("status", int64(r.Status))
+	e.boolean("not_run", r.NotRun)
+	e.duration("after_ms", r.After)
+	e.countIfSet("events", int64(r.Events))
+	e.errorIfSet(r.Err)
+}
+
+func (r Retried) encode(e *encoder) {
+	e.count("attempt", int64(r.Attempt))
+	e.boolean("resumed", r.Resumed)
+	e.textIfSet("resume_after", r.ResumeAfter)
+	e.number("budget_left", r.BudgetLeft)
+}
+
+func (r RetryWithheld) encode(e *encoder) {
+	e.text("reason", string(r.Reason))
+	e.count("attempts", int64(r.Attempts))
+	e.number("budget_left", r.BudgetLeft)
+}
+
+func (r Refused) encode(e *encoder) {
+	e.text("reason", string(r.Reason))
+	e.count("status", int64(r.Status))
+	e.durationIfSet("retry_after_ms", r.RetryAfter)
+	e.durationIfSet("expected_ms", r.Expected)
+	e.duration("waited_ms", r.Waited)
+	e.countIfSet("backlog_tokens", int64(r.Backlog))
+	e.count("waiting", int64(r.Waiting))
+	e.count("candidates", int64(r.Candidates))
+	e.durationIfSet("view_age_ms", r.ViewAge)
+	e.countIfSet("config_version", r.ConfigVersion)
+	e.textIfSet("service", r.Service)
+	e.textIfSet("model", r.Model)
+	e.textIfSet("adapter", r.Adapter)
+}
+
+func (r Finished) encode(e *encoder) {
+	e.textIfSet("reason", r.Reason)
+	e.countIfSet("status", int64(r.Status))
+	e.textIfSet("service", r.Service)
+	e.textIfSet("route", r.Route)
+	e.textIfSet("model", r.Model)
+	e.textIfSet("adapter", r.Adapter)
+	e.textIfSet("server", r.Server)
+	e.count("attempts", int64(r.Attempts))
+	e.duration("waited_ms", r.Waited)
+	e.durationIfSet("expected_ms", r.Expected)
+	e.durationIfSet("first_byte_ms", r.FirstByte)
+	e.duration("total_ms", r.Total)
+	e.durationIfSet("objective_ms", r.Objective)
+	e.countIfSet("backlog_tokens", int64(r.Backlog))
+	e.durationIfSet("view_age_ms", r.ViewAge)
+	e.count("bytes", r.Bytes)
+	e.countIfSet("events", int64(r.Events))
+	e.durationIfSet("longest_pause_ms", r.LongestPause)
+	e.countIfSet("config_version", r.ConfigVersion)
+}
--- /dev/null
+++ b/common/decisionlog/state.go
@@ -0,0 +1,194 @@
+package decisionlog
+
+import (
+	"time"
+
+	"peridotchute.example/common/event"
+)
+
+// Started tells that the process listens on all of its addresses.
+type Started struct {
+	Role    string
+	Address string
+	Zone    string
+}
+
+// Stopping tells that a graceful shutdown began.
+type Stopping struct {
+	Reason     string
+	InProgress int // requests
+}
+
+// Stopped tells that the graceful shutdown ended.
+type Stopped struct {
+	InProgress int // requests that were still in progress
+	Took       time.Duration
+}
+
+// Reloaded tells that the settings file was read again.
+type Reloaded struct {
+	Changed string // what changed; empty for nothing
+	Err     error  // when the file cannot be used
+}
+
+// ConfigReplaced tells that another configuration is in force here.
+type ConfigReplaced struct {
+	Version  int64
+	Previous int64
+	Age      time.Duration // since it was asked for
+	Routes   int
+	Services int
+	Source   string // store, or the entry that passed it on
+}
+
+// ServerChange says what became of a server.
+type ServerChange int
+
+// The changes of a server.
+const (
+	ServerAppeared ServerChange = iota
+	ServerLeft
+	ServerDraining
+	ServerUnreadable
+	ServerSuspected
+	ServerTrusted
+)
+
+// ServerChanged tells that the process sees a server differently.
+type ServerChanged struct {
+	Change     ServerChange
+	Server     string
+	Service    string
+	Address    string
+	Zone       string
+	RowVersion int64         // version of the registration
+	ViewAge    time.Duration // since the registrations were asked for
+	Remaining  time.Duration // until a draining server is gone; 0 when not told
+	Reason     string
+	Source     string // store, or the entry that passed it on
+}
+
+// StoreLost tells that the platform's store does not answer.
+type StoreLost struct {
+	Call string // what was asked
+	Err  error
+}
+
+// StoreRegained tells that the platform's store answers again.
+type StoreRegained struct {
+	Call string
+	Down time.Duration
+}
+
+// EntryLost tells that another entry does not answer.
+type EntryLost struct {
+	Entry   string
+	Silence time.Duration // since it was last heard
+	Err     error
+}
+
+// EntryRegained tells that another entry answers.
+type EntryRegained struct {
+	Entry string
+	Down  time.Duration // 0 for the first time
+}
+
+// LeaseTaken tells that this process gives orders.
+type LeaseTaken struct {
+	Token    int64
+	Previous string // the holder before
+}
+
+// LeaseLost tells that this process gives orders no longer.
+type LeaseLost struct {
+	Token  int64
+	Reason string
+	Err    error
+}
+
+// Ordered is an order to a server with its outcome.
+type Ordered struct {
+	Server   string
+	Load     bool // else unload
+	Model    string
+	Adapter  string
+	Seq      int64
+	Token    int64
+	Outcome  string // as the server answered; empty when it did not
+	Took     time.Duration
+	Reason   string // why it was given
+	Err      error
+	Demand   float64       // what decided it
+	ViewAge  time.Duration // since the registrations were read
+	Replaced string        // model or adapter that makes room
+}
+
+// leftOut tells how many lines were left out, by event.
+type leftOut struct {
+	counts map[string]int64
+}
+
+// truncated tells how many decisions of a request were not kept.
+type truncated struct {
+	count int
+}
+
+// Event implements Record.
+func (Started) Event() event.Event { return event.ProcessStarted }
+
+// Event implements Record.
+func (Stopping) Event() event.Event { return event.ProcessStopping }
+
+// Event implements Record.
+func (Stopped) Event() event.Event { return event.ProcessStopped }
+
+// Event implements Record.
+func (r Reloaded) Event() event.Event {
+	if r.Err != nil {
+		return event.SettingsKept
+	}
+	return event.SettingsReloaded
+}
+
+// Event implements Record.
+func (ConfigReplaced) Event() event.Event { return event.ConfigReplaced }
+
+// Event implements Record.
+func (r ServerChanged) Event() event.Event {
+	return [...]event.Event{
+		event.ServerAppeared, event.ServerLeft, event.ServerDraining,
+		event.ServerUnreadable, event.ServerSuspected, event.ServerTrusted,
+	}[r.Change]
+}
+
+// Event implements Record.
+func (StoreLost) Event() event.Event { return event.StoreLost }
+
+// Event implements Record.
+func (StoreRegained) Event() event.Event { return event.StoreRegained }
+
+// Event implements Record.
+func (EntryLost) Event() event.Event { return event.EntryLost }
+
+// Event implements Record.
+func (EntryRegained) Event() event.Event { return event.EntryRegained }
+
+// Event implements Record.
+func (LeaseTaken) Event() event.Event { return event.HolderLeaseTaken }
+
+// Event implements Record.
+func (LeaseLost) Event() event.Event { return event.HolderLeaseLost }
+
+// Event implements Record.
+func (r Ordered) Event() event.Event {
+	if r.Err != nil {
+		return event.OrderUnanswered
+	}
+	return event.OrderAnswered
+}
+
+// Event implements Record.
+func (leftOut) Event() event.Event { return event.LogLinesLeftOut }
+
+// Event implements Record.
+func (truncated) Event() event.Event { return event.TraceTruncated }
--- /dev/null
+++ b/common/decisionlog/state_fields.go
@@ -0,0 +1,104 @@
+package decisionlog
+
+func (r Started) encode(e *encoder) {
+	e.textIfSet("role", r.Role)
+	e.textIfSet("address", r.Address)
+	e.textIfSet("zone", r.Zone)
+}
+
+func (r Stopping) encode(e *encoder) {
+	e.textIfSet("reason", r.Reason)
+	e.count("in_progress", int64(r.InProgress))
+}
+
+func (r Stopped) encode(e *encoder) {
+	e.count("in_progress", int64(r.InProgress))
+	e.duration("took_ms", r.Took)
+}
+
+func (r Reloaded) encode(e *encoder) {
+	e.textIfSet("reason", r.Changed)
+	e.errorIfSet(r.Err)
+}
+
+func (r ConfigReplaced) encode(e *encoder) {
+	e.count("config_version", r.Version)
+	e.countIfSet("previous", r.Previous)
+	e.duration("age_ms", r.Age)
+	e.count("routes", int64(r.Routes))
+	e.count("services", int64(r.Services))
+	e.textIfSet("source", r.Source)
+}
+
+func (r ServerChanged) encode(e *encoder) {
+	e.text("server", r.Server)
+	e.textIfSet("service", r.Service)
+	e.textIfSet("address", r.Address)
+	e.textIfSet("zone", r.Zone)
+	e.countIfSet("row_version", r.RowVersion)
+	e.duration("view_age_ms", r.ViewAge)
+	e.durationIfSet("remaining_ms", r.Remaining)
+	e.textIfSet("reason", r.Reason)
+	e.textIfSet("source", r.Source)
+}
+
+func (r StoreLost) encode(e *encoder) {
+	e.text("subject", r.Call)
+	e.errorIfSet(r.Err)
+}
+
+func (r StoreRegained) encode(e *encoder) {
+	e.text("subject", r.Call)
+	e.duration("down_ms", r.Down)
+}
+
+func (r EntryLost) encode(e *encoder) {
+	e.text("peer", r.Entry)
+	e.duration("silent_ms", r.Silence)
+	e.errorIfSet(r.Err)
+}
+
+func (r EntryRegained) encode(e *encoder) {
+	e.text("peer", r.Entry)
+	e.durationIfSet("down_ms", r.Down)
+}
+
+func (r LeaseTaken) encode(e *encoder) {
+	e.count("token", r.Token)
+	e.textIfSet("previous", r.Previous)
+}
+
+func (r LeaseLost) encode(e *encoder) {
+	e.count("token", r.Token)
+	e.text("reason", r.Reason)
+	e.errorIfSet(r.Err)
+}
+
+func (r Ordered) encode(e *encoder) {
+	e.text("server", r.Server)
+	e.text("order", r.kind())
+	e.text("model", r.Model)
+	e.textIfSet("adapter", r.Adapter)
+	e.count("seq", r.Seq)
+	e.count("token", r.Token)
+	e.textIfSet("outcome", r.Outcome)
+	e.duration("took_ms", r.Took)
+	e.textIfSet("reason", r.Reason)
+	e.errorIfSet(r.Err)
+	if r.Demand != 0 {
+		e.number("demand", r.Demand)
+	}
+	e.durationIfSet("view_age_ms", r.ViewAge)
+	e.textIfSet("replaced", r.Replaced)
+}
+
+func (r Ordered) kind() string {
+	if r.Load {
+		return "load"
+	}
+	return "unload"
+}
+
+func (r leftOut) encode(e *encoder) { e.counts("left_out", r.counts) }
+
+func (r truncated) encode(e *encoder) { e.count("count", int64(r.count)) }
--- /dev/null
+++ b/common/event/deployment.go
@@ -0,0 +1,25 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Events 640 to 679: what a process believes of a deployment whose backend
+// servers are called directly.
+var (
+	ConfigReplaced   = define(640, "configuration replaced", logrus.InfoLevel, "Another configuration version is in force in this process; age_ms is the time since it was asked for.")
+	ServerAppeared   = define(641, "server appeared", logrus.InfoLevel, "A backend server is listed that was not, or not under this incarnation; row_version is the version of its registration.")
+	ServerLeft       = define(642, "server left", logrus.WarnLevel, "A backend server is no longer used; reason says how the process learned it.")
+	ServerDraining   = define(643, "server draining", logrus.InfoLevel, "A backend server takes no new requests; remaining_ms, when told, is the time until it is gone.")
+	ServerUnreadable = define(644, "registration unreadable", logrus.WarnLevel, "A registration could not be understood and is not used. Look at who writes it.")
+	ServerSuspected  = define(645, "server suspected", logrus.WarnLevel, "A backend server gets no new requests for a while, since attempts at it failed.")
+	ServerTrusted    = define(646, "server trusted again", logrus.InfoLevel, "A suspected backend server answers again.")
+	StoreLost        = define(650, "store lost", logrus.WarnLevel, "The platform's store does not answer this process. Requests go on with the last known configuration and servers.")
+	StoreRegained    = define(651, "store regained", logrus.InfoLevel, "The platform's store answers again; down_ms is how long it did not.")
+	EntryLost        = define(652, "entry lost", logrus.WarnLevel, "Another entry does not answer any more. Its counts and its part of the retry budget are no longer known.")
+	EntryRegained    = define(653, "entry regained", logrus.InfoLevel, "Another entry answers, for the first time or again.")
+	HolderLeaseTaken = define(655, "order lease taken", logrus.InfoLevel, "This process now gives orders to the backend servers, under the fencing token given.")
+	HolderLeaseLost  = define(656, "order lease lost", logrus.WarnLevel, "This process no longer gives orders; reason says why.")
+	OrderAnswered    = define(660, "order answered", logrus.InfoLevel, "A backend server answered an order to load or unload.")
+	OrderUnanswered  = define(661, "order unanswered", logrus.WarnLevel, "An order got no answer: it may have been, or may yet be, carried out.")
+	SettingsReloaded = define(670, "settings reloaded", logrus.InfoLevel, "The settings file was read again; reason says what changed, or that nothing did.")
+	SettingsKept     = define(671, "settings not reloaded", logrus.ErrorLevel, "The settings file cannot be used; the settings in force stay. Correct the file named in the error.")
+)
--- a/common/ring/ring.go
+++ b/common/ring/ring.go
@@ -61,7 +61,7 @@
 // Take returns the oldest element, waiting until there is one or ctx ends.
 func (r *Ring[T]) Take(ctx context.Context) (T, error) {
 	for {
-		if v, ok := r.tryTake(); ok {
+		if v, ok := r.TryTake(); ok {
 			return v, nil
 		}
 		select {
@@ -73,17 +73,8 @@
 	}
 }
 
-// Len returns the number of waiting elements.
-func (r *Ring[T]) Len() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.size
-}
-
-// Dropped returns how many elements were refused or discarded.
-func (r *Ring[T]) Dropped() uint64 { return r.dropped.Load() }
-
-func (r *Ring[T]) tryTake() (T, bool) {
+// TryTake returns the oldest element, and false when there is none.
+func (r *Ring[T]) TryTake() (T, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.size == 0 {
@@ -97,6 +88,16 @@
 	return v, true
 }
 
+// Len returns the number of waiting elements.
+func (r *Ring[T]) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.size
+}
+
+// Dropped returns how many elements were refused or discarded.
+func (r *Ring[T]) Dropped() uint64 { return r.dropped.Load() }
+
 func (r *Ring[T]) takeLocked() T {
 	var zero T
 	v := r.items[r.head]
