--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -54,6 +54,11 @@
 	ServerTrusted
 )
 
+// String returns the label of the change in metrics.
+func (c ServerChange) String() string {
+	return [...]string{"appeared", "left", "draining", "unreadable", "suspected", "trusted"}[c]
+}
+
 // ServerChanged tells that the process sees a server differently.
 type ServerChanged struct {
 	Change     ServerChange
@@ -106,6 +111,20 @@
 	Err    error
 }
 
+// OrderOutcome is what a server answered to an order.
+type OrderOutcome string
+
+// The outcomes of orders.
+const (
+	OrderAccepted    OrderOutcome = "accepted"    // being carried out
+	OrderHolds       OrderOutcome = "holds"       // already so
+	OrderBusy        OrderOutcome = "busy"        // another order is in progress, or Seq differs
+	OrderFenced      OrderOutcome = "fenced"      // a higher fencing token was seen
+	OrderInvalid     OrderOutcome = "invalid"     // not understood
+	OrderMisdirected OrderOutcome = "misdirected" // another incarnation has the address
+	OrderLost        OrderOutcome = "unanswered"  // it may have been, or may yet be, carried out
+)
+
 // Ordered is an order to a server with its outcome.
 type Ordered struct {
 	Server   string
@@ -114,7 +133,7 @@
 	Adapter  string
 	Seq      int64
 	Token    int64
-	Outcome  string // as the server answered; empty when it did not
+	Outcome  OrderOutcome // as the server answered, when it did
 	Took     time.Duration
 	Reason   string // why it was given
 	Err      error
@@ -123,6 +142,22 @@
 	Replaced string        // model or adapter that makes room
 }
 
+// Kind returns what was ordered.
+func (r Ordered) Kind() string {
+	if r.Load {
+		return "load"
+	}
+	return "unload"
+}
+
+// Result returns the outcome, also of an order without an answer.
+func (r Ordered) Result() OrderOutcome {
+	if r.Err != nil {
+		return OrderLost
+	}
+	return r.Outcome
+}
+
 // leftOut tells how many lines were left out, by event.
 type leftOut struct {
 	counts map[string]int64
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -76,12 +76,12 @@
 
 func (r Ordered) encode(e *encoder) {
 	e.text("server", r.Server)
-	e.text("order", r.kind())
+	e.text("order", r.Kind())
 	e.text("model", r.Model)
 	e.textIfSet("adapter", r.Adapter)
 	e.count("seq", r.Seq)
 	e.count("token", r.Token)
-	e.textIfSet("outcome", r.Outcome)
+	e.text("outcome", string(r.Result()))
 	e.duration("took_ms", r.Took)
 	e.textIfSet("reason", r.Reason)
 	e.errorIfSet(r.Err)
@@ -92,13 +92,6 @@
 	e.textIfSet("replaced", r.Replaced)
 }
 
-func (r Ordered) kind() string {
-	if r.Load {
-		return "load"
-	}
-	return "unload"
-}
-
 func (r leftOut) encode(e *encoder) { e.counts("left_out", r.counts) }
 
 func (r truncated) encode(e *encoder) { e.count("count", int64(r.count)) }
--- /dev/null
+++ b/common/metrics/metrics.go
@@ -0,0 +1,179 @@
+package metrics
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"peridotchute.example/common/decisionlog"
+)
+
+const namespace = "peridotchute"
+
+// Names of the labels.
+const (
+	labelService  = "service"
+	labelOutcome  = "outcome"
+	labelReason   = "reason"
+	labelKind     = "kind"
+	labelNotRun   = "not_run"
+	labelOrder    = "order"
+	labelArtifact = "artifact"
+	labelState    = "state"
+	labelChange   = "change"
+)
+
+// outcomeRefused stands beside the outcomes of requests that were sent.
+const outcomeRefused = "refused"
+
+// latencyBuckets are upper bounds in seconds. Objectives lie between 0.15 s and
+// 5 s, deadlines below 30 s.
+var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.5, 2.5, 5, 10, 15, 30}
+
+// orderBuckets are upper bounds in seconds: an order is answered within
+// milliseconds, or not at all.
+var orderBuckets = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2}
+
+// Metrics holds the metrics of a process. It is safe for concurrent use.
+type Metrics struct {
+	registry  *prometheus.Registry
+	services  *labelSet
+	requests  *prometheus.CounterVec
+	refused   *prometheus.CounterVec
+	firstByte *prometheus.HistogramVec
+	duration  *prometheus.HistogramVec
+	wait      *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	retries   *prometheus.CounterVec
+	withheld  *prometheus.CounterVec
+	orders    *prometheus.CounterVec
+	orderTime *prometheus.HistogramVec
+	servers   *prometheus.CounterVec
+	storeLost prometheus.Counter
+	entryLost prometheus.Counter
+	leases    prometheus.Counter
+}
+
+// New returns metrics that count from zero.
+func New() *Metrics {
+	m := &Metrics{
+		registry:  prometheus.NewRegistry(),
+		services:  newLabelSet(maxServices),
+		requests:  counters("requests_total", "Requests that ended, by outcome.", labelService, labelOutcome),
+		refused:   counters("requests_refused_total", "Requests that the entry answered without running them.", labelService, labelReason),
+		firstByte: histograms("request_first_byte_seconds", "Time from a request's arrival to the first byte of its answer.", latencyBuckets, labelService),
+		duration:  histograms("request_duration_seconds", "Time from a request's arrival to the end of its answer.", latencyBuckets, labelService),
+		wait:      histograms("request_wait_seconds", "Time that a request waited at the entry.", latencyBuckets, labelService),
+		attempts:  counters("attempts_failed_total", "Attempts that brought no whole answer.", labelKind, labelNotRun),
+		retries:   counters("retries_total", "Further attempts of requests; resumed streams are one kind.", labelKind),
+		withheld:  counters("retries_withheld_total", "Failed attempts without another one.", labelReason),
+		orders:    counters("orders_total", "Orders to backend servers.", labelOrder, labelArtifact, labelOutcome),
+		orderTime: histograms("order_answer_seconds", "Time until a backend server answered an order.", orderBuckets, labelOrder),
+		servers:   counters("server_changes_total", "Changes of what the process believes of backend servers.", labelChange),
+		storeLost: counter("store_lost_total", "Times that the platform's store ceased to answer."),
+		entryLost: counter("entry_lost_total", "Times that another entry ceased to answer."),
+		leases:    counter("lease_taken_total", "Times that this process became the one that gives orders."),
+	}
+	m.registry.MustRegister(
+		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.retries, m.withheld,
+		m.orders, m.orderTime, m.servers, m.storeLost, m.entryLost, m.leases, collectors.NewGoCollector(),
+	)
+	return m
+}
+
+// Watch adds gauges that are read from their owners. It is called once.
+func (m *Metrics) Watch(s Sources) { m.registry.MustRegister(sources{s}) }
+
+// Handler answers with all metrics as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Observe counts a record of the decision log.
+func (m *Metrics) Observe(r decisionlog.Record) {
+	switch r := r.(type) {
+	case decisionlog.Finished:
+		m.finished(r)
+	case decisionlog.Refused:
+		m.refusal(r)
+	case decisionlog.AttemptFailed:
+		m.attempts.WithLabelValues(string(r.Kind), yesNo(r.NotRun)).Inc()
+	case decisionlog.Retried:
+		m.retries.WithLabelValues(retryKind(r)).Inc()
+	case decisionlog.RetryWithheld:
+		m.withheld.WithLabelValues(string(r.Reason)).Inc()
+	default:
+		m.observeState(r)
+	}
+}
+
+func (m *Metrics) observeState(r decisionlog.Record) {
+	switch r := r.(type) {
+	case decisionlog.Ordered:
+		m.ordered(r)
+	case decisionlog.ServerChanged:
+		m.servers.WithLabelValues(r.Change.String()).Inc()
+	case decisionlog.StoreLost:
+		m.storeLost.Inc()
+	case decisionlog.EntryLost:
+		m.entryLost.Inc()
+	case decisionlog.LeaseTaken:
+		m.leases.Inc()
+	}
+}
+
+func (m *Metrics) finished(r decisionlog.Finished) {
+	service := m.services.label(r.Service)
+	m.requests.WithLabelValues(service, r.Outcome.String()).Inc()
+	m.wait.WithLabelValues(service).Observe(r.Waited.Seconds())
+	m.duration.WithLabelValues(service).Observe(r.Total.Seconds())
+	if r.FirstByte > 0 {
+		m.firstByte.WithLabelValues(service).Observe(r.FirstByte.Seconds())
+	}
+}
+
+func (m *Metrics) refusal(r decisionlog.Refused) {
+	service := m.services.label(r.Service)
+	m.requests.WithLabelValues(service, outcomeRefused).Inc()
+	m.refused.WithLabelValues(service, string(r.Reason)).Inc()
+	m.wait.WithLabelValues(service).Observe(r.Waited.Seconds())
+}
+
+func (m *Metrics) ordered(r decisionlog.Ordered) {
+	artifact := "model"
+	if r.Adapter != "" {
+		artifact = "adapter"
+	}
+	m.orders.WithLabelValues(r.Kind(), artifact, string(r.Result())).Inc()
+	if r.Err == nil {
+		m.orderTime.WithLabelValues(r.Kind()).Observe(r.Took.Seconds())
+	}
+}
+
+func retryKind(r decisionlog.Retried) string {
+	if r.Resumed {
+		return "resumed"
+	}
+	return "repeated"
+}
+
+func yesNo(v bool) string {
+	if v {
+		return "true"
+	}
+	return "false"
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
