--- a/cmd/peridotchute/main.go
+++ b/cmd/peridotchute/main.go
@@ -6,10 +6,11 @@
 
 	"peridotchute.example/cmd/peridotchute/dev"
 	"peridotchute.example/operator/cli"
+	"peridotchute.example/operator/explain"
 )
 
 func main() {
 	root := cli.NewCommand()
-	root.AddCommand(dev.Command())
+	root.AddCommand(dev.Command(), explain.Command())
 	os.Exit(cli.Run(root, os.Stderr))
 }
--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -69,10 +69,20 @@
 	RowVersion int64         // version of the registration
 	ViewAge    time.Duration // since the registrations were asked for
 	Remaining  time.Duration // until a draining server is gone; 0 when not told
+	Held       string        // models that it holds or held, joined by spaces
 	Reason     string
 	Source     string // store, or the entry that passed it on
 }
 
+// HoldingChanged tells that a server began or ceased to hold a model.
+type HoldingChanged struct {
+	Server     string
+	Model      string
+	Gained     bool
+	RowVersion int64         // version of the registration; 0 when it was learned otherwise
+	ViewAge    time.Duration // since the registrations were asked for
+}
+
 // StoreLost tells that the platform's store does not answer.
 type StoreLost struct {
 	Call string // what was asked
@@ -196,6 +206,14 @@
 	}[r.Change]
 }
 
+// Event implements Record.
+func (r HoldingChanged) Event() event.Event {
+	if r.Gained {
+		return event.ModelHeld
+	}
+	return event.ModelGone
+}
+
 // Event implements Record.
 func (StoreLost) Event() event.Event { return event.StoreLost }
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -38,10 +38,18 @@
 	e.countIfSet("row_version", r.RowVersion)
 	e.duration("view_age_ms", r.ViewAge)
 	e.durationIfSet("remaining_ms", r.Remaining)
+	e.textIfSet("held", r.Held)
 	e.textIfSet("reason", r.Reason)
 	e.textIfSet("source", r.Source)
 }
 
+func (r HoldingChanged) encode(e *encoder) {
+	e.text("server", r.Server)
+	e.text("model", r.Model)
+	e.countIfSet("row_version", r.RowVersion)
+	e.duration("view_age_ms", r.ViewAge)
+}
+
 func (r StoreLost) encode(e *encoder) {
 	e.text("subject", r.Call)
 	e.errorIfSet(r.Err)
--- a/common/event/deployment.go
+++ b/common/event/deployment.go
@@ -12,6 +12,8 @@
 	ServerUnreadable = define(644, "registration unreadable", logrus.WarnLevel, "A registration could not be understood and is not used. Look at who writes it.")
 	ServerSuspected  = define(645, "server suspected", logrus.WarnLevel, "A backend server gets no new requests for a while, since attempts at it failed.")
 	ServerTrusted    = define(646, "server trusted again", logrus.InfoLevel, "A suspected backend server answers again.")
+	ModelHeld        = define(647, "model held", logrus.InfoLevel, "A backend server holds a model that it did not hold.")
+	ModelGone        = define(648, "model gone", logrus.InfoLevel, "A backend server no longer holds a model; look for an order to unload it, or for a restart under the same id.")
 	StoreLost        = define(650, "store lost", logrus.WarnLevel, "The platform's store does not answer this process. Requests go on with the last known configuration and servers.")
 	StoreRegained    = define(651, "store regained", logrus.InfoLevel, "The platform's store answers again; down_ms is how long it did not.")
 	EntryLost        = define(652, "entry lost", logrus.WarnLevel, "Another entry does not answer any more. Its counts and its part of the retry budget are no longer known.")
--- /dev/null
+++ b/operator/explain/cause.go
@@ -0,0 +1,186 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/common/event"
+)
+
+// burstWindow is how far back other requests at the same entry are counted.
+const burstWindow = 5 * time.Second
+
+// Cause says in a few sentences how the request ended and what the lines show
+// of the reason.
+func (t *Story) Cause() []string {
+	if t.end == nil {
+		return t.unfinished()
+	}
+	switch t.end.Event {
+	case event.RequestRefused.ID:
+		return t.refused()
+	case event.RequestLate.ID:
+		return t.late()
+	case event.RequestServed.ID:
+		return append([]string{fmt.Sprintf("Served in time by %s.", t.end.Text("server"))}, t.attempts()...)
+	}
+	return t.failed()
+}
+
+func (t *Story) unfinished() []string {
+	said := append([]string{"No line ends this request: it is still in progress, or its process was killed first."}, t.attempts()...)
+	last := t.own()[len(t.own())-1]
+	if t.Taker.last.Offset <= last.Offset {
+		said = append(said, fmt.Sprintf("%s wrote nothing after it.", t.Taker.node))
+	}
+	return said
+}
+
+func (t *Story) refused() []string {
+	e := t.end
+	said := []string{fmt.Sprintf("Refused with status %s before it ran: %s (%s candidates, %s waiting, registrations %v old).",
+		e.Text("status"), e.Text("reason"), e.Text("candidates"), e.Text("waiting"), e.Duration("view_age_ms"))}
+	if expected := e.Duration("expected_ms"); expected > 0 {
+		said = append(said, fmt.Sprintf("It would have waited %v behind %s prompt tokens.", expected, orNone(e.Text("backlog_tokens"))))
+	}
+	said = append(said, t.attempts()...)
+	switch decisionlog.RefusalReason(e.Text("reason")) {
+	case decisionlog.RefusedNoHolder, decisionlog.RefusedNoAdapter:
+		return append(said, t.model()...)
+	case decisionlog.RefusedTooLate, decisionlog.RefusedQueueFull, decisionlog.RefusedPreempted:
+		return append(said, t.burst())
+	}
+	return said
+}
+
+// model tells who held the model before and whether it was ordered.
+func (t *Story) model() []string {
+	model := t.end.Text("model")
+	var said []string
+	ordered := false
+	for _, m := range t.Moments {
+		l := m.Line
+		switch l.Event {
+		case event.ServerLeft.ID, event.ServerDraining.ID, event.ModelGone.ID, event.ModelHeld.ID:
+			said = append(said, fmt.Sprintf("%s: %s at %s, as %s saw it.", when(m.At), l.Name, l.Text("server"), l.Node))
+		case event.OrderAnswered.ID, event.OrderUnanswered.ID:
+			ordered = ordered || m.At <= 0
+			said = append(said, fmt.Sprintf("%s: %s ordered to %s %s: %s.", when(m.At), l.Text("server"), l.Text("order"), l.Text("model"), l.Text("outcome")))
+		}
+	}
+	if !ordered {
+		said = append(said, fmt.Sprintf("No order for %s is told before the request.", model))
+	}
+	return said
+}
+
+func (t *Story) late() []string {
+	e := t.end
+	first, objective := e.Duration("first_byte_ms"), e.Duration("objective_ms")
+	waited, expected := e.Duration("waited_ms"), e.Duration("expected_ms")
+	said := []string{fmt.Sprintf("Served whole but late: first byte after %v, objective %v.", first, objective)}
+	if pause := e.Duration("longest_pause_ms"); first <= objective && pause > 0 {
+		said = append(said, fmt.Sprintf("The first byte was in time; the longest pause between events was %v.", pause))
+	} else {
+		said = append(said, fmt.Sprintf("Of that it waited %v at %s; the rest, %v, passed at %s, where %v was expected behind %s prompt tokens.",
+			waited, t.Taker.node, (first-waited).Round(100*time.Microsecond), e.Text("server"), expected, orNone(e.Text("backlog_tokens"))))
+	}
+	return append(append(said, t.attempts()...), t.burst())
+}
+
+// burst tells how other requests fared at the same entry shortly before.
+func (t *Story) burst() string {
+	until := t.end.Offset
+	total, troubled := 0, 0
+	for _, other := range t.Taker.ended {
+		if other.at < until-burstWindow || other.at > until {
+			continue
+		}
+		total++
+		if other.event != event.RequestServed.ID {
+			troubled++
+		}
+	}
+	return fmt.Sprintf("In the %v before, %s wrote the ends of %d requests, %d of them not in time.", burstWindow, t.Taker.node, total, troubled)
+}
+
+func (t *Story) failed() []string {
+	e := t.end
+	said := []string{fmt.Sprintf("%s after %v%s.", capital(e.Name), e.Duration("total_ms"), because(e))}
+	said = append(said, t.attempts()...)
+	for _, m := range t.Moments {
+		switch m.Line.Event {
+		case event.ServerLeft.ID, event.ServerDraining.ID, event.ServerSuspected.ID:
+			said = append(said, fmt.Sprintf("%s: %s, %s, as %s saw it%s.", when(m.At), m.Line.Text("server"), m.Line.Name, m.Line.Node, because(m.Line)))
+		}
+	}
+	return said
+}
+
+// attempts tells of each failed attempt, and why the last had no successor.
+func (t *Story) attempts() []string {
+	var said []string
+	for _, m := range t.Moments {
+		if !m.Own {
+			continue
+		}
+		l := m.Line
+		switch l.Event {
+		case event.AttemptFailed.ID:
+			said = append(said, fmt.Sprintf("Attempt %s at %s failed after %v: %s; %s.", l.Text("attempt"), l.Text("server"), l.Duration("after_ms"), failure(l), ran(l)))
+		case event.RetryWithheld.ID:
+			said = append(said, fmt.Sprintf("It was not tried again: %s.", l.Text("reason")))
+		}
+	}
+	return said
+}
+
+func failure(l *Line) string {
+	text := l.Text("kind")
+	if status := l.Text("status"); status != "" {
+		text += " " + status
+	}
+	if err := l.Text("error"); err != "" {
+		text += " (" + err + ")"
+	}
+	return text
+}
+
+func ran(l *Line) string {
+	if l.Text("not_run") == "true" {
+		return "the server did not run it"
+	}
+	return "the server may have run it"
+}
+
+func because(l *Line) string {
+	if reason := l.Text("reason"); reason != "" {
+		return ": " + reason
+	}
+	return ""
+}
+
+// when tells a time that counts from the request's arrival.
+func when(at time.Duration) string {
+	at = at.Round(time.Millisecond)
+	if at < 0 {
+		return fmt.Sprintf("%v before it arrived", -at)
+	}
+	return fmt.Sprintf("%v after it arrived", at)
+}
+
+func orNone(count string) string {
+	if count == "" {
+		return "no"
+	}
+	return count
+}
+
+func capital(text string) string {
+	if text == "" {
+		return text
+	}
+	return strings.ToUpper(text[:1]) + text[1:]
+}
