Adapter to the users' platform and a thin entry that calls backend servers directly

Cause: the product is to run on the users' platform, where no side process runs. Change: platform/ decodes store, registrations, configuration, headers and orders into fleet; entry/direct serves requests: view, balance, exchange, relay, front. Orders are not given yet.

--- /dev/null
+++ b/entry/direct/front/serve.go
@@ -0,0 +1,275 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"peridotchute.example/common/event"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/direct/balance"
+	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/relay"
+	"peridotchute.example/fleet"
+)
+
+const (
+	// unsentTries bounds the servers that are tried in vain without anything
+	// having been sent.
+	unsentTries = 4
+
+	// leastLeft is less time than any answer takes.
+	leastLeft = 5 * time.Millisecond
+
+	busyRetry = 400 * time.Millisecond // told when servers are full
+	loadRetry = time.Second            // told when the model has to be loaded
+)
+
+// run is one request on its way.
+type run struct {
+	f       *Front
+	w       http.ResponseWriter
+	r       *http.Request
+	req     *request
+	stream  *relay.Stream // nil until the first event of a stream
+	sent    int           // attempts that reached a server
+	unsent  int           // attempts of which nothing was sent
+	mayRun  bool          // some server may have run the request
+	exclude []string      // IDs of servers that failed it
+	verdict refusal       // in force when no further attempt is made
+}
+
+// serve answers the request.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, req *request) {
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline())
+	defer cancel()
+	f.opts.Balancer.Arrived(req.service)
+	run := &run{f: f, w: w, r: r, req: req}
+	for run.attempt(ctx) {
+	}
+}
+
+// deadline is when the client leaves or the route's timeout is over.
+func (q *request) deadline() time.Time {
+	wait := q.Deadline
+	if t := q.route.Timeout; t > 0 && (wait <= 0 || t < wait) {
+		wait = t
+	}
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	return q.arrived.Add(wait)
+}
+
+// attempt sends the request once and reports whether to try again. When it
+// returns false the client has its answer.
+func (r *run) attempt(ctx context.Context) bool {
+	if ctx.Err() != nil || time.Until(r.req.deadline()) < leastLeft {
+		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, reason: "no time left"})
+	}
+	ticket, refused := r.choose(ctx)
+	if refused != nil {
+		return r.giveUp(ctx, *refused)
+	}
+	defer ticket.End()
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := watchStall(attempt, cancel, ticket)
+	defer watch.stop()
+	answer, err := r.f.opts.Exchanger.Send(attempt, r.call(ticket.Server))
+	if err != nil {
+		return r.failed(ctx, ticket, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	r.sent++
+	watch.heard()
+	return r.answered(ctx, ticket, answer, watch)
+}
+
+// choose takes a server, loading what is missing.
+func (r *run) choose(ctx context.Context) (*balance.Ticket, *refusal) {
+	q := balance.Query{
+		Service: r.req.service,
+		Request: &r.req.Request,
+		Route:   r.req.route,
+		Exclude: r.exclude,
+	}
+	ticket, err := r.f.opts.Balancer.Choose(r.f.opts.Views.Current(), q)
+	if err == nil {
+		return ticket, nil
+	}
+	if !errors.Is(err, balance.ErrNotResident) {
+		return nil, &refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: err.Error()}
+	}
+	id, err := r.f.opts.Adapters.Ensure(ctx, r.req.service, r.req.Model, r.req.Adapter)
+	if err == nil {
+		ticket, err = r.f.opts.Balancer.Take(r.f.opts.Views.Current(), q, id)
+	}
+	if err != nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, after: loadRetry, reason: err.Error()}
+	}
+	return ticket, nil
+}
+
+func (r *run) call(s *fleet.Server) *exchange.Call {
+	attempt := fleet.Attempt{
+		Instance: s.ID,
+		Left:     time.Until(r.req.deadline()),
+		Urgency:  r.req.route.Priority,
+	}
+	if r.stream != nil {
+		attempt.LastEventID = r.stream.LastID()
+	}
+	return &exchange.Call{
+		ID:      r.req.ID,
+		Method:  r.r.Method,
+		Target:  r.req.target,
+		Host:    r.r.Host,
+		Body:    r.req.body,
+		Header:  r.r.Header,
+		Attempt: attempt,
+		Address: s.Address,
+	}
+}
+
+// failed judges an attempt without an answer.
+func (r *run) failed(ctx context.Context, t *balance.Ticket, err error) bool {
+	event.Log(r.f.opts.Log, event.AttemptFailed, event.Request(r.req.ID), event.Peer(t.Server.ID), event.Err(err))
+	if ctx.Err() == nil {
+		t.Failed()
+	}
+	r.exclude = append(r.exclude, t.Server.ID)
+	if fault.Is(err, fault.KindUnavailable) {
+		r.unsent++
+		if r.unsent < unsentTries && ctx.Err() == nil {
+			return true
+		}
+		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: "no server can be reached"})
+	}
+	r.sent++
+	r.mayRun = true
+	if r.mayRepeat(ctx) {
+		return true
+	}
+	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: "the server failed"})
+}
+
+// mayRepeat reports whether the request may be sent to one more server though
+// one may have run it, or after one declined it.
+func (r *run) mayRepeat(ctx context.Context) bool {
+	if ctx.Err() != nil || r.sent >= r.req.route.MaxAttempts {
+		return false
+	}
+	if r.mayRun && r.req.route.Repeat == fleet.RepeatNever {
+		return false
+	}
+	return r.f.opts.Balancer.Repeat(r.req.service)
+}
+
+// answered judges an answer and passes it on unless another attempt is made.
+func (r *run) answered(ctx context.Context, t *balance.Ticket, a *exchange.Answer, watch *stallWatch) bool {
+	switch {
+	case a.Outcome.NotRun:
+		return r.declined(ctx, t, a)
+	case a.Status >= http.StatusInternalServerError:
+		return r.erred(ctx, t, a)
+	case r.stream != nil && a.Status != http.StatusOK:
+		t.Failed()
+		r.exclude = append(r.exclude, t.Server.ID)
+		return r.mayRepeat(ctx) || r.giveUp(ctx, refusal{status: http.StatusBadGateway})
+	case r.req.route.Stream && a.Status == http.StatusOK:
+		return r.passStream(ctx, t, a, watch)
+	}
+	return r.passWhole(ctx, t, a)
+}
+
+// declined handles an answer by which the server did not run the request.
+func (r *run) declined(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
+	t.Declined(a.Outcome.Gone)
+	r.exclude = append(r.exclude, t.Server.ID)
+	if r.mayRepeat(ctx) {
+		return true
+	}
+	return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: "the server declined"})
+}
+
+// erred handles a server's own error, which counts as a run.
+func (r *run) erred(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
+	t.Failed()
+	r.mayRun = true
+	r.exclude = append(r.exclude, t.Server.ID)
+	if r.req.route.Repeat != fleet.RepeatNever && r.mayRepeat(ctx) {
+		return true
+	}
+	if r.stream != nil {
+		return r.giveUp(ctx, refusal{status: http.StatusBadGateway})
+	}
+	if a.Status == http.StatusServiceUnavailable {
+		return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: "the server does not say that it did not run the request"})
+	}
+	return r.passWhole(ctx, t, a)
+}
+
+func (r *run) passWhole(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
+	held, err := relay.Hold(a, t.Server.ID)
+	if err != nil {
+		r.sent-- // failed counts it
+		return r.failed(ctx, t, err)
+	}
+	if a.Status < http.StatusInternalServerError {
+		t.Succeeded()
+	}
+	if err := relay.Pass(r.w, a, held); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+func (r *run) passStream(ctx context.Context, t *balance.Ticket, a *exchange.Answer, watch *stallWatch) bool {
+	if r.stream == nil {
+		relay.Header(r.w, a)
+		r.w.WriteHeader(a.Status)
+		r.stream = relay.NewStream(r.w)
+	}
+	err := r.stream.Copy(a.Body, func() {
+		t.Event()
+		watch.heard()
+	})
+	switch {
+	case err == nil:
+		t.Succeeded()
+		return false
+	case errors.Is(err, relay.ErrClient):
+		panic(http.ErrAbortHandler)
+	}
+	if ctx.Err() == nil {
+		t.Failed()
+	}
+	event.Log(r.f.opts.Log, event.AttemptFailed, event.Request(r.req.ID), event.Peer(t.Server.ID), event.Err(err))
+	r.mayRun = true
+	r.exclude = append(r.exclude, t.Server.ID)
+	if r.req.route.Repeat == fleet.RepeatResume && r.mayRepeat(ctx) {
+		return true
+	}
+	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: "the stream was cut"})
+}
+
+// giveUp answers for the last time: an answer that has begun is cut, so that it
+// does not look complete, and a request that may have run is not called refused.
+func (r *run) giveUp(ctx context.Context, why refusal) bool {
+	if r.stream != nil || r.r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if r.mayRun && why.status == http.StatusServiceUnavailable {
+		why = refusal{status: http.StatusBadGateway, reason: why.reason}
+	}
+	if r.mayRun && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		why = refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}
+	}
+	event.Log(r.f.opts.Log, event.RequestRefused, event.Request(r.req.ID), event.Reason(why.reason), event.Count(int64(why.status)))
+	r.f.opts.Codec.Refuse(r.w.Header(), r.req.ID, why.after)
+	r.w.Header().Set("Content-Length", "0")
+	r.w.WriteHeader(why.status)
+	return false
+}
--- /dev/null
+++ b/entry/direct/relay/whole.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/direct/exchange"
+)
+
+// heldBytes is the longest answer that is held until it is complete; a longer
+// one is passed on as it comes.
+const heldBytes = 256 << 10
+
+// connectionHeaders of a server's answer concern its connection only.
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+
+// Header copies the headers of a server's answer to the client.
+func Header(w http.ResponseWriter, a *exchange.Answer) {
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	for named := range strings.SplitSeq(a.Header.Get("Connection"), ",") {
+		h.Del(strings.TrimSpace(named))
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+	if h.Get("Date") == "" {
+		h["Date"] = nil // keeps net/http from adding its own
+	}
+}
+
+// Held is the beginning of an answer, or all of it.
+type Held struct {
+	bytes    []byte
+	complete bool
+}
+
+// Hold reads an answer until it is complete or too long to be held. An answer
+// that ends early is an error of KindUnknown.
+func Hold(a *exchange.Answer, peer string) (Held, error) {
+	raw, err := io.ReadAll(io.LimitReader(a.Body, heldBytes))
+	if err != nil {
+		return Held{}, fault.New(fault.KindUnknown, "relay.hold", peer, err)
+	}
+	return Held{bytes: raw, complete: len(raw) < heldBytes}, nil
+}
+
+// Pass writes the answer to the client. It returns ErrClient when the client is
+// gone, and the source's error when the answer ended early; the client's
+// connection must then be cut.
+func Pass(w http.ResponseWriter, a *exchange.Answer, held Held) error {
+	Header(w, a)
+	switch {
+	case held.complete:
+		w.Header().Set("Content-Length", strconv.Itoa(len(held.bytes)))
+	case a.Length >= 0:
+		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(held.bytes); err != nil {
+		return ErrClient
+	}
+	if held.complete {
+		return nil
+	}
+	_, err := io.Copy(w, a.Body)
+	return err
+}
--- /dev/null
+++ b/entry/direct/settings.go
@@ -0,0 +1,40 @@
+// Package direct wires an entry that calls backend servers directly, without
+// side processes: clients are answered from what the entries themselves know
+// of the backend servers.
+package direct
+
+import (
+	"time"
+
+	"peridotchute.example/platform"
+)
+
+// Settings are the settings file of an entry that calls backend servers directly.
+type Settings struct {
+	Name           string            `json:"name" validate:"required"` // of its VM
+	Zone           string            `json:"zone" validate:"required"` // availability zone
+	Region         string            `json:"region" validate:"required"`
+	Regions        map[string]string `json:"regions" validate:"required"` // region of each availability zone
+	CallerAddress  string            `json:"caller_address" validate:"required,ip_port"`
+	ReadyAddress   string            `json:"ready_address" validate:"required,ip_port"`
+	ReadyPath      string            `json:"ready_path" validate:"required,startswith=/"`
+	MetricsAddress string            `json:"metrics_address" validate:"required,ip_port"`
+	RPCAddress     string            `json:"rpc_address" validate:"required,ip_port"`
+	Seeds          []string          `json:"seeds" validate:"omitempty,dive,ip_port"` // rpc addresses of other entries; may be stale
+	Store          platform.Settings `json:"store" validate:"required"`
+	MemoryMB       float64           `json:"memory_mb" validate:"gt=0"` // at which the process is killed
+	DrainMS        float64           `json:"drain_ms" validate:"gt=0"`  // within which a draining server gets its last request
+	GraceS         float64           `json:"grace_s" validate:"gt=0"`   // from SIGTERM to SIGKILL
+	LeaseMS        float64           `json:"lease_ms" validate:"gt=0"`  // least time between orders of two holders to one server
+	RetryRatio     float64           `json:"retry_ratio" validate:"gte=0"`
+	RetryWindowS   float64           `json:"retry_window_s" validate:"gt=0"`
+	RetrySlack     float64           `json:"retry_slack" validate:"gte=0"`
+	LoadWindowS    float64           `json:"load_window_s" validate:"gt=0"`
+	LoadBurst      float64           `json:"load_burst_factor" validate:"gt=0"`
+}
+
+// seconds converts a setting in seconds.
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+// milliseconds converts a setting in milliseconds.
+func milliseconds(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -22,6 +22,7 @@
 // is nil when there was no change, or none that can be understood.
 type Snapshot struct {
 	Config   *Config
+	Raw      []byte // Config as it was written
 	Position int64
 }
 
