An entry reloads its settings on SIGHUP, and ends kept connections at SIGTERM

Change: SIGHUP reads the settings again; at SIGTERM idle connections are closed, every answer is the last one of its connection, and 2.8 s later what still arrives is refused at once.

--- a/common/daemon/daemon.go
+++ b/common/daemon/daemon.go
@@ -24,6 +24,9 @@
 	ExitBadSettings = 2 // the settings file is wrong; no port was opened
 )
 
+// SettingsFile is the path of the process's settings file.
+type SettingsFile string
+
 // StopTimeout bounds a graceful shutdown; streams in progress may take minutes.
 const StopTimeout = 15 * time.Minute
 
@@ -47,7 +50,7 @@
 				fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return nil
 			}
-			return Run(options(s))
+			return Run(options(s), fx.Supply(SettingsFile(path)))
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments")
--- a/common/event/direct.go
+++ b/common/event/direct.go
@@ -9,6 +9,12 @@
 	RegistrationUnreadable = define(702, "registration unreadable", logrus.WarnLevel, "A backend server's registration cannot be understood; told once for each row. What was known of the server stays in force.")
 )
 
+// Events 710 to 719: settings.
+var (
+	SettingsReloaded = define(710, "settings reloaded", logrus.InfoLevel, "The settings file was read again after SIGHUP.")
+	SettingsRejected = define(711, "settings rejected", logrus.ErrorLevel, "The settings file has an error; the settings in force stay. Correct the file and send SIGHUP again.")
+)
+
 // Events 720 to 739: requests at such entries.
 var (
 	RequestRefused = define(720, "request refused", logrus.InfoLevel, "A request got its final answer from the entry; count is the status and reason says why.")
--- a/entry/direct/balance/budget.go
+++ b/entry/direct/balance/budget.go
@@ -20,6 +20,13 @@
 // window the requests fell into.
 const ratioShare = 0.7
 
+// SetBudget changes the budget.
+func (b *Balancer) SetBudget(budget Budget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opts.Budget = budget
+}
+
 // Arrived counts a request of the service.
 func (b *Balancer) Arrived(service string) {
 	b.mu.Lock()
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -27,6 +27,11 @@
 	// within a few round trips of their start.
 	unknownRetry = 300 * time.Millisecond
 
+	// lastStart is how long after Stop requests are still begun: new connections
+	// arrive for two seconds and a little more.
+	lastStart = 2800 * time.Millisecond
+	stopRetry = 50 * time.Millisecond // told afterwards: another entry takes the request
+
 	// defaultDeadline applies to requests without one on routes without timeout.
 	defaultDeadline = time.Minute
 )
@@ -56,7 +61,7 @@
 // Front answers requests. It is an http.Handler.
 type Front struct {
 	opts     Options
-	stopping atomic.Bool
+	stopping atomic.Int64 // when Stop was called, in nanoseconds since start; 0 before
 	active   atomic.Int64
 }
 
@@ -64,7 +69,19 @@
 func New(opts Options) *Front { return &Front{opts: opts} }
 
 // Stop makes every answer from now on the last one of its connection.
-func (f *Front) Stop() { f.stopping.Store(true) }
+func (f *Front) Stop() { f.stopping.Store(int64(time.Since(start))) }
+
+// start is the origin of stopping.
+var start = time.Now()
+
+// lateness returns how long ago Stop was called, or 0 before.
+func (f *Front) lateness() time.Duration {
+	at := f.stopping.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Since(start) - time.Duration(at)
+}
 
 // Active returns the number of requests in progress.
 func (f *Front) Active() int64 { return f.active.Load() }
@@ -73,10 +90,15 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if f.stopping.Load() {
+	arrived := time.Now()
+	late := f.lateness()
+	if late > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	arrived := time.Now()
+	if late > lastStart {
+		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, after: stopRetry, reason: "stopping"})
+		return
+	}
 	view := f.opts.Views.Current()
 	if view.Config == nil {
 		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, after: unknownRetry, reason: "no configuration known"})
