--- a/common/decisionlog/bench_test.go
+++ b/common/decisionlog/bench_test.go
@@ -10,8 +10,8 @@
 func fullTrace(l *Log, end Record) {
 	t := l.Trace("9c41d07be2a35f68")
 	t.Add(Routed{Route: "r1", Service: "llm", Model: "daka510000", PromptTokens: 9190, Deadline: 6 * time.Second, ConfigVersion: 412})
-	t.Add(Waited{Reason: "server busy", Waited: 31 * time.Millisecond, Ahead: 4, Backlog: 18000})
-	t.Add(Chosen{Server: "i-7f3a91c2", Zone: "tweed-a", Attempt: 1, Expected: 310 * time.Millisecond, Backlog: 9000, Candidates: 3, ViewAge: 400 * time.Millisecond})
+	t.Add(Waited{Reason: "server busy", Waited: 31 * time.Millisecond, Ahead: 4})
+	t.Add(Chosen{Server: "i-7f3a91c2", Zone: "tweed-a", Attempt: 1, Expected: 310 * time.Millisecond, Backlog: 240 * time.Millisecond, Candidates: 3, ViewAge: 400 * time.Millisecond})
 	t.End(end)
 }
 
--- a/common/decisionlog/log_test.go
+++ b/common/decisionlog/log_test.go
@@ -217,6 +217,7 @@
 	trace := l.Trace("a1")
 	trace.Add(Chosen{})
 	trace.End(Finished{})
+	event.Log(l.Logger(), event.PeerLost)
 	assert.Equal(t, l.Counts(), Counts{})
 }
 
--- a/common/decisionlog/logger.go
+++ b/common/decisionlog/logger.go
@@ -17,6 +17,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	log.SetFormatter(noFormat{})
+	if l == nil {
+		return log
+	}
 	log.SetLevel(l.opts.Level)
 	log.AddHook(hook{log: l})
 	return log
--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -21,10 +21,9 @@
 
 // Waited is a wait at the entry that is over.
 type Waited struct {
-	Reason  string        // what was waited for
-	Waited  time.Duration // how long
-	Ahead   int           // requests that were ahead of it at the start
-	Backlog int           // prompt tokens that were ahead of it at the start
+	Reason string        // what was waited for
+	Waited time.Duration // how long
+	Ahead  int           // requests that were ahead of it at the start
 }
 
 // Chosen is the server that a request is sent to, with what decided it.
@@ -33,11 +32,12 @@
 	Zone       string
 	Attempt    int           // 1 for the first
 	Expected   time.Duration // expected time to first token or answer
-	Backlog    int           // prompt tokens before it at the server, as this process believes
+	Backlog    time.Duration // of it, work of the requests before this one
 	Running    int           // requests at the server, as this process believes
 	Cached     int           // prompt tokens that need not be read again
 	Candidates int           // servers that could have been chosen
 	ViewAge    time.Duration // since the registrations were read
+	Reason     string        // why this one
 }
 
 // FailureKind says how an attempt failed.
@@ -118,11 +118,12 @@
 // Refused ends a request that was not run.
 type Refused struct {
 	Reason        RefusalReason
+	Detail        string // what exactly, such as an error
 	Status        int
 	RetryAfter    time.Duration // 0 when the caller is not told
 	Expected      time.Duration // expected wait, when it decided
 	Waited        time.Duration // how long it was kept before
-	Backlog       int           // prompt tokens ahead of it
+	Backlog       time.Duration // of it, work of the requests before this one
 	Waiting       int           // requests that wait for the same
 	Candidates    int           // servers that could run it
 	ViewAge       time.Duration // since the registrations were read
@@ -165,7 +166,7 @@
 	FirstByte     time.Duration // from its arrival to the first byte for the caller
 	Total         time.Duration // from its arrival to the end
 	Objective     time.Duration
-	Backlog       int // prompt tokens before it at the server when it was chosen
+	Backlog       time.Duration // of it, work of the requests before this one
 	ViewAge       time.Duration
 	Bytes         int64
 	Events        int
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -16,7 +16,6 @@
 	e.text("reason", r.Reason)
 	e.duration("waited_ms", r.Waited)
 	e.count("ahead", int64(r.Ahead))
-	e.countIfSet("backlog_tokens", int64(r.Backlog))
 }
 
 func (r Chosen) encode(e *encoder) {
@@ -24,11 +23,12 @@
 	e.textIfSet("zone", r.Zone)
 	e.count("attempt", int64(r.Attempt))
 	e.duration("expected_ms", r.Expected)
-	e.count("backlog_tokens", int64(r.Backlog))
+	e.duration("backlog_ms", r.Backlog)
 	e.count("running", int64(r.Running))
 	e.countIfSet("cached_tokens", int64(r.Cached))
 	e.count("candidates", int64(r.Candidates))
 	e.duration("view_age_ms", r.ViewAge)
+	e.textIfSet("reason", r.Reason)
 }
 
 func (r AttemptFailed) encode(e *encoder) {
@@ -57,11 +57,12 @@
 
 func (r Refused) encode(e *encoder) {
 	e.text("reason", string(r.Reason))
+	e.textIfSet("detail", r.Detail)
 	e.count("status", int64(r.Status))
 	e.durationIfSet("retry_after_ms", r.RetryAfter)
 	e.durationIfSet("expected_ms", r.Expected)
 	e.duration("waited_ms", r.Waited)
-	e.countIfSet("backlog_tokens", int64(r.Backlog))
+	e.durationIfSet("backlog_ms", r.Backlog)
 	e.count("waiting", int64(r.Waiting))
 	e.count("candidates", int64(r.Candidates))
 	e.durationIfSet("view_age_ms", r.ViewAge)
@@ -85,7 +86,7 @@
 	e.durationIfSet("first_byte_ms", r.FirstByte)
 	e.duration("total_ms", r.Total)
 	e.durationIfSet("objective_ms", r.Objective)
-	e.countIfSet("backlog_tokens", int64(r.Backlog))
+	e.durationIfSet("backlog_ms", r.Backlog)
 	e.durationIfSet("view_age_ms", r.ViewAge)
 	e.count("bytes", r.Bytes)
 	e.countIfSet("events", int64(r.Events))
--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -35,7 +35,6 @@
 type ConfigReplaced struct {
 	Version  int64
 	Previous int64
-	Age      time.Duration // since it was asked for
 	Routes   int
 	Services int
 	Source   string // store, or the entry that passed it on
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -24,7 +24,6 @@
 func (r ConfigReplaced) encode(e *encoder) {
 	e.count("config_version", r.Version)
 	e.countIfSet("previous", r.Previous)
-	e.duration("age_ms", r.Age)
 	e.count("routes", int64(r.Routes))
 	e.count("services", int64(r.Services))
 	e.textIfSet("source", r.Source)
--- a/common/event/deployment.go
+++ b/common/event/deployment.go
@@ -5,7 +5,7 @@
 // Events 640 to 679: what a process believes of a deployment whose backend
 // servers are called directly.
 var (
-	ConfigReplaced   = define(640, "configuration replaced", logrus.InfoLevel, "Another configuration version is in force in this process; age_ms is the time since it was asked for.")
+	ConfigReplaced   = define(640, "configuration replaced", logrus.InfoLevel, "Another configuration version is in force in this process.")
 	ServerAppeared   = define(641, "server appeared", logrus.InfoLevel, "A backend server is listed that was not, or not under this incarnation; row_version is the version of its registration.")
 	ServerLeft       = define(642, "server left", logrus.WarnLevel, "A backend server is no longer used; reason says how the process learned it.")
 	ServerDraining   = define(643, "server draining", logrus.InfoLevel, "A backend server takes no new requests; remaining_ms, when told, is the time until it is gone.")
--- a/common/metrics/labels.go
+++ b/common/metrics/labels.go
@@ -5,6 +5,9 @@
 // maxServices bounds the label of services; a configuration declares a few.
 const maxServices = 100
 
+// maxReasons bounds the label of refusals; the code defines about fifteen.
+const maxReasons = 40
+
 // labelOther stands for values over the bound, labelNone for no value.
 const (
 	labelOther = "other"
--- a/common/metrics/metrics.go
+++ b/common/metrics/metrics.go
@@ -40,6 +40,7 @@
 type Metrics struct {
 	registry  *prometheus.Registry
 	services  *labelSet
+	reasons   *labelSet
 	requests  *prometheus.CounterVec
 	refused   *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
@@ -61,6 +62,7 @@
 	m := &Metrics{
 		registry:  prometheus.NewRegistry(),
 		services:  newLabelSet(maxServices),
+		reasons:   newLabelSet(maxReasons),
 		requests:  counters("requests_total", "Requests that ended, by outcome.", labelService, labelOutcome),
 		refused:   counters("requests_refused_total", "Requests that the entry answered without running them.", labelService, labelReason),
 		firstByte: histograms("request_first_byte_seconds", "Time from a request's arrival to the first byte of its answer.", latencyBuckets, labelService),
@@ -137,7 +139,7 @@
 func (m *Metrics) refusal(r decisionlog.Refused) {
 	service := m.services.label(r.Service)
 	m.requests.WithLabelValues(service, outcomeRefused).Inc()
-	m.refused.WithLabelValues(service, string(r.Reason)).Inc()
+	m.refused.WithLabelValues(service, m.reasons.label(string(r.Reason))).Inc()
 	m.wait.WithLabelValues(service).Observe(r.Waited.Seconds())
 }
 
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -43,7 +43,7 @@
 	said := []string{fmt.Sprintf("Refused with status %s before it ran: %s (%s candidates, %s waiting, registrations %v old).",
 		e.Text("status"), e.Text("reason"), e.Text("candidates"), e.Text("waiting"), e.Duration("view_age_ms"))}
 	if expected := e.Duration("expected_ms"); expected > 0 {
-		said = append(said, fmt.Sprintf("It would have waited %v behind %s prompt tokens.", expected, orNone(e.Text("backlog_tokens"))))
+		said = append(said, fmt.Sprintf("Its answer was expected after %v, %v of it for requests before it.", expected, e.Duration("backlog_ms")))
 	}
 	said = append(said, t.attempts()...)
 	switch decisionlog.RefusalReason(e.Text("reason")) {
@@ -84,8 +84,8 @@
 	if pause := e.Duration("longest_pause_ms"); first <= objective && pause > 0 {
 		said = append(said, fmt.Sprintf("The first byte was in time; the longest pause between events was %v.", pause))
 	} else {
-		said = append(said, fmt.Sprintf("Of that it waited %v at %s; the rest, %v, passed at %s, where %v was expected behind %s prompt tokens.",
-			waited, t.Taker.node, (first-waited).Round(100*time.Microsecond), e.Text("server"), expected, orNone(e.Text("backlog_tokens"))))
+		said = append(said, fmt.Sprintf("Of that it waited %v at %s; the rest, %v, passed at %s, where %v was expected, %v of it for requests before it.",
+			waited, t.Taker.node, (first-waited).Round(100*time.Microsecond), e.Text("server"), expected, e.Duration("backlog_ms")))
 	}
 	return append(append(said, t.attempts()...), t.burst())
 }
@@ -171,13 +171,6 @@
 	return fmt.Sprintf("%v after it arrived", at)
 }
 
-func orNone(count string) string {
-	if count == "" {
-		return "no"
-	}
-	return count
-}
-
 func capital(text string) string {
 	if text == "" {
 		return text
