Control calls: a deployment without a key, dead connections, messages in order

Entries of a deployment whose backend servers are called directly share no secret before they have met, so a deployment may be open by an explicit setting. An empty key alone now admits nobody; before, two empty keys did. Local.Silence bounds unacknowledged data (TCP_USER_TIMEOUT) and sets keep-alive probes, since a connection may go silent without a reset. HandleInOrder keeps the order of messages that build on each other. Tested: rpc (table of keys, 2,000 messages in order).

--- a/rpc/messages.go
+++ b/rpc/messages.go
@@ -38,6 +38,7 @@
 	Incarnation string `json:"incarnation"` // new at every start
 	Role        Role   `json:"role"`
 	Zone        string `json:"zone"`
+	Region      string `json:"region,omitempty"`
 	Pool        string `json:"pool,omitempty"`
 	DataAddress string `json:"data_address,omitempty"`
 	RPCAddress  string `json:"rpc_address,omitempty"`
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -31,10 +31,13 @@
 // the first connection and read-only afterwards.
 type Handlers struct {
 	byMethod map[string]Handler
+	inOrder  map[string]bool
 }
 
 // NewHandlers returns an empty set.
-func NewHandlers() *Handlers { return &Handlers{byMethod: map[string]Handler{}} }
+func NewHandlers() *Handlers {
+	return &Handlers{byMethod: map[string]Handler{}, inOrder: map[string]bool{}}
+}
 
 // Handle registers a typed handler for a method.
 func Handle[Req, Resp any](h *Handlers, method string, f func(context.Context, *Peer, Req) (Resp, error)) {
@@ -47,13 +50,34 @@
 	}
 }
 
+// HandleInOrder registers a typed handler whose messages from one connection
+// are handled one after another, as they were sent. It must not wait for
+// anything that arrives on the same connection. The first of these messages is
+// sent by the end that dialed.
+func HandleInOrder[Req, Resp any](h *Handlers, method string, f func(context.Context, *Peer, Req) (Resp, error)) {
+	Handle(h, method, f)
+	h.inOrder[method] = true
+}
+
 // Local describes this process to its peers.
 type Local struct {
 	Identity      Identity
 	Key           string        // deployment key
+	Open          bool          // the deployment has no key; Key is empty then
 	ConfigVersion func() uint64 // version in force now
 	Servers       func() int    // backend servers known now; nil tells none
 	TLS           *tls.Config   // nil for plain TCP
+	Silence       time.Duration // unanswered data or probes end a connection after it; 0 leaves it to the system
+}
+
+// accepts reports whether a peer that shows the key belongs to the deployment.
+// A deployment without a key is open only if its settings say so: a key that
+// was left out by mistake admits nobody.
+func (l Local) accepts(key string) bool {
+	if l.Key == "" {
+		return l.Open && key == ""
+	}
+	return subtle.ConstantTimeCompare([]byte(key), []byte(l.Key)) == 1
 }
 
 // Peer is an authenticated connection to another process.
@@ -104,19 +128,19 @@
 func Dial(ctx context.Context, address string, local Local, handlers *Handlers) (*Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	conn, err := dial(ctx, address, local.TLS)
+	conn, err := dial(ctx, address, local)
 	if err != nil {
 		return nil, fault.New(fault.KindUnavailable, "rpc.dial", address, err)
 	}
 	s := &session{local: local, handlers: handlers, dialed: true, ready: make(chan struct{})}
-	s.peer.conn = jsonrpc2.NewConn(context.Background(), stream(conn), jsonrpc2.AsyncHandler(s))
+	s.peer.conn = jsonrpc2.NewConn(context.Background(), stream(conn), s)
 	hello := Hello{Identity: local.Identity, Key: local.Key, ConfigVersion: local.version(), Servers: local.servers()}
 	var reply HelloReply
 	if err := s.peer.conn.Call(ctx, MethodHello, hello, &reply); err != nil {
 		_ = s.peer.conn.Close()
 		return nil, fault.New(fault.KindUnavailable, MethodHello, address, err)
 	}
-	if !sameKey(reply.Key, local.Key) {
+	if !local.accepts(reply.Key) {
 		_ = s.peer.conn.Close()
 		return nil, fault.Newf(fault.KindRefused, MethodHello, address, "peer does not know the deployment key")
 	}
@@ -124,11 +148,12 @@
 	return &s.peer, nil
 }
 
-func dial(ctx context.Context, address string, conf *tls.Config) (net.Conn, error) {
-	if conf == nil {
-		return new(net.Dialer).DialContext(ctx, "tcp", address)
+func dial(ctx context.Context, address string, local Local) (net.Conn, error) {
+	dialer := &net.Dialer{KeepAliveConfig: probes(local.Silence), Control: silence(local.Silence)}
+	if local.TLS == nil {
+		return dialer.DialContext(ctx, "tcp", address)
 	}
-	return (&tls.Dialer{Config: conf}).DialContext(ctx, "tcp", address)
+	return (&tls.Dialer{NetDialer: dialer, Config: local.TLS}).DialContext(ctx, "tcp", address)
 }
 
 func stream(conn net.Conn) jsonrpc2.ObjectStream {
@@ -149,10 +174,6 @@
 	return l.Servers()
 }
 
-func sameKey(a, b string) bool {
-	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
-}
-
 // session is one connection before and after its hello.
 type session struct {
 	local    Local
@@ -195,9 +216,19 @@
 	}
 }
 
-// Handle answers one request. Nothing but a hello is answered before the peer
-// has shown the deployment key.
+// Handle answers a request: in a goroutine of its own, unless its method keeps
+// the order of messages.
 func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if s.handlers.inOrder[req.Method] && s.known() {
+		s.answer(ctx, conn, req)
+		return
+	}
+	go s.answer(ctx, conn, req)
+}
+
+// answer answers one request. Nothing but a hello is answered before the peer
+// has shown the deployment key.
+func (s *session) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	result, err := s.dispatch(ctx, conn, req)
 	if req.Notif {
 		return
@@ -237,7 +268,7 @@
 	if err := json.Unmarshal(params, &hello); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	if !sameKey(hello.Key, s.local.Key) {
+	if !s.local.accepts(hello.Key) {
 		time.AfterFunc(helloTimeout, func() { _ = conn.Close() })
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "wrong deployment key"}
 	}
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -35,7 +35,8 @@
 
 // Start listens on address and accepts in the background until Stop.
 func (s *Server) Start(address string) error {
-	ln, err := net.Listen("tcp", address)
+	listen := net.ListenConfig{KeepAliveConfig: probes(s.local.Silence), Control: silence(s.local.Silence)}
+	ln, err := listen.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return fault.New(fault.KindUnavailable, "listen.rpc", address, err)
 	}
@@ -89,7 +90,7 @@
 	conn = &guardedConn{Conn: conn, known: ses.known, left: maxHelloBytes}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := jsonrpc2.NewConn(context.Background(), stream(conn), jsonrpc2.AsyncHandler(ses))
+	c := jsonrpc2.NewConn(context.Background(), stream(conn), ses)
 	s.conns[c] = struct{}{}
 	go s.forget(c)
 }
