Mesh of entries: membership, load, documents and calls over control connections

Entries of a deployment without side processes have to know each other, what the others have in progress, and the newest configuration and registrations, with few calls to the store. entry/direct/mesh keeps one control connection between any two of them: rows, seeds and peers tell of entries; load goes as differences on an ordered stream; documents are announced by version and asked for by whoever is behind; a silent peer is given up after a second. Tested: go test -race -count=5 ./direct/mesh (loopback listeners, a proxy that goes silent, tables in memory) passed.

--- /dev/null
+++ b/entry/direct/mesh/mesh_test.go
@@ -0,0 +1,218 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// await waits until the condition holds.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(30*time.Second))
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// entry is a mesh that runs.
+type entry struct {
+	*Mesh
+	stop func()
+
+	mu  sync.Mutex
+	got []Document
+}
+
+func (e *entry) onDocument(d Document) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.got = append(e.got, d)
+}
+
+// newest returns the newest document that a peer delivered.
+func (e *entry) newest() Document {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.got) == 0 {
+		return Document{}
+	}
+	return e.got[len(e.got)-1]
+}
+
+// options are of an entry in a zone and region of its own deployment.
+func options(t *testing.T, name string) Options {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	return Options{
+		Self: Identity{Name: name, Address: freeAddress(t), Zone: "z", Region: "r"},
+		Log:  log,
+	}
+}
+
+// start runs an entry until the test ends or it is stopped.
+func start(t *testing.T, opts Options, register ...func(*Mesh)) *entry {
+	t.Helper()
+	e := &entry{}
+	opts.OnDocument = e.onDocument
+	e.Mesh = New(opts)
+	for _, f := range register {
+		f(e.Mesh)
+	}
+	assert.NilError(t, e.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	var once sync.Once
+	e.stop = func() {
+		once.Do(func() {
+			cancel()
+			assert.NilError(t, <-done)
+		})
+	}
+	t.Cleanup(e.stop)
+	return e
+}
+
+// awaitAll waits until every entry is connected to all others.
+func awaitAll(t *testing.T, entries []*entry) {
+	t.Helper()
+	for _, e := range entries {
+		await(t, e.self.Name+" meets all others", func() bool { return len(e.Connected()) == len(entries)-1 })
+	}
+}
+
+// startAll runs n entries, each with the options as changed by edit.
+func startAll(t *testing.T, n int, edit func(i int, o *Options)) []*entry {
+	t.Helper()
+	var entries []*entry
+	for i := range n {
+		opts := options(t, fmt.Sprintf("entry-%d", i))
+		edit(i, &opts)
+		entries = append(entries, start(t, opts))
+	}
+	return entries
+}
+
+func TestEntriesFindEachOther(t *testing.T) {
+	for _, n := range []int{2, 5} {
+		t.Run(fmt.Sprintf("%d by rows only", n), func(t *testing.T) {
+			table := newTable()
+			awaitAll(t, startAll(t, n, func(_ int, o *Options) { o.Table = table }))
+		})
+		t.Run(fmt.Sprintf("%d by one seed only", n), func(t *testing.T) {
+			var seed string
+			awaitAll(t, startAll(t, n, func(i int, o *Options) {
+				if i == 0 {
+					seed = o.Self.Address
+				}
+				o.Seeds = []string{seed, freeAddress(t)}
+			}))
+		})
+		t.Run(fmt.Sprintf("%d with stale rows", n), func(t *testing.T) {
+			table := newTable()
+			table.add(t, Identity{Name: "gone", Incarnation: "i", Address: freeAddress(t)})
+			table.add(t, Identity{Name: "entry-1", Incarnation: "earlier", Address: freeAddress(t)})
+			table.raw("entries/broken", "{")
+			awaitAll(t, startAll(t, n, func(_ int, o *Options) { o.Table = table }))
+		})
+	}
+}
+
+func TestSomeEntriesHaveNoTable(t *testing.T) {
+	table := newTable()
+	var seed string
+	awaitAll(t, startAll(t, 4, func(i int, o *Options) {
+		switch i {
+		case 0:
+			o.Table, seed = table, o.Self.Address
+		case 1:
+			o.Table = table
+		default:
+			o.Seeds = []string{seed}
+		}
+	}))
+}
+
+func TestRestartUnderTheSameName(t *testing.T) {
+	table := newTable()
+	entries := startAll(t, 3, func(_ int, o *Options) { o.Table = table })
+	awaitAll(t, entries)
+	entries[1].SetLoad([]ServerLoad{{ID: "s", Requests: 3}})
+	await(t, "load of the first run", func() bool { return requests(entries[0], "s") == 3 })
+	opts := entries[1].opts
+	entries[1].stop()
+	await(t, "loss", func() bool { return requests(entries[0], "s") == 0 })
+	opts.Self.Incarnation = ""
+	opts.Self.Address = freeAddress(t)
+	opts.Listen = ""
+	entries[1] = start(t, opts)
+	awaitAll(t, entries)
+	for _, p := range entries[0].Peers() {
+		if p.Name == "entry-1" {
+			assert.Equal(t, p.Incarnation, entries[1].self.Incarnation)
+			assert.Equal(t, p.Address, opts.Self.Address)
+		}
+	}
+	entries[1].SetLoad([]ServerLoad{{ID: "s", Requests: 1}})
+	await(t, "load of the second run", func() bool { return requests(entries[0], "s") == 1 })
+}
+
+func TestSilentPeerIsGoneAndComesBack(t *testing.T) {
+	first := options(t, "a")
+	second := options(t, "b")
+	cut := newSilencer(t, second.Self.Address)
+	second.Self.Address, second.Listen = cut.address, second.Self.Address
+	first.Seeds = []string{cut.address}
+	a, b := start(t, first), start(t, second)
+	awaitAll(t, []*entry{a, b})
+	b.SetLoad([]ServerLoad{{ID: "s", Requests: 2}})
+	await(t, "load", func() bool { return requests(a, "s") == 2 })
+	cut.silence()
+	await(t, "a gives b up", func() bool { return len(a.Connected()) == 0 && requests(a, "s") == 0 })
+	await(t, "b gives a up", func() bool { return len(b.Connected()) == 0 })
+	_, err := Call[int, int](context.Background(), a.Mesh, "b", "any", 1)
+	assertKind(t, err, "unavailable")
+	cut.heal() // the old connections stay silent
+	awaitAll(t, []*entry{a, b})
+	await(t, "load again", func() bool { return requests(a, "s") == 2 })
+}
+
+func requests(e *entry, server string) int {
+	totals, _ := e.Load(server)
+	return totals.Requests
+}
+
+func TestLoadOfAllPeersIsAdded(t *testing.T) {
+	table := newTable()
+	regions := []string{"east", "east", "west"}
+	entries := startAll(t, 3, func(i int, o *Options) { o.Table, o.Self.Region = table, regions[i] })
+	awaitAll(t, entries)
+	entries[1].SetLoad([]ServerLoad{{ID: "s1", Requests: 2, Prefill: 900, Memory: 5000}, {ID: "s2", Requests: 1}})
+	entries[2].SetLoad([]ServerLoad{{ID: "s1", Requests: 3, Prefill: 100, Memory: 7000}})
+	want := Totals{Requests: 5, Prefill: 1000, Memory: 12000}
+	await(t, "sum", func() bool { got, _ := entries[0].Load("s1"); return got == want })
+	await(t, "own load is not among it", func() bool { return requests(entries[1], "s1") == 3 })
+	entries[2].SetLoad(nil)
+	await(t, "less", func() bool { return requests(entries[0], "s1") == 2 })
+	entries[1].stop()
+	await(t, "a stopped peer does not count", func() bool { return requests(entries[0], "s1") == 0 })
+}
--- /dev/null
+++ b/entry/direct/mesh/pace.go
@@ -0,0 +1,46 @@
+package mesh
+
+import "time"
+
+const (
+	// nearInterval is between updates to a peer of the same region; routing
+	// tolerates a load that is this old.
+	nearInterval = 100 * time.Millisecond
+	// farInterval is the same for other regions, to which bytes are dear and
+	// a message takes a noticeable part of it.
+	farInterval = 250 * time.Millisecond
+	// heartbeatInterval is between updates that tell nothing; three fit into silenceLimit.
+	heartbeatInterval = 300 * time.Millisecond
+	// silenceLimit is how long a peer may say nothing before its connection is given up.
+	silenceLimit = time.Second
+	// heartbeatsMissed is how many heartbeats may be missing, where they are rarer.
+	heartbeatsMissed = 3
+	// maxMessagesPerSecond bounds the updates of one process: at about 40 µs
+	// of processor time each they take half a percent of a core.
+	maxMessagesPerSecond = 120
+	// gossipInterval is between tellings of what most peers know already: the
+	// entries that are connected, and documents that came from a peer.
+	gossipInterval = time.Second
+	// sendSlack is how much earlier an update may leave to share a wake-up with others.
+	sendSlack = 30 * time.Millisecond
+)
+
+// updateInterval returns the time between updates to a peer.
+func updateInterval(sameRegion bool, peers int) time.Duration {
+	least := time.Duration(peers) * time.Second / maxMessagesPerSecond
+	if sameRegion {
+		return max(nearInterval, least)
+	}
+	return max(farInterval, least)
+}
+
+// heartbeat returns the longest time between updates to any peer.
+func heartbeat(peers int) time.Duration {
+	return max(heartbeatInterval, updateInterval(false, peers))
+}
+
+// patience returns the silence after which a peer that announced the time to
+// its next update is given up.
+func patience(next time.Duration) time.Duration {
+	return max(silenceLimit, heartbeatsMissed*next)
+}
--- /dev/null
+++ b/entry/direct/mesh/rows_test.go
@@ -0,0 +1,75 @@
+package mesh
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// alone returns a mesh that does not run, with a table.
+func alone(t *testing.T, name string, table *table) *Mesh {
+	opts := options(t, name)
+	opts.Table = table
+	return New(opts)
+}
+
+func TestOwnRowIsWrittenAgainWhenOthersTookIt(t *testing.T) {
+	table := newTable()
+	m := alone(t, "a", table)
+	written, err := m.syncRows(context.Background(), false)
+	assert.NilError(t, err)
+	assert.Assert(t, written)
+	table.add(t, Identity{Name: "a", Incarnation: "an earlier one, written late"})
+	written, err = m.syncRows(context.Background(), written)
+	assert.NilError(t, err)
+	assert.Assert(t, !written)
+	written, err = m.syncRows(context.Background(), written)
+	assert.NilError(t, err)
+	assert.Assert(t, written)
+}
+
+func TestRowsOfEntriesThatAreGoneAreRemoved(t *testing.T) {
+	for _, tc := range []struct {
+		name, other string
+		removed     bool
+	}{
+		{name: "by the lowest-named", other: "z", removed: true},
+		{name: "not by others", other: "a", removed: false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := newTable()
+			m := alone(t, "m", table)
+			table.add(t, Identity{Name: "gone", Address: "gone:1"})
+			_, err := m.syncRows(context.Background(), false)
+			assert.NilError(t, err)
+			m.links[tc.other] = &link{id: Identity{Name: tc.other}}
+			m.members.all["gone"].alone = time.Now().Add(-forgetAfter)
+			_, err = m.syncRows(context.Background(), true)
+			assert.NilError(t, err)
+			assert.Equal(t, table.has("gone"), !tc.removed)
+		})
+	}
+}
+
+func TestARowThatWasWrittenSinceStays(t *testing.T) {
+	table := newTable()
+	m := alone(t, "m", table)
+	table.add(t, Identity{Name: "back", Address: "back:1"})
+	_, err := m.syncRows(context.Background(), false)
+	assert.NilError(t, err)
+	gone := m.members.all["back"]
+	table.add(t, Identity{Name: "back", Address: "back:2"})
+	assert.NilError(t, m.removeRow(context.Background(), gone))
+	assert.Assert(t, table.has("back"))
+}
+
+func TestTableThatIsDownForAWhile(t *testing.T) {
+	table := newTable()
+	table.setDown(true)
+	entries := startAll(t, 2, func(_ int, o *Options) { o.Table = table })
+	await(t, "a failed call", func() bool { return entries[0].DumpState().(Dump).RowCalls > 1 })
+	table.setDown(false)
+	awaitAll(t, entries)
+}
