--- /dev/null
+++ b/routing/batch.go
@@ -0,0 +1,137 @@
+package routing
+
+import "time"
+
+// Long prompts among short ones, and a hot model with few replicas: the wait
+// at a server follows from what it has still to prefill, not from a count of
+// requests.
+
+const (
+	// heardFor bounds the age of what another entry told: entries tell several
+	// times a second, so one that is silent for so long is gone or cut off.
+	heardFor = 2 * time.Second
+
+	// leastBacklog is the least share of the work told or sent that still counts
+	// while no first event shows that it is done.
+	leastBacklog = 0.25
+)
+
+// Load is what an entry has under way at one server.
+type Load struct {
+	Waiting int           // requests without a first event
+	Running int           // requests that are being answered
+	Work    time.Duration // prefill of the waiting, at a server of usual speed
+	Tokens  int           // memory of all of them at their end
+}
+
+func (l Load) plus(m Load) Load {
+	return Load{l.Waiting + m.Waiting, l.Running + m.Running, l.Work + m.Work, l.Tokens + m.Tokens}
+}
+
+// Sending is one request as it was sent, to be kept until it ends.
+type Sending struct {
+	Work   time.Duration // prefill, at a server of usual speed
+	Tokens int           // memory at its end
+}
+
+// Batch is what is under way at one server: this entry's own requests, and the
+// totals that other entries told. The zero value is empty. It is not safe for
+// concurrent use.
+//
+//	s := routing.Sending{Work: prompt.Work(choice.Cached), Tokens: prompt.Memory()}
+//	server.Batch.Sent(s, now)
+//	server.Batch.Started(s, now)     // first event
+//	server.Batch.Ended(s, true, now) // whole, broken or given up
+type Batch struct {
+	own      Load
+	others   Load
+	anchor   time.Time // when the work was last known to be still to do
+	heard    map[string]heard
+	silentAt time.Time // when the oldest of heard is too old
+}
+
+type heard struct {
+	load Load
+	at   time.Time
+}
+
+// Sent counts a request that was sent to the server.
+func (b *Batch) Sent(s Sending, now time.Time) {
+	if b.own.Work+b.others.Work == 0 {
+		b.anchor = now
+	}
+	b.own.Waiting++
+	b.own.Work += s.Work
+	b.own.Tokens += s.Tokens
+}
+
+// Started counts the first event of a request.
+func (b *Batch) Started(s Sending, now time.Time) {
+	b.own.Waiting--
+	b.own.Work -= s.Work
+	b.own.Running++
+	b.anchor = now
+}
+
+// Ended removes a request; started says whether Started was called for it.
+func (b *Batch) Ended(s Sending, started bool, _ time.Time) {
+	b.own.Tokens -= s.Tokens
+	if started {
+		b.own.Running--
+		return
+	}
+	b.own.Waiting--
+	b.own.Work -= s.Work
+}
+
+// Own returns this entry's part, to be told to the other entries.
+func (b *Batch) Own() Load { return b.own }
+
+// Hear replaces what another entry told, which it did at the time at.
+func (b *Batch) Hear(entry string, l Load, at, now time.Time) {
+	if b.heard == nil {
+		b.heard = map[string]heard{}
+	}
+	b.heard[entry] = heard{l, at}
+	b.sum(now)
+	b.anchor = now
+}
+
+func (b *Batch) sum(now time.Time) {
+	b.others, b.silentAt = Load{}, time.Time{}
+	for entry, h := range b.heard {
+		until := h.at.Add(heardFor)
+		if !now.Before(until) {
+			delete(b.heard, entry)
+			continue
+		}
+		b.others = b.others.plus(h.load)
+		if b.silentAt.IsZero() || until.Before(b.silentAt) {
+			b.silentAt = until
+		}
+	}
+}
+
+// Load returns what all entries together have under way.
+func (b *Batch) Load(now time.Time) Load {
+	if !b.silentAt.IsZero() && !now.Before(b.silentAt) {
+		b.sum(now)
+	}
+	return b.own.plus(b.others)
+}
+
+// Backlog returns the prefill time that a server of usual speed has still to
+// spend: what was sent, less the time since the last sign of progress.
+func (b *Batch) Backlog(now time.Time) time.Duration {
+	return b.backlog(b.Load(now).Work, now)
+}
+
+func (b *Batch) backlog(work time.Duration, now time.Time) time.Duration {
+	if work <= 0 {
+		return 0
+	}
+	return max(work-now.Sub(b.anchor), time.Duration(float64(work)*leastBacklog))
+}
+
+// Reset forgets everything, for instance after the server's restart.
+func (b *Batch) Reset() { *b = Batch{} }
--- /dev/null
+++ b/routing/batch_test.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+const ms = time.Millisecond
+
+func TestBacklogShrinksWithTimeAndProgress(t *testing.T) {
+	var b Batch
+	long, brief := Sending{Work: 240 * ms, Tokens: 9000}, Sending{Work: 20 * ms, Tokens: 700}
+	b.Sent(long, start)
+	b.Sent(brief, start.Add(50*ms))
+	assert.Equal(t, b.Backlog(start.Add(100*ms)), 160*ms)
+	assert.Equal(t, b.Backlog(start.Add(time.Minute)), 65*ms, "no first event shows that it is done")
+	b.Started(long, start.Add(200*ms))
+	assert.Equal(t, b.Backlog(start.Add(200*ms)), 20*ms)
+	b.Ended(brief, false, start.Add(210*ms))
+	b.Ended(long, true, start.Add(220*ms))
+	assert.Equal(t, b.Load(start.Add(220*ms)), Load{})
+}
+
+func TestWhatOtherEntriesToldCountsUntilItIsOld(t *testing.T) {
+	var b Batch
+	b.Hear("a", Load{Waiting: 1, Work: 100 * ms, Tokens: 10}, start, start)
+	b.Hear("b", Load{Running: 2, Tokens: 20}, start.Add(time.Second), start.Add(time.Second))
+	b.Hear("a", Load{Waiting: 2, Work: 80 * ms, Tokens: 30}, start, start.Add(time.Second))
+	assert.Equal(t, b.Load(start.Add(time.Second)), Load{Waiting: 2, Running: 2, Work: 80 * ms, Tokens: 50})
+	assert.Equal(t, b.Load(start.Add(heardFor)), Load{Running: 2, Tokens: 20})
+	assert.Equal(t, b.Load(start.Add(2*heardFor)), Load{})
+}
+
+func TestKeptCountsWholeLeadingParts(t *testing.T) {
+	k := NewPrefixes().Server()
+	p := shared(1, 2)
+	k.Add(&p, 100_000)
+	assert.Equal(t, k.Tokens(&p), 9190)
+	other := shared(1, 3)
+	assert.Equal(t, k.Tokens(&other), 6300)
+	adapter := NewPrompt("m1/a1", []Part{{ID: 1, Tokens: 2500}}, 2500, 1, perToken)
+	assert.Equal(t, k.Tokens(&adapter), 0, "what is kept is kept for a model and adapter")
+	longer := NewPrompt("m1", []Part{{ID: 1, Tokens: 2600}, {ID: 1001, Tokens: 3800}}, 6400, 1, perToken)
+	assert.Equal(t, k.Tokens(&longer), 2500, "a part that has grown ends what is kept")
+}
+
+func TestKeptForgetsTheLeastRecentlyUsed(t *testing.T) {
+	x := NewPrefixes()
+	k := x.Server()
+	for own := range uint64(4) {
+		p := shared(1, 10+own)
+		k.Add(&p, 12_100)
+	}
+	first, last := shared(1, 10), shared(1, 13)
+	assert.Equal(t, k.Tokens(&first), 6300)
+	assert.Equal(t, k.Tokens(&last), 9190)
+	assert.Equal(t, k.tokens, 12_080)
+	k.DropArtifact(ArtifactKey("m2"))
+	assert.Equal(t, k.Tokens(&last), 9190)
+	k.DropArtifact(ArtifactKey("m1"))
+	assert.Equal(t, k.tokens, 0)
+	assert.Assert(t, cmp.Len(x.holders, 0))
+}
+
+func TestPaceAndSpeedAreLearnedApart(t *testing.T) {
+	var pace Pace
+	var slow, usual Health
+	work := func() time.Duration { return 9000 * pace.PerToken() }
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 50 * ms)
+		took := 54 * ms // 6 us a token: a small model
+		for server, h := range map[*Health]time.Duration{&usual: took, &slow: took * 4} {
+			expected := time.Duration(float64(work()) * server.Slowness(now))
+			server.Prefilled(work(), expected, h, now)
+			if !server.Suspect(now) {
+				pace.Observe(work(), expected, h)
+			}
+		}
+	}
+	now := start.Add(10 * time.Second)
+	ratio := slow.Slowness(now) / usual.Slowness(now)
+	assert.Assert(t, ratio > 3 && ratio < 5, "ratio %v", ratio)
+	assert.Assert(t, pace.PerToken() < 15*time.Microsecond, "per token %v", pace.PerToken())
+	assert.Assert(t, slow.Slowness(now.Add(time.Minute)) < 1.1, "a speed that is not measured again fades")
+}
--- /dev/null
+++ b/routing/engine_test.go
@@ -0,0 +1,174 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const perToken = startPerToken
+
+// shared is a prompt of two shared parts and one of its own.
+func shared(common, own uint64) Prompt {
+	parts := []Part{{ID: common, Tokens: 2500}, {ID: common + 1000, Tokens: 3800}, {ID: own, Tokens: 2890}}
+	return NewPrompt("m1", parts, 9190, 60, perToken)
+}
+
+func short(own uint64) Prompt {
+	return NewPrompt("m1", []Part{{ID: own, Tokens: 600}}, 600, 290, perToken)
+}
+
+func replicas(n int) ([]Replica, *Prefixes) {
+	prefixes := NewPrefixes()
+	out := make([]Replica, n)
+	for i := range out {
+		out[i].Server = NewEngineServer(fmt.Sprintf("s%03d", i), 64, 240_000, prefixes.Server())
+	}
+	return out, prefixes
+}
+
+func send(s *EngineServer, p *Prompt, now time.Time) Sending {
+	sending := Sending{Work: p.Work(s.Kept.Tokens(p)), Tokens: p.Memory()}
+	s.Batch.Sent(sending, now)
+	s.Kept.Add(p, s.KVTokens)
+	return sending
+}
+
+func chooseEngine(t *testing.T, r []Replica, x *Prefixes, p Prompt) EngineChoice {
+	t.Helper()
+	choice, err := ChooseEngine(r, x, &p, start)
+	assert.NilError(t, err)
+	return choice
+}
+
+func TestALongPromptCountsForMoreThanManyShortOnes(t *testing.T) {
+	r, x := replicas(2)
+	long := shared(1, 2)
+	send(r[0].Server, &long, start)
+	for i := range uint64(5) {
+		p := short(100 + i)
+		send(r[1].Server, &p, start)
+	}
+	assert.Equal(t, chooseEngine(t, r, x, short(99)).Index, 1)
+}
+
+func TestSharedPartsDrawARequestUntilTheServerIsBusy(t *testing.T) {
+	r, x := replicas(3)
+	first := shared(1, 10)
+	sent := send(r[2].Server, &first, start)
+	r[2].Server.Batch.Started(sent, start)
+	got := chooseEngine(t, r, x, shared(1, 11))
+	assert.Equal(t, got.Index, 2)
+	assert.Equal(t, got.Cached, 6300)
+	assert.Equal(t, got.Reason, reasonCached)
+	for i := range uint64(8) {
+		p := shared(1, 20+i)
+		send(r[2].Server, &p, start)
+	}
+	assert.Assert(t, chooseEngine(t, r, x, shared(1, 12)).Index != 2)
+}
+
+func TestEntriesThatKnowNothingAgreeOnAHome(t *testing.T) {
+	homes := map[int]int{}
+	for common := range uint64(40) {
+		a, x := replicas(5)
+		b, y := replicas(5)
+		b[0], b[4] = b[4], b[0]
+		first := chooseEngine(t, a, x, shared(common*7, 1))
+		other := chooseEngine(t, b, y, shared(common*7, 2))
+		assert.Equal(t, first.Server.Name, other.Server.Name)
+		homes[first.Index]++
+	}
+	assert.Equal(t, len(homes), 5, "homes are spread")
+}
+
+func TestABusyHomeIsPassedOver(t *testing.T) {
+	r, x := replicas(3)
+	home := chooseEngine(t, r, x, shared(1, 1)).Index
+	for i := range uint64(3) {
+		p := shared(50+i, 50+i)
+		send(r[home].Server, &p, start)
+	}
+	assert.Assert(t, chooseEngine(t, r, x, shared(1, 1)).Index != home)
+}
+
+func TestMemoryThatWouldOverflowIsAvoided(t *testing.T) {
+	r, x := replicas(2)
+	r[0].Server.Batch.Hear("other", Load{Running: 30, Tokens: 236_000}, start, start)
+	p := shared(1, 2)
+	r[0].Server.Kept.Add(&p, 240_000)
+	got := chooseEngine(t, r, x, p)
+	assert.Equal(t, got.Index, 1)
+	assert.Assert(t, !got.Overflow)
+	r[1].Server.Usable = false
+	assert.Assert(t, chooseEngine(t, r, x, p).Overflow)
+}
+
+func TestAServerThatFailsIsProbedByOneRequestAtATime(t *testing.T) {
+	r, x := replicas(2)
+	bad := r[0].Server
+	for range 4 {
+		bad.Health.Failed(start)
+	}
+	assert.Equal(t, chooseEngine(t, r, x, short(1)).Index, 1)
+	later := start.Add(6 * time.Second)
+	busy := shared(9, 9)
+	for range 2 {
+		send(r[1].Server, &busy, later)
+	}
+	probe := short(2)
+	got, err := ChooseEngine(r, x, &probe, later)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Index, 0, "the failures are forgotten by and by")
+}
+
+func TestUnusableAndExcludedServers(t *testing.T) {
+	r, x := replicas(2)
+	r[0].Server.Usable = false
+	p := short(1)
+	p.Exclude = "s001"
+	_, err := ChooseEngine(r, x, &p, start)
+	assert.ErrorIs(t, err, ErrNoServer)
+}
+
+func TestALoadCountsAsWait(t *testing.T) {
+	r, x := replicas(2)
+	r[0].Load = time.Second
+	got := chooseEngine(t, r, x, short(1))
+	assert.Equal(t, got.Index, 1)
+	r[1].Server.Usable = false
+	got = chooseEngine(t, r, x, short(1))
+	assert.Equal(t, got.Reason, reasonLoading)
+	assert.Assert(t, got.Wait > time.Second)
+}
+
+func TestChooseEngineAllocatesNothing(t *testing.T) {
+	r, x := replicas(600)
+	p := shared(1, 2)
+	r[5].Server.Kept.Add(&p, 240_000)
+	got := testing.AllocsPerRun(100, func() { _, _ = ChooseEngine(r, x, &p, start) })
+	assert.Equal(t, got, 0.0)
+}
+
+func BenchmarkChooseEngine(b *testing.B) {
+	for _, kept := range []bool{false, true} {
+		b.Run(fmt.Sprintf("servers=600/kept=%v", kept), func(b *testing.B) {
+			r, x := replicas(600)
+			p := shared(1, 2)
+			for i := range r {
+				r[i].Server.Batch.Hear("other", Load{Waiting: i % 7, Running: i % 60, Work: time.Duration(i%7) * 50 * time.Millisecond, Tokens: i * 100}, start, start)
+				if kept && i%3 == 0 {
+					r[i].Server.Kept.Add(&p, 240_000)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := ChooseEngine(r, x, &p, start); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/plain_test.go
@@ -0,0 +1,94 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func plainServers(n int) []*PlainServer {
+	out := make([]*PlainServer, n)
+	for i := range out {
+		out[i] = NewPlainServer(fmt.Sprintf("p%d", i), 6)
+	}
+	return out
+}
+
+func TestChoosePlain(t *testing.T) {
+	near, far := DirectCosts.Distance("r", "a", "r", "a"), DirectCosts.Distance("r", "a", "q", "b")
+	for _, tc := range []struct {
+		name   string
+		set    func([]*PlainServer)
+		expect int
+	}{
+		{"near ones first", func(s []*PlainServer) { s[0].RoundTrip, s[1].RoundTrip, s[2].RoundTrip = far, near, far }, 1},
+		{"a full near one yields to a far one", func(s []*PlainServer) {
+			s[0].RoundTrip = far
+			s[1].Batch.Hear("b", Load{Waiting: 15}, start, start)
+			s[2].Usable = false
+		}, 0},
+		{"requests of all entries count", func(s []*PlainServer) {
+			s[0].Batch.Hear("b", Load{Waiting: 3}, start, start)
+			s[0].Batch.Sent(Sending{}, start)
+			s[1].Batch.Hear("b", Load{Waiting: 5}, start, start)
+			s[2].Batch.Hear("b", Load{Waiting: 6}, start, start)
+		}, 0},
+		{"one that failed is avoided", func(s []*PlainServer) {
+			s[0].Health.Failed(start)
+			s[1].Health.Failed(start)
+			s[2].Batch.Hear("b", Load{Waiting: 20}, start, start)
+		}, 2},
+		{"one that is slow is avoided", func(s []*PlainServer) {
+			for range 10 {
+				s[0].Health.Answered(15*ms, 110*ms, start)
+				s[1].Health.Answered(15*ms, 110*ms, start)
+			}
+			s[2].Batch.Hear("b", Load{Waiting: 4}, start, start)
+		}, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			servers := plainServers(3)
+			tc.set(servers)
+			got, err := ChoosePlain(servers, PlainRequest{Usual: 15 * ms, Draw: 1}, start)
+			assert.NilError(t, err)
+			assert.Equal(t, got.Index, tc.expect)
+		})
+	}
+}
+
+func TestPlainRequestsSpreadOverEqualServers(t *testing.T) {
+	servers := plainServers(3)
+	seen := map[int]int{}
+	for draw := range uint64(300) {
+		got, err := ChoosePlain(servers, PlainRequest{Usual: 15 * ms, Draw: scramble(draw + 1)}, start)
+		assert.NilError(t, err)
+		seen[got.Index]++
+	}
+	for i := range servers {
+		assert.Assert(t, seen[i] > 60, "server %d got %d of 300", i, seen[i])
+	}
+}
+
+func TestASuspectPlainServerIsProbed(t *testing.T) {
+	servers := plainServers(2)
+	servers[0].Health.Failed(start)
+	now := start.Add(penaltyHalves)
+	servers[1].Batch.Hear("b", Load{Waiting: 200}, now, now)
+	got, err := ChoosePlain(servers, PlainRequest{Usual: 15 * ms}, now)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Index, 0)
+	assert.Equal(t, got.Reason, "probe of a suspect server")
+	servers[0].Batch.Sent(Sending{}, now)
+	got, err = ChoosePlain(servers, PlainRequest{Usual: 15 * ms}, now)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Index, 1, "one probe at a time")
+}
+
+func TestUsualFollowsTheService(t *testing.T) {
+	var u Usual
+	for range 200 {
+		u.Observe(u.Time(), 60*ms)
+	}
+	assert.Assert(t, u.Time() > 55*ms && u.Time() < 65*ms, "usual %v", u.Time())
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -76,6 +76,13 @@
 	SlowStart:      10 * time.Second,
 }
 
+// DirectCosts hold the distances for servers that the entry calls directly; the
+// rest is learned.
+var DirectCosts = Costs{
+	OtherZone:   2 * time.Millisecond,
+	OtherRegion: 24 * time.Millisecond,
+}
+
 // Choice is the decision with its reason.
 type Choice struct {
 	Server   *Server
@@ -131,18 +138,24 @@
 	wait := s.QueueDelay + time.Duration(others+s.InFlight)*costs.PerRequest
 	wait += time.Duration(float64(req.PromptBytes)*(1-c.Cached)) * costs.PrefillPerByte
 	wait += loadTime(c, req, costs)
-	switch {
-	case s.Region != req.Region:
-		wait += costs.OtherRegion
-	case s.Zone != req.Zone:
-		wait += costs.OtherZone
-	}
+	wait += costs.Distance(req.Region, req.Zone, s.Region, s.Zone)
 	if age := now.Sub(s.FirstSeen); age < costs.SlowStart {
 		wait += time.Duration(s.InFlight+1) * costs.PerRequest * (costs.SlowStart - age) / costs.SlowStart
 	}
 	return wait
 }
 
+// Distance returns the round trip between two places, with the price of the way.
+func (c *Costs) Distance(fromRegion, fromZone, toRegion, toZone string) time.Duration {
+	switch {
+	case fromRegion != toRegion:
+		return c.OtherRegion
+	case fromZone != toZone:
+		return c.OtherZone
+	}
+	return 0
+}
+
 func loadTime(c *Candidate, req *Request, costs *Costs) time.Duration {
 	if c.Resident {
 		return 0
