A line in the entry: which request is sent, waits or is rejected

A request in a server's queue can't be reordered, moved or refused truthfully. Line sends while a server's backlog is under a quarter of the objective; the rest waits by priority, objective and latest start. Waiting work is reserved on the server planned for it (routing.Batch.Reserve), so that a newcomer's start is known on arrival, and it is rejected at once when that is past its deadline, with a time to come back and capacity kept for it. Expectations are renewed every 200 ms and when servers are lost.

Tested: order, bound, loads, lost servers, promises, starvation, and a property test that nothing is lost and nothing stays reserved.

--- /dev/null
+++ b/admission/line.go
@@ -0,0 +1,286 @@
+package admission
+
+import (
+	"time"
+
+	"peridotchute.example/routing"
+)
+
+// More requests than servers can begin with in time: they wait here, where the
+// order can still change and a refusal still promises that they have not run,
+// and not in a server's queue.
+
+// Waiter is what matters of a request that may wait for a server.
+type Waiter struct {
+	Kind      string        // the route
+	Flow      uint64        // requests that suit the same servers: model, adapter and shared prompt parts
+	Session   uint64        // 0 means none
+	Priority  int           // 0 is the most urgent
+	Arrived   time.Time     // first seen
+	Objective time.Time     // the first event is due
+	Deadline  time.Time     // the whole answer is due: the client's deadline or the route's timeout
+	Rest      time.Duration // expected from the first event to the end
+}
+
+// Offer is the best server for a request just now.
+type Offer struct {
+	Server  string
+	Index   int            // of the server, for the caller
+	Batch   *routing.Batch // of the server
+	Load    time.Duration  // until model and adapter are resident; 0 when they are
+	Backlog time.Duration  // work before the request
+	Wait    time.Duration  // until its first event, with all of this
+	Work    time.Duration  // of the server, for the request
+	Full    bool           // no slot or memory is free
+}
+
+// Offers finds the best server for a request; planned means that the work
+// reserved on servers goes before it. It reports false when there is none.
+type Offers[T any] func(item T, planned bool) (Offer, bool)
+
+// OfferEngine is the offer of a chosen model server.
+func OfferEngine(c *routing.EngineChoice) Offer {
+	return Offer{
+		Server:  c.Server.Name,
+		Index:   c.Index,
+		Batch:   &c.Server.Batch,
+		Load:    c.Load,
+		Backlog: c.Backlog,
+		Wait:    c.Wait,
+		Work:    c.Work,
+		Full:    c.Full || c.Overflow,
+	}
+}
+
+// OfferPlain is the offer of a chosen plain server.
+func OfferPlain(c *routing.PlainChoice, usual time.Duration) Offer {
+	return Offer{
+		Server:  c.Server.Name,
+		Index:   c.Index,
+		Batch:   &c.Server.Batch,
+		Backlog: c.Backlog,
+		Wait:    c.Wait,
+		Work:    c.Server.Work(usual),
+	}
+}
+
+// Outcome is the verdict on one request of a line.
+type Outcome[T any] struct {
+	Verdict
+	Item  T
+	Offer Offer // set when Admit
+}
+
+const (
+	backlogShare  = 0.25                   // of the objective: a server's queue short enough to begin in time
+	leastBacklog  = 60 * time.Millisecond  // keeps a server busy until news of it have come back
+	mostBacklog   = 400 * time.Millisecond // beyond, order matters more than any gain
+	lateShare     = 0.6                    // of the time left: what is late is let in only if it is expected well before the end
+	sessionTurn   = 100 * time.Millisecond // a session's further requests go so much later
+	serverMissing = 8                      // part of the objective for which a server may come up
+	soonestReturn = 100 * time.Millisecond // less is no relief
+	returnShare   = 3                      // clients wait at most this part of the time left
+	planEvery     = 200 * time.Millisecond // expectations are renewed as often as entries tell each other
+	mostWaiting   = 4000                   // requests; bounds the memory
+)
+
+// Line is the requests of one service that wait in an entry for its servers. It
+// is not safe for concurrent use. After Arrive, Changed or the time of Wake,
+// call Next until it reports false, and record each Admit in the server's Batch
+// before the next call:
+//
+//	if out := line.Arrive(req, waiter, now, offers); out.Action == admission.Reject { ... }
+//	for out, ok := line.Next(now, offers); ok; out, ok = line.Next(now, offers) {
+//		if out.Action == admission.Admit {
+//			out.Offer.Batch.Sent(routing.Sending{Work: out.Offer.Work, Tokens: tokens}, now)
+//		}
+//	}
+type Line[T any] struct {
+	flows    map[flowKey]*flow[T]
+	order    []*flow[T] // scratch of Next
+	size     int
+	sessions map[uint64]int // waiting requests of each
+	shares   *shares
+	promises promises
+	vain     []vain[T] // found to wait in vain by the last plan
+	planAt   time.Time
+}
+
+type vain[T any] struct {
+	entry *entry[T]
+	out   Outcome[T]
+}
+
+// NewLine returns an empty line.
+func NewLine[T any]() *Line[T] {
+	return &Line[T]{flows: map[flowKey]*flow[T]{}, sessions: map[uint64]int{}, shares: &shares{kinds: map[string]*share{}}}
+}
+
+// Len returns how many requests wait.
+func (l *Line[T]) Len() int { return l.size }
+
+// Arrive takes a new request into the line or rejects it at once.
+func (l *Line[T]) Arrive(item T, w Waiter, now time.Time, offers Offers[T]) Outcome[T] {
+	l.promises.expire(now)
+	promised := l.promises.redeem(w.Flow, now)
+	l.shares.of(w.Kind).came++
+	offer, found := offers(item, true)
+	e := newEntry(item, w, &offer)
+	if v := l.judge(e, &offer, found, promised, now); v.Action == Reject {
+		if found {
+			l.promises.make(&w, &offer, now.Add(v.RetryAfter))
+		}
+		return Outcome[T]{Verdict: v, Item: item}
+	}
+	if found {
+		e.reserve(&offer)
+	}
+	l.add(e)
+	return Outcome[T]{Verdict: Verdict{Action: Queue, Reason: "waits for its turn"}, Item: item}
+}
+
+// judge says whether a request may wait, given the server planned for it.
+func (l *Line[T]) judge(e *entry[T], o *Offer, found, promised bool, now time.Time) Verdict {
+	left := e.w.Deadline.Sub(now)
+	switch {
+	case l.size >= mostWaiting:
+		return comeBack("too many wait", o.Wait, left)
+	case !found && e.mayAppear(now):
+		return Verdict{Action: Queue}
+	case !found:
+		return comeBack("no server holds the model or loads it", left/returnShare, left)
+	case e.service > left:
+		return comeBack("the time left does not suffice", left/returnShare, left)
+	case l.shares.mayStarve(e.w.Kind):
+		return Verdict{Action: Queue}
+	case o.Wait+e.w.Rest > left:
+		return comeBack("expected after its deadline", o.Wait, left)
+	case now.Add(o.Wait).After(e.w.Objective) && !promised && o.Wait+e.w.Rest > time.Duration(float64(left)*lateShare):
+		return comeBack("expected late, and close to its deadline", o.Wait, left)
+	}
+	return Verdict{Action: Queue}
+}
+
+// comeBack rejects a request that is expected to be served after wait.
+func comeBack(reason string, wait, left time.Duration) Verdict {
+	after := max(min(wait, left/returnShare), soonestReturn)
+	return Verdict{Action: Reject, Reason: reason, RetryAfter: after}
+}
+
+// Next returns the next verdict on a waiting request: Admit with the server to
+// send it to, or Reject. It reports false when all that are left go on waiting.
+func (l *Line[T]) Next(now time.Time, offers Offers[T]) (Outcome[T], bool) {
+	l.promises.expire(now)
+	if l.size == 0 {
+		return Outcome[T]{}, false
+	}
+	if !now.Before(l.planAt) {
+		l.plan(now, offers)
+	}
+	if n := len(l.vain); n > 0 {
+		v := l.vain[n-1]
+		l.vain = l.vain[:n-1]
+		l.drop(v.entry)
+		return v.out, true
+	}
+	l.sort(now)
+	if out, ok := l.expired(now); ok {
+		return out, true
+	}
+	return l.admit(now, offers)
+}
+
+// expired rejects a request whose time no longer suffices.
+func (l *Line[T]) expired(now time.Time) (Outcome[T], bool) {
+	for _, f := range l.order {
+		if len(f.late) == 0 || now.Before(f.late[0].last) {
+			continue
+		}
+		e := f.late[0]
+		l.drop(e)
+		left := e.w.Deadline.Sub(now)
+		return Outcome[T]{Verdict: comeBack("the time left does not suffice", left/returnShare, left), Item: e.item}, true
+	}
+	return Outcome[T]{}, false
+}
+
+// admit sends the first request in order whose server has room. A server that
+// an earlier request waits for is left to it.
+func (l *Line[T]) admit(now time.Time, offers Offers[T]) (Outcome[T], bool) {
+	var awaited [maxAwaited]string
+	n := 0
+	for _, f := range l.order {
+		if !now.Before(f.askAt) {
+			e := f.head()
+			o, found := offers(e.item, false)
+			if found && o.ready(&e.w) && !contains(awaited[:n], o.Server) {
+				l.drop(e)
+				l.shares.of(e.w.Kind).through++
+				return Outcome[T]{Verdict: Verdict{Action: Admit, Reason: "server has room"}, Item: e.item, Offer: o}, true
+			}
+			f.await(&o, found, now)
+		}
+		if n < maxAwaited && f.server != "" {
+			awaited[n] = f.server
+			n++
+		}
+	}
+	return Outcome[T]{}, false
+}
+
+// ready reports whether a request should be sent there now.
+func (o *Offer) ready(w *Waiter) bool {
+	return o.Load <= 0 && !o.Full && o.Backlog <= backlogBound(w)
+}
+
+func backlogBound(w *Waiter) time.Duration {
+	bound := time.Duration(float64(w.Objective.Sub(w.Arrived)) * backlogShare)
+	return min(max(bound, leastBacklog), mostBacklog)
+}
+
+// Changed notes that a server has news: progress, a model, its end. The empty
+// name means all servers.
+func (l *Line[T]) Changed(server string) {
+	for _, f := range l.flows {
+		if server == "" || f.server == "" || f.server == server {
+			f.askAt = time.Time{}
+		}
+	}
+}
+
+// Lost notes that servers were lost, so that what now waits in vain is rejected at once.
+func (l *Line[T]) Lost() {
+	l.planAt = time.Time{}
+	l.Changed("")
+}
+
+// Remove takes out the requests that match, for instance those whose client
+// has left, and returns how many.
+func (l *Line[T]) Remove(match func(T) bool) int {
+	removed := 0
+	for _, f := range l.flows {
+		for _, list := range [][]*entry[T]{f.timely, f.late} {
+			for _, e := range append([]*entry[T](nil), list...) {
+				if match(e.item) {
+					l.drop(e)
+					removed++
+				}
+			}
+		}
+	}
+	l.vain = nil
+	return removed
+}
+
+// Wake returns when Next should be called without any other cause; the zero
+// time while nothing waits.
+func (l *Line[T]) Wake() time.Time {
+	if l.size == 0 {
+		return time.Time{}
+	}
+	wake := l.planAt
+	for _, f := range l.flows {
+		wake = f.sooner(wake)
+	}
+	return wake
+}
--- /dev/null
+++ b/admission/line_test.go
@@ -0,0 +1,224 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotchute.example/routing"
+)
+
+const ms = time.Millisecond
+
+// bank is servers of one model whose requests take only prefill.
+type bank struct {
+	now     time.Time
+	servers []routing.Replica
+}
+
+type job struct {
+	id       int
+	priority int
+	tokens   int
+	flow     uint64
+}
+
+func newBank(n int) *bank {
+	b := &bank{now: start}
+	for i := range n {
+		s := routing.NewEngineServer(string(rune('a'+i)), 64, 1_000_000, nil)
+		b.servers = append(b.servers, routing.Replica{Server: s})
+	}
+	return b
+}
+
+func (b *bank) offers(j job, planned bool) (Offer, bool) {
+	p := routing.NewPrompt("m", []routing.Part{{ID: uint64(j.id), Tokens: j.tokens}}, j.tokens, 10, 25*time.Microsecond)
+	p.Priority, p.Planned = j.priority, planned
+	choice, err := routing.ChooseEngine(b.servers, nil, &p, b.now)
+	if err != nil {
+		return Offer{}, false
+	}
+	return OfferEngine(&choice), true
+}
+
+func (b *bank) waiter(j job, objective, deadline time.Duration) Waiter {
+	return Waiter{
+		Kind: string(rune('0' + j.priority)), Flow: j.flow, Priority: j.priority,
+		Arrived: b.now, Objective: b.now.Add(objective), Deadline: b.now.Add(deadline),
+	}
+}
+
+// run sends what the line lets through and returns the verdicts in order.
+func (b *bank) run(l *Line[job]) []Outcome[job] {
+	var all []Outcome[job]
+	for out, ok := l.Next(b.now, b.offers); ok; out, ok = l.Next(b.now, b.offers) {
+		if out.Action == Admit {
+			out.Offer.Batch.Sent(routing.Sending{Work: out.Offer.Work}, b.now)
+		}
+		all = append(all, out)
+	}
+	return all
+}
+
+// finish ends the first event and the answer of work at a server.
+func (b *bank) finish(l *Line[job], server int, work time.Duration) {
+	batch := &b.servers[server].Server.Batch
+	batch.Started(routing.Sending{Work: work}, b.now)
+	batch.Ended(routing.Sending{}, true, b.now)
+	l.Changed(b.servers[server].Server.Name)
+}
+
+func ids(outs []Outcome[job]) []int {
+	var out []int
+	for _, o := range outs {
+		out = append(out, o.Item.id)
+	}
+	return out
+}
+
+func TestAFreeServerIsUsedAtOnce(t *testing.T) {
+	b, l := newBank(1), NewLine[job]()
+	j := job{id: 1, tokens: 4000}
+	assert.Equal(t, l.Arrive(j, b.waiter(j, 800*ms, 5*time.Second), b.now, b.offers).Action, Queue)
+	got := b.run(l)
+	assert.DeepEqual(t, ids(got), []int{1})
+	assert.Equal(t, l.Len(), 0)
+	assert.Equal(t, b.servers[0].Server.Batch.Own().Reserved, [routing.Priorities]time.Duration{})
+}
+
+func TestTheBacklogOfAServerIsBounded(t *testing.T) {
+	b, l := newBank(1), NewLine[job]()
+	for i := range 8 {
+		j := job{id: i, tokens: 4000} // 100 ms each
+		l.Arrive(j, b.waiter(j, 900*ms, 5*time.Second), b.now, b.offers)
+	}
+	assert.Equal(t, len(b.run(l)), 3, "a backlog of 225 ms at most before each")
+	b.now = b.now.Add(100 * ms)
+	b.finish(l, 0, 100*ms)
+	assert.DeepEqual(t, ids(b.run(l)), []int{3})
+}
+
+func TestMoreUrgentKindsGoFirst(t *testing.T) {
+	b, l := newBank(1), NewLine[job]()
+	busy := job{id: 99, tokens: 40_000}
+	l.Arrive(busy, b.waiter(busy, 8*time.Second, 20*time.Second), b.now, b.offers)
+	b.run(l)
+	for i, priority := range []int{2, 1, 0, 1, 0} {
+		j := job{id: i, tokens: 1000, priority: priority}
+		l.Arrive(j, b.waiter(j, 4*time.Second, 9*time.Second), b.now, b.offers)
+	}
+	assert.Equal(t, len(b.run(l)), 0)
+	b.now = b.now.Add(time.Second)
+	b.finish(l, 0, time.Second)
+	assert.DeepEqual(t, ids(b.run(l)), []int{2, 4, 1, 3, 0})
+}
+
+func TestAHopelessRequestIsRejectedAtOnceWithATimeToComeBack(t *testing.T) {
+	b, l := newBank(1), NewLine[job]()
+	b.servers[0].Server.Batch.Sent(routing.Sending{Work: 10 * time.Second}, b.now)
+	j := job{id: 1, tokens: 4000}
+	out := l.Arrive(j, b.waiter(j, 800*ms, 6*time.Second), b.now, b.offers)
+	assert.Equal(t, out.Action, Reject)
+	assert.Equal(t, out.RetryAfter, 2*time.Second, "a third of the time left")
+	assert.Equal(t, l.Len(), 0)
+}
+
+func TestAModelThatLoadsInTimeIsWaitedFor(t *testing.T) {
+	for load, want := range map[time.Duration]Action{2 * time.Second: Queue, 7 * time.Second: Reject} {
+		b, l := newBank(1), NewLine[job]()
+		b.servers[0].Load = load
+		j := job{id: 1, tokens: 4000}
+		assert.Equal(t, l.Arrive(j, b.waiter(j, 800*ms, 6*time.Second), b.now, b.offers).Action, want)
+		assert.Equal(t, len(b.run(l)), 0)
+		b.servers[0].Load = 0
+		l.Changed("a")
+		assert.Equal(t, len(b.run(l)) == 1, want == Queue)
+	}
+}
+
+func TestWhatWaitsInVainIsRejectedWhenThatShows(t *testing.T) {
+	b, l := newBank(2), NewLine[job]()
+	for i := range 60 {
+		j := job{id: i, tokens: 4000}
+		l.Arrive(j, b.waiter(j, 2*time.Second, 5*time.Second), b.now, b.offers)
+	}
+	b.run(l)
+	waiting := l.Len()
+	assert.Assert(t, waiting > 30)
+	b.servers[1].Server.Usable = false
+	l.Lost()
+	rejected := b.run(l)
+	assert.Assert(t, len(rejected) > 0 && len(rejected) < waiting, "rejected %d of %d", len(rejected), waiting)
+	for _, out := range rejected {
+		assert.Equal(t, out.Action, Reject)
+	}
+}
+
+func TestAPromiseKeepsCapacityForAClientThatComesBack(t *testing.T) {
+	b, l := newBank(1), NewLine[job]()
+	batch := &b.servers[0].Server.Batch
+	batch.Sent(routing.Sending{Work: 10 * time.Second}, b.now)
+	j := job{id: 1, tokens: 4000, flow: 7}
+	out := l.Arrive(j, b.waiter(j, 800*ms, 6*time.Second), b.now, b.offers)
+	assert.Assert(t, batch.Own().Reserved[0] > 0)
+	batch.Ended(routing.Sending{Work: 10 * time.Second}, false, b.now)
+	b.now = b.now.Add(out.RetryAfter)
+	assert.Equal(t, l.Arrive(j, b.waiter(j, 800*ms, 4*time.Second), b.now, b.offers).Action, Queue)
+	b.run(l)
+	assert.Equal(t, batch.Own().Reserved[0], time.Duration(0))
+}
+
+func TestAKindIsNeverStarved(t *testing.T) {
+	b, l := newBank(1), NewLine[job]()
+	came, through := [2]int{}, [2]int{}
+	for i := range 2000 { // 10 ms apart, 20 ms of work each: twice what the server can do
+		b.now = b.now.Add(10 * ms)
+		if i%2 == 0 {
+			b.finish(l, 0, 20*ms)
+		}
+		j := job{id: i, tokens: 800, priority: min(i%5/4, 1)}
+		came[j.priority]++
+		l.Arrive(j, b.waiter(j, 500*ms, 2*time.Second), b.now, b.offers)
+		for _, out := range b.run(l) {
+			if out.Action == Admit {
+				through[out.Item.priority]++
+			}
+		}
+	}
+	all := float64(through[0]+through[1]) / float64(came[0]+came[1])
+	urgent, other := float64(through[0])/float64(came[0]), float64(through[1])/float64(came[1])
+	assert.Assert(t, other >= all/4, "%v of %v", other, all)
+	assert.Assert(t, urgent > other)
+}
+
+func TestALineLosesNothingAndReservesNothingInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, l := newBank(2), NewLine[job]()
+		open := map[int]bool{}
+		for i := range rapid.IntRange(1, 80).Draw(t, "requests") {
+			b.now = b.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "gap")) * ms)
+			j := job{id: i, tokens: rapid.IntRange(1, 20_000).Draw(t, "tokens"), priority: rapid.IntRange(0, 2).Draw(t, "priority"), flow: uint64(i % 3)}
+			w := b.waiter(j, 800*ms, time.Duration(rapid.IntRange(1, 4000).Draw(t, "deadline"))*ms)
+			w.Session = uint64(i % 4)
+			if l.Arrive(j, w, b.now, b.offers).Action == Queue {
+				open[i] = true
+			}
+			for _, out := range b.run(l) {
+				assert.Assert(t, open[out.Item.id])
+				delete(open, out.Item.id)
+			}
+			assert.Equal(t, l.Len(), len(open))
+		}
+		l.Remove(func(job) bool { return true })
+		b.now = b.now.Add(time.Minute)
+		b.run(l)
+		assert.Equal(t, l.Len(), 0)
+		l.promises.expire(b.now)
+		for _, r := range b.servers {
+			assert.Equal(t, r.Server.Batch.Own().Reserved, [routing.Priorities]time.Duration{})
+		}
+	})
+}
--- a/routing/batch.go
+++ b/routing/batch.go
@@ -16,16 +16,35 @@
 	leastBacklog = 0.25
 )
 
+// Priorities is how many priorities are told apart; less urgent ones count as the last.
+const Priorities = 3
+
 // Load is what an entry has under way at one server.
 type Load struct {
-	Waiting int           // requests without a first event
-	Running int           // requests that are being answered
-	Work    time.Duration // prefill of the waiting, at a server of usual speed
-	Tokens  int           // memory of all of them at their end
+	Waiting  int                       // requests without a first event
+	Running  int                       // requests that are being answered
+	Work     time.Duration             // prefill of the waiting, at a server of usual speed
+	Tokens   int                       // memory of all of them at their end
+	Reserved [Priorities]time.Duration // work that waits in the entry and is meant for the server
 }
 
-func (l Load) plus(m Load) Load {
-	return Load{l.Waiting + m.Waiting, l.Running + m.Running, l.Work + m.Work, l.Tokens + m.Tokens}
+func (l *Load) add(m *Load) {
+	l.Waiting += m.Waiting
+	l.Running += m.Running
+	l.Work += m.Work
+	l.Tokens += m.Tokens
+	for i := range l.Reserved {
+		l.Reserved[i] += m.Reserved[i]
+	}
+}
+
+// ahead returns the reserved work that goes before a request of a priority.
+func (l *Load) ahead(priority int) time.Duration {
+	var sum time.Duration
+	for i := range min(priority+1, Priorities) {
+		sum += l.Reserved[i]
+	}
+	return sum
 }
 
 // Sending is one request as it was sent, to be kept until it ends.
@@ -84,6 +103,12 @@
 	b.own.Work -= s.Work
 }
 
+// Reserve adds work of a waiting request that is meant for the server; negative
+// work takes it back.
+func (b *Batch) Reserve(priority int, work time.Duration) {
+	b.own.Reserved[min(max(priority, 0), Priorities-1)] += work
+}
+
 // Own returns this entry's part, to be told to the other entries.
 func (b *Batch) Own() Load { return b.own }
 
@@ -105,7 +130,7 @@
 			delete(b.heard, entry)
 			continue
 		}
-		b.others = b.others.plus(h.load)
+		b.others.add(&h.load)
 		if b.silentAt.IsZero() || until.Before(b.silentAt) {
 			b.silentAt = until
 		}
@@ -117,7 +142,9 @@
 	if !b.silentAt.IsZero() && !now.Before(b.silentAt) {
 		b.sum(now)
 	}
-	return b.own.plus(b.others)
+	sum := b.own
+	sum.add(&b.others)
+	return sum
 }
 
 // Backlog returns the prefill time that a server of usual speed has still to
@@ -133,5 +160,6 @@
 	return max(work-now.Sub(b.anchor), time.Duration(float64(work)*leastBacklog))
 }
 
-// Reset forgets everything, for instance after the server's restart.
-func (b *Batch) Reset() { *b = Batch{} }
+// Reset forgets what is under way, for instance after the server's restart.
+// What is reserved stays.
+func (b *Batch) Reset() { *b = Batch{own: Load{Reserved: b.own.Reserved}} }
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -55,7 +55,10 @@
 	Wait     time.Duration // expected until the first event
 	Backlog  time.Duration // of it, prefill of the requests before this one
 	Cached   int           // tokens of the prompt that the server keeps
+	Load     time.Duration // until the model and adapter are resident
+	Work     time.Duration // prefill, at a server of usual speed
 	Overflow bool          // the server's memory is too small for what it runs and this
+	Full     bool          // all slots are taken
 	Reason   string
 	RunnerUp *EngineServer // nil when there was no other
 }
@@ -83,10 +86,19 @@
 // that keeps cached tokens of its prompt and holds its model.
 func Estimate(s *EngineServer, p *Prompt, cached int, now time.Time) time.Duration {
 	load := s.Batch.Load(now)
-	return s.estimate(load, s.Batch.backlog(load.Work, now), p, cached, now)
+	return s.estimate(&load, s.before(&load, p, now), p, cached, now)
 }
 
-func (s *EngineServer) estimate(load Load, backlog time.Duration, p *Prompt, cached int, now time.Time) time.Duration {
+// before returns the work that the server does before it begins with the prompt.
+func (s *EngineServer) before(load *Load, p *Prompt, now time.Time) time.Duration {
+	backlog := s.Batch.backlog(load.Work, now)
+	if p.Planned {
+		backlog += load.ahead(p.Priority)
+	}
+	return backlog
+}
+
+func (s *EngineServer) estimate(load *Load, backlog time.Duration, p *Prompt, cached int, now time.Time) time.Duration {
 	prefill := backlog + p.Work(cached)
 	step := stepTime + time.Duration(load.Running)*stepPerRunning
 	wait := prefill + step + time.Duration(float64(prefill)*p.stepsPerWork*float64(step))
@@ -100,7 +112,7 @@
 }
 
 // overflows reports whether the server would have to preempt requests.
-func (s *EngineServer) overflows(load Load, p *Prompt) bool {
+func (s *EngineServer) overflows(load *Load, p *Prompt) bool {
 	return s.KVTokens > 0 && load.Tokens+p.Memory() > int(float64(s.KVTokens)*memoryInUse)
 }
 
@@ -202,9 +214,9 @@
 	s := r.Server
 	cached := s.cached
 	load := s.Batch.Load(c.now)
-	cost := s.estimate(load, s.Batch.backlog(load.Work, c.now), c.p, cached, c.now) + r.Load
+	cost := s.estimate(&load, s.before(&load, c.p, c.now), c.p, cached, c.now) + r.Load
 	cost += time.Duration(float64(c.p.Work(cached)) * workWeight)
-	if s.overflows(load, c.p) {
+	if s.overflows(&load, c.p) {
 		cost += overflowCost
 	}
 	if penalty := s.Health.Penalty(c.now); penalty != 0 || s.Health.slow != 0 {
@@ -225,14 +237,18 @@
 	r := &replicas[c.best]
 	s := r.Server
 	load := s.Batch.Load(c.now)
-	backlog := s.Batch.backlog(load.Work, c.now)
+	alone := s.estimate(&load, 0, c.p, s.cached, c.now)
+	wait := s.estimate(&load, s.before(&load, c.p, c.now), c.p, s.cached, c.now)
 	out := EngineChoice{
 		Server:   s,
 		Index:    c.best,
-		Wait:     s.estimate(load, backlog, c.p, s.cached, c.now) + r.Load,
-		Backlog:  backlog,
+		Wait:     wait + r.Load,
+		Backlog:  wait - alone,
 		Cached:   s.cached,
-		Overflow: s.overflows(load, c.p),
+		Load:     r.Load,
+		Work:     c.p.Work(s.cached),
+		Full:     s.Slots > 0 && load.Waiting+load.Running >= s.Slots,
+		Overflow: s.overflows(&load, c.p),
 	}
 	out.Reason = c.reason(r, &out)
 	if c.second >= 0 {
--- a/routing/pace.go
+++ b/routing/pace.go
@@ -9,16 +9,16 @@
 // learned from the times to first events, never assumed.
 
 const (
-	startPerToken  = 26 * time.Microsecond // a 70B model reads some 38 tokens a ms
-	fewestSamples  = 2 * time.Millisecond  // work too short to tell a rate from
-	paceStep       = 0.2                   // share of a deviation that the model's pace takes over
-	speedStep      = 0.2                   // share of a deviation that the server's speed takes over
-	mostDeviation  = 4.0                   // one measurement counts at most as so many times too long or short
-	slowestServer  = 20.0                  // times the usual time
-	fastestServer  = 0.5                   // times the usual time
-	speedRecovers  = 4 * time.Second       // half-life of a speed that is not measured again
-	failurePenalty = 200 * time.Millisecond
-	mostPenalty    = 3200 * time.Millisecond // a server that fails all: its share is a probe now and then
+	startPerToken  = 26 * time.Microsecond   // a 70B model reads some 38 tokens a ms
+	fewestSamples  = 2 * time.Millisecond    // work too short to tell a rate from
+	paceStep       = 0.2                     // share of a deviation that the model's pace takes over
+	speedStep      = 0.2                     // share of a deviation that the server's speed takes over
+	mostDeviation  = 4.0                     // one measurement counts at most as so many times too long or short
+	slowestServer  = 20.0                    // times the usual time
+	fastestServer  = 0.5                     // times the usual time
+	speedRecovers  = 4 * time.Second         // half-life of a speed that is not measured again
+	failurePenalty = 20 * time.Millisecond   // services fail a few requests by their nature
+	mostPenalty    = 3200 * time.Millisecond // a server that fails all gets a probe now and then
 	penaltyHalves  = time.Second             // half-life
 	suspectPenalty = 50 * time.Millisecond   // above it a server gets one request at a time
 	suspectSlow    = 2.5                     // times the usual time; above it, too
@@ -64,15 +64,22 @@
 	slowAt    time.Time
 }
 
-// Failed counts an answer that counts against the server: a 5xx of its own, a
-// reset, or none in time.
+// Failed counts an answer that speaks against the server: a 5xx of its own, a
+// reset, or none in time. The price doubles with each further one.
 func (h *Health) Failed(now time.Time) {
 	h.penalty = min(h.Penalty(now)*2+failurePenalty, mostPenalty)
 	h.penaltyAt = now
 }
 
-// Answered counts an answer that was expected after expected and came after took.
+// succeeded halves the price of earlier failures.
+func (h *Health) succeeded(now time.Time) {
+	h.penalty = h.Penalty(now) / 2
+	h.penaltyAt = now
+}
+
+// Answered counts a sound answer that was expected after expected and came after took.
 func (h *Health) Answered(expected, took time.Duration, now time.Time) {
+	h.succeeded(now)
 	if expected <= 0 || took <= 0 {
 		return
 	}
@@ -82,6 +89,7 @@
 
 // Prefilled is Answered for a first event, of whose expected time work was prefill.
 func (h *Health) Prefilled(work, expected, took time.Duration, now time.Time) {
+	h.succeeded(now)
 	if d, ok := deviation(work, expected, took); ok {
 		h.learn(d*speedStep, now)
 	}
--- a/routing/plain.go
+++ b/routing/plain.go
@@ -31,6 +31,9 @@
 	Usual   time.Duration // time that the service usually takes; see Usual
 	Exclude string        // server that just failed this request
 	Draw    uint64        // random; spreads requests over servers of equal wait
+
+	Priority int  // 0 is the most urgent
+	Planned  bool // to be sent once all work reserved before it is done
 }
 
 // PlainChoice is the decision with its reason.
@@ -38,6 +41,7 @@
 	Server   *PlainServer
 	Index    int
 	Wait     time.Duration // expected until the answer
+	Backlog  time.Duration // of it, until the server begins
 	Load     int           // requests of all entries in progress there
 	Reason   string
 	RunnerUp *PlainServer // nil when there was no other
@@ -62,7 +66,7 @@
 		if !s.Usable || (req.Exclude != "" && s.Name == req.Exclude) {
 			continue
 		}
-		price := s.price(req.Usual, now)
+		price := s.price(&req, now)
 		switch {
 		case best < 0 || s.beats(price, servers[best], cost, req.Draw):
 			second, next = best, cost
@@ -76,7 +80,14 @@
 	}
 	s := servers[best]
 	load := s.Batch.Load(now)
-	out := PlainChoice{Server: s, Index: best, Wait: s.Wait(req.Usual, now), Load: load.Waiting + load.Running, Reason: "least expected wait"}
+	out := PlainChoice{
+		Server:  s,
+		Index:   best,
+		Wait:    s.Wait(&req, now),
+		Backlog: s.backlog(&load, &req, now),
+		Load:    load.Waiting + load.Running,
+		Reason:  "least expected wait",
+	}
 	if s.Health.Suspect(now) {
 		out.Reason = "probe of a suspect server"
 	}
@@ -96,17 +107,37 @@
 }
 
 // Wait returns the expected time until a request is answered.
-func (s *PlainServer) Wait(usual time.Duration, now time.Time) time.Duration {
+func (s *PlainServer) Wait(req *PlainRequest, now time.Time) time.Duration {
 	load := s.Batch.Load(now)
-	wait := usual
-	if s.Slots > 0 {
-		wait += usual * time.Duration(load.Waiting+load.Running) / time.Duration(s.Slots)
+	work := time.Duration(float64(req.Usual) * s.Health.Slowness(now))
+	return work + s.backlog(&load, req, now) + s.RoundTrip
+}
+
+// backlog returns the expected time until a slot is free.
+func (s *PlainServer) backlog(load *Load, req *PlainRequest, now time.Time) time.Duration {
+	if s.Slots <= 0 {
+		return 0
 	}
-	return time.Duration(float64(wait)*s.Health.Slowness(now)) + s.RoundTrip
+	turn := req.Usual / time.Duration(s.Slots)
+	free := time.Duration(s.Slots-load.Waiting-load.Running) * turn
+	var ahead time.Duration
+	if req.Planned {
+		ahead = load.ahead(req.Priority)
+	}
+	return time.Duration(float64(max(turn-free+ahead, 0)) * s.Health.Slowness(now))
+}
+
+// Work returns how much of a server's time a request takes beside others.
+func (s *PlainServer) Work(usual time.Duration) time.Duration {
+	return usual / time.Duration(max(s.Slots, 1))
 }
 
-func (s *PlainServer) price(usual time.Duration, now time.Time) time.Duration {
-	cost := s.Wait(usual, now) + s.Health.Penalty(now)
+func (s *PlainServer) price(req *PlainRequest, now time.Time) time.Duration {
+	cost := s.Wait(req, now) + s.Health.Penalty(now)
+	if s.Slots > 0 {
+		load := s.Batch.Load(now)
+		cost += req.Usual * time.Duration(min(load.Waiting+load.Running, s.Slots)) / time.Duration(s.Slots)
+	}
 	if s.Batch.own.Waiting > 0 && s.Health.Suspect(now) {
 		cost += probeCost
 	}
--- a/routing/plain_test.go
+++ b/routing/plain_test.go
@@ -35,8 +35,10 @@
 			s[2].Batch.Hear("b", Load{Waiting: 6}, start, start)
 		}, 0},
 		{"one that failed is avoided", func(s []*PlainServer) {
-			s[0].Health.Failed(start)
-			s[1].Health.Failed(start)
+			for range 4 {
+				s[0].Health.Failed(start)
+				s[1].Health.Failed(start)
+			}
 			s[2].Batch.Hear("b", Load{Waiting: 20}, start, start)
 		}, 2},
 		{"one that is slow is avoided", func(s []*PlainServer) {
@@ -72,8 +74,10 @@
 
 func TestASuspectPlainServerIsProbed(t *testing.T) {
 	servers := plainServers(2)
-	servers[0].Health.Failed(start)
-	now := start.Add(penaltyHalves)
+	for range 2 {
+		servers[0].Health.Failed(start)
+	}
+	now := start.Add(penaltyHalves / 8)
 	servers[1].Batch.Hear("b", Load{Waiting: 200}, now, now)
 	got, err := ChoosePlain(servers, PlainRequest{Usual: 15 * ms}, now)
 	assert.NilError(t, err)
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -27,6 +27,8 @@
 	Out          int           // most tokens of the answer
 	PerToken     time.Duration // prefill time of a token at a server of usual speed
 	Exclude      string        // server that just failed this request
+	Priority     int           // 0 is the most urgent
+	Planned      bool          // to be sent once all work reserved before it is done
 	parts        int
 	keys         [MaxParts]uint64 // each covers the artifact and all parts up to its own
 	tokens       [MaxParts]int
