Orders to model servers: what is known of a server, adapters, the lease

One entry among all gives the orders. placement/residence holds what it knows of each server and chooses where an adapter is loaded; entry/direct/orders keeps the lease and makes adapters resident on demand.

--- /dev/null
+++ b/entry/direct/orders/give.go
@@ -0,0 +1,164 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"peridotchute.example/common/event"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/fleet"
+	"peridotchute.example/placement/residence"
+)
+
+// announceTime is the time between telling the entries that a model is going
+// to be unloaded and the order, so that they send no more requests for it. It
+// covers the way between regions.
+const announceTime = 30 * time.Millisecond
+
+// call is one order on its way.
+type call struct {
+	book   *residence.Book
+	state  *residence.State
+	server fleet.Server
+	order  fleet.Order
+	reason string
+}
+
+// beginLocked notes an order as being sent and sends it on a goroutine of its
+// own. The channel is closed when its outcome has been taken in.
+func (k *Keeper) beginLocked(ctx context.Context, service, server string, o fleet.Order, reason string) <-chan struct{} {
+	b := k.books[service]
+	s := b.Servers[server]
+	b.Begin(s, o, k.opts.Clock())
+	c := call{book: b, state: s, server: s.Server, order: o, reason: reason}
+	done := make(chan struct{})
+	k.calls.Go(func() {
+		defer close(done)
+		k.give(context.WithoutCancel(ctx), c)
+	})
+	return done
+}
+
+// give sends one order and takes in its outcome.
+func (k *Keeper) give(ctx context.Context, c call) {
+	if c.order.Kind == fleet.OrderUnload {
+		k.tell(c.state)
+		if c.order.Adapter == "" {
+			sleep(ctx, announceTime)
+		}
+	}
+	outcome, err := k.send(ctx, &c)
+	k.mu.Lock()
+	now := k.opts.Clock()
+	switch {
+	case err == nil:
+		c.book.Answered(c.state, outcome, now)
+	case certainlyNot(err):
+		c.state.NotSent(now)
+	default:
+		c.state.Lost(now)
+	}
+	k.changedLocked()
+	k.mu.Unlock()
+	k.logOrder(c, outcome, err)
+	k.tell(c.state)
+	k.wakePlanner()
+}
+
+// send gives the order if the lease is held right before.
+func (k *Keeper) send(ctx context.Context, c *call) (fleet.OrderOutcome, error) {
+	term, left := k.lease.held()
+	if left <= 0 {
+		return 0, fault.Newf(fault.KindUnavailable, "orders.give", c.server.ID, "the lease is not held")
+	}
+	c.order.Holder, c.order.Token = k.opts.Self, term
+	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout, left))
+	defer cancel()
+	return k.opts.Control.Order(ctx, &c.server, c.order)
+}
+
+// certainlyNot reports whether the failed order cannot have reached its server.
+func certainlyNot(err error) bool {
+	return fault.Is(err, fault.KindUnavailable) || fault.Is(err, fault.KindRefused) || fault.Is(err, fault.KindInvalid)
+}
+
+// askLocked asks a server for a report on a goroutine of its own.
+func (k *Keeper) askLocked(ctx context.Context, b *residence.Book, s *residence.State) {
+	server := s.Server
+	k.asking[server.ID] = true
+	k.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+		defer cancel()
+		r, err := k.opts.Control.Report(ctx, &server)
+		k.reported(b, s, r, err)
+	})
+}
+
+func (k *Keeper) reported(b *residence.Book, s *residence.State, r fleet.Report, err error) {
+	k.mu.Lock()
+	delete(k.asking, s.Server.ID)
+	now := k.opts.Clock()
+	worked := s.Working()
+	if err != nil {
+		s.ReportFailed(now)
+	} else {
+		b.Report(s, r, now)
+	}
+	finished := worked && !s.Working()
+	k.changedLocked()
+	k.mu.Unlock()
+	if err != nil {
+		event.Log(k.opts.Log, event.ReportFailed, event.Peer(s.Server.ID), event.Err(err))
+		return
+	}
+	if finished {
+		event.Log(k.opts.Log, event.WorkFinished, event.Peer(s.Server.ID))
+	}
+	k.tell(s)
+	k.wakePlanner()
+}
+
+// tell reports what a server holds now.
+func (k *Keeper) tell(s *residence.State) {
+	if k.opts.OnChange == nil {
+		return
+	}
+	k.mu.Lock()
+	id := s.Server.ID
+	c := Change{Born: s.Server.Born, OrderSeq: s.Seq()}
+	c.Residents, c.Fetching = s.Residents(k.opts.Clock())
+	k.mu.Unlock()
+	k.opts.OnChange(id, c)
+}
+
+func (k *Keeper) logOrder(c call, outcome fleet.OrderOutcome, err error) {
+	what := event.OrderGiven
+	fields := []event.Field{event.Peer(c.server.ID), event.Subject(subject(c.order)), event.Count(c.order.Seq)}
+	reason := c.reason
+	switch {
+	case err != nil && certainlyNot(err):
+		what = event.OrderDeclined
+	case err != nil:
+		what = event.OrderNoAnswer
+	case outcome != fleet.OrderAccepted && outcome != fleet.OrderHolds:
+		what = event.OrderDeclined
+		reason = fmt.Sprintf("%s; outcome %d", reason, outcome)
+	}
+	fields = append(fields, event.Reason(reason))
+	if err != nil {
+		fields = append(fields, event.Err(err))
+	}
+	event.Log(k.opts.Log, what, fields...)
+}
+
+func subject(o fleet.Order) string {
+	name, verb := o.Model, "load "
+	if o.Adapter != "" {
+		name += "/" + o.Adapter
+	}
+	if o.Kind == fleet.OrderUnload {
+		verb = "unload "
+	}
+	return verb + name
+}
--- /dev/null
+++ b/entry/direct/orders/keeper.go
@@ -0,0 +1,203 @@
+// Package orders gives all orders to the model servers of a deployment whose
+// servers are called directly. It runs in every entry; the entry that holds the
+// lease decides what the servers load (package residence) and the others ask it.
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"peridotchute.example/common/event"
+	"peridotchute.example/fleet"
+	"peridotchute.example/placement/residence"
+	"peridotchute.example/store"
+)
+
+const (
+	planTime      = 100 * time.Millisecond // between plans
+	orderTimeout  = time.Second            // of an order, besides the end of the lease
+	reportTimeout = time.Second
+	// loadWindow is the default span over which the weight store counts loads.
+	loadWindow = 5 * time.Second
+	// defaultGap is the default time between the orders of two holders.
+	defaultGap = 3 * time.Second
+)
+
+// Options configure a Keeper.
+type Options struct {
+	Table      store.Table
+	Control    fleet.Control
+	View       func() *fleet.View
+	Self       string                        // name of this entry's VM
+	LeaseGap   time.Duration                 // between the orders of two holders; 0 means the default
+	LoadWindow time.Duration                 // over which the weight store counts loads; 0 means the default
+	Clock      func() time.Duration          // runs while the machine is suspended; nil means Boottime
+	Down       func(server string) bool      // whether a server cannot be reached; may be nil
+	OnChange   func(server string, c Change) // called without locks held; may be nil
+	Log        logrus.FieldLogger
+}
+
+// Change tells what a server holds after an order, ahead of its registration.
+type Change struct {
+	Born      int64 // incarnation of the server
+	OrderSeq  int64
+	Residents []fleet.Resident // without what is to be unloaded
+	Fetching  []string         // adapters on their way
+}
+
+// Keeper keeps the lease and, while it holds it, gives the orders.
+type Keeper struct {
+	opts  Options
+	lease *lease
+	wake  chan struct{} // has the planner run at once
+	calls sync.WaitGroup
+
+	mu      sync.Mutex
+	books   map[string]*residence.Book // by service
+	term    int64                      // of the lease under which the books were begun
+	view    *fleet.View                // last taken in
+	asking  map[string]bool            // servers that are being asked for a report
+	changed chan struct{}              // closed at the next change of a book
+	flights map[flightKey]*flight
+	stopped bool
+}
+
+// New returns a keeper that holds nothing.
+func New(opts Options) *Keeper {
+	if opts.Clock == nil {
+		opts.Clock = Boottime
+	}
+	if opts.LeaseGap <= 0 {
+		opts.LeaseGap = defaultGap
+	}
+	if opts.LoadWindow <= 0 {
+		opts.LoadWindow = loadWindow
+	}
+	return &Keeper{
+		opts:    opts,
+		lease:   &lease{table: opts.Table, self: opts.Self, gap: opts.LeaseGap, clock: opts.Clock},
+		wake:    make(chan struct{}, 1),
+		books:   map[string]*residence.Book{},
+		asking:  map[string]bool{},
+		changed: make(chan struct{}),
+		flights: map[flightKey]*flight{},
+	}
+}
+
+// Run keeps the lease and gives orders until ctx ends and the calls in
+// progress have returned.
+func (k *Keeper) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { k.runLease(ctx) })
+	duties.Go(func() { k.runPlans(ctx) })
+	duties.Wait()
+	k.stop()
+}
+
+// stop begins no more calls and waits for those in progress.
+func (k *Keeper) stop() {
+	k.mu.Lock()
+	k.stopped = true
+	k.changedLocked()
+	k.mu.Unlock()
+	k.calls.Wait()
+}
+
+// Close stops giving orders, waits for those in progress and releases the
+// lease, so that another entry may take it sooner.
+func (k *Keeper) Close(ctx context.Context) error {
+	mine := k.lease.close()
+	k.stop()
+	if !mine {
+		return nil
+	}
+	event.Log(k.opts.Log, event.OrdersLeaseEnded, event.Reason("released"))
+	return k.lease.release(ctx)
+}
+
+// Holder returns the name of the VM that gives the orders, empty when it is not
+// known, and whether this entry may give them now.
+func (k *Keeper) Holder() (name string, mine bool) {
+	_, left := k.lease.held()
+	return k.lease.holder(), left > 0
+}
+
+// Heard tells that the named entry is alive. While the holder is heard of, its
+// lease is not read.
+func (k *Keeper) Heard(entry string) { k.lease.hear(entry) }
+
+// Demand takes in what an entry saw since it told last.
+func (k *Keeper) Demand(from string, seen []residence.ModelDemand) {
+	byService := map[string][]residence.ModelDemand{}
+	urgent := false
+	for _, d := range seen {
+		byService[d.Service] = append(byService[d.Service], d)
+		urgent = urgent || d.Waiting+d.Refused > 0
+	}
+	k.mu.Lock()
+	for service, demand := range byService {
+		if b := k.books[service]; b != nil {
+			b.Demand.Observe(from, demand, k.opts.Clock())
+		}
+	}
+	k.mu.Unlock()
+	if urgent {
+		k.wakePlanner()
+	}
+}
+
+func (k *Keeper) runLease(ctx context.Context) {
+	held := false
+	for {
+		call, cancel := context.WithTimeout(ctx, store.DefaultTimeout)
+		wait, err := k.lease.step(call)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			event.Log(k.opts.Log, event.OrdersLeaseError, event.Err(err))
+		}
+		held = k.logLease(held)
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// logLease logs when the holding began or ended since the last step.
+func (k *Keeper) logLease(before bool) (now bool) {
+	term, left := k.lease.held()
+	switch {
+	case left > 0 && !before:
+		event.Log(k.opts.Log, event.OrdersTaken, event.Count(term), event.Peer(k.lease.before()))
+		k.wakePlanner()
+	case left <= 0 && before:
+		event.Log(k.opts.Log, event.OrdersLeaseEnded, event.Reason("not renewed"))
+	}
+	return left > 0
+}
+
+func (k *Keeper) wakePlanner() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// changedLocked tells those who wait for a change of a book.
+func (k *Keeper) changedLocked() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/placement/residence/adapter.go
@@ -0,0 +1,229 @@
+package residence
+
+import (
+	"time"
+
+	"peridotchute.example/fleet"
+)
+
+// idleTime is how long an adapter must have been without requests before it is
+// unloaded: entries tell what they run every 300 ms, and a request that was
+// sent to a server must have had the time to be told.
+const idleTime = time.Second
+
+// Outcome is what a choice for an adapter or model came to.
+type Outcome int
+
+// The outcomes of a choice.
+const (
+	ChoiceHeld    Outcome = iota // resident, or will be at Ready
+	ChoiceOrder                  // Order is to be given to Server
+	ChoiceWait                   // nothing can be ordered now; ask again after a change
+	ChoiceNoModel                // no server holds the model
+	ChoiceUnknown                // the model is not declared
+)
+
+// Choice says how a model or adapter becomes resident.
+type Choice struct {
+	Outcome Outcome
+	Server  string
+	Ready   time.Duration
+	Order   fleet.Order
+}
+
+// Choose decides where requests for the key go. prefer lists servers in the
+// order in which the caller would like them; each call counts as a use of what
+// it returns.
+func (b *Book) Choose(k Key, prefer []string, now time.Duration) Choice {
+	if b.Engine == nil {
+		return Choice{Outcome: ChoiceUnknown}
+	}
+	if _, ok := b.Engine.Models[k.Model]; !ok {
+		return Choice{Outcome: ChoiceUnknown}
+	}
+	if c, ok := b.held(k, prefer); ok {
+		b.Servers[c.Server].used[k] = now
+		return c
+	}
+	if k.Adapter == "" || !b.anyServes(k.Model) {
+		return Choice{Outcome: ChoiceNoModel}
+	}
+	return b.loadAdapter(k, prefer, now)
+}
+
+// held returns the server that holds the key, the preferred one first.
+func (b *Book) held(k Key, prefer []string) (Choice, bool) {
+	best, bestRank := Choice{}, 0
+	for _, id := range b.ids() {
+		s := b.Servers[id]
+		if !b.usable(s) || !s.serves(k.Model) {
+			continue
+		}
+		ready := time.Duration(0)
+		if k.Adapter != "" {
+			a := s.adapter(k.Model, k.Adapter)
+			if a == nil || a.Leaving || s.dropping(k) {
+				continue
+			}
+			ready = a.Ready
+		}
+		if r := rank(prefer, id); best.Server == "" || r < bestRank {
+			best, bestRank = Choice{Outcome: ChoiceHeld, Server: id, Ready: ready}, r
+		}
+	}
+	return best, best.Server != ""
+}
+
+// dropping reports whether an order that unloads the adapter is being sent, or
+// was lost and may still arrive.
+func (s *State) dropping(k Key) bool {
+	is := func(o fleet.Order) bool {
+		return o.Kind == fleet.OrderUnload && o.Model == k.Model && o.Adapter == k.Adapter
+	}
+	if s.sent != nil && is(*s.sent) {
+		return true
+	}
+	for _, o := range s.lost {
+		if is(o) {
+			return true
+		}
+	}
+	return false
+}
+
+func rank(prefer []string, id string) int {
+	for i, p := range prefer {
+		if p == id {
+			return i
+		}
+	}
+	return len(prefer)
+}
+
+func (b *Book) anyServes(model string) bool {
+	for _, s := range b.Servers {
+		if b.usable(s) && s.serves(model) {
+			return true
+		}
+	}
+	return false
+}
+
+// adapterOption is one way to load an adapter.
+type adapterOption struct {
+	server string
+	victim Key // to be unloaded first; empty when there is a place
+	rank   int // in the caller's preference
+	load   int // adapters that the server holds
+	used   time.Duration
+}
+
+// loadAdapter orders the adapter to a server that holds its model: one with a
+// free place, else one with an idle adapter, the least recently used of all.
+func (b *Book) loadAdapter(k Key, prefer []string, now time.Duration) Choice {
+	var best *adapterOption
+	for _, id := range b.ids() {
+		o, ok := b.adapterOption(k, b.Servers[id], now)
+		if !ok {
+			continue
+		}
+		o.rank = rank(prefer, id)
+		if best == nil || o.before(best) {
+			best = &o
+		}
+	}
+	if best == nil {
+		return Choice{Outcome: ChoiceWait}
+	}
+	s := b.Servers[best.server]
+	kind, target := fleet.OrderLoad, k
+	if best.victim != (Key{}) {
+		kind, target = fleet.OrderUnload, best.victim
+	} else {
+		s.used[k] = now
+	}
+	return Choice{Outcome: ChoiceOrder, Server: best.server, Order: s.order(kind, target)}
+}
+
+func (b *Book) adapterOption(k Key, s *State, now time.Duration) (adapterOption, bool) {
+	o := adapterOption{server: s.Server.ID}
+	if !b.usable(s) || !s.serves(k.Model) || !s.ready() || now < s.blocked || s.leaves(k.Model) {
+		return o, false
+	}
+	for _, m := range s.Models {
+		o.load += len(m.Adapters)
+	}
+	fits := s.free(b.Engine, k) >= sizeOf(b.Engine, k)
+	if fits && s.adapterPlaces(b.Engine, k, now) > 0 {
+		return o, true
+	}
+	victim, used, ok := b.idleAdapter(s, now)
+	o.victim, o.used = victim, used
+	return o, ok
+}
+
+// leaves reports whether the model is to be unloaded for another.
+func (s *State) leaves(model string) bool {
+	if s.intent == nil {
+		return false
+	}
+	for _, v := range s.intent.Unload {
+		if v == model {
+			return true
+		}
+	}
+	return false
+}
+
+// idleAdapter returns the server's least recently used adapter that no request
+// uses.
+func (b *Book) idleAdapter(s *State, now time.Duration) (Key, time.Duration, bool) {
+	best, bestUsed := Key{}, never
+	for model, m := range s.Models {
+		for name, a := range m.Adapters {
+			k := Key{Model: model, Adapter: name}
+			if a.Leaving || a.Ready > now || b.Demand.Running(s.Server.ID, k) > 0 {
+				continue
+			}
+			used := max(s.used[k], b.Demand.LastRun(s.Server.ID, k))
+			if now-used < idleTime && used > 0 {
+				continue
+			}
+			if best == (Key{}) || used < bestUsed || (used == bestUsed && less(k, best)) {
+				best, bestUsed = k, used
+			}
+		}
+	}
+	return best, bestUsed, best != Key{}
+}
+
+func less(a, b Key) bool {
+	if a.Model != b.Model {
+		return a.Model < b.Model
+	}
+	return a.Adapter < b.Adapter
+}
+
+// before orders options: those with a free place first, then the caller's
+// preference or the victim that was used longest ago.
+func (o *adapterOption) before(p *adapterOption) bool {
+	if free := o.victim == (Key{}); free != (p.victim == (Key{})) {
+		return free
+	}
+	if o.victim != (Key{}) && o.used != p.used {
+		return o.used < p.used
+	}
+	if o.rank != p.rank {
+		return o.rank < p.rank
+	}
+	return o.load < p.load
+}
+
+// adaptersRefused says that the server takes no adapter orders while it
+// carries out a model order.
+func (s *State) adaptersRefused(now time.Duration) {
+	if s.work == nil {
+		return
+	}
+	s.blocked = max(s.work.Due, now) + reportLag
+}
--- /dev/null
+++ b/placement/residence/demand.go
@@ -0,0 +1,210 @@
+package residence
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	riseTime = time.Second      // time constant of the estimate that follows a rise
+	fallTime = 15 * time.Second // time constant of the estimate that outlasts a pause
+	// observationAge is how long what an entry told of waiting and running
+	// requests counts when it says nothing new.
+	observationAge = 2 * time.Second
+	// wantAge is how long a caller's word that it waits for a model counts.
+	wantAge = 500 * time.Millisecond
+	// requestTokens is the work of a request beside its prompt, in prompt tokens
+	// that a server reads in the time that it takes.
+	requestTokens = 1500
+)
+
+// ModelDemand is what one entry saw of one model since it told last.
+type ModelDemand struct {
+	Service       string
+	Model         string
+	Arrivals      int
+	PrefillTokens int // prompt tokens of the arrivals that are to be read
+	Waiting       int // requests that wait now because no server holds the model
+	Refused       int // requests that were refused for that reason
+	Urgency       int // rank of the most urgent request that waits; 0 is the first
+	Running       []Running
+}
+
+// Running is how many requests an entry has running at one server.
+type Running struct {
+	Server  string
+	Adapter string // empty for the model itself
+	Count   int
+}
+
+// estimate is the smoothed demand for one model.
+type estimate struct {
+	rate  average // requests a second
+	work  average // tokens a second
+	asked time.Duration
+}
+
+// average is a rate as a fast and a slow moving average.
+type average struct {
+	fast, slow float64
+}
+
+func (a *average) add(amount, seconds float64) {
+	a.fast = a.fast*math.Exp(-seconds/riseTime.Seconds()) + amount/riseTime.Seconds()
+	a.slow = a.slow*math.Exp(-seconds/fallTime.Seconds()) + amount/fallTime.Seconds()
+}
+
+// told is what one entry told last.
+type told struct {
+	at      time.Duration
+	waiting map[string]int
+	running map[string]map[Key]int
+}
+
+// Demands holds the demand for the models of one service.
+type Demands struct {
+	models  map[string]*estimate
+	entries map[string]*told
+	lastRun map[string]map[Key]time.Duration // by server
+	pending map[string]ModelDemand           // arrivals since the last step
+	wanted  map[string]time.Duration         // when a caller of this process last said that it waits
+	started time.Duration
+	stepped time.Duration
+}
+
+func newDemands() Demands {
+	return Demands{
+		models:  map[string]*estimate{},
+		entries: map[string]*told{},
+		lastRun: map[string]map[Key]time.Duration{},
+		pending: map[string]ModelDemand{},
+		wanted:  map[string]time.Duration{},
+	}
+}
+
+// Want says that a caller of this process waits for a model. It counts for a
+// short time, so that whoever goes on waiting says so again.
+func (d *Demands) Want(model string, now time.Duration) {
+	d.wanted[model] = now
+	d.estimate(model).asked = now
+}
+
+// Observe takes in what an entry saw.
+func (d *Demands) Observe(from string, seen []ModelDemand, now time.Duration) {
+	t := &told{at: now, waiting: map[string]int{}, running: map[string]map[Key]int{}}
+	d.entries[from] = t
+	for _, m := range seen {
+		p := d.pending[m.Model]
+		p.Arrivals += m.Arrivals
+		p.PrefillTokens += m.PrefillTokens
+		d.pending[m.Model] = p
+		t.waiting[m.Model] += m.Waiting + m.Refused
+		for _, r := range m.Running {
+			d.observeRunning(t, m.Model, r)
+		}
+		if m.Arrivals+m.Waiting+m.Refused > 0 {
+			d.estimate(m.Model).asked = now
+		}
+	}
+}
+
+func (d *Demands) observeRunning(t *told, model string, r Running) {
+	if r.Count <= 0 {
+		return
+	}
+	if t.running[r.Server] == nil {
+		t.running[r.Server] = map[Key]int{}
+	}
+	t.running[r.Server][Key{Model: model, Adapter: r.Adapter}] += r.Count
+	if d.lastRun[r.Server] == nil {
+		d.lastRun[r.Server] = map[Key]time.Duration{}
+	}
+	d.lastRun[r.Server][Key{Model: model, Adapter: r.Adapter}] = t.at
+}
+
+func (d *Demands) estimate(model string) *estimate {
+	e := d.models[model]
+	if e == nil {
+		e = &estimate{asked: -never}
+		d.models[model] = e
+	}
+	return e
+}
+
+// step smooths what arrived since the last step.
+func (d *Demands) step(now time.Duration) {
+	if d.stepped == 0 {
+		d.started, d.stepped = now, now
+	}
+	seconds := (now - d.stepped).Seconds()
+	d.stepped = now
+	for model := range d.pending {
+		d.estimate(model)
+	}
+	for model, e := range d.models {
+		p := d.pending[model]
+		e.rate.add(float64(p.Arrivals), seconds)
+		e.work.add(float64(p.PrefillTokens+p.Arrivals*requestTokens), seconds)
+	}
+	d.pending = map[string]ModelDemand{}
+	for from, t := range d.entries {
+		if now-t.at > observationAge {
+			delete(d.entries, from)
+		}
+	}
+}
+
+// work returns the work for a model in tokens a second: the slow average, or
+// the fast one as far as it exceeds that by more than chance.
+func (d *Demands) work(model string) float64 {
+	e := d.models[model]
+	if e == nil {
+		return 0
+	}
+	age := max(d.stepped-d.started, riseTime)
+	slow := e.work.slow / (1 - math.Exp(-age.Seconds()/fallTime.Seconds()))
+	arrivals := 2 * riseTime.Seconds() * e.rate.fast // that the fast average rests on
+	if arrivals <= 1 {
+		return slow
+	}
+	return max(slow, e.work.fast*(1-1/math.Sqrt(arrivals)))
+}
+
+// waiting returns the requests that wait for a model that no server holds.
+func (d *Demands) waiting(model string) int {
+	n := 0
+	if at, ok := d.wanted[model]; ok && d.stepped-at < wantAge {
+		n++
+	}
+	for _, t := range d.entries {
+		n += t.waiting[model]
+	}
+	return n
+}
+
+// Running returns the requests that run at a server for a key.
+func (d *Demands) Running(server string, k Key) int {
+	n := 0
+	for _, t := range d.entries {
+		n += t.running[server][k]
+	}
+	return n
+}
+
+// runningModel returns the requests that run at a server for a model and its
+// adapters.
+func (d *Demands) runningModel(server, model string) int {
+	n := 0
+	for _, t := range d.entries {
+		for k, count := range t.running[server] {
+			if k.Model == model {
+				n += count
+			}
+		}
+	}
+	return n
+}
+
+// LastRun returns when an entry last told of a request for the key at the
+// server; 0 when none did.
+func (d *Demands) LastRun(server string, k Key) time.Duration { return d.lastRun[server][k] }
--- /dev/null
+++ b/placement/residence/outcome.go
@@ -0,0 +1,147 @@
+package residence
+
+import (
+	"strings"
+	"time"
+
+	"peridotchute.example/fleet"
+)
+
+// Begin notes that an order is being sent. Until its answer nothing else is
+// sent to the server.
+func (s *State) Begin(o fleet.Order) { s.sent = &o }
+
+// Answered takes in the answer to the order that was sent. Source and length
+// are those of a model load.
+func (s *State) Answered(outcome fleet.OrderOutcome, source Source, length, now time.Duration) {
+	o := *s.sent
+	s.sent = nil
+	switch outcome {
+	case fleet.OrderAccepted:
+		s.accepted(o, source, length, now)
+	case fleet.OrderHolds:
+		s.holds(o, now)
+	default:
+		s.known = false
+		s.askAt(now + reportLag)
+	}
+}
+
+// Lost says that no answer came to the order that was sent, so that it may be
+// carried out at any later time.
+func (s *State) Lost(now time.Duration) {
+	s.lost = append(s.lost, *s.sent)
+	s.sent = nil
+	s.known = false
+	s.askAt(now)
+}
+
+// NotSent says that the order certainly did not reach the server.
+func (s *State) NotSent(now time.Duration) {
+	s.sent = nil
+	s.known = false
+	s.askAt(now + reportGap)
+}
+
+func (s *State) accepted(o fleet.Order, source Source, length, now time.Duration) {
+	s.seq = o.Seq + 1
+	s.floor = s.seq
+	s.dropSettled()
+	switch {
+	case o.Adapter != "" && o.Kind == fleet.OrderLoad:
+		s.addAdapter(o.Model, o.Adapter, now+adapterLoad)
+	case o.Adapter != "":
+		if a := s.adapter(o.Model, o.Adapter); a != nil {
+			a.Leaving = true
+		}
+	default:
+		s.work = &Work{Kind: o.Kind, Model: o.Model, Source: source, Due: now + length}
+		s.ask = now + length + reportLag
+		s.noteCopies(o)
+	}
+}
+
+// noteCopies keeps what is certain of the copies after a load: those that had
+// to make room for the new one are told by the next report.
+func (s *State) noteCopies(o fleet.Order) {
+	if o.Kind != fleet.OrderLoad {
+		return
+	}
+	s.InMemory = map[string]bool{o.Model: true}
+	s.OnDisk = map[string]bool{o.Model: true}
+}
+
+// holds takes in that an order was already so. An idle adapter is unloaded at
+// once, which counts as accepted.
+func (s *State) holds(o fleet.Order, now time.Duration) {
+	switch {
+	case o.Adapter == "":
+		s.known = false
+		s.askAt(now)
+	case o.Kind == fleet.OrderLoad:
+		s.addAdapter(o.Model, o.Adapter, now)
+	case s.adapter(o.Model, o.Adapter) != nil:
+		delete(s.Models[o.Model].Adapters, o.Adapter)
+		s.seq = o.Seq + 1
+	}
+}
+
+func (s *State) adapter(model, adapter string) *Adapter {
+	m, ok := s.Models[model]
+	if !ok {
+		return nil
+	}
+	return m.Adapters[adapter]
+}
+
+func (s *State) addAdapter(model, adapter string, ready time.Duration) {
+	m, ok := s.Models[model]
+	if !ok {
+		return
+	}
+	if a := m.Adapters[adapter]; a != nil && a.Ready <= ready {
+		return
+	}
+	m.Adapters[adapter] = &Adapter{Ready: ready}
+}
+
+// setResidents replaces the residents, and keeps what is known of the adapters
+// that stay.
+func (s *State) setResidents(residents []fleet.Resident, fetching []string, now time.Duration) {
+	before := s.Models
+	s.Models = make(map[string]*Resident, len(residents))
+	for _, r := range residents {
+		m := &Resident{Adapters: make(map[string]*Adapter, len(r.Adapters))}
+		s.Models[r.Model] = m
+		for _, name := range r.Adapters {
+			m.Adapters[name] = &Adapter{Ready: now, Leaving: leavingIn(before, r.Model, name)}
+		}
+	}
+	for _, f := range fetching {
+		key, ok := parseFetching(f)
+		if m := s.Models[key.Model]; ok && m != nil && m.Adapters[key.Adapter] == nil {
+			m.Adapters[key.Adapter] = &Adapter{Ready: readyIn(before, key, now+adapterLoad)}
+		}
+	}
+}
+
+func leavingIn(models map[string]*Resident, model, adapter string) bool {
+	if m := models[model]; m != nil && m.Adapters[adapter] != nil {
+		return m.Adapters[adapter].Leaving
+	}
+	return false
+}
+
+func readyIn(models map[string]*Resident, k Key, otherwise time.Duration) time.Duration {
+	if m := models[k.Model]; m != nil && m.Adapters[k.Adapter] != nil {
+		return m.Adapters[k.Adapter].Ready
+	}
+	return otherwise
+}
+
+// parseFetching reads MODEL/NAME@VERSION.
+func parseFetching(text string) (Key, bool) {
+	name, _, _ := strings.Cut(text, "@")
+	model, adapter, ok := strings.Cut(name, "/")
+	return Key{Model: model, Adapter: adapter}, ok
+}
--- /dev/null
+++ b/placement/residence/state.go
@@ -0,0 +1,234 @@
+package residence
+
+import (
+	"math"
+	"time"
+
+	"peridotchute.example/fleet"
+)
+
+const (
+	// reportLag is the age that a report may have when it is answered.
+	reportLag = 120 * time.Millisecond
+	// reportGap is the time between reports that are awaited for one change.
+	reportGap = 300 * time.Millisecond
+	// adapterLoad is the time in which an adapter is loaded: the slowest of the
+	// known deployments takes 10 ms.
+	adapterLoad = 12 * time.Millisecond
+	// maxFetching is how many adapters may be on their way to one server.
+	maxFetching = 4
+)
+
+// State is what is known of one server. It changes by registrations, reports
+// and the outcomes of orders.
+type State struct {
+	Server fleet.Server // as registered; Models holds what is newer
+
+	Models   map[string]*Resident
+	InMemory map[string]bool // models with a copy of their weights in the server's memory
+	OnDisk   map[string]bool // models with a copy of their weights on the server's disk
+
+	seq     int64 // orders accepted, on which the next order is based
+	floor   int64 // orders that were certainly accepted; at most seq
+	known   bool  // Models and seq belong together, and whether the server is busy is known
+	sent    *fleet.Order
+	lost    []fleet.Order // without an answer; may take effect until seq has passed them
+	work    *Work         // model order in progress
+	intent  *Intent       // orders decided on and not yet given
+	ask     time.Duration // when a report is due; math.MaxInt64 when none is
+	blocked time.Duration // no adapter orders until then
+	used    map[Key]time.Duration
+}
+
+// Resident is a model that a server holds.
+type Resident struct {
+	Adapters map[string]*Adapter
+}
+
+// Adapter is an adapter that a server holds or fetches.
+type Adapter struct {
+	Ready   time.Duration // when it has been, or should have been, loaded
+	Leaving bool          // ordered to be unloaded, not yet gone
+}
+
+// Work is a model order that a server carries out.
+type Work struct {
+	Kind   fleet.OrderKind
+	Model  string // empty when another process gave the order
+	Source Source
+	Due    time.Duration // expected end
+}
+
+// Source is where the weights of a load come from.
+type Source int
+
+// The sources of weights, the slowest first.
+const (
+	SourceStore Source = iota
+	SourceDisk
+	SourceMemory
+)
+
+const never = time.Duration(math.MaxInt64)
+
+// newState returns the state of a server that was not known before. Its
+// registration alone does not say whether an order is in progress, unless it
+// has never accepted one.
+func newState(s fleet.Server, now time.Duration) *State {
+	st := &State{ask: never, used: map[Key]time.Duration{}}
+	st.begin(s, now)
+	return st
+}
+
+// begin starts anew with an incarnation.
+func (s *State) begin(sv fleet.Server, now time.Duration) {
+	s.Server = sv
+	s.seq, s.floor = sv.OrderSeq, sv.OrderSeq
+	s.known = sv.OrderSeq == 0
+	s.sent, s.lost, s.work, s.intent, s.blocked = nil, nil, nil, nil, 0
+	s.ask = never
+	if !s.known {
+		s.ask = now
+	}
+	s.Models = map[string]*Resident{}
+	s.setResidents(sv.Residents, sv.Fetching, now)
+	s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
+}
+
+// Register takes in a registration. Rows of an earlier incarnation, or older
+// than what is known, change nothing.
+func (s *State) Register(sv fleet.Server, now time.Duration) {
+	if sv.Born < s.Server.Born || (sv.Born == s.Server.Born && sv.Registration < s.Server.Registration) {
+		return
+	}
+	if sv.Born != s.Server.Born {
+		s.begin(sv, now)
+		return
+	}
+	s.Server = sv
+	if s.sent != nil || sv.OrderSeq < s.seq {
+		return
+	}
+	if sv.OrderSeq > s.seq {
+		s.known = false
+		s.work = nil
+		s.askAt(now)
+	}
+	s.setResidents(sv.Residents, sv.Fetching, now)
+	s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
+	s.endWorkIfSeen()
+}
+
+// endWorkIfSeen ends the order in progress when the residents show its effect.
+func (s *State) endWorkIfSeen() {
+	if s.work == nil || s.work.Model == "" {
+		return
+	}
+	_, resident := s.Models[s.work.Model]
+	if resident == (s.work.Kind == fleet.OrderLoad) {
+		s.work = nil
+		s.ask = never
+	}
+}
+
+// Report takes in a report and tells whether it was new enough to be believed.
+// Of an order that was lost it shows whether it took effect.
+func (s *State) Report(r fleet.Report, now time.Duration) bool {
+	if s.sent != nil {
+		return false
+	}
+	if r.Born != 0 && r.Born != s.Server.Born {
+		return s.reportOfAnother(r, now)
+	}
+	if r.OrderSeq < s.floor || (s.known && r.OrderSeq < s.seq) {
+		s.ask = now + reportLag
+		return false
+	}
+	s.seq, s.floor, s.known = r.OrderSeq, r.OrderSeq, true
+	s.Server.Draining = s.Server.Draining || r.Draining
+	s.dropSettled()
+	s.setResidents(r.Residents, r.Fetching, now)
+	s.InMemory, s.OnDisk = setOf(r.InMemory), setOf(r.OnDisk)
+	s.setBusy(r.Busy, now)
+	return true
+}
+
+// reportOfAnother takes in a report of an incarnation that has not registered
+// yet; one of an earlier incarnation is ignored.
+func (s *State) reportOfAnother(r fleet.Report, now time.Duration) bool {
+	if r.Born < s.Server.Born {
+		s.ask = now + reportLag
+		return false
+	}
+	sv := s.Server
+	sv.Born, sv.OrderSeq, sv.Draining = r.Born, r.OrderSeq, r.Draining
+	sv.Residents, sv.Fetching, sv.InMemory, sv.OnDisk = r.Residents, r.Fetching, r.InMemory, r.OnDisk
+	s.begin(sv, now)
+	s.known = true
+	s.ask = never
+	s.setBusy(r.Busy, now)
+	return true
+}
+
+func (s *State) setBusy(busy bool, now time.Duration) {
+	if !busy {
+		s.work = nil
+		s.ask = never
+		return
+	}
+	if s.work == nil {
+		s.work = &Work{Due: now}
+	}
+	s.ask = max(s.work.Due+reportLag, now+reportGap)
+}
+
+// dropSettled forgets lost orders that can no longer take effect.
+func (s *State) dropSettled() {
+	var open []fleet.Order
+	for _, o := range s.lost {
+		if o.Seq >= s.seq {
+			open = append(open, o)
+		}
+	}
+	s.lost = open
+}
+
+// ReportFailed says that no report came.
+func (s *State) ReportFailed(now time.Duration) { s.ask = now + reportGap }
+
+// ReportDue reports whether the server is to be asked for a report.
+func (s *State) ReportDue(now time.Duration) bool { return s.sent == nil && now >= s.ask }
+
+// Incarnation returns what tells this start of the server from others.
+func (s *State) Incarnation() int64 { return s.Server.Born }
+
+func (s *State) askAt(t time.Duration) { s.ask = min(s.ask, t) }
+
+// ready reports whether an order can be based on what is known.
+func (s *State) ready() bool { return s.known && s.sent == nil }
+
+// serves reports whether the server takes requests for the model.
+func (s *State) serves(model string) bool {
+	if _, ok := s.Models[model]; !ok {
+		return false
+	}
+	return !s.unloading(model)
+}
+
+func (s *State) unloading(model string) bool {
+	if s.work != nil && s.work.Kind == fleet.OrderUnload && s.work.Model == model {
+		return true
+	}
+	return s.sent != nil && s.sent.Kind == fleet.OrderUnload && s.sent.Model == model && s.sent.Adapter == ""
+}
+
+// idle reports whether a model order can be given now.
+func (s *State) idle() bool { return s.ready() && s.work == nil }
+
+func setOf(names []string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, n := range names {
+		out[n] = true
+	}
+	return out
+}
