Orders: lease and adapters on demand, tested

Takeover after silence and release, a frozen holder, lost renewals, lost orders, a server restarted under its ID. Two faults of the tests on the way: WaitGroup reuse (the calls in progress are counted under the lock now) and a close that came before the order had been sent.

--- /dev/null
+++ b/entry/direct/orders/ensure_test.go
@@ -0,0 +1,195 @@
+package orders
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/fleet"
+)
+
+func testEngine() *fleet.Engine {
+	e := &fleet.Engine{WeightsMB: 220, AdapterSlots: 2, LoadsPerS: 2, Models: map[string]fleet.Model{}}
+	for _, name := range []string{"m1", "m2", "m3"} {
+		e.Models[name] = fleet.Model{Name: name, WeightsMB: 100, Adapters: 9, AdapterMB: 1, Load: time.Second}
+	}
+	return e
+}
+
+func serverWith(id string, residents ...fleet.Resident) fleet.Server {
+	return fleet.Server{ID: id, Born: 1, Service: "chat", Residents: residents}
+}
+
+// rig is a keeper with its surroundings; its duties are stepped by the test.
+type rig struct {
+	t       *testing.T
+	clock   *fakeClock
+	table   *fakeTable
+	control *fakeControl
+	keeper  *Keeper
+}
+
+func newRig(t *testing.T, servers ...fleet.Server) *rig {
+	clock := &fakeClock{now: time.Hour}
+	r := &rig{t: t, clock: clock, table: newTable(), control: newControl(clock, testEngine(), servers...)}
+	r.keeper = r.newKeeper("a")
+	return r
+}
+
+func (r *rig) newKeeper(self string) *Keeper {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Options{
+		Table: r.table, Control: r.control, View: r.control.view, Self: self,
+		LeaseGap: testGap, Clock: r.clock.read, Log: log,
+	})
+}
+
+// start has the keeper hold the lease and know the servers.
+func (r *rig) start() {
+	step(r.t, r.keeper.lease)
+	r.keeper.plan(context.Background())
+}
+
+// turn lets time pass for loads, reports and plans.
+func (r *rig) turn(d time.Duration) {
+	r.clock.add(d)
+	step(r.t, r.keeper.lease)
+	r.keeper.plan(context.Background())
+	r.keeper.mu.Lock()
+	r.keeper.settleLocked()
+	r.keeper.mu.Unlock()
+}
+
+// ensure calls Ensure while time passes, until it returns.
+func (r *rig) ensure(model, adapter string) (string, error) {
+	type answer struct {
+		server string
+		err    error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		server, err := r.keeper.Ensure(context.Background(), "chat", model, adapter, nil)
+		done <- answer{server, err}
+	}()
+	var got answer
+	poll.WaitOn(r.t, func(poll.LogT) poll.Result {
+		r.turn(50 * time.Millisecond)
+		select {
+		case got = <-done:
+			return poll.Success()
+		default:
+			return poll.Continue("Ensure has not returned")
+		}
+	}, poll.WithDelay(time.Millisecond))
+	return got.server, got.err
+}
+
+func TestEnsureLoadsAnAdapterOnce(t *testing.T) {
+	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
+	r.start()
+	for range 3 {
+		server, err := r.ensure("m1", "a1")
+		assert.NilError(t, err)
+		assert.Equal(t, server, "s1")
+	}
+	assert.Equal(t, len(r.control.accepted), 1)
+	assert.Equal(t, r.control.accepted[0].Token, int64(1))
+	assert.Equal(t, r.control.reports, 0)
+}
+
+func TestEnsureEvictsTheAdapterUsedLongestAgo(t *testing.T) {
+	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
+	r.start()
+	for _, adapter := range []string{"a1", "a2", "a1", "a3"} {
+		_, err := r.ensure("m1", adapter)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, !r.control.servers["s1"].models["m1"]["a2"])
+	assert.Equal(t, len(r.control.broken), 0, "%v", r.control.broken)
+}
+
+func TestOnlyTheHolderGivesOrders(t *testing.T) {
+	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
+	r.start()
+	other := r.newKeeper("b")
+	step(t, other.lease)
+	_, err := other.Ensure(context.Background(), "chat", "m1", "a1", nil)
+	assert.Assert(t, fault.Is(err, fault.KindUnavailable))
+	r.clock.add(validity) // frozen
+	_, err = r.keeper.Ensure(context.Background(), "chat", "m1", "a1", nil)
+	assert.Assert(t, fault.Is(err, fault.KindUnavailable))
+	assert.Equal(t, len(r.control.accepted), 0)
+}
+
+func TestLostOrderTakesEffectOnce(t *testing.T) {
+	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
+	r.start()
+	r.control.lose = true
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		_, err := r.keeper.Ensure(context.Background(), "chat", "m1", "a1", nil)
+		assert.Check(t, err)
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		r.control.mu.Lock()
+		defer r.control.mu.Unlock()
+		if len(r.control.late) == 0 {
+			return poll.Continue("no order was sent")
+		}
+		r.control.lose = false
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	for _, adapter := range []string{"a2", "a1"} {
+		_, err := r.ensure("m1", adapter)
+		assert.NilError(t, err)
+	}
+	caller.Wait()
+	r.control.deliver()
+	assert.Equal(t, len(r.control.accepted), 2)
+	assert.Equal(t, r.control.servers["s1"].OrderSeq, int64(2))
+	assert.Equal(t, len(r.control.broken), 0, "%v", r.control.broken)
+}
+
+func TestRestartedServerIsKnownAnew(t *testing.T) {
+	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
+	r.start()
+	_, err := r.ensure("m1", "a1")
+	assert.NilError(t, err)
+	again := serverWith("s1", fleet.Resident{Model: "m1"})
+	again.Born = 2
+	r.control.start(again)
+	r.turn(0)
+	_, err = r.ensure("m1", "a1")
+	assert.NilError(t, err)
+	assert.Equal(t, r.control.accepted[1].Seq, int64(0))
+}
+
+func TestCloseReleasesAfterTheOrdersInProgress(t *testing.T) {
+	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
+	r.start()
+	r.control.hold, r.control.arrived = make(chan struct{}), make(chan struct{})
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		if _, err := r.keeper.Ensure(context.Background(), "chat", "m1", "a1", nil); err != nil {
+			assert.Check(t, fault.Is(err, fault.KindUnavailable))
+		}
+	})
+	<-r.control.arrived
+	closed := make(chan error, 1)
+	go func() { closed <- r.keeper.Close(context.Background()) }()
+	close(r.control.hold)
+	assert.NilError(t, <-closed)
+	caller.Wait()
+	assert.Equal(t, len(r.control.accepted), 1)
+	assert.Equal(t, r.keeper.lease.holder(), "")
+	_, mine := r.keeper.Holder()
+	assert.Assert(t, !mine)
+}
--- a/entry/direct/orders/give.go
+++ b/entry/direct/orders/give.go
@@ -33,7 +33,7 @@
 	b.Begin(s, o, k.opts.Clock())
 	c := call{book: b, state: s, server: s.Server, order: o, reason: reason}
 	done := make(chan struct{})
-	k.calls.Go(func() {
+	k.callLocked(func() {
 		defer close(done)
 		k.give(context.WithoutCancel(ctx), c)
 	})
@@ -87,7 +87,7 @@
 func (k *Keeper) askLocked(ctx context.Context, b *residence.Book, s *residence.State) {
 	server := s.Server
 	k.asking[server.ID] = true
-	k.calls.Go(func() {
+	k.callLocked(func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 		defer cancel()
 		r, err := k.opts.Control.Report(ctx, &server)
--- a/entry/direct/orders/keeper.go
+++ b/entry/direct/orders/keeper.go
@@ -53,7 +53,6 @@
 	opts  Options
 	lease *lease
 	wake  chan struct{} // has the planner run at once
-	calls sync.WaitGroup
 
 	mu      sync.Mutex
 	books   map[string]*residence.Book // by service
@@ -63,6 +62,8 @@
 	changed chan struct{}              // closed at the next change of a book
 	flights map[flightKey]*flight
 	stopped bool
+	calls   int        // orders and reports in progress
+	settled *sync.Cond // signalled when calls becomes 0
 }
 
 // New returns a keeper that holds nothing.
@@ -76,7 +77,7 @@
 	if opts.LoadWindow <= 0 {
 		opts.LoadWindow = loadWindow
 	}
-	return &Keeper{
+	k := &Keeper{
 		opts:    opts,
 		lease:   &lease{table: opts.Table, self: opts.Self, gap: opts.LeaseGap, clock: opts.Clock},
 		wake:    make(chan struct{}, 1),
@@ -85,6 +86,8 @@
 		changed: make(chan struct{}),
 		flights: map[flightKey]*flight{},
 	}
+	k.settled = sync.NewCond(&k.mu)
+	return k
 }
 
 // Run keeps the lease and gives orders until ctx ends and the calls in
@@ -100,10 +103,31 @@
 // stop begins no more calls and waits for those in progress.
 func (k *Keeper) stop() {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.stopped = true
 	k.changedLocked()
-	k.mu.Unlock()
-	k.calls.Wait()
+	k.settleLocked()
+}
+
+// callLocked runs a call to a server on a goroutine of its own.
+func (k *Keeper) callLocked(f func()) {
+	k.calls++
+	go func() {
+		f()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.calls--
+		if k.calls == 0 {
+			k.settled.Broadcast()
+		}
+	}()
+}
+
+// settleLocked waits until no call is in progress.
+func (k *Keeper) settleLocked() {
+	for k.calls > 0 {
+		k.settled.Wait()
+	}
 }
 
 // Close stops giving orders, waits for those in progress and releases the
--- /dev/null
+++ b/entry/direct/orders/lease_test.go
@@ -0,0 +1,122 @@
+package orders
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/fault"
+)
+
+const testGap = 3 * time.Second
+
+func newLease(table *fakeTable, self string, clock *fakeClock) *lease {
+	return &lease{table: table, self: self, gap: testGap, clock: clock.read}
+}
+
+func step(t *testing.T, l *lease) {
+	t.Helper()
+	_, err := l.step(context.Background())
+	assert.NilError(t, err)
+}
+
+func holds(l *lease) bool {
+	_, left := l.held()
+	return left > 0
+}
+
+func TestTakeoverWaits(t *testing.T) {
+	tests := []struct {
+		name    string
+		release bool
+		wait    time.Duration
+	}{
+		{name: "for validity and gap after a silent end", wait: validity + testGap},
+		{name: "for the gap after a release", release: true, wait: testGap},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			clock, table := &fakeClock{now: time.Hour}, newTable()
+			a, b := newLease(table, "a", clock), newLease(table, "b", clock)
+			step(t, a)
+			assert.Assert(t, holds(a))
+			if tc.release {
+				assert.Assert(t, a.close())
+				assert.NilError(t, a.release(context.Background()))
+				assert.Assert(t, !holds(a))
+			}
+			step(t, b)
+			clock.add(tc.wait - time.Millisecond)
+			step(t, b)
+			assert.Assert(t, !holds(b))
+			clock.add(time.Millisecond)
+			step(t, b)
+			assert.Assert(t, holds(b) && !holds(a))
+			term, _ := b.held()
+			assert.Equal(t, term, int64(2))
+		})
+	}
+}
+
+func TestFrozenHolderHoldsNothingAfterWaking(t *testing.T) {
+	clock, table := &fakeClock{now: time.Hour}, newTable()
+	a, b := newLease(table, "a", clock), newLease(table, "b", clock)
+	step(t, a)
+	step(t, b)
+	clock.add(validity + testGap)
+	assert.Assert(t, !holds(a))
+	step(t, b)
+	assert.Assert(t, holds(b))
+	_, err := a.step(context.Background())
+	assert.Assert(t, fault.Is(err, fault.KindConflict))
+	step(t, a)
+	assert.Assert(t, !holds(a))
+	assert.Equal(t, a.holder(), "b")
+}
+
+func TestLostRenewalIsReadBackAndDoesNotCount(t *testing.T) {
+	clock, table := &fakeClock{now: time.Hour}, newTable()
+	a, b := newLease(table, "a", clock), newLease(table, "b", clock)
+	step(t, a)
+	table.lose = true
+	clock.add(renewTime)
+	_, err := a.step(context.Background())
+	assert.Assert(t, fault.Is(err, fault.KindUnknown))
+	step(t, b) // sees the lost renewal
+	table.lose = false
+	clock.add(validity - renewTime)
+	assert.Assert(t, !holds(a))
+	step(t, a)
+	assert.Assert(t, holds(a))
+	term, _ := a.held()
+	assert.Equal(t, term, int64(1))
+	clock.add(validity - time.Millisecond)
+	step(t, b)
+	assert.Assert(t, holds(a) && !holds(b))
+}
+
+func TestStoreDownEndsTheHolding(t *testing.T) {
+	clock, table := &fakeClock{now: time.Hour}, newTable()
+	a := newLease(table, "a", clock)
+	step(t, a)
+	table.fail = fault.Newf(fault.KindUnavailable, "cas", "", "down")
+	clock.add(validity)
+	_, err := a.step(context.Background())
+	assert.Assert(t, fault.Is(err, fault.KindUnavailable))
+	assert.Assert(t, !holds(a))
+	table.fail = nil
+	step(t, a)
+	assert.Assert(t, holds(a))
+}
+
+func TestRestartedVMGoesOnAtOnceUnderANewTerm(t *testing.T) {
+	clock, table := &fakeClock{now: time.Hour}, newTable()
+	step(t, newLease(table, "a", clock))
+	again := newLease(table, "a", clock)
+	step(t, again)
+	term, left := again.held()
+	assert.Equal(t, term, int64(2))
+	assert.Assert(t, left > 0)
+}
