--- a/common/event/mesh.go
+++ b/common/event/mesh.go
@@ -4,8 +4,8 @@
 
 // Events 210 to 229: control calls between entries.
 var (
-	EntryConnected     = define(210, "entry connected", logrus.InfoLevel, "A control connection to another entry was opened.")
-	EntryLost          = define(211, "entry lost", logrus.WarnLevel, "The control connection to another entry ended, for the given reason. It is opened again by itself; its load no longer counts until then.")
+	EntryLinked        = define(210, "entry connected", logrus.InfoLevel, "A control connection to another entry was opened.")
+	EntryUnlinked      = define(211, "entry lost", logrus.WarnLevel, "The control connection to another entry ended, for the given reason. It is opened again by itself; its load no longer counts until then.")
 	EntryRowsFailed    = define(212, "entry rows unavailable", logrus.WarnLevel, "The rows of the entries could not be read or written. Entries that are connected tell each other of new ones; look at the store when it lasts.")
 	EntryRowsBack      = define(213, "entry rows available", logrus.InfoLevel, "The rows of the entries can be read and written again.")
 	EntryRowRemoved    = define(214, "entry row removed", logrus.InfoLevel, "An entry that could not be reached for long was removed from the rows.")
--- a/entry/direct/mesh/link.go
+++ b/entry/direct/mesh/link.go
@@ -93,7 +93,7 @@
 	if news {
 		m.readRowsSoon()
 	}
-	event.Log(m.log, event.EntryConnected, event.Peer(l.id.Name), event.Subject(l.id.Incarnation))
+	event.Log(m.log, event.EntryLinked, event.Peer(l.id.Name), event.Subject(l.id.Incarnation))
 }
 
 // welcome reports whether a new connection is to be used.
@@ -134,7 +134,7 @@
 	m.mu.Unlock()
 	_ = l.peer.Close()
 	if used {
-		event.Log(m.log, event.EntryLost, event.Peer(l.id.Name), event.Reason(reason))
+		event.Log(m.log, event.EntryUnlinked, event.Peer(l.id.Name), event.Reason(reason))
 	}
 }
 
