An entry's requests wait in a line, go by expected time to the first event, and adapters are loaded on demand

Change: balance joins routing, admission, mesh and orders; the adapter no longer reads seq of a registration.

--- a/common/event/orders.go
+++ b/common/event/orders.go
@@ -12,4 +12,5 @@
 	OrderNoAnswer    = define(435, "order without answer", logrus.WarnLevel, "No answer came to an order, so it may still be carried out. The server is asked what it holds before its next order.")
 	ReportFailed     = define(436, "report failed", logrus.WarnLevel, "A model server did not tell what it holds. It gets no orders until it has.")
 	WorkFinished     = define(437, "model order finished", logrus.InfoLevel, "A model server has finished loading or unloading a model.")
+	DemandNotTold    = define(438, "demand not told", logrus.InfoLevel, "The entry that gives the orders did not hear what was asked for here; it is told again with the next demand.")
 )
--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -1,152 +1,155 @@
-// Package balance chooses the backend server of each request at an entry that
-// calls them directly, and keeps what the choice needs: the requests in
-// progress at each server and how the server has done.
+// Package balance decides at an entry which backend server gets each request
+// and when: requests wait here, in order of urgency, until a server can begin
+// with them in time. The decisions are those of packages routing and admission;
+// this package holds what they need and gives the turns.
 package balance
 
 import (
-	"errors"
-	"slices"
+	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"peridotchute.example/admission"
 	"peridotchute.example/fleet"
+	"peridotchute.example/placement/residence"
 )
 
-// Errors of Choose.
-var (
-	// ErrNoServer means that no server of the service can be used.
-	ErrNoServer = errors.New("no backend server of the service can be used")
-	// ErrNotResident means that no server holds the model or adapter.
-	ErrNotResident = errors.New("no backend server holds the model or adapter")
-)
-
-// Query asks for a server.
-type Query struct {
-	Service string
-	Request *fleet.Request
-	Route   *fleet.Route
-	Exclude []string // IDs of servers that failed the request
-}
+// Resident asks that a model or adapter be made resident at some server, and
+// returns that server's ID once it is.
+type Resident func(ctx context.Context, service, model, adapter string, prefer []string) (string, error)
 
 // Options configure a Balancer.
 type Options struct {
 	Zone    string
 	Regions map[string]string // region of each availability zone
 	Budget  Budget
+	Ensure  Resident
 }
 
-// Balancer chooses servers.
+// Budget limits what is sent beyond the first attempt of each request, over
+// all entries.
+type Budget struct {
+	Ratio  float64       // of the requests of a service
+	Slack  float64       // attempts in a window
+	Window time.Duration // over which both are counted
+	Parts  int           // entries among which the slack is divided
+}
+
+// Balancer chooses servers. Run must be running.
 type Balancer struct {
 	opts Options
+	wake chan struct{} // holds one when a line is to be looked at
 
-	mu      sync.Mutex
-	servers map[string]*state // by ID
-	spent   map[string]*spending
+	mu    sync.Mutex
+	ctx   context.Context // of Run
+	rnd   *rand.Rand
+	pools map[string]*pool // by service
 }
 
-// state is what this entry knows of one server beside its registration.
-type state struct {
-	inFlight  int
-	prefill   int       // tokens of requests without a first event
-	failures  int       // in a row
-	avoidTill time.Time // not chosen until then when others are left
-	heard     time.Time // when anything was last received from it
-	waiting   time.Time // since when it owes an answer; zero when it owes none
-	lacks     map[string]time.Time
+// New returns a balancer that knows no server.
+func New(opts Options) *Balancer {
+	return &Balancer{
+		opts:  opts,
+		wake:  make(chan struct{}, 1),
+		ctx:   context.Background(),
+		rnd:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		pools: map[string]*pool{},
+	}
 }
 
-// New returns a balancer.
-func New(opts Options) *Balancer {
-	return &Balancer{opts: opts, servers: map[string]*state{}, spent: map[string]*spending{}}
+// pool is the servers of one service and the requests that wait for them.
+type pool struct {
+	name     string
+	engine   *fleet.Engine // nil for plain services
+	servers  map[string]*server
+	order    []*server // by ID
+	line     *admission.Line[*waiting]
+	waiting  map[*waiting]struct{}
+	budget   admission.RetryBudget
+	models   models
+	missing  map[artifact]*missing
+	demand   map[string]*residence.ModelDemand // by model, since it was last taken
+	estimate estimate
 }
 
-// Choose takes a server for the request.
-func (b *Balancer) Choose(v *fleet.View, q Query) (*Ticket, error) {
+// Update takes in a new view. It does not keep the caller waiting.
+func (b *Balancer) Update(v *fleet.View) {
+	if v.Config == nil {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	var best *fleet.Server
-	var bestCost float64
-	usable := false
-	for i := range v.Servers {
-		s := &v.Servers[i]
-		if s.Service != q.Service || s.Draining || slices.Contains(q.Exclude, s.ID) {
-			continue
+	for name, service := range v.Config.Services {
+		p := b.pools[name]
+		if p == nil {
+			p = b.newPool(name)
+			b.pools[name] = p
 		}
-		usable = true
-		if q.Request.Model != "" && !s.Holds(q.Request.Model, q.Request.Adapter) {
-			continue
+		p.engine = service.Engine
+		if b.sync(p, v) {
+			p.line.Lost()
 		}
-		cost := b.cost(s, q, now)
-		if best == nil || cost < bestCost {
-			best, bestCost = s, cost
-		}
-	}
-	switch {
-	case best != nil:
-		return b.begin(best, q, now), nil
-	case usable && q.Request.Model != "":
-		return nil, ErrNotResident
+		p.line.Changed("")
 	}
-	return nil, ErrNoServer
+	b.poke()
 }
 
-// Take takes the named server.
-func (b *Balancer) Take(v *fleet.View, q Query, id string) (*Ticket, error) {
-	s := v.Server(id)
-	if s == nil {
-		return nil, ErrNoServer
+func (b *Balancer) newPool(name string) *pool {
+	return &pool{
+		name:    name,
+		servers: map[string]*server{},
+		line:    admission.NewLine[*waiting](),
+		waiting: map[*waiting]struct{}{},
+		budget:  b.opts.Budget.account(),
+		models:  newModels(),
+		missing: map[artifact]*missing{},
+		demand:  map[string]*residence.ModelDemand{},
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.begin(s, q, time.Now()), nil
 }
 
-func (b *Balancer) state(id string) *state {
-	s, ok := b.servers[id]
-	if !ok {
-		s = &state{}
-		b.servers[id] = s
+// poke has Run look at the lines.
+func (b *Balancer) poke() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
 	}
-	return s
 }
 
-const (
-	prefillRate  = 38.0 // tokens read in a ms by an engine
-	stepCost     = 3.0  // ms that each request in progress adds
-	regionCost   = 24.0 // ms of a round trip to another region
-	zoneCost     = 2.0  // ms of a round trip to another availability zone
-	avoidCost    = 2e3  // ms: a server that just failed is the last choice
-	plainRunCost = 15.0 // ms that a request in progress at a plain service takes
-)
+// leastSleep bounds how often the lines are looked at without a cause.
+const leastSleep = 5 * time.Millisecond
 
-// cost is the expected time until the answer begins, in ms.
-func (b *Balancer) cost(s *fleet.Server, q Query, now time.Time) float64 {
-	st := b.state(s.ID)
-	cost := float64(st.prefill) / prefillRate
-	if q.Request.Model != "" {
-		cost += float64(st.inFlight) * stepCost
-	} else {
-		cost += float64(st.inFlight) * plainRunCost
-	}
-	switch {
-	case b.opts.Regions[s.Zone] != b.opts.Regions[b.opts.Zone]:
-		cost += regionCost
-	case s.Zone != b.opts.Zone:
-		cost += zoneCost
-	}
-	if now.Before(st.avoidTill) {
-		cost += avoidCost
+// Run gives turns until ctx ends.
+func (b *Balancer) Run(ctx context.Context) {
+	b.mu.Lock()
+	b.ctx = ctx
+	b.mu.Unlock()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if next := b.turns(); !next.IsZero() {
+			timer.Reset(max(time.Until(next), leastSleep))
+		}
+		select {
+		case <-b.wake:
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
 	}
-	return cost
 }
 
-func (b *Balancer) begin(s *fleet.Server, q Query, now time.Time) *Ticket {
-	st := b.state(s.ID)
-	if st.inFlight == 0 {
-		st.waiting = now
+// turns gives the turns that are due in all pools and returns when the next
+// may be; zero while nothing waits.
+func (b *Balancer) turns() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var next time.Time
+	for _, p := range b.pools {
+		b.giveTurns(p)
+		if at := p.line.Wake(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
 	}
-	st.inFlight++
-	st.prefill += q.Request.TokensIn
-	return &Ticket{Server: s, b: b, st: st, prefill: q.Request.TokensIn}
+	return next
 }
--- a/entry/direct/balance/budget.go
+++ b/entry/direct/balance/budget.go
@@ -1,80 +1,59 @@
 package balance
 
-import "time"
+import (
+	"time"
 
-// Budget limits what is sent beyond the first attempt of each request.
-type Budget struct {
-	Ratio  float64       // of the requests of a service
-	Slack  float64       // attempts in a window, all entries together
-	Window time.Duration // over which both are counted
-	Parts  int           // entries among which the slack is divided
-}
+	"peridotchute.example/admission"
+)
 
-// spending is this entry's account for one service.
-type spending struct {
-	left float64 // attempts
-	at   time.Time
+func (b Budget) account() admission.RetryBudget {
+	return admission.RetryBudget{Ratio: b.Ratio, Slack: b.Slack, Parts: b.Parts, Window: b.Window}
 }
 
-// ratioShare keeps the ratio's part below the limit in each window, whatever
-// window the requests fell into.
-const ratioShare = 0.7
-
 // SetBudget changes the budget.
 func (b *Balancer) SetBudget(budget Budget) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.opts.Budget = budget
+	for _, p := range b.pools {
+		p.budget.Ratio, p.budget.Slack, p.budget.Parts = budget.Ratio, budget.Slack, budget.Parts
+	}
 }
 
 // Arrived counts a request of the service.
 func (b *Balancer) Arrived(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.account(service)
-	s.left = min(s.left+b.opts.Budget.Ratio*ratioShare, b.most())
+	if p := b.pools[service]; p != nil {
+		p.budget.Request(time.Now())
+	}
 }
 
 // Repeat takes one attempt from the budget and reports whether there was one.
 func (b *Balancer) Repeat(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.account(service)
-	if s.left < 1 {
-		return false
-	}
-	s.left--
-	return true
+	p := b.pools[service]
+	return p != nil && p.budget.Take(time.Now())
 }
 
 // BudgetLeft returns how many attempts the budget allows now.
 func (b *Balancer) BudgetLeft(service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.account(service).left
+	if p := b.pools[service]; p != nil {
+		return float64(p.budget.Left(time.Now()))
+	}
+	return 0
 }
 
 // BudgetsLeft returns what BudgetLeft does for each service.
 func (b *Balancer) BudgetsLeft() map[string]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	left := make(map[string]float64, len(b.spent))
-	for service, account := range b.spent {
-		left[service] = account.left
+	left := make(map[string]float64, len(b.pools))
+	for service, p := range b.pools {
+		left[service] = float64(p.budget.Left(time.Now()))
 	}
 	return left
 }
-
-// most is the largest account: this entry's part of the slack.
-func (b *Balancer) most() float64 {
-	return b.opts.Budget.Slack / float64(max(b.opts.Budget.Parts, 1))
-}
-
-func (b *Balancer) account(service string) *spending {
-	s, ok := b.spent[service]
-	if !ok {
-		s = &spending{left: b.most()}
-		b.spent[service] = s
-	}
-	return s
-}
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -3,64 +3,153 @@
 import (
 	"time"
 
+	"peridotchute.example/admission"
 	"peridotchute.example/fleet"
+	"peridotchute.example/routing"
 )
 
+// estimate is what a plain pool learns of its answers.
+type estimate struct {
+	usual routing.Usual
+}
+
 // Ticket is one attempt in progress at a server. End must be called.
 type Ticket struct {
-	Server   *fleet.Server
+	Server   *fleet.Server // as it was when the attempt began
 	Expected time.Duration // until the first event
+	Backlog  time.Duration // of it, work before the request
+	Cached   int           // tokens of the prompt that the server keeps
 
-	b       *Balancer
-	st      *state
-	prefill int // tokens that count as not yet read
-	ended   bool
+	b        *Balancer
+	p        *pool
+	s        *server
+	artifact artifact
+	sending  routing.Sending
+	begun    time.Time
+	started  bool
+	ended    bool
 }
 
-const (
-	avoidFirst = 500 * time.Millisecond // after a failure; doubles with each further one
-	avoidMost  = 8 * time.Second
-	avoidFull  = 150 * time.Millisecond // after the server declined a request
-)
+// begin records that a request is sent. b.mu is held.
+func (b *Balancer) begin(p *pool, w *waiting, o *admission.Offer, now time.Time) *Ticket {
+	s := w.server
+	registered := s.Server
+	t := &Ticket{
+		Server:   &registered,
+		Expected: o.Wait,
+		Backlog:  o.Backlog,
+		Cached:   w.cached,
+		b:        b,
+		p:        p,
+		s:        s,
+		artifact: w.artifact,
+		begun:    now,
+	}
+	if s.engine != nil {
+		t.sending = routing.Sending{Work: o.Work, Tokens: w.prompt.Memory()}
+	}
+	if s.inFlight == 0 {
+		s.owes = now
+	}
+	s.inFlight++
+	s.running[w.artifact]++
+	s.batch().Sent(t.sending, now)
+	if s.engine != nil && w.artifact.model != "" {
+		s.engine.Kept.Add(&w.prompt, s.engine.KVTokens-s.engine.Batch.Load(now).Tokens)
+	}
+	return t
+}
+
+func (s *server) batch() *routing.Batch {
+	if s.engine != nil {
+		return &s.engine.Batch
+	}
+	return &s.plain.Batch
+}
+
+func (s *server) health() *routing.Health {
+	if s.engine != nil {
+		return &s.engine.Health
+	}
+	return &s.plain.Health
+}
 
 // Event notes that something of the answer was received.
 func (t *Ticket) Event() {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
-	t.read()
+	t.event(time.Now())
 }
 
-func (t *Ticket) read() {
-	now := time.Now()
-	t.st.heard, t.st.waiting = now, now
-	t.st.prefill -= t.prefill
-	t.prefill = 0
+func (t *Ticket) event(now time.Time) {
+	t.s.heard, t.s.owes = now, now
+	t.s.downs = 0
+	if t.started || t.s.engine == nil {
+		return
+	}
+	t.started = true
+	took := now.Sub(t.begun)
+	t.s.engine.Batch.Started(t.sending, now)
+	t.s.engine.Health.Prefilled(t.sending.Work, t.Expected, took, now)
+	t.p.models.pace(t.artifact.model).Observe(t.sending.Work, t.Expected, took)
+	t.turns()
+}
+
+// turns gives the turns that news of the server allows.
+func (t *Ticket) turns() {
+	t.p.line.Changed(t.s.ID)
+	t.b.giveTurns(t.p)
 }
 
 // Succeeded notes that the server answered well.
 func (t *Ticket) Succeeded() {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
-	t.read()
-	t.st.failures = 0
+	now := time.Now()
+	t.event(now)
+	if t.s.plain == nil {
+		return
+	}
+	took := now.Sub(t.begun)
+	if !t.s.plain.Health.Suspect(now) {
+		t.p.estimate.usual.Observe(t.Expected, took)
+	}
+	t.s.plain.Health.Answered(t.Expected, took, now)
 }
 
 // Failed notes that the server failed the attempt.
 func (t *Ticket) Failed() {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
-	pause := min(avoidFirst<<min(t.st.failures, 4), avoidMost)
-	t.st.failures++
-	t.st.avoidTill = time.Now().Add(pause)
+	t.s.health().Failed(time.Now())
+}
+
+// Unreachable notes that no connection to the server could be made.
+func (t *Ticket) Unreachable() {
+	t.b.mu.Lock()
+	defer t.b.mu.Unlock()
+	t.s.downUntil = time.Now().Add(min(downFirst<<min(t.s.downs, 4), downMost))
+	t.s.downs++
+	t.p.line.Lost()
 }
 
-// Declined notes that the server did not take the request; gone that it is
+// Declined notes that the server did not run the request; gone that it is
 // another one, or lacks the model.
 func (t *Ticket) Declined(gone bool) {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
-	t.read()
-	t.st.avoidTill = time.Now().Add(avoidFull)
+	now := time.Now()
+	t.s.heard, t.s.owes = now, now
+	if !gone {
+		t.s.health().Failed(now)
+		return
+	}
+	if t.artifact.model != "" {
+		t.s.lacks[t.artifact] = now
+		delete(t.s.added, t.artifact)
+		return
+	}
+	t.s.downUntil = now.Add(lackHolds)
 }
 
 // ServerSilent reports whether nothing was received from the server for d
@@ -68,7 +157,7 @@
 func (t *Ticket) ServerSilent(d time.Duration) bool {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
-	return time.Since(t.st.heard) >= d && time.Since(t.st.waiting) >= d
+	return time.Since(t.s.heard) >= d && time.Since(t.s.owes) >= d
 }
 
 // End ends the attempt.
@@ -79,7 +168,10 @@
 		return
 	}
 	t.ended = true
-	t.st.inFlight--
-	t.st.prefill -= t.prefill
-	t.prefill = 0
+	t.s.inFlight--
+	if t.s.running[t.artifact]--; t.s.running[t.artifact] <= 0 {
+		delete(t.s.running, t.artifact)
+	}
+	t.s.batch().Ended(t.sending, t.started, time.Now())
+	t.turns()
 }
--- /dev/null
+++ b/entry/direct/coordination.go
@@ -0,0 +1,178 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"peridotchute.example/common/clock"
+	"peridotchute.example/common/daemon"
+	"peridotchute.example/common/event"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/direct/balance"
+	"peridotchute.example/entry/direct/mesh"
+	"peridotchute.example/entry/direct/orders"
+	"peridotchute.example/entry/direct/view"
+	"peridotchute.example/fleet"
+	"peridotchute.example/placement/residence"
+	"peridotchute.example/store"
+)
+
+// Methods that entries call of each other.
+const (
+	methodEnsure = "orders.ensure"
+	methodDemand = "orders.demand"
+	methodChange = "orders.change"
+)
+
+const (
+	// loadEvery is how often the requests in progress are told and heard: a
+	// fraction of the prefill of one long prompt.
+	loadEvery = 60 * time.Millisecond
+
+	// demandEvery is how often the entry that gives the orders hears of the
+	// demand: well within the time of a load.
+	demandEvery = 250 * time.Millisecond
+)
+
+// coordination is what entries do together: they tell each other what is in
+// progress, and one of them gives the orders.
+type coordination struct {
+	name     string
+	mesh     *mesh.Mesh
+	keeper   *orders.Keeper
+	balancer *balance.Balancer
+	log      logrus.FieldLogger
+}
+
+// ensureQuery asks the holder of the lease to make something resident.
+type ensureQuery struct {
+	Service string   `json:"service"`
+	Model   string   `json:"model"`
+	Adapter string   `json:"adapter,omitempty"`
+	Prefer  []string `json:"prefer,omitempty"` // IDs of servers, best first
+}
+
+type ensureReply struct {
+	Server string `json:"server"` // ID
+}
+
+// changeNote tells what a server holds after an order.
+type changeNote struct {
+	Server string        `json:"server"` // ID
+	Change orders.Change `json:"change"`
+}
+
+func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, log logrus.FieldLogger) *coordination {
+	c := &coordination{name: s.Name, log: log}
+	c.balancer = balance.New(balance.Options{Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Ensure: c.ensure})
+	c.keeper = orders.New(orders.Options{
+		Table:      table,
+		Control:    control,
+		View:       w.Current,
+		Self:       s.Name,
+		LeaseGap:   milliseconds(s.LeaseMS),
+		LoadWindow: seconds(s.LoadWindowS),
+		Down:       c.balancer.Down,
+		OnChange:   c.changed,
+		Log:        log,
+	})
+	c.mesh = mesh.New(mesh.Options{
+		Self:  mesh.Identity{Name: s.Name, Address: s.RPCAddress, Zone: s.Zone, Region: s.Region},
+		Seeds: s.Seeds,
+		Table: table,
+		Log:   log,
+	})
+	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q ensureQuery) (ensureReply, error) {
+		id, err := c.keeper.Ensure(ctx, q.Service, q.Model, q.Adapter, q.Prefer)
+		return ensureReply{Server: id}, err
+	})
+	mesh.Handle(c.mesh, methodDemand, func(_ context.Context, from string, d []residence.ModelDemand) (struct{}, error) {
+		c.keeper.Demand(from, d)
+		return struct{}{}, nil
+	})
+	mesh.Handle(c.mesh, methodChange, func(_ context.Context, _ string, n changeNote) (struct{}, error) {
+		c.balancer.Told(n.Server, n.Change)
+		return struct{}{}, nil
+	})
+	return c
+}
+
+// start runs the duties between start and stop.
+func (c *coordination) start(lc fx.Lifecycle) {
+	daemon.Go(lc, func(ctx context.Context) {
+		if err := c.mesh.Run(ctx); err != nil {
+			event.Log(c.log, event.ListenerFailed, event.Subject("rpc"), event.Err(err))
+		}
+	})
+	daemon.Go(lc, c.keeper.Run)
+	daemon.Go(lc, c.tellLoads)
+	daemon.Go(lc, c.tellDemand)
+}
+
+// release gives the orders lease back, so that another entry takes it sooner.
+func (c *coordination) release(ctx context.Context) {
+	if err := c.keeper.Close(ctx); err != nil {
+		event.Log(c.log, event.OrdersLeaseError, event.Err(err))
+	}
+}
+
+// changed passes on what a server holds after an order.
+func (c *coordination) changed(server string, change orders.Change) {
+	c.balancer.Told(server, change)
+	c.mesh.Broadcast(methodChange, changeNote{Server: server, Change: change})
+}
+
+// ensure asks the entry that gives the orders.
+func (c *coordination) ensure(ctx context.Context, service, model, adapter string, prefer []string) (string, error) {
+	holder, mine := c.keeper.Holder()
+	if mine {
+		return c.keeper.Ensure(ctx, service, model, adapter, prefer)
+	}
+	if holder == "" || holder == c.name {
+		return "", fault.Newf(fault.KindUnavailable, methodEnsure, holder, "no entry is known to give the orders")
+	}
+	q := ensureQuery{Service: service, Model: model, Adapter: adapter, Prefer: prefer}
+	reply, err := mesh.Call[ensureQuery, ensureReply](ctx, c.mesh, holder, methodEnsure, q)
+	return reply.Server, err
+}
+
+// tellLoads exchanges the requests in progress with the other entries.
+func (c *coordination) tellLoads(ctx context.Context) {
+	for clock.Sleep(ctx, loadEvery) == nil {
+		own := c.balancer.Loads()
+		told := make([]mesh.ServerLoad, len(own))
+		for i, l := range own {
+			told[i] = mesh.ServerLoad{ID: l.ID, Requests: l.Requests, Prefill: int(l.Work.Milliseconds()), Memory: l.Tokens}
+		}
+		c.mesh.SetLoad(told)
+		c.balancer.Hear(func(id string) balance.Load {
+			t, _ := c.mesh.Load(id)
+			return balance.Load{ID: id, Requests: t.Requests, Work: time.Duration(t.Prefill) * time.Millisecond, Tokens: t.Memory}
+		})
+	}
+}
+
+// tellDemand tells the entry that gives the orders what was asked for.
+func (c *coordination) tellDemand(ctx context.Context) {
+	for clock.Sleep(ctx, demandEvery) == nil {
+		for _, p := range c.mesh.Peers() {
+			if p.Connected && p.Silent < time.Second {
+				c.keeper.Heard(p.Name)
+			}
+		}
+		demand := c.balancer.TakeDemand()
+		holder, mine := c.keeper.Holder()
+		switch {
+		case len(demand) == 0:
+		case mine:
+			c.keeper.Demand(c.name, demand)
+		case holder != "" && holder != c.name:
+			if _, err := mesh.Call[[]residence.ModelDemand, struct{}](ctx, c.mesh, holder, methodDemand, demand); err != nil && ctx.Err() == nil {
+				event.Log(c.log, event.DemandNotTold, event.Peer(holder), event.Err(err))
+			}
+		}
+	}
+}
--- a/entry/direct/exchange/conn.go
+++ b/entry/direct/exchange/conn.go
@@ -28,6 +28,10 @@
 // again. Nothing was written.
 var errStale = errors.New("connection was idle for too long")
 
+// IsStale reports whether an attempt failed since its kept connection was idle
+// for too long, which says nothing about the server.
+func IsStale(err error) bool { return errors.Is(err, errStale) }
+
 // conn is a connection to a backend server that notes what was written and
 // read, and refuses to be used again after the idle time that the server told.
 type conn struct {
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -3,7 +3,6 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -46,17 +45,9 @@
 	Views     Views
 	Exchanger *exchange.Exchanger
 	Balancer  *balance.Balancer
-	Adapters  Adapters
 	Log       *decisionlog.Log
 }
 
-// Adapters makes models and adapters resident on request.
-type Adapters interface {
-	// Ensure asks that some server of the service hold the adapter (or the
-	// model, when adapter is empty) and returns that server's ID once it does.
-	Ensure(ctx context.Context, service, model, adapter string) (string, error)
-}
-
 // Front answers requests. It is an http.Handler.
 type Front struct {
 	opts     Options
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -22,8 +22,7 @@
 	// leastLeft is less time than any answer takes.
 	leastLeft = 5 * time.Millisecond
 
-	busyRetry = 400 * time.Millisecond // told when servers are full
-	loadRetry = time.Second            // told when the model has to be loaded
+	busyRetry = 400 * time.Millisecond // told when servers declined or could not be reached
 )
 
 // run is one request on its way.
@@ -90,29 +89,32 @@
 	return r.answered(ctx, ticket, answer, watch)
 }
 
-// choose takes a server, loading what is missing.
+// choose waits for the turn of the request at some server.
 func (r *run) choose(ctx context.Context) (*balance.Ticket, *refusal) {
-	q := balance.Query{
-		Service: r.req.service,
-		Request: &r.req.Request,
-		Route:   r.req.route,
-		Exclude: r.exclude,
-	}
-	ticket, err := r.f.opts.Balancer.Choose(r.f.opts.Views.Current(), q)
-	if err == nil {
+	ticket, rejected := r.f.opts.Balancer.Admit(ctx, balance.Query{
+		Service:  r.req.service,
+		Request:  &r.req.Request,
+		Route:    r.req.route,
+		Arrived:  r.req.arrived,
+		Deadline: r.req.deadline(),
+		Exclude:  r.exclude,
+	})
+	if rejected == nil {
 		return ticket, nil
 	}
-	if !errors.Is(err, balance.ErrNotResident) {
-		return nil, &refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedNoServer}
-	}
-	id, err := r.f.opts.Adapters.Ensure(ctx, r.req.service, r.req.Model, r.req.Adapter)
-	if err == nil {
-		ticket, err = r.f.opts.Balancer.Take(r.f.opts.Views.Current(), q, id)
+	why := &refusal{
+		status: http.StatusServiceUnavailable,
+		after:  rejected.RetryAfter,
+		reason: decisionlog.RefusedTooLate,
+		detail: rejected.Reason,
 	}
-	if err != nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, after: loadRetry, reason: r.notHeld(), detail: err.Error()}
+	switch {
+	case rejected.Left:
+		why.reason = decisionlog.RefusedTooLate
+	case rejected.NotHeld:
+		why.reason = r.notHeld()
 	}
-	return ticket, nil
+	return nil, why
 }
 
 // notHeld says what no server holds.
@@ -147,11 +149,18 @@
 // failed judges an attempt without an answer.
 func (r *run) failed(ctx context.Context, t *balance.Ticket, err error) bool {
 	r.record.attemptFailed(failureKind(err), 0, fault.Is(err, fault.KindUnavailable), err)
+	if exchange.IsStale(err) {
+		r.unsent++
+		return r.unsent < unsentTries || r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedUnreachable})
+	}
+	r.exclude = append(r.exclude, t.Server.ID)
 	if ctx.Err() == nil {
 		t.Failed()
 	}
-	r.exclude = append(r.exclude, t.Server.ID)
 	if fault.Is(err, fault.KindUnavailable) {
+		if ctx.Err() == nil {
+			t.Unreachable()
+		}
 		r.unsent++
 		if r.unsent < unsentTries && ctx.Err() == nil {
 			return true
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -54,7 +54,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func startListeners(lc fx.Lifecycle, s Settings, f *front.Front, ready *readiness, log logrus.FieldLogger) {
+func startListeners(lc fx.Lifecycle, s Settings, f *front.Front, ready *readiness, c *coordination, log logrus.FieldLogger) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+s.ReadyPath, ready)
 	daemon.Serve(lc, log, daemon.Listener{Name: "ready", Address: s.ReadyAddress, Handler: mux})
@@ -69,6 +69,7 @@
 		OnStop: func(ctx context.Context) error {
 			ready.stopping.Store(true)
 			f.Stop()
+			c.release(ctx)
 			server.SetKeepAlivesEnabled(false)
 			drain(ctx, f, seconds(s.GraceS)-stopMargin)
 			return server.Close()
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -1,14 +1,12 @@
 package direct
 
 import (
-	"context"
 	"runtime/debug"
 
 	"go.uber.org/fx"
 
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/decisionlog"
-	"peridotchute.example/common/fault"
 	"peridotchute.example/common/metrics"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
@@ -32,7 +30,7 @@
 	debug.SetMemoryLimit(int64(s.MemoryMB * memoryShare * (1 << 20)))
 	return fx.Module("direct",
 		fx.Supply(s),
-		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newBalancer, newFront, newReadiness),
+		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newFront, newReadiness),
 		fx.Decorate(useLog),
 		fx.Invoke(startLog, startMetrics, startDuties, startListeners, startReload),
 	)
@@ -52,30 +50,20 @@
 
 func newExchanger(codec fleet.Codec) *exchange.Exchanger { return exchange.New(codec) }
 
-func newBalancer(s Settings) *balance.Balancer {
-	return balance.New(balance.Options{
-		Zone:    s.Zone,
-		Regions: s.Regions,
-		Budget:  budgetOf(s),
-	})
-}
+func newBalancer(c *coordination) *balance.Balancer { return c.balancer }
 
 func budgetOf(s Settings) balance.Budget {
 	return balance.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindowS), Parts: slackParts}
 }
 
 func newFront(codec fleet.Codec, w *view.Watcher, x *exchange.Exchanger, b *balance.Balancer, log *decisionlog.Log) *front.Front {
-	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Adapters: noAdapters{}, Log: log})
-}
-
-// noAdapters stands until orders are given.
-type noAdapters struct{}
-
-func (noAdapters) Ensure(context.Context, string, string, string) (string, error) {
-	return "", fault.Newf(fault.KindUnavailable, "ensure", "", "nobody gives orders")
+	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Log: log})
 }
 
-func startDuties(lc fx.Lifecycle, w *view.Watcher) {
+func startDuties(lc fx.Lifecycle, w *view.Watcher, b *balance.Balancer, c *coordination) {
+	w.OnChange(b.Update)
+	daemon.Go(lc, b.Run)
 	daemon.Go(lc, w.RunConfig)
 	daemon.Go(lc, w.RunServers)
+	c.start(lc)
 }
--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -83,7 +83,7 @@
 // begin starts anew with an incarnation.
 func (s *State) begin(sv fleet.Server, now time.Duration) {
 	s.Server = sv
-	s.seq, s.floor = sv.OrderSeq, sv.OrderSeq
+	s.seq, s.floor = max(sv.OrderSeq, 0), max(sv.OrderSeq, 0)
 	s.known = sv.OrderSeq == 0
 	s.sent, s.lost, s.work, s.intent, s.blocked = nil, nil, nil, nil, 0
 	s.ask = never
@@ -106,6 +106,10 @@
 		return
 	}
 	s.Server = sv
+	if sv.OrderSeq == fleet.OrdersUnknown {
+		s.seen(sv)
+		return
+	}
 	if s.sent != nil || sv.OrderSeq < s.seq {
 		return
 	}
@@ -119,6 +123,25 @@
 	s.endWorkIfSeen()
 }
 
+// seen takes in a registration that does not tell how many orders the server
+// has accepted. It can be older than what is known, so it shows only whether
+// the model order in progress is done.
+func (s *State) seen(sv fleet.Server) {
+	if s.sent != nil || s.work == nil || s.work.Model == "" {
+		return
+	}
+	done := sv.Holds(s.work.Model, "") == (s.work.Kind == fleet.OrderLoad)
+	switch {
+	case !done:
+		return
+	case s.work.Kind == fleet.OrderUnload:
+		delete(s.Models, s.work.Model)
+	case s.Models[s.work.Model] == nil:
+		s.Models[s.work.Model] = &Resident{Adapters: map[string]*Adapter{}}
+	}
+	s.work, s.ask = nil, never
+}
+
 // endWorkIfSeen ends the order in progress when the residents show its effect.
 func (s *State) endWorkIfSeen() {
 	if s.work == nil || s.work.Model == "" {
