--- a/placement/residence/outcome.go
+++ b/placement/residence/outcome.go
@@ -100,6 +100,7 @@
 		return
 	}
 	if a := m.Adapters[adapter]; a != nil && a.Ready <= ready {
+		a.Leaving = false
 		return
 	}
 	m.Adapters[adapter] = &Adapter{Ready: ready}
