Orders: replicas of models in proportion to their work

Every plan decides on loads for models that requests wait for, then for those asked for lately that nobody holds, then replicas where work per replica falls most. Loads keep below the weight store's rate; the last replica of a model that is asked for stays.

Found by the property test: a registration that counts the same orders as a report can be older than it, and took a model that had been loaded off the book, so that a server could be ordered beyond its memory. Such a registration now only confirms what the orders should come to.

--- a/placement/residence/demand.go
+++ b/placement/residence/demand.go
@@ -8,6 +8,8 @@
 const (
 	riseTime = time.Second      // time constant of the estimate that follows a rise
 	fallTime = 15 * time.Second // time constant of the estimate that outlasts a pause
+	// firstTime is the least time that the slow average is taken to rest on.
+	firstTime = 5 * time.Second
 	// observationAge is how long what an entry told of waiting and running
 	// requests counts when it says nothing new.
 	observationAge = 2 * time.Second
@@ -41,6 +43,7 @@
 type estimate struct {
 	rate  average // requests a second
 	work  average // tokens a second
+	peak  float64 // highest work of late, in tokens a second
 	asked time.Duration
 }
 
@@ -145,6 +148,7 @@
 		p := d.pending[model]
 		e.rate.add(float64(p.Arrivals), seconds)
 		e.work.add(float64(p.PrefillTokens+p.Arrivals*requestTokens), seconds)
+		e.peak = max(d.work(model), e.peak*math.Exp(-seconds/fallTime.Seconds()))
 	}
 	d.pending = map[string]ModelDemand{}
 	for from, t := range d.entries {
@@ -154,6 +158,9 @@
 	}
 }
 
+// age returns how long demand has been observed.
+func (d *Demands) age() time.Duration { return d.stepped - d.started }
+
 // work returns the work for a model in tokens a second: the slow average, or
 // the fast one as far as it exceeds that by more than chance.
 func (d *Demands) work(model string) float64 {
@@ -161,7 +168,7 @@
 	if e == nil {
 		return 0
 	}
-	age := max(d.stepped-d.started, riseTime)
+	age := max(d.age(), firstTime)
 	slow := e.work.slow / (1 - math.Exp(-age.Seconds()/fallTime.Seconds()))
 	arrivals := 2 * riseTime.Seconds() * e.rate.fast // that the fast average rests on
 	if arrivals <= 1 {
@@ -170,6 +177,15 @@
 	return max(slow, e.work.fast*(1-1/math.Sqrt(arrivals)))
 }
 
+// peak returns the highest work of late: a replica that was needed a moment ago
+// is not given up for the first pause.
+func (d *Demands) peak(model string) float64 {
+	if e := d.models[model]; e != nil {
+		return e.peak
+	}
+	return 0
+}
+
 // waiting returns the requests that wait for a model that no server holds.
 func (d *Demands) waiting(model string) int {
 	n := 0
@@ -191,18 +207,20 @@
 	return n
 }
 
-// runningModel returns the requests that run at a server for a model and its
-// adapters.
-func (d *Demands) runningModel(server, model string) int {
-	n := 0
+// runningModels returns the requests that run, by server and model.
+func (d *Demands) runningModels() map[string]map[string]int {
+	out := map[string]map[string]int{}
 	for _, t := range d.entries {
-		for k, count := range t.running[server] {
-			if k.Model == model {
-				n += count
+		for server, running := range t.running {
+			if out[server] == nil {
+				out[server] = map[string]int{}
+			}
+			for k, count := range running {
+				out[server][k.Model] += count
 			}
 		}
 	}
-	return n
+	return out
 }
 
 // LastRun returns when an entry last told of a request for the key at the
--- /dev/null
+++ b/placement/residence/option.go
@@ -0,0 +1,156 @@
+package residence
+
+import "slices"
+
+// option is one way to load a model at a server.
+type option struct {
+	server  *State
+	victims []string
+	loss    float64
+	cost    float64 // by which options are compared
+}
+
+// place decides on a server for one more replica of a model. It reports false
+// when there is none, or none that repays.
+func (p *planning) place(model, reason string) bool {
+	var best *option
+	for _, id := range p.ids {
+		o, ok := p.option(model, p.b.Servers[id], reason)
+		if ok && (best == nil || o.cost < best.cost) {
+			best = &o
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.apply(model, best, reason)
+	return true
+}
+
+// option returns how a model could be loaded at a server.
+func (p *planning) option(model string, s *State, reason string) (option, bool) {
+	o := option{server: s}
+	if !p.b.usable(s) || !s.idle() || s.intent != nil || s.Models[model] != nil || !p.mayLoad(model, s, reason) {
+		return o, false
+	}
+	m := p.b.Engine.Models[model]
+	need := m.WeightsMB - s.free(p.b.Engine, Key{Model: model})
+	if !p.makeRoom(&o, need, reason) {
+		return o, false
+	}
+	if !p.repays(model, &o, reason) {
+		return o, false
+	}
+	_, length := s.source(m)
+	o.cost += lossMargin*o.loss + loadSecond*length.Seconds() + serverLoad*p.load[s.Server.ID]
+	o.cost += zoneReplica * float64(p.inZone(model, s.Server.Zone))
+	return o, true
+}
+
+// repays reports whether the load gains more than it costs. A model that is
+// asked for and held nowhere always does.
+func (p *planning) repays(model string, o *option, reason string) bool {
+	switch reason {
+	case ReasonDemand:
+		return p.gain(model) > lossMargin*o.loss+loadCost
+	case ReasonUnasked:
+		return unaskedGain > lossMargin*o.loss
+	default:
+		return true
+	}
+}
+
+// mayLoad reports whether the weight store has a load to give for the reason.
+// Copies at the server are free.
+func (p *planning) mayLoad(model string, s *State, reason string) bool {
+	m := p.b.Engine.Models[model]
+	if source, _ := s.source(m); source != SourceStore {
+		return true
+	}
+	free := p.b.Rate.Free(p.b.Engine.LoadsPerS, p.now) - p.pending
+	if reason == ReasonDemand || reason == ReasonUnasked {
+		free -= urgentLoads
+	}
+	return free > 0 && p.loading+p.pending < atOnce(p.b.Engine, m)+loadsAhead
+}
+
+// makeRoom adds the victims that lose least until the memory needed is free.
+func (p *planning) makeRoom(o *option, need float64, reason string) bool {
+	for need > 0 {
+		best, bestCost := "", 0.0
+		for _, v := range sortedKeys(o.server.Models) {
+			if slices.Contains(o.victims, v) || !p.evictable(v, o.server, reason) {
+				continue
+			}
+			if cost := p.victimCost(v, o.server); best == "" || cost < bestCost {
+				best, bestCost = v, cost
+			}
+		}
+		if best == "" {
+			return false
+		}
+		o.victims = append(o.victims, best)
+		o.loss += p.loss(best)
+		o.cost += bestCost - lossMargin*p.loss(best)
+		m := p.b.Engine.Models[best]
+		need -= m.WeightsMB + float64(len(o.server.Models[best].Adapters))*m.AdapterMB
+	}
+	return true
+}
+
+func (p *planning) victimCost(model string, s *State) float64 {
+	cost := unloadCost + lossMargin*p.loss(model)
+	cost += runningCost * float64(p.running[s.Server.ID][model])
+	if p.unsettled(model, s) || (p.count[model] <= 1 && p.b.Demand.age() < learnTime) {
+		cost += unsettledFee
+	}
+	return cost
+}
+
+func (p *planning) unsettled(model string, s *State) bool {
+	at, ok := s.loaded[model]
+	return ok && p.now-at < stayTime
+}
+
+// evictable reports whether a model may leave a server. The last replica of a
+// model stays unless nobody has asked for it lately and another that is asked
+// for is held nowhere.
+func (p *planning) evictable(v string, s *State, reason string) bool {
+	needed := reason == ReasonWaiting || reason == ReasonMissing
+	if s.mayUnload(v) || (!needed && p.unsettled(v, s)) {
+		return false
+	}
+	if p.count[v] > 1 {
+		return true
+	}
+	return needed && !p.asked(v)
+}
+
+func (p *planning) inZone(model, zone string) int {
+	n := 0
+	for _, id := range p.ids {
+		if p.b.Servers[id].Server.Zone == zone && p.held[id][model] {
+			n++
+		}
+	}
+	return n
+}
+
+// apply notes an option as the server's intent and counts its effect.
+func (p *planning) apply(model string, o *option, reason string) {
+	s := o.server
+	if source, _ := s.source(p.b.Engine.Models[model]); source == SourceStore {
+		p.pending++
+	}
+	held := p.held[s.Server.ID]
+	for _, v := range o.victims {
+		if held[v] {
+			p.count[v]--
+			delete(held, v)
+		}
+	}
+	s.intent = &Intent{Load: model, Unload: o.victims, Reason: reason}
+	held[model] = true
+	p.count[model]++
+	p.spreadWork()
+}
--- a/placement/residence/outcome.go
+++ b/placement/residence/outcome.go
@@ -67,6 +67,7 @@
 	if o.Kind != fleet.OrderLoad {
 		return
 	}
+	s.loaded[o.Model] = s.work.Due
 	s.InMemory = map[string]bool{o.Model: true}
 	s.OnDisk = map[string]bool{o.Model: true}
 }
--- a/placement/residence/plan.go
+++ b/placement/residence/plan.go
@@ -1,11 +1,21 @@
 package residence
 
 import (
+	"math"
 	"time"
 
 	"peridotchute.example/fleet"
 )
 
+// Reasons of model orders.
+const (
+	ReasonWaiting = "requests wait and no server holds it"
+	ReasonMissing = "asked for lately and no server holds it"
+	ReasonDemand  = "its replicas carry more than others"
+	ReasonUnasked = "no server holds it"
+	ReasonRoom    = "makes room"
+)
+
 // Step is an order that is to be given now.
 type Step struct {
 	Server string
@@ -13,12 +23,114 @@
 	Reason string
 }
 
-// Plan returns the model orders that are to be given now, at most one a server.
-func (b *Book) Plan(now time.Duration) []Step { return nil }
-
-// Intent is a decision to load a model at a server, after others have left it.
+// Intent is a decision to load a model at a server after others have left it.
 type Intent struct {
 	Load   string
 	Unload []string
 	Reason string
 }
+
+// Plan returns the model orders that are to be given now, at most one a server.
+// What it decides on is carried out over several calls: a model is loaded once
+// those that make room for it are gone.
+func (b *Book) Plan(now time.Duration) []Step {
+	b.Demand.step(now)
+	if b.Engine == nil {
+		return nil
+	}
+	b.dropIntents()
+	p := newPlanning(b, now)
+	p.decide()
+	var steps []Step
+	for _, id := range p.ids {
+		if step, ok := p.next(b.Servers[id]); ok {
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+// dropIntents forgets decisions that have been carried out or overtaken.
+func (b *Book) dropIntents() {
+	for _, s := range b.Servers {
+		if s.intent == nil {
+			continue
+		}
+		_, declared := b.Engine.Models[s.intent.Load]
+		if !declared || !b.usable(s) || s.Models[s.intent.Load] != nil || s.loading(s.intent.Load) {
+			s.intent = nil
+		}
+	}
+}
+
+// loading reports whether the server is loading the model.
+func (s *State) loading(model string) bool {
+	if s.work != nil && s.work.Kind == fleet.OrderLoad && s.work.Model == model {
+		return true
+	}
+	return s.sent != nil && s.sent.Kind == fleet.OrderLoad && s.sent.Model == model && s.sent.Adapter == ""
+}
+
+// next returns the next order of the server's intent, if it can be given now.
+func (p *planning) next(s *State) (Step, bool) {
+	if s.intent == nil || !s.idle() {
+		return Step{}, false
+	}
+	for _, victim := range s.intent.Unload {
+		if s.Models[victim] == nil {
+			continue
+		}
+		if p.count[victim] == 0 && p.asked(victim) && !p.waits(s.intent.Load) {
+			s.intent = nil // its other replicas have been lost meanwhile
+			return Step{}, false
+		}
+		return p.step(s, fleet.OrderUnload, victim, ReasonRoom+" for "+s.intent.Load), true
+	}
+	return p.nextLoad(s)
+}
+
+func (p *planning) nextLoad(s *State) (Step, bool) {
+	model := p.b.Engine.Models[s.intent.Load]
+	if s.free(p.b.Engine, Key{Model: model.Name}) < model.WeightsMB {
+		s.intent = nil
+		return Step{}, false
+	}
+	if source, _ := s.source(model); source == SourceStore {
+		if p.loading >= atOnce(p.b.Engine, model) || p.b.Rate.Free(p.b.Engine.LoadsPerS, p.now) <= p.given {
+			return Step{}, false
+		}
+		p.loading++
+		p.given++
+	}
+	return p.step(s, fleet.OrderLoad, model.Name, s.intent.Reason), true
+}
+
+func (p *planning) step(s *State, kind fleet.OrderKind, model, reason string) Step {
+	return Step{Server: s.Server.ID, Order: s.order(kind, Key{Model: model}), Reason: reason}
+}
+
+// waits reports whether requests wait for a model that no server holds.
+func (p *planning) waits(model string) bool { return p.b.Demand.waiting(model) > 0 }
+
+const (
+	// askedAge is how long after a request a model counts as asked for: rare
+	// models are asked for a few times a minute.
+	askedAge = 45 * time.Second
+	// stayTime is how long a model that was loaded stays before it makes room
+	// for a replica of another.
+	stayTime = 5 * time.Second
+	// learnTime is how long a new holder does not know yet what is asked for.
+	learnTime = 15 * time.Second
+)
+
+// asked reports whether a model was asked for lately.
+func (p *planning) asked(model string) bool {
+	e := p.b.Demand.models[model]
+	return e != nil && e.asked > 0 && p.now-e.asked < askedAge
+}
+
+// atOnce returns how many loads from the weight store may be in progress: more
+// than begin within the time of one load would slow each other.
+func atOnce(e *fleet.Engine, m fleet.Model) int {
+	return max(int(math.Round(e.LoadsPerS*m.Load.Seconds())), 1)
+}
--- /dev/null
+++ b/placement/residence/plan_test.go
@@ -0,0 +1,176 @@
+package residence
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/fleet"
+)
+
+const (
+	testModels  = 39
+	testServers = 18
+)
+
+// fleetOf returns a deployment of the usual size: three places a server, the
+// busy models on many servers and each of the others on one.
+func fleetOf(load time.Duration) *sim {
+	e := &fleet.Engine{WeightsMB: 220, AdapterSlots: 5, LoadsPerS: 2.1, Models: map[string]fleet.Model{}}
+	for i := range testModels {
+		name := modelName(i)
+		e.Models[name] = fleet.Model{Name: name, WeightsMB: 70, Load: load, DiskLoad: load / 2, WarmLoad: load / 3}
+	}
+	m := newSim(e, 5*time.Second)
+	m.rates = map[string]float64{}
+	for i := range testServers {
+		held := []string{modelName(6 + i), modelName(i % 6)}
+		if 24+i < testModels {
+			held = append(held, modelName(24+i))
+		} else {
+			held = append(held, modelName((i+1)%6))
+		}
+		m.start(fmt.Sprintf("s%02d", i), held...)
+	}
+	for i := range testModels {
+		m.rates[modelName(i)] = 0.1
+	}
+	for i := range 6 {
+		m.rates[modelName(i)] = 8
+	}
+	return m
+}
+
+func modelName(i int) string { return fmt.Sprintf("m%02d", i) }
+
+// unreachable returns the models that no server holds.
+func (m *sim) unreachable() []string {
+	var out []string
+	for _, model := range sortedKeys(m.engine.Models) {
+		if m.replicas(model) == 0 {
+			out = append(out, model)
+		}
+	}
+	return out
+}
+
+func TestSteadyDemandCausesNoLoads(t *testing.T) {
+	m := fleetOf(time.Second)
+	m.run(20 * time.Second)
+	settled := len(m.begun)
+	m.run(60 * time.Second)
+	assert.Assert(t, len(m.begun)-settled <= 3, "%d loads", len(m.begun)-settled)
+	assert.Equal(t, len(m.unreachable()), 0)
+}
+
+func TestRisingModelsGetReplicasSoon(t *testing.T) {
+	m := fleetOf(1200 * time.Millisecond)
+	m.run(10 * time.Second)
+	for i := range 3 {
+		m.rates[modelName(i)], m.rates[modelName(10+i)] = 0.1, 8
+	}
+	m.run(4 * time.Second)
+	for i := range 3 {
+		assert.Assert(t, m.replicas(modelName(10+i)) >= 2, "%s has %d", modelName(10+i), m.replicas(modelName(10+i)))
+	}
+	m.run(10 * time.Second)
+	assert.Equal(t, len(m.unreachable()), 0)
+	assert.Equal(t, len(m.broken), 0, "%v", m.broken)
+}
+
+func TestModelsOfCrashedServersAreLoadedElsewhere(t *testing.T) {
+	for _, load := range []time.Duration{1200 * time.Millisecond, 5 * time.Second} {
+		m := fleetOf(load)
+		m.run(10 * time.Second)
+		for i := range testServers / 4 {
+			delete(m.servers, fmt.Sprintf("s%02d", i*4))
+		}
+		m.run(30 * time.Second)
+		assert.Assert(t, m.longestWait() < 2*load+3*time.Second, "%v with loads of %v", m.longestWait(), load)
+		assert.Equal(t, len(m.broken), 0, "%v", m.broken)
+	}
+}
+
+func TestDrainingServersAreReplacedBeforeTheyAreGone(t *testing.T) {
+	m := fleetOf(time.Second)
+	for i := range testModels {
+		m.rates[modelName(i)] += 0.5
+	}
+	m.run(10 * time.Second)
+	s := m.servers["s03"]
+	m.snapshot(s)
+	s.before[len(s.before)-1].Draining = true
+	m.run(2500 * time.Millisecond)
+	delete(m.servers, "s03")
+	assert.Equal(t, len(m.unreachable()), 0, "%v", m.unreachable())
+}
+
+func TestPlacementOfOneModel(t *testing.T) {
+	tests := []struct {
+		name    string
+		servers map[string][]string
+		copies  string // server with a copy of m2 on its disk
+		running string // model with running requests at all servers
+		asked   []string
+		want    string // server and order
+	}{
+		{name: "free place", servers: map[string][]string{"a": {"m0", "m1"}, "b": {"m0"}}, want: "b load m2"},
+		{name: "copy on disk", servers: map[string][]string{"a": {"m0"}, "b": {"m0"}}, copies: "b", want: "b load m2"},
+		{name: "replica that is not the last", servers: map[string][]string{"a": {"m0", "m1"}, "b": {"m0", "m3"}},
+			asked: []string{"m0", "m1", "m3"}, want: "a unload m0"},
+		{name: "without running requests", servers: map[string][]string{"a": {"m0", "m1"}, "b": {"m0", "m1"}},
+			running: "m0", asked: []string{"m0", "m1"}, want: "a unload m1"},
+		{name: "last replica that nobody asks for", servers: map[string][]string{"a": {"m0", "m1"}},
+			asked: []string{"m0"}, want: "a unload m1"},
+		{name: "no last replica that is asked for", servers: map[string][]string{"a": {"m0", "m1"}},
+			asked: []string{"m0", "m1"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			m := newSim(fourModels(), 5*time.Second)
+			for _, id := range sortedKeys(tc.servers) {
+				s := m.start(id, tc.servers[id]...)
+				if id == tc.copies {
+					s.before[0].OnDisk = []string{"m2"}
+				}
+			}
+			m.update(func() int { return 0 })
+			m.book.Demand.Observe("entry", waitingFor("m2", tc.asked, tc.running, sortedKeys(tc.servers)), m.now)
+			assert.Equal(t, stepFor("m2", m.book.Plan(m.now)), tc.want)
+		})
+	}
+}
+
+// stepFor returns the step that loads the model or makes room for it.
+func stepFor(model string, steps []Step) string {
+	verbs := map[fleet.OrderKind]string{fleet.OrderLoad: "load", fleet.OrderUnload: "unload"}
+	for _, s := range steps {
+		if s.Order.Model == model || strings.HasSuffix(s.Reason, " for "+model) {
+			return s.Server + " " + verbs[s.Order.Kind] + " " + s.Order.Model
+		}
+	}
+	return ""
+}
+
+func fourModels() *fleet.Engine {
+	e := &fleet.Engine{WeightsMB: 200, LoadsPerS: 2, Models: map[string]fleet.Model{}}
+	for i := range 4 {
+		name := fmt.Sprintf("m%d", i)
+		e.Models[name] = fleet.Model{Name: name, WeightsMB: 100, Load: 4 * time.Second, DiskLoad: time.Second, WarmLoad: time.Second}
+	}
+	return e
+}
+
+func waitingFor(model string, asked []string, running string, servers []string) []ModelDemand {
+	seen := []ModelDemand{{Model: model, Arrivals: 1, Waiting: 1}}
+	for _, a := range asked {
+		seen = append(seen, ModelDemand{Model: a, Arrivals: 1})
+	}
+	for _, id := range servers {
+		seen = append(seen, ModelDemand{Model: running, Running: []Running{{Server: id, Count: 5}}})
+	}
+	return seen
+}
--- /dev/null
+++ b/placement/residence/property_test.go
@@ -0,0 +1,114 @@
+package residence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotchute.example/fleet"
+)
+
+// TestNoHistoryGoesBeyondTheLimits draws histories of demand, lost and late
+// orders, late registrations, restarts of servers and changes of holder. No
+// order may go beyond a server's memory or places, nor the loads of any window
+// beyond what the weight store allows.
+func TestNoHistoryGoesBeyondTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newSim(fiveModels(), 5*time.Second)
+		m.refuses = rapid.Bool().Draw(t, "refuses adapters while busy")
+		for i := range 4 {
+			m.start(fmt.Sprintf("s%d", i), fmt.Sprintf("m%d", i), fmt.Sprintf("m%d", (i+1)%5))
+		}
+		m.update(func() int { return 0 })
+		for range rapid.IntRange(20, 150).Draw(t, "turns") {
+			turn(t, m)
+			assert.Equal(t, len(m.broken), 0, "%v", m.broken)
+		}
+		assertRate(t, m)
+	})
+}
+
+func fiveModels() *fleet.Engine {
+	e := &fleet.Engine{WeightsMB: 205, AdapterSlots: 3, LoadsPerS: 0.4, Models: map[string]fleet.Model{}}
+	for i := range 5 {
+		name := fmt.Sprintf("m%d", i)
+		e.Models[name] = fleet.Model{
+			Name: name, WeightsMB: 60 + 10*float64(i), Adapters: 5, AdapterMB: 15,
+			Load: 2 * time.Second, DiskLoad: 800 * time.Millisecond, WarmLoad: 200 * time.Millisecond,
+		}
+	}
+	return e
+}
+
+func turn(t *rapid.T, m *sim) {
+	m.pass(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+	disrupt(t, m)
+	m.update(func() int { return rapid.IntRange(0, 2).Draw(t, "registrations behind") })
+	demand(t, m)
+	for _, step := range m.book.Plan(m.now) {
+		give(t, m, step.Server, step.Order)
+	}
+	model := fmt.Sprintf("m%d", rapid.IntRange(0, 4).Draw(t, "model"))
+	adapter := fmt.Sprintf("a%d", rapid.IntRange(1, 5).Draw(t, "adapter"))
+	for range 3 {
+		c := m.book.Choose(Key{Model: model, Adapter: adapter}, nil, m.now)
+		if c.Outcome == ChoiceOrder {
+			give(t, m, c.Server, c.Order)
+		}
+	}
+	for _, id := range sortedKeys(m.book.Servers) {
+		if m.book.Servers[id].ReportDue(m.now) && rapid.Bool().Draw(t, "reports") {
+			m.report(id)
+		}
+	}
+}
+
+func give(t *rapid.T, m *sim, id string, o fleet.Order) {
+	lost := rapid.IntRange(0, 3).Draw(t, "loss") == 0
+	m.order(id, o, lost, lost && rapid.Bool().Draw(t, "late"))
+}
+
+func demand(t *rapid.T, m *sim) {
+	var seen []ModelDemand
+	for i := range 5 {
+		seen = append(seen, ModelDemand{
+			Model:         fmt.Sprintf("m%d", i),
+			Arrivals:      rapid.IntRange(0, 9).Draw(t, "arrivals"),
+			PrefillTokens: 9000,
+			Waiting:       rapid.IntRange(0, 1).Draw(t, "waiting"),
+		})
+	}
+	m.book.Demand.Observe("a", seen, m.now)
+}
+
+// disrupt restarts a server, lets a late order arrive or changes the holder.
+func disrupt(t *rapid.T, m *sim) {
+	switch rapid.IntRange(0, 19).Draw(t, "disruption") {
+	case 0:
+		id := rapid.SampledFrom(sortedKeys(m.servers)).Draw(t, "restarted")
+		m.start(id)
+	case 1, 2, 3, 4:
+		if len(m.late) > 0 {
+			m.carryOut(m.late[0].server, m.late[0].order)
+			m.late = m.late[1:]
+		}
+	case 5:
+		m.pass(time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap")) * time.Millisecond)
+		m.book = NewBook(5 * time.Second)
+		m.book.Rate.Assume(m.engine.LoadsPerS, m.now)
+	}
+}
+
+// assertRate checks the loads of each window against the limit, with the few
+// beyond it that are allowed for orders that arrive late.
+func assertRate(t *rapid.T, m *sim) {
+	const allowance = 3
+	most := m.book.Rate.Limit(m.engine.LoadsPerS) + allowance
+	for i := most; i < len(m.begun); i++ {
+		span := m.begun[i] - m.begun[i-most]
+		assert.Assert(t, span > 5*time.Second, "%d loads within %v", most+1, span)
+	}
+}
--- /dev/null
+++ b/placement/residence/replicas.go
@@ -0,0 +1,215 @@
+package residence
+
+import (
+	"sort"
+	"time"
+
+	"peridotchute.example/fleet"
+)
+
+// Weights of a placement, in squared shares of the mean work of a server: the
+// work of a model, squared and divided by its replicas, is what its requests
+// meet of each other. Its sum is least when replicas are in proportion to work.
+const (
+	lossMargin   = 1.5  // a replica goes to another model that gains this much more
+	loadCost     = 0.02 // of a load and its orders
+	unaskedGain  = 1.0  // of holding a model that nobody has asked for lately
+	unloadCost   = 0.05 // of an unload and the time that it takes
+	loadSecond   = 0.1  // of each second until the replica serves
+	serverLoad   = 0.3  // of the work that the server has already
+	zoneReplica  = 0.15 // of each replica in the same availability zone
+	runningCost  = 0.1  // of each running request that an unload has to wait for
+	unsettledFee = 1.0  // of a victim that was loaded lately
+	// minWork is the work of a server, in tokens a second, below which more
+	// replicas would not be felt.
+	minWork = 5000.0
+	// urgentLoads are the loads of a window that are kept for models that no
+	// server holds.
+	urgentLoads = 2
+	// loadsAhead are the loads that are decided on beyond those at once: their
+	// servers unload meanwhile.
+	loadsAhead = 2
+)
+
+// planning is the state of one plan in the making.
+type planning struct {
+	b       *Book
+	now     time.Duration
+	ids     []string
+	count   map[string]int             // replicas that serve, or will, and stay
+	share   map[string]float64         // of each model's work
+	peak    map[string]float64         // of each model's highest work of late
+	held    map[string]map[string]bool // models by server that serve, or will, and stay
+	running map[string]map[string]int  // requests by server and model
+	load    map[string]float64         // work by server
+	loading int                        // loads from the weight store in progress or decided on
+	given   int                        // ordered by this plan
+	pending int                        // those that are decided on and not yet ordered
+}
+
+func newPlanning(b *Book, now time.Duration) *planning {
+	p := &planning{
+		b: b, now: now, ids: b.ids(),
+		count: map[string]int{}, share: map[string]float64{}, peak: map[string]float64{},
+		held: map[string]map[string]bool{}, running: b.Demand.runningModels(),
+	}
+	for _, id := range p.ids {
+		s := b.Servers[id]
+		p.held[id] = p.holds(s)
+		for model := range p.held[id] {
+			p.count[model]++
+		}
+		p.countLoads(s)
+	}
+	p.shareWork()
+	p.spreadWork()
+	return p
+}
+
+// countLoads counts the loads from the weight store at one server.
+func (p *planning) countLoads(s *State) {
+	if s.work != nil && s.work.Kind == fleet.OrderLoad && s.work.Source == SourceStore {
+		p.loading++
+	}
+	if s.intent == nil || s.loading(s.intent.Load) {
+		return
+	}
+	if source, _ := s.source(p.b.Engine.Models[s.intent.Load]); source == SourceStore {
+		p.pending++
+	}
+}
+
+// spreadWork sets the work of each server, with each model's work spread over
+// its replicas.
+func (p *planning) spreadWork() {
+	p.load = make(map[string]float64, len(p.ids))
+	for id, models := range p.held {
+		for _, model := range sortedKeys(models) {
+			p.load[id] += p.share[model] / float64(p.count[model])
+		}
+	}
+}
+
+// holds returns the models that the server serves, or will, and keeps.
+func (p *planning) holds(s *State) map[string]bool {
+	out := map[string]bool{}
+	if !p.b.usable(s) {
+		return out
+	}
+	for model := range s.Models {
+		if s.serves(model) && !s.leaves(model) && !s.mayUnload(model) {
+			out[model] = true
+		}
+	}
+	if s.work != nil && s.work.Kind == fleet.OrderLoad && s.work.Model != "" {
+		out[s.work.Model] = true
+	}
+	if s.sent != nil && s.sent.Kind == fleet.OrderLoad && s.sent.Adapter == "" {
+		out[s.sent.Model] = true
+	}
+	if s.intent != nil {
+		out[s.intent.Load] = true
+	}
+	return out
+}
+
+// mayUnload reports whether a lost order may still unload the model.
+func (s *State) mayUnload(model string) bool {
+	for _, o := range s.lost {
+		if o.Kind == fleet.OrderUnload && o.Adapter == "" && o.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// shareWork sets each model's work in shares of the mean work of a server.
+func (p *planning) shareWork() {
+	total, servers := 0.0, 0
+	for _, s := range p.b.Servers {
+		if p.b.usable(s) {
+			servers++
+		}
+	}
+	for _, model := range sortedKeys(p.b.Engine.Models) {
+		total += p.b.Demand.work(model)
+	}
+	mean := max(total/float64(max(servers, 1)), minWork)
+	for model := range p.b.Engine.Models {
+		p.share[model] = p.b.Demand.work(model) / mean
+		p.peak[model] = p.b.Demand.peak(model) / mean
+	}
+}
+
+// decide adds intents: first for models that requests wait for, then for those
+// asked for lately that no server holds, then replicas in proportion to work,
+// then what nobody has asked for.
+func (p *planning) decide() {
+	var waiting, missing, unasked []string
+	for _, model := range sortedKeys(p.b.Engine.Models) {
+		switch {
+		case p.count[model] > 0:
+		case p.waits(model):
+			waiting = append(waiting, model)
+		case p.asked(model):
+			missing = append(missing, model)
+		default:
+			unasked = append(unasked, model)
+		}
+	}
+	sort.SliceStable(waiting, func(i, j int) bool {
+		return p.b.Demand.waiting(waiting[i]) > p.b.Demand.waiting(waiting[j])
+	})
+	p.sortByShare(missing)
+	for _, model := range waiting {
+		p.place(model, ReasonWaiting)
+	}
+	for _, model := range missing {
+		p.place(model, ReasonMissing)
+	}
+	p.addReplicas()
+	for _, model := range unasked {
+		p.place(model, ReasonUnasked)
+	}
+}
+
+func (p *planning) sortByShare(models []string) {
+	sort.SliceStable(models, func(i, j int) bool { return p.share[models[i]] > p.share[models[j]] })
+}
+
+// addReplicas adds replicas where they gain most until none repays.
+func (p *planning) addReplicas() {
+	done := map[string]bool{}
+	for range len(p.ids) {
+		best := ""
+		for _, model := range sortedKeys(p.b.Engine.Models) {
+			if done[model] || p.count[model] == 0 || p.gain(model) <= loadCost {
+				continue
+			}
+			if best == "" || p.gain(model) > p.gain(best) {
+				best = model
+			}
+		}
+		if best == "" {
+			return
+		}
+		if !p.place(best, ReasonDemand) {
+			done[best] = true
+		}
+	}
+}
+
+// gain is what one more replica of a model gains.
+func (p *planning) gain(model string) float64 {
+	n := float64(p.count[model])
+	return p.share[model] * p.share[model] / (n * (n + 1))
+}
+
+// loss is what one replica less of a model loses.
+func (p *planning) loss(model string) float64 {
+	n := float64(p.count[model])
+	if n <= 1 {
+		return p.share[model]*p.share[model] + unaskedGain
+	}
+	return p.peak[model] * p.peak[model] / (n * (n - 1))
+}
--- /dev/null
+++ b/placement/residence/sim_test.go
@@ -0,0 +1,285 @@
+package residence
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"peridotchute.example/fleet"
+)
+
+// simServer is a model server as it really is.
+type simServer struct {
+	id       string
+	born     int64
+	seq      int64
+	version  int64
+	models   map[string]map[string]time.Duration // adapters with when they are loaded
+	busy     *Work
+	inMemory []string
+	onDisk   []string
+	before   []fleet.Server // registrations, the newest last
+}
+
+// lateOrder is an order without an answer that is carried out later.
+type lateOrder struct {
+	server string
+	order  fleet.Order
+}
+
+// sim is a set of model servers with the book that is kept of them.
+type sim struct {
+	engine   *fleet.Engine
+	book     *Book
+	now      time.Duration
+	servers  map[string]*simServer
+	late     []lateOrder
+	begun    []time.Duration // loads from the weight store
+	unloaded []Key
+	broken   []string
+	refuses  bool // adapter orders during model orders
+
+	rates  map[string]float64       // requests a second for each model, in run
+	since  map[string]time.Duration // first refusal of models that no server has held since
+	waited time.Duration            // the longest time from such a refusal to a load
+	random *rand.Rand
+}
+
+func newSim(e *fleet.Engine, window time.Duration) *sim {
+	return &sim{engine: e, book: NewBook(window), now: time.Hour, servers: map[string]*simServer{}, since: map[string]time.Duration{}, random: rand.New(rand.NewPCG(1, 2))}
+}
+
+func (m *sim) start(id string, models ...string) *simServer {
+	s := &simServer{id: id, models: map[string]map[string]time.Duration{}}
+	if old := m.servers[id]; old != nil {
+		s.born, s.version, s.onDisk = old.born+1, old.version, old.onDisk
+	}
+	for _, model := range models {
+		s.models[model] = map[string]time.Duration{}
+	}
+	m.servers[id] = s
+	m.snapshot(s)
+	return s
+}
+
+func (m *sim) snapshot(s *simServer) {
+	s.version++
+	sv := fleet.Server{ID: s.id, Born: s.born, OrderSeq: s.seq, Registration: s.version, InMemory: s.inMemory, OnDisk: s.onDisk}
+	sv.Residents, sv.Fetching = m.residents(s)
+	s.before = append(s.before, sv)
+}
+
+func (m *sim) residents(s *simServer) (residents []fleet.Resident, fetching []string) {
+	for _, model := range sortedKeys(s.models) {
+		r := fleet.Resident{Model: model}
+		for _, name := range sortedKeys(s.models[model]) {
+			if s.models[model][name] > m.now {
+				fetching = append(fetching, model+"/"+name+"@1")
+			} else {
+				r.Adapters = append(r.Adapters, name)
+			}
+		}
+		residents = append(residents, r)
+	}
+	return residents, fetching
+}
+
+// update tells the book the registrations, each as old as back says.
+func (m *sim) update(back func() int) {
+	var list []fleet.Server
+	for _, id := range sortedKeys(m.servers) {
+		seen := m.servers[id].before
+		list = append(list, seen[max(len(seen)-1-back(), 0)])
+	}
+	m.book.Update(m.engine, list, m.now)
+}
+
+// pass lets time pass and ends the orders whose time has come.
+func (m *sim) pass(d time.Duration) {
+	m.now += d
+	for _, id := range sortedKeys(m.servers) {
+		s := m.servers[id]
+		if s.busy == nil || s.busy.Due > m.now {
+			continue
+		}
+		if s.busy.Kind == fleet.OrderLoad {
+			s.models[s.busy.Model] = map[string]time.Duration{}
+		} else {
+			delete(s.models, s.busy.Model)
+		}
+		s.busy = nil
+		m.snapshot(s)
+	}
+}
+
+func (m *sim) report(id string) {
+	s := m.servers[id]
+	r := fleet.Report{OrderSeq: s.seq, Born: s.born, Busy: s.busy != nil, InMemory: s.inMemory, OnDisk: s.onDisk}
+	r.Residents, r.Fetching = m.residents(s)
+	m.book.Report(m.book.Servers[id], r, m.now)
+}
+
+// order gives an order; lost ones get no answer and may be carried out later.
+func (m *sim) order(id string, o fleet.Order, lost, late bool) {
+	st := m.book.Servers[id]
+	m.book.Begin(st, o, m.now)
+	switch {
+	case lost && late:
+		m.late = append(m.late, lateOrder{server: id, order: o})
+		st.Lost(m.now)
+	case lost:
+		m.carryOut(id, o)
+		st.Lost(m.now)
+	default:
+		m.book.Answered(st, m.carryOut(id, o), m.now)
+	}
+}
+
+func (m *sim) carryOut(id string, o fleet.Order) fleet.OrderOutcome {
+	s := m.servers[id]
+	if o.Seq != s.seq || (s.busy != nil && (o.Adapter == "" || m.refuses)) {
+		return fleet.OrderBusy
+	}
+	held := s.models[o.Model]
+	if o.Adapter != "" && held == nil {
+		return fleet.OrderInvalid
+	}
+	outcome := m.apply(s, o)
+	m.snapshot(s)
+	m.check(s, o)
+	return outcome
+}
+
+func (m *sim) apply(s *simServer, o fleet.Order) fleet.OrderOutcome {
+	_, has := s.models[o.Model][o.Adapter]
+	switch {
+	case o.Adapter != "" && has == (o.Kind == fleet.OrderLoad):
+		return fleet.OrderHolds
+	case o.Adapter != "" && has:
+		delete(s.models[o.Model], o.Adapter)
+		s.seq++
+		return fleet.OrderHolds
+	case o.Adapter != "":
+		s.models[o.Model][o.Adapter] = m.now + adapterLoad/2
+	case o.Kind == fleet.OrderUnload:
+		m.unloaded = append(m.unloaded, Key{Model: o.Model})
+		s.busy = &Work{Kind: o.Kind, Model: o.Model, Due: m.now + 200*time.Millisecond}
+	default:
+		m.load(s, o.Model)
+	}
+	s.seq++
+	return fleet.OrderAccepted
+}
+
+// load begins a load, from a copy if the server has one, and keeps copies of
+// the two models that were loaded last in memory.
+func (m *sim) load(s *simServer, model string) {
+	length := m.engine.Models[model].WarmLoad
+	if !slices.Contains(s.inMemory, model) {
+		length = m.engine.Models[model].DiskLoad
+	}
+	if !slices.Contains(s.inMemory, model) && !slices.Contains(s.onDisk, model) {
+		length = m.engine.Models[model].Load
+		m.begun = append(m.begun, m.now)
+	}
+	s.busy = &Work{Kind: fleet.OrderLoad, Model: model, Due: m.now + length}
+	s.inMemory = newest(s.inMemory, model, 1)
+	s.onDisk = newest(s.onDisk, model, 2)
+}
+
+func newest(names []string, add string, most int) []string {
+	out := []string{add}
+	for _, n := range names {
+		if n != add && len(out) < most {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// check notes limits that a server was ordered beyond.
+func (m *sim) check(s *simServer, o fleet.Order) {
+	mb, adapters := 0.0, 0
+	for model, held := range s.models {
+		mb += m.engine.Models[model].WeightsMB + float64(len(held))*m.engine.Models[model].AdapterMB
+		adapters += len(held)
+	}
+	if s.busy != nil && s.busy.Kind == fleet.OrderLoad {
+		mb += m.engine.Models[s.busy.Model].WeightsMB
+	}
+	if mb > m.engine.WeightsMB || adapters > m.engine.AdapterSlots {
+		m.broken = append(m.broken, fmt.Sprintf("%s holds %.0f MB and %d adapters after %+v", s.id, mb, adapters, o))
+	}
+}
+
+// run plans and carries out everything without losses for a time.
+func (m *sim) run(d time.Duration) {
+	for end := m.now + d; m.now < end; {
+		m.update(func() int { return 0 })
+		m.observe(100 * time.Millisecond)
+		for _, step := range m.book.Plan(m.now) {
+			m.order(step.Server, step.Order, false, false)
+		}
+		for _, id := range sortedKeys(m.book.Servers) {
+			if m.book.Servers[id].ReportDue(m.now) {
+				m.report(id)
+			}
+		}
+		m.pass(100 * time.Millisecond)
+	}
+}
+
+// replicas returns how many servers hold the model.
+func (m *sim) replicas(model string) int {
+	n := 0
+	for _, s := range m.servers {
+		if _, ok := s.models[model]; ok {
+			n++
+		}
+	}
+	return n
+}
+
+// observe tells the book the arrivals of a time at the simulated rates.
+func (m *sim) observe(d time.Duration) {
+	var seen []ModelDemand
+	for _, model := range sortedKeys(m.rates) {
+		count := 0
+		for left := m.rates[model] * d.Seconds(); m.random.ExpFloat64() < left; left-- {
+			count++
+		}
+		seen = append(seen, m.arrivals(model, count))
+	}
+	m.book.Demand.Observe("entry", seen, m.now)
+}
+
+func (m *sim) arrivals(model string, count int) ModelDemand {
+	d := ModelDemand{Model: model, Arrivals: count, PrefillTokens: 9000 * count}
+	if m.replicas(model) == 0 {
+		d.Refused = count
+	}
+	m.noteWait(model, d.Refused)
+	return d
+}
+
+func (m *sim) noteWait(model string, refused int) {
+	at, waits := m.since[model]
+	switch {
+	case waits && m.replicas(model) > 0:
+		m.waited = max(m.waited, m.now-at)
+		delete(m.since, model)
+	case !waits && refused > 0:
+		m.since[model] = m.now
+	}
+}
+
+// longestWait returns the longest time for which a model that was asked for was
+// held by no server.
+func (m *sim) longestWait() time.Duration {
+	longest := m.waited
+	for _, at := range m.since {
+		longest = max(longest, m.now-at)
+	}
+	return longest
+}
--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"peridotchute.example/fleet"
@@ -38,6 +39,7 @@
 	ask     time.Duration // when a report is due; math.MaxInt64 when none is
 	blocked time.Duration // no adapter orders until then
 	used    map[Key]time.Duration
+	loaded  map[string]time.Duration // when models were, or should have been, loaded by order
 }
 
 // Resident is a model that a server holds.
@@ -75,7 +77,7 @@
 // registration alone does not say whether an order is in progress, unless it
 // has never accepted one.
 func newState(s fleet.Server, now time.Duration) *State {
-	st := &State{ask: never, used: map[Key]time.Duration{}}
+	st := &State{ask: never, used: map[Key]time.Duration{}, loaded: map[string]time.Duration{}}
 	st.begin(s, now)
 	return st
 }
@@ -106,28 +108,49 @@
 		return
 	}
 	s.Server = sv
-	if s.sent != nil || sv.OrderSeq < s.seq {
-		return
-	}
-	if sv.OrderSeq > s.seq {
+	switch {
+	case s.sent != nil || sv.OrderSeq < s.seq:
+	case sv.OrderSeq > s.seq:
 		s.known = false
 		s.work = nil
 		s.askAt(now)
+		s.setResidents(sv.Residents, sv.Fetching, now)
+		s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
+	case s.known:
+		s.confirm(sv, now)
 	}
-	s.setResidents(sv.Residents, sv.Fetching, now)
-	s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
-	s.endWorkIfSeen()
 }
 
-// endWorkIfSeen ends the order in progress when the residents show its effect.
-func (s *State) endWorkIfSeen() {
-	if s.work == nil || s.work.Model == "" {
-		return
+// confirm takes from a registration that counts the same orders what they have
+// come to. It may be older than the newest report, so that what it does not
+// show yet is no news.
+func (s *State) confirm(sv fleet.Server, now time.Duration) {
+	listed := make(map[string]fleet.Resident, len(sv.Residents))
+	for _, r := range sv.Residents {
+		listed[r.Model] = r
 	}
-	_, resident := s.Models[s.work.Model]
-	if resident == (s.work.Kind == fleet.OrderLoad) {
-		s.work = nil
-		s.ask = never
+	if s.work != nil && s.work.Model != "" {
+		if _, resident := listed[s.work.Model]; resident == (s.work.Kind == fleet.OrderLoad) {
+			s.work = nil
+			s.ask = never
+			s.setResidents(sv.Residents, sv.Fetching, now)
+			s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
+			return
+		}
+	}
+	s.dropGone(listed)
+}
+
+// dropGone removes the adapters that were ordered to leave and are not listed
+// any more.
+func (s *State) dropGone(listed map[string]fleet.Resident) {
+	for model, m := range s.Models {
+		r, ok := listed[model]
+		for name, a := range m.Adapters {
+			if ok && a.Leaving && !slices.Contains(r.Adapters, name) {
+				delete(m.Adapters, name)
+			}
+		}
 	}
 }
 
