--- a/placement/residence/outcome.go
+++ b/placement/residence/outcome.go
@@ -54,6 +54,7 @@
 		if a := s.adapter(o.Model, o.Adapter); a != nil {
 			a.Leaving = true
 		}
+		s.askAt(now + leavingGap)
 	default:
 		s.work = &Work{Kind: o.Kind, Model: o.Model, Source: source, Due: now + length}
 		s.ask = now + length + reportLag
@@ -67,6 +68,7 @@
 	if o.Kind != fleet.OrderLoad {
 		return
 	}
+	s.loaded[o.Model] = s.work.Due
 	s.InMemory = map[string]bool{o.Model: true}
 	s.OnDisk = map[string]bool{o.Model: true}
 }
