--- a/entry/direct/mesh/mesh.go
+++ b/entry/direct/mesh/mesh.go
@@ -73,6 +73,7 @@
 	urgent    bool                // a document was offered that the peers were not told yet
 	active    bool                // there was something to tell lately, so the scheduler looks again soon
 	looked    uint64              // news at its last look
+	planned   time.Time           // when the scheduler meant to look next
 	counts    counts
 }
 
--- a/entry/direct/mesh/pace.go
+++ b/entry/direct/mesh/pace.go
@@ -15,9 +15,9 @@
 	silenceLimit = time.Second
 	// heartbeatsMissed is how many heartbeats may be missing, where they are rarer.
 	heartbeatsMissed = 3
-	// maxMessagesPerSecond bounds the updates of one process: at about 40 µs
-	// of processor time each they take half a percent of a core.
-	maxMessagesPerSecond = 120
+	// maxMessagesPerSecond bounds the updates that one process sends, and with
+	// them the processor time that many peers take.
+	maxMessagesPerSecond = 80
 	// gossipInterval is between tellings of what most peers know already: the
 	// entries that are connected, and documents that came from a peer.
 	gossipInterval = time.Second
--- a/entry/direct/mesh/schedule.go
+++ b/entry/direct/mesh/schedule.go
@@ -18,6 +18,11 @@
 	// seedInterval is between attempts at a seed that does not answer, or that
 	// is not known as an entry: seeds only heal a mesh that has come apart.
 	seedInterval = 5 * time.Second
+	// lateLook is how late a look may be before the silence of the peers is
+	// put down to this process, which was frozen or short of processor time.
+	lateLook = 250 * time.Millisecond
+	// secondLook leaves the connections time to be read after a late look.
+	secondLook = 100 * time.Millisecond
 )
 
 func newSeed(address string) *target {
@@ -52,26 +57,40 @@
 func (m *Mesh) step(ctx context.Context, now time.Time) ([]*link, time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	lost, next := m.stepLinks(now)
+	m.urgent = false
+	m.active = m.looked != m.news
+	m.looked = m.news
+	if m.active {
+		next = earlier(next, now.Add(updateInterval(true, len(m.links))))
+	}
+	m.members.forget(m.claimed, now)
+	m.planned = earlier(next, m.stepDials(ctx, now))
+	return lost, m.planned
+}
+
+// stepLinks wakes the links that are due. It returns those that are silent and
+// the time at which the next is due.
+func (m *Mesh) stepLinks(now time.Time) ([]*link, time.Time) {
 	next := now.Add(longestSleep)
+	late := !m.planned.IsZero() && now.Sub(m.planned) > lateLook
+	if late {
+		next = now.Add(secondLook)
+	}
 	var lost []*link
 	for _, l := range m.links {
-		if l.silent(now) {
+		if l.silent(now) && !late {
 			lost = append(lost, l)
 			continue
 		}
-		next = earlier(next, l.heard.Add(patience(l.next)))
+		if !l.silent(now) {
+			next = earlier(next, l.heard.Add(patience(l.next)))
+		}
 		if l.speaks {
 			next = earlier(next, m.stepLink(l, now))
 		}
 	}
-	m.urgent = false
-	m.active = m.looked != m.news
-	m.looked = m.news
-	if m.active {
-		next = earlier(next, now.Add(updateInterval(true, len(m.links))))
-	}
-	m.members.forget(m.claimed, now)
-	return lost, earlier(next, m.stepDials(ctx, now))
+	return lost, next
 }
 
 // stepLink wakes a link that is due and returns when it is due again.
