--- a/common/decisionlog/doc.go
+++ b/common/decisionlog/doc.go
@@ -9,7 +9,8 @@
 //
 // A request's decisions are kept in a Trace. A request that is served in time
 // ends in one line with the inputs that decided it; the other lines are written
-// only if it meets trouble, from then on at once.
+// only if it meets trouble, from then on at once. Its route is told by its first
+// line or by its last.
 //
 //	log := decisionlog.New(decisionlog.Options{Node: "edge-1", Out: os.Stdout})
 //	go log.Run(ctx) // daemon.Go(lc, log.Run)
--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -129,8 +129,11 @@
 	ViewAge       time.Duration // since the registrations were read
 	ConfigVersion int64
 	Service       string
+	Route         string
 	Model         string
 	Adapter       string
+	PromptTokens  int
+	Deadline      time.Duration // what the caller would have waited
 }
 
 // Outcome says how a request that was sent to a server ended.
@@ -166,6 +169,9 @@
 	FirstByte     time.Duration // from its arrival to the first byte for the caller
 	Total         time.Duration // from its arrival to the end
 	Objective     time.Duration
+	GapObjective  time.Duration // for the longest pause
+	Deadline      time.Duration // what the caller would have waited
+	PromptTokens  int
 	Backlog       time.Duration // of it, work of the requests before this one
 	ViewAge       time.Duration
 	Bytes         int64
--- a/common/decisionlog/trace.go
+++ b/common/decisionlog/trace.go
@@ -1,6 +1,7 @@
 package decisionlog
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -65,6 +66,7 @@
 	t.ended = true
 	t.log.observe(r)
 	if troubling(r.Event()) {
+		t.kept = withoutRoute(t.kept)
 		t.writeKept()
 	}
 	t.kept = nil
@@ -89,3 +91,12 @@
 	}
 	t.kept = nil
 }
+
+// withoutRoute leaves out the route of a request, which the line that ends it
+// tells as well.
+func withoutRoute(kept []line) []line {
+	return slices.DeleteFunc(kept, func(n line) bool {
+		_, ok := n.record.(Routed)
+		return ok
+	})
+}
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -134,6 +134,9 @@
 		Service:       r.req.service,
 		Model:         r.req.Model,
 		Adapter:       r.req.Adapter,
+		Route:         r.req.route.Name,
+		PromptTokens:  r.req.TokensIn,
+		Deadline:      r.req.Deadline,
 	}
 }
 
@@ -179,7 +182,8 @@
 	end := r.end
 	end.Service, end.Route = r.req.service, r.req.route.Name
 	end.Model, end.Adapter = r.req.Model, r.req.Adapter
-	end.Objective = r.req.route.Objective
+	end.PromptTokens, end.Deadline = r.req.TokensIn, r.req.Deadline
+	end.Objective, end.GapObjective = r.req.route.Objective, r.req.route.GapObjective
 	end.Total = time.Since(r.req.arrived)
 	end.ConfigVersion = r.version
 	if !r.firstByte.IsZero() {
--- a/operator/explain/align.go
+++ b/operator/explain/align.go
@@ -121,9 +121,9 @@
 	switch l.Event {
 	case event.ConfigReplaced.ID:
 		return "config " + l.Text("config_version")
-	case event.ServerAppeared.ID, event.ServerDraining.ID, event.ServerLeft.ID:
+	case event.ServerAppeared.ID, event.ServerDraining.ID, event.ServerLeft.ID, event.ModelHeld.ID, event.ModelGone.ID:
 		if version := l.Text("row_version"); version != "" {
-			return fmt.Sprintf("%s %s %s", l.Name, l.Text("server"), version)
+			return fmt.Sprintf("%s %s %s %s", l.Name, l.Text("server"), version, l.Text("model"))
 		}
 	}
 	return ""
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -40,8 +40,10 @@
 
 func (t *Story) refused() []string {
 	e := t.end
-	said := []string{fmt.Sprintf("Refused with status %s before it ran: %s (%s candidates, %s waiting, registrations %v old).",
-		e.Text("status"), e.Text("reason"), e.Text("candidates"), e.Text("waiting"), e.Duration("view_age_ms"))}
+	said := []string{fmt.Sprintf("Refused with status %s before it ran: %s%s.", e.Text("status"), e.Text("reason"), detail(e))}
+	if retry := e.Duration("retry_after_ms"); retry > 0 {
+		said = append(said, fmt.Sprintf("The caller was told to come back after %v.", retry))
+	}
 	if expected := e.Duration("expected_ms"); expected > 0 {
 		said = append(said, fmt.Sprintf("Its answer was expected after %v, %v of it for requests before it.", expected, e.Duration("backlog_ms")))
 	}
@@ -82,7 +84,7 @@
 	waited, expected := e.Duration("waited_ms"), e.Duration("expected_ms")
 	said := []string{fmt.Sprintf("Served whole but late: first byte after %v, objective %v.", first, objective)}
 	if pause := e.Duration("longest_pause_ms"); first <= objective && pause > 0 {
-		said = append(said, fmt.Sprintf("The first byte was in time; the longest pause between events was %v.", pause))
+		said = append(said, fmt.Sprintf("The first byte was in time; the longest pause between events was %v, objective %v.", pause, e.Duration("gap_objective_ms")))
 	} else {
 		said = append(said, fmt.Sprintf("Of that it waited %v at %s; the rest, %v, passed at %s, where %v was expected, %v of it for requests before it.",
 			waited, t.Taker.node, (first-waited).Round(100*time.Microsecond), e.Text("server"), expected, e.Duration("backlog_ms")))
@@ -155,6 +157,21 @@
 	return "the server may have run it"
 }
 
+// detail tells what artifact a refusal was about, and its error.
+func detail(l *Line) string {
+	var parts []string
+	if model := l.Text("model"); model != "" {
+		parts = append(parts, strings.TrimSuffix(model+"/"+l.Text("adapter"), "/"))
+	}
+	if detail := l.Text("detail"); detail != "" {
+		parts = append(parts, detail)
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(parts, "; ") + ")"
+}
+
 func because(l *Line) string {
 	if reason := l.Text("reason"); reason != "" {
 		return ": " + reason
--- a/operator/explain/story.go
+++ b/operator/explain/story.go
@@ -46,6 +46,7 @@
 	for _, p := range s.processes {
 		story.addProcess(p, about, w)
 	}
+	story.Moments = story.withoutRepeats()
 	slices.SortStableFunc(story.Moments, func(a, b Moment) int { return cmp.Compare(a.At, b.At) })
 	return story, nil
 }
@@ -127,6 +128,27 @@
 	}
 }
 
+// withoutRepeats leaves out what several processes learned from the store alike,
+// but for the one that took the request. When each of them learned that a
+// server leaves may matter, so these lines stay.
+func (t *Story) withoutRepeats() []Moment {
+	known := map[string]bool{}
+	for _, m := range t.Moments {
+		if m.Line.Node == t.Taker.node {
+			known[factOf(m.Line)] = true
+		}
+	}
+	return slices.DeleteFunc(t.Moments, func(m Moment) bool {
+		fact := factOf(m.Line)
+		if fact == "" || m.Line.Node == t.Taker.node || m.Line.Event == event.ServerLeft.ID || m.Line.Event == event.ServerDraining.ID {
+			return false
+		}
+		repeated := known[fact]
+		known[fact] = true
+		return repeated
+	})
+}
+
 // telling returns the lines of a process that bear on the request and come
 // before the end of the window.
 func (t *Story) telling(p *process, about subject, until, shift time.Duration) []*Line {
