--- a/common/decisionlog/bench_test.go
+++ b/common/decisionlog/bench_test.go
@@ -47,7 +47,7 @@
 		fullTrace(l, end)
 		l.drain()
 	}
-	l.flush()
+	l.flush(l.buffer.Len())
 	b.ReportMetric(float64(out.bytes)/float64(b.N), "bytes/request")
 }
 
--- a/common/decisionlog/log.go
+++ b/common/decisionlog/log.go
@@ -21,9 +21,9 @@
 	// batchInterval is how long records gather before they are written; a
 	// process that is killed loses at most these.
 	batchInterval = 100 * time.Millisecond
-	// batchBytes is the size at which gathered lines are written sooner: what
-	// a pipe takes at once on Linux.
-	batchBytes = 64 << 10
+	// writeBytes is the most that is written with one call: what Linux puts
+	// into a pipe as a whole, so that no reader sees half a line.
+	writeBytes = 4096
 	// reportInterval is how often lines that were left out are told.
 	reportInterval = 5 * time.Second
 	// runIDBytes make the id of a process's run; it tells restarts of one node apart.
@@ -122,11 +122,11 @@
 		l.gather(ctx)
 		l.drain()
 		l.report(time.Now())
-		l.flush()
+		l.flush(l.buffer.Len())
 	}
 	l.drain()
 	l.tellLeftOut()
-	l.flush()
+	l.flush(l.buffer.Len())
 }
 
 // gather waits for a first line and then for others to come, but no longer than
@@ -138,7 +138,7 @@
 	if err != nil {
 		return
 	}
-	l.format.write(first)
+	l.add(first)
 	batch := time.NewTimer(batchInterval)
 	defer batch.Stop()
 	select {
@@ -154,10 +154,17 @@
 		if !ok {
 			return
 		}
-		l.format.write(n)
-		if l.buffer.Len() >= batchBytes {
-			l.flush()
-		}
+		l.add(n)
+	}
+}
+
+// add formats a line, and writes those before it when they would not fit into
+// one write together.
+func (l *Log) add(n line) {
+	before := l.buffer.Len()
+	l.format.write(n)
+	if before > 0 && l.buffer.Len() > writeBytes {
+		l.flush(before)
 	}
 }
 
@@ -175,22 +182,23 @@
 	if len(counts) == 0 {
 		return
 	}
-	l.format.write(line{at: time.Now(), record: leftOut{counts: counts}})
+	l.add(line{at: time.Now(), record: leftOut{counts: counts}})
 }
 
-// flush writes the formatted lines. An error has no other place to be told, and
-// the lines cannot be written later either: they count as left out.
-func (l *Log) flush() {
-	if l.buffer.Len() == 0 {
+// flush writes the first n bytes of the formatted lines. An error has no other
+// place to be told, and the lines cannot be written later either: they count as
+// left out.
+func (l *Log) flush(n int) {
+	if n == 0 {
 		return
 	}
-	lines := bytes.Count(l.buffer.Bytes(), []byte{'\n'})
-	if _, err := l.opts.Out.Write(l.buffer.Bytes()); err != nil {
-		l.limits.unwritten.Add(int64(lines))
+	whole := l.buffer.Next(n)
+	lines := int64(bytes.Count(whole, []byte{'\n'}))
+	if _, err := l.opts.Out.Write(whole); err != nil {
+		l.limits.unwritten.Add(lines)
 	} else {
-		l.limits.written.Add(int64(lines))
+		l.limits.written.Add(lines)
 	}
-	l.buffer.Reset()
 }
 
 // Counts are the numbers of lines since the start of the process.
--- a/common/decisionlog/log_test.go
+++ b/common/decisionlog/log_test.go
@@ -19,7 +19,7 @@
 func written(t *testing.T, l *Log, out *bytes.Buffer) []map[string]any {
 	t.Helper()
 	l.drain()
-	l.flush()
+	l.flush(l.buffer.Len())
 	var lines []map[string]any
 	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
 		if text == "" {
@@ -201,6 +201,26 @@
 	assert.Assert(t, strings.Contains(out.String(), `"process started"`))
 }
 
+// wholeLines fails when a write holds half a line or more than a pipe takes as a whole.
+type wholeLines struct{ t *testing.T }
+
+func (w wholeLines) Write(p []byte) (int, error) {
+	assert.Assert(w.t, len(p) <= writeBytes, "%d bytes", len(p))
+	assert.Equal(w.t, p[len(p)-1], byte('\n'))
+	return len(p), nil
+}
+
+func TestWritesHoldWholeLines(t *testing.T) {
+	l := New(Options{Node: "edge-1", Out: wholeLines{t}})
+	const lines = 100
+	for range lines {
+		l.Write(Refused{Reason: RefusedTooLate, Detail: strings.Repeat("x", 300)})
+	}
+	l.drain()
+	l.flush(l.buffer.Len())
+	assert.Equal(t, l.Counts().Written, int64(lines))
+}
+
 func TestObserverSeesEveryRecord(t *testing.T) {
 	seen := 0
 	l := New(Options{Out: io.Discard, Observe: func(Record) { seen++ }})
