--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -50,6 +50,7 @@
 	FailureTruncated   FailureKind = "truncated"   // the answer ended before it was whole
 	FailureMalformed   FailureKind = "malformed"   // bytes that are no answer to this request
 	FailureTimeout     FailureKind = "timeout"     // no answer in time
+	FailureSilent      FailureKind = "silent"      // nothing was heard from the server any more
 	FailureStatus      FailureKind = "status"      // the server answered with a failure
 	FailureTurnedAway  FailureKind = "turned away" // the server did not run it
 	FailureWrongServer FailureKind = "misdirected" // another server, or without the model
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -85,15 +86,19 @@
 	})
 }
 
-// failureKind says how an attempt failed from its error.
-func failureKind(err error) decisionlog.FailureKind {
+// failureKind says how an attempt failed from its error; ctx is the request's.
+func failureKind(ctx context.Context, err error) decisionlog.FailureKind {
 	switch {
-	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return decisionlog.FailureTimeout
+	case errors.Is(err, context.Canceled):
+		return decisionlog.FailureSilent
 	case fault.Is(err, fault.KindUnavailable):
 		return decisionlog.FailureConnect
 	case fault.Is(err, fault.KindInvalid):
 		return decisionlog.FailureMalformed
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return decisionlog.FailureTruncated
 	}
 	return decisionlog.FailureReset
 }
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -146,7 +146,7 @@
 
 // failed judges an attempt without an answer.
 func (r *run) failed(ctx context.Context, t *balance.Ticket, err error) bool {
-	r.record.attemptFailed(failureKind(err), 0, fault.Is(err, fault.KindUnavailable), err)
+	r.noteFailure(ctx, 0, err)
 	if ctx.Err() == nil {
 		t.Failed()
 	}
@@ -170,6 +170,9 @@
 // one may have run it, or after one declined it.
 func (r *run) mayRepeat(ctx context.Context) bool {
 	budget := r.f.opts.Balancer.BudgetLeft(r.req.service)
+	if r.callerLeft() {
+		return false
+	}
 	if reason := r.forbidsRepeat(ctx); reason != "" {
 		r.record.withheld(reason, budget)
 		return false
@@ -288,7 +291,7 @@
 	if ctx.Err() == nil {
 		t.Failed()
 	}
-	r.record.attemptFailed(failureKind(err), a.Status, false, err)
+	r.noteFailure(ctx, a.Status, err)
 	r.mayRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
 	if r.req.route.Repeat == fleet.RepeatResume && r.mayRepeat(ctx) {
@@ -304,6 +307,16 @@
 	lateReason    = "no answer in time"
 )
 
+// callerLeft reports whether the caller closed its connection.
+func (r *run) callerLeft() bool { return r.r.Context().Err() != nil }
+
+// noteFailure records a failed attempt, unless it ended because the caller left.
+func (r *run) noteFailure(ctx context.Context, status int, err error) {
+	if !r.callerLeft() {
+		r.record.attemptFailed(failureKind(ctx, err), status, fault.Is(err, fault.KindUnavailable), err)
+	}
+}
+
 // noteAnswer records an answer of our own.
 func (r *run) noteAnswer(why refusal) {
 	if why.status == http.StatusServiceUnavailable {
@@ -323,7 +336,7 @@
 
 // brokenOff says who broke an answer off.
 func (r *run) brokenOff(err error) decisionlog.Outcome {
-	if errors.Is(err, relay.ErrClient) || r.r.Context().Err() != nil {
+	if errors.Is(err, relay.ErrClient) || r.callerLeft() {
 		return decisionlog.OutcomeCallerLeft
 	}
 	return decisionlog.OutcomeCut
@@ -332,7 +345,7 @@
 // giveUp answers for the last time: an answer that has begun is cut, so that it
 // does not look complete, and a request that may have run is not called refused.
 func (r *run) giveUp(ctx context.Context, why refusal) bool {
-	if r.stream != nil || r.r.Context().Err() != nil {
+	if r.stream != nil || r.callerLeft() {
 		r.record.fail(r.brokenOff(ctx.Err()), 0, string(brokenOffReason(ctx, why)))
 		panic(http.ErrAbortHandler)
 	}
