--- a/common/decisionlog/logger.go
+++ b/common/decisionlog/logger.go
@@ -39,7 +39,9 @@
 		return nil
 	}
 	request, _ := entry.Data[FieldRequest].(string)
-	h.log.offer(line{at: entry.Time, request: request, record: logged{event: e, data: entry.Data}})
+	record := logged{event: e, data: entry.Data}
+	h.log.observe(record)
+	h.log.offer(line{at: entry.Time, request: request, record: record})
 	return nil
 }
 
--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -53,11 +53,6 @@
 	ServerTrusted
 )
 
-// String returns the label of the change in metrics.
-func (c ServerChange) String() string {
-	return [...]string{"appeared", "left", "draining", "unreadable", "suspected", "trusted"}[c]
-}
-
 // ServerChanged tells that the process sees a server differently.
 type ServerChanged struct {
 	Change     ServerChange
@@ -94,79 +89,6 @@
 	Down time.Duration
 }
 
-// EntryLost tells that another entry does not answer.
-type EntryLost struct {
-	Entry   string
-	Silence time.Duration // since it was last heard
-	Err     error
-}
-
-// EntryRegained tells that another entry answers.
-type EntryRegained struct {
-	Entry string
-	Down  time.Duration // 0 for the first time
-}
-
-// LeaseTaken tells that this process gives orders.
-type LeaseTaken struct {
-	Token    int64
-	Previous string // the holder before
-}
-
-// LeaseLost tells that this process gives orders no longer.
-type LeaseLost struct {
-	Token  int64
-	Reason string
-	Err    error
-}
-
-// OrderOutcome is what a server answered to an order.
-type OrderOutcome string
-
-// The outcomes of orders.
-const (
-	OrderAccepted    OrderOutcome = "accepted"    // being carried out
-	OrderHolds       OrderOutcome = "holds"       // already so
-	OrderBusy        OrderOutcome = "busy"        // another order is in progress, or Seq differs
-	OrderFenced      OrderOutcome = "fenced"      // a higher fencing token was seen
-	OrderInvalid     OrderOutcome = "invalid"     // not understood
-	OrderMisdirected OrderOutcome = "misdirected" // another incarnation has the address
-	OrderLost        OrderOutcome = "unanswered"  // it may have been, or may yet be, carried out
-)
-
-// Ordered is an order to a server with its outcome.
-type Ordered struct {
-	Server   string
-	Load     bool // else unload
-	Model    string
-	Adapter  string
-	Seq      int64
-	Token    int64
-	Outcome  OrderOutcome // as the server answered, when it did
-	Took     time.Duration
-	Reason   string // why it was given
-	Err      error
-	Demand   float64       // what decided it
-	ViewAge  time.Duration // since the registrations were read
-	Replaced string        // model or adapter that makes room
-}
-
-// Kind returns what was ordered.
-func (r Ordered) Kind() string {
-	if r.Load {
-		return "load"
-	}
-	return "unload"
-}
-
-// Result returns the outcome, also of an order without an answer.
-func (r Ordered) Result() OrderOutcome {
-	if r.Err != nil {
-		return OrderLost
-	}
-	return r.Outcome
-}
-
 // leftOut tells how many lines were left out, by event.
 type leftOut struct {
 	counts map[string]int64
@@ -219,26 +141,6 @@
 // Event implements Record.
 func (StoreRegained) Event() event.Event { return event.StoreRegained }
 
-// Event implements Record.
-func (EntryLost) Event() event.Event { return event.EntryLost }
-
-// Event implements Record.
-func (EntryRegained) Event() event.Event { return event.EntryRegained }
-
-// Event implements Record.
-func (LeaseTaken) Event() event.Event { return event.HolderLeaseTaken }
-
-// Event implements Record.
-func (LeaseLost) Event() event.Event { return event.HolderLeaseLost }
-
-// Event implements Record.
-func (r Ordered) Event() event.Event {
-	if r.Err != nil {
-		return event.OrderUnanswered
-	}
-	return event.OrderAnswered
-}
-
 // Event implements Record.
 func (leftOut) Event() event.Event { return event.LogLinesLeftOut }
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -59,46 +59,6 @@
 	e.duration("down_ms", r.Down)
 }
 
-func (r EntryLost) encode(e *encoder) {
-	e.text("peer", r.Entry)
-	e.duration("silent_ms", r.Silence)
-	e.errorIfSet(r.Err)
-}
-
-func (r EntryRegained) encode(e *encoder) {
-	e.text("peer", r.Entry)
-	e.durationIfSet("down_ms", r.Down)
-}
-
-func (r LeaseTaken) encode(e *encoder) {
-	e.count("token", r.Token)
-	e.textIfSet("previous", r.Previous)
-}
-
-func (r LeaseLost) encode(e *encoder) {
-	e.count("token", r.Token)
-	e.text("reason", r.Reason)
-	e.errorIfSet(r.Err)
-}
-
-func (r Ordered) encode(e *encoder) {
-	e.text("server", r.Server)
-	e.text("order", r.Kind())
-	e.text("model", r.Model)
-	e.textIfSet("adapter", r.Adapter)
-	e.count("seq", r.Seq)
-	e.count("token", r.Token)
-	e.text("outcome", string(r.Result()))
-	e.duration("took_ms", r.Took)
-	e.textIfSet("reason", r.Reason)
-	e.errorIfSet(r.Err)
-	if r.Demand != 0 {
-		e.number("demand", r.Demand)
-	}
-	e.durationIfSet("view_age_ms", r.ViewAge)
-	e.textIfSet("replaced", r.Replaced)
-}
-
 func (r leftOut) encode(e *encoder) { e.counts("left_out", r.counts) }
 
 func (r truncated) encode(e *encoder) { e.count("count", int64(r.count)) }
--- a/common/metrics/metrics.go
+++ b/common/metrics/metrics.go
@@ -14,15 +14,13 @@
 
 // Names of the labels.
 const (
-	labelService  = "service"
-	labelOutcome  = "outcome"
-	labelReason   = "reason"
-	labelKind     = "kind"
-	labelNotRun   = "not_run"
-	labelOrder    = "order"
-	labelArtifact = "artifact"
-	labelState    = "state"
-	labelChange   = "change"
+	labelService = "service"
+	labelOutcome = "outcome"
+	labelReason  = "reason"
+	labelKind    = "kind"
+	labelNotRun  = "not_run"
+	labelState   = "state"
+	labelEvent   = "event"
 )
 
 // outcomeRefused stands beside the outcomes of requests that were sent.
@@ -32,10 +30,6 @@
 // 5 s, deadlines below 30 s.
 var latencyBuckets = []float64{0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.5, 2.5, 5, 10, 15, 30}
 
-// orderBuckets are upper bounds in seconds: an order is answered within
-// milliseconds, or not at all.
-var orderBuckets = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2}
-
 // Metrics holds the metrics of a process. It is safe for concurrent use.
 type Metrics struct {
 	registry  *prometheus.Registry
@@ -49,12 +43,7 @@
 	attempts  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
 	withheld  *prometheus.CounterVec
-	orders    *prometheus.CounterVec
-	orderTime *prometheus.HistogramVec
-	servers   *prometheus.CounterVec
-	storeLost prometheus.Counter
-	entryLost prometheus.Counter
-	leases    prometheus.Counter
+	events    *prometheus.CounterVec
 }
 
 // New returns metrics that count from zero.
@@ -70,17 +59,12 @@
 		wait:      histograms("request_wait_seconds", "Time that a request waited at the entry.", latencyBuckets, labelService),
 		attempts:  counters("attempts_failed_total", "Attempts that brought no whole answer.", labelKind, labelNotRun),
 		retries:   counters("retries_total", "Further attempts of requests; resumed streams are one kind.", labelKind),
+		events:    counters("events_total", "Events of the log that belong to no request, such as orders by their outcome.", labelEvent),
 		withheld:  counters("retries_withheld_total", "Failed attempts without another one.", labelReason),
-		orders:    counters("orders_total", "Orders to backend servers.", labelOrder, labelArtifact, labelOutcome),
-		orderTime: histograms("order_answer_seconds", "Time until a backend server answered an order.", orderBuckets, labelOrder),
-		servers:   counters("server_changes_total", "Changes of what the process believes of backend servers.", labelChange),
-		storeLost: counter("store_lost_total", "Times that the platform's store ceased to answer."),
-		entryLost: counter("entry_lost_total", "Times that another entry ceased to answer."),
-		leases:    counter("lease_taken_total", "Times that this process became the one that gives orders."),
 	}
 	m.registry.MustRegister(
 		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.retries, m.withheld,
-		m.orders, m.orderTime, m.servers, m.storeLost, m.entryLost, m.leases, collectors.NewGoCollector(),
+		m.events, collectors.NewGoCollector(),
 	)
 	return m
 }
@@ -106,23 +90,10 @@
 		m.retries.WithLabelValues(retryKind(r)).Inc()
 	case decisionlog.RetryWithheld:
 		m.withheld.WithLabelValues(string(r.Reason)).Inc()
+	case decisionlog.Routed, decisionlog.Waited, decisionlog.Chosen:
+		// The end of the request counts.
 	default:
-		m.observeState(r)
-	}
-}
-
-func (m *Metrics) observeState(r decisionlog.Record) {
-	switch r := r.(type) {
-	case decisionlog.Ordered:
-		m.ordered(r)
-	case decisionlog.ServerChanged:
-		m.servers.WithLabelValues(r.Change.String()).Inc()
-	case decisionlog.StoreLost:
-		m.storeLost.Inc()
-	case decisionlog.EntryLost:
-		m.entryLost.Inc()
-	case decisionlog.LeaseTaken:
-		m.leases.Inc()
+		m.events.WithLabelValues(r.Event().Name).Inc()
 	}
 }
 
@@ -143,17 +114,6 @@
 	m.wait.WithLabelValues(service).Observe(r.Waited.Seconds())
 }
 
-func (m *Metrics) ordered(r decisionlog.Ordered) {
-	artifact := "model"
-	if r.Adapter != "" {
-		artifact = "adapter"
-	}
-	m.orders.WithLabelValues(r.Kind(), artifact, string(r.Result())).Inc()
-	if r.Err == nil {
-		m.orderTime.WithLabelValues(r.Kind()).Observe(r.Took.Seconds())
-	}
-}
-
 func retryKind(r decisionlog.Retried) string {
 	if r.Resumed {
 		return "resumed"
@@ -168,10 +128,6 @@
 	return "false"
 }
 
-func counter(name, help string) prometheus.Counter {
-	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
-}
-
 func counters(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -67,9 +67,9 @@
 		switch l.Event {
 		case event.ServerLeft.ID, event.ServerDraining.ID, event.ModelGone.ID, event.ModelHeld.ID:
 			said = append(said, fmt.Sprintf("%s: %s at %s, as %s saw it.", when(m.At), l.Name, l.Text("server"), l.Node))
-		case event.OrderAnswered.ID, event.OrderUnanswered.ID:
+		case event.OrderGiven.ID, event.OrderDeclined.ID, event.OrderNoAnswer.ID:
 			ordered = ordered || m.At <= 0
-			said = append(said, fmt.Sprintf("%s: %s ordered to %s %s: %s.", when(m.At), l.Text("server"), l.Text("order"), l.Text("model"), l.Text("outcome")))
+			said = append(said, fmt.Sprintf("%s: %s to %s: %s%s.", when(m.At), l.Name, l.Text("peer"), l.Text("subject"), because(l)))
 		}
 	}
 	if !ordered {
--- a/operator/explain/story.go
+++ b/operator/explain/story.go
@@ -184,18 +184,21 @@
 
 // subject is what a request was about.
 type subject struct {
-	servers map[string]bool // that it was sent to
-	models  map[string]bool
+	servers   map[string]bool // that it was sent to
+	models    map[string]bool
+	artifacts map[string]bool // models and MODEL/ADAPTER
 }
 
 func subjectOf(own []*Line) subject {
-	about := subject{servers: map[string]bool{}, models: map[string]bool{}}
+	about := subject{servers: map[string]bool{}, models: map[string]bool{}, artifacts: map[string]bool{}}
 	for _, l := range own {
 		if server := l.Text("server"); server != "" {
 			about.servers[server] = true
 		}
 		if model := l.Text("model"); model != "" {
 			about.models[model] = true
+			about.artifacts[model] = true
+			about.artifacts[model+"/"+l.Text("adapter")] = true
 		}
 	}
 	return about
@@ -206,13 +209,15 @@
 func (a subject) concerns(l *Line, sameNode bool) bool {
 	switch l.Event {
 	case event.ServerAppeared.ID, event.ServerLeft.ID, event.ServerDraining.ID,
-		event.ServerSuspected.ID, event.ServerTrusted.ID, event.ModelHeld.ID, event.ModelGone.ID,
-		event.OrderAnswered.ID, event.OrderUnanswered.ID:
+		event.ServerSuspected.ID, event.ServerTrusted.ID, event.ModelHeld.ID, event.ModelGone.ID:
 		return a.servers[l.Text("server")] || a.models[l.Text("model")] || a.anyHeld(l)
-	case event.HolderLeaseTaken.ID, event.HolderLeaseLost.ID:
+	case event.OrderGiven.ID, event.OrderDeclined.ID, event.OrderNoAnswer.ID:
+		return a.artifacts[ordered(l)]
+	case event.OrdersTaken.ID, event.OrdersLeaseEnded.ID, event.OrdersLeaseError.ID:
 		return true
 	case event.ConfigReplaced.ID, event.StoreLost.ID, event.StoreRegained.ID,
-		event.EntryLost.ID, event.EntryRegained.ID, event.SettingsReloaded.ID, event.SettingsKept.ID,
+		event.EntryLinked.ID, event.EntryUnlinked.ID, event.ConfigFailed.ID,
+		event.SettingsReloaded.ID, event.SettingsKept.ID,
 		event.ProcessStarted.ID, event.ProcessStopping.ID, event.ProcessStopped.ID,
 		event.LogLinesLeftOut.ID, event.ListenerFailed.ID:
 		return sameNode
@@ -220,6 +225,12 @@
 	return false
 }
 
+// ordered returns what an order was about; its subject is such as "load MODEL/ADAPTER".
+func ordered(l *Line) string {
+	_, artifact, _ := strings.Cut(l.Text("subject"), " ")
+	return artifact
+}
+
 func (a subject) anyHeld(l *Line) bool {
 	return slices.ContainsFunc(strings.Fields(l.Text("held")), func(model string) bool { return a.models[model] })
 }
