--- a/admission/admission.go
+++ b/admission/admission.go
@@ -39,6 +39,7 @@
 	Action     Action
 	Reason     string
 	RetryAfter time.Duration
+	Wait       time.Duration // that was expected, where it decided a rejection
 }
 
 // leastRetry is the shortest time after which trying again makes sense.
--- a/admission/plan.go
+++ b/admission/plan.go
@@ -27,6 +27,7 @@
 	for _, e := range all {
 		o, found := offers(e.item, true)
 		if v := l.judgeAgain(e, &o, found, now); v.Action == Reject {
+			v.Wait = o.Wait
 			l.vain = append(l.vain, vain[T]{e, Outcome[T]{Verdict: v, Item: e.item}})
 			continue
 		}
--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -19,18 +19,12 @@
 	ConfigVersion int64
 }
 
-// Waited is a wait at the entry that is over.
-type Waited struct {
-	Reason string        // what was waited for
-	Waited time.Duration // how long
-	Ahead  int           // requests that were ahead of it at the start
-}
-
 // Chosen is the server that a request is sent to, with what decided it.
 type Chosen struct {
 	Server     string
 	Zone       string
 	Attempt    int           // 1 for the first
+	Waited     time.Duration // for its turn, all attempts together
 	Expected   time.Duration // expected time to first token or answer
 	Backlog    time.Duration // of it, work of the requests before this one
 	Running    int           // requests at the server, as this process believes
@@ -184,9 +178,6 @@
 // Event implements Record.
 func (Routed) Event() event.Event { return event.RequestRouted }
 
-// Event implements Record.
-func (Waited) Event() event.Event { return event.RequestWaited }
-
 // Event implements Record.
 func (Chosen) Event() event.Event { return event.ServerChosen }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -12,16 +12,11 @@
 	e.countIfSet("config_version", r.ConfigVersion)
 }
 
-func (r Waited) encode(e *encoder) {
-	e.text("reason", r.Reason)
-	e.duration("waited_ms", r.Waited)
-	e.count("ahead", int64(r.Ahead))
-}
-
 func (r Chosen) encode(e *encoder) {
 	e.text("server", r.Server)
 	e.textIfSet("zone", r.Zone)
 	e.count("attempt", int64(r.Attempt))
+	e.duration("waited_ms", r.Waited)
 	e.durationIfSet("expected_ms", r.Expected)
 	e.durationIfSet("backlog_ms", r.Backlog)
 	e.countIfSet("running", int64(r.Running))
--- a/common/event/deployment.go
+++ b/common/event/deployment.go
@@ -14,6 +14,7 @@
 	ServerTrusted    = define(646, "server trusted again", logrus.InfoLevel, "A suspected backend server answers again.")
 	ModelHeld        = define(647, "model held", logrus.InfoLevel, "A backend server holds a model that it did not hold.")
 	ModelGone        = define(648, "model gone", logrus.InfoLevel, "A backend server no longer holds a model; look for an order to unload it, or for a restart under the same id.")
+	NotMadeResident  = define(649, "not made resident", logrus.WarnLevel, "The entry that gives the orders, named by peer, did not make the model or adapter named by subject resident. It is asked again while requests wait for it.")
 	StoreLost        = define(650, "store lost", logrus.WarnLevel, "The platform's store does not answer this process. Requests go on with the last known configuration and servers.")
 	StoreRegained    = define(651, "store regained", logrus.InfoLevel, "The platform's store answers again; down_ms is how long it did not.")
 	SettingsReloaded = define(670, "settings reloaded", logrus.InfoLevel, "The settings file was read again; reason says what changed, or that nothing did.")
--- a/common/metrics/metrics.go
+++ b/common/metrics/metrics.go
@@ -90,7 +90,7 @@
 		m.retries.WithLabelValues(retryKind(r)).Inc()
 	case decisionlog.RetryWithheld:
 		m.withheld.WithLabelValues(string(r.Reason)).Inc()
-	case decisionlog.Routed, decisionlog.Waited, decisionlog.Chosen:
+	case decisionlog.Routed, decisionlog.Chosen:
 		// The end of the request counts.
 	default:
 		m.events.WithLabelValues(r.Event().Name).Inc()
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -51,12 +51,16 @@
 	r.end.Server = t.Server.ID
 	r.end.Expected = t.Expected
 	r.end.ViewAge = r.sentAt.Sub(v.ServersRead)
-	r.end.Waited = r.sentAt.Sub(r.req.arrived)
+	r.end.Backlog = t.Backlog
 	r.trace.Add(decisionlog.Chosen{
 		Server:   t.Server.ID,
 		Zone:     t.Server.Zone,
 		Attempt:  r.end.Attempts,
+		Waited:   r.end.Waited,
 		Expected: t.Expected,
+		Backlog:  t.Backlog,
+		Running:  t.Running,
+		Cached:   t.Cached,
 		ViewAge:  r.end.ViewAge,
 	})
 }
@@ -133,7 +137,10 @@
 		Detail:        why.detail,
 		Status:        why.status,
 		RetryAfter:    why.after,
-		Waited:        time.Since(r.req.arrived),
+		Waited:        r.end.Waited,
+		Expected:      why.expected,
+		Waiting:       why.waiting,
+		Candidates:    why.holders,
 		ViewAge:       r.end.ViewAge,
 		ConfigVersion: r.version,
 		Service:       r.req.service,
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -22,8 +22,7 @@
 	// leastLeft is less time than any answer takes.
 	leastLeft = 5 * time.Millisecond
 
-	busyRetry = 400 * time.Millisecond // told when servers are full
-	loadRetry = time.Second            // told when the model has to be loaded
+	busyRetry = 400 * time.Millisecond // told when servers declined or could not be reached
 )
 
 // run is one request on its way.
@@ -70,7 +69,9 @@
 	if ctx.Err() != nil || time.Until(r.req.deadline()) < leastLeft {
 		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate})
 	}
+	asked := time.Now()
 	ticket, refused := r.choose(ctx)
+	r.record.end.Waited += time.Since(asked)
 	if refused != nil {
 		return r.giveUp(ctx, *refused)
 	}
@@ -90,29 +91,36 @@
 	return r.answered(ctx, ticket, answer, watch)
 }
 
-// choose takes a server, loading what is missing.
+// choose waits for the turn of the request at some server.
 func (r *run) choose(ctx context.Context) (*balance.Ticket, *refusal) {
-	q := balance.Query{
-		Service: r.req.service,
-		Request: &r.req.Request,
-		Route:   r.req.route,
-		Exclude: r.exclude,
-	}
-	ticket, err := r.f.opts.Balancer.Choose(r.f.opts.Views.Current(), q)
-	if err == nil {
+	ticket, rejected := r.f.opts.Balancer.Admit(ctx, balance.Query{
+		Service:  r.req.service,
+		Request:  &r.req.Request,
+		Route:    r.req.route,
+		Arrived:  r.req.arrived,
+		Deadline: r.req.deadline(),
+		Exclude:  r.exclude,
+	})
+	if rejected == nil {
 		return ticket, nil
 	}
-	if !errors.Is(err, balance.ErrNotResident) {
-		return nil, &refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedNoServer}
-	}
-	id, err := r.f.opts.Adapters.Ensure(ctx, r.req.service, r.req.Model, r.req.Adapter)
-	if err == nil {
-		ticket, err = r.f.opts.Balancer.Take(r.f.opts.Views.Current(), q, id)
+	why := &refusal{
+		status: http.StatusServiceUnavailable,
+		after:  rejected.RetryAfter,
+		reason: decisionlog.RefusedTooLate,
+		detail: rejected.Reason,
+
+		expected: rejected.Expected,
+		waiting:  rejected.Waiting,
+		holders:  rejected.Holders,
 	}
-	if err != nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, after: loadRetry, reason: r.notHeld(), detail: err.Error()}
+	switch {
+	case rejected.Left:
+		why.reason = decisionlog.RefusedTooLate
+	case rejected.NotHeld:
+		why.reason = r.notHeld()
 	}
-	return ticket, nil
+	return nil, why
 }
 
 // notHeld says what no server holds.
@@ -147,11 +155,18 @@
 // failed judges an attempt without an answer.
 func (r *run) failed(ctx context.Context, t *balance.Ticket, err error) bool {
 	r.noteFailure(ctx, 0, err)
+	if exchange.IsStale(err) {
+		r.unsent++
+		return r.unsent < unsentTries || r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedUnreachable})
+	}
+	r.exclude = append(r.exclude, t.Server.ID)
 	if ctx.Err() == nil {
 		t.Failed()
 	}
-	r.exclude = append(r.exclude, t.Server.ID)
 	if fault.Is(err, fault.KindUnavailable) {
+		if ctx.Err() == nil {
+			t.Unreachable()
+		}
 		r.unsent++
 		if r.unsent < unsentTries && ctx.Err() == nil {
 			return true
@@ -237,7 +252,7 @@
 	t.Failed()
 	r.mayRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
-	if r.req.route.Repeat != fleet.RepeatNever && r.mayRepeat(ctx) {
+	if r.mayRepeat(ctx) {
 		return true
 	}
 	if r.stream != nil {
@@ -294,7 +309,9 @@
 	r.noteFailure(ctx, a.Status, err)
 	r.mayRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
-	if r.req.route.Repeat == fleet.RepeatResume && r.mayRepeat(ctx) {
+	if r.req.route.Repeat != fleet.RepeatResume {
+		r.record.withheld(decisionlog.WithheldBegun, r.f.opts.Balancer.BudgetLeft(r.req.service))
+	} else if r.mayRepeat(ctx) {
 		return true
 	}
 	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: failedReason})
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -44,8 +44,11 @@
 	if retry := e.Duration("retry_after_ms"); retry > 0 {
 		said = append(said, fmt.Sprintf("The caller was told to come back after %v.", retry))
 	}
+	if candidates := e.Text("candidates"); candidates != "" {
+		said = append(said, fmt.Sprintf("%s servers hold what it asked for; %s other requests waited for the service at %s.", candidates, orNone(e.Text("waiting")), t.Taker.node))
+	}
 	if expected := e.Duration("expected_ms"); expected > 0 {
-		said = append(said, fmt.Sprintf("Its answer was expected after %v, %v of it for requests before it.", expected, e.Duration("backlog_ms")))
+		said = append(said, fmt.Sprintf("Its answer was expected to begin %v later.", expected))
 	}
 	said = append(said, t.attempts()...)
 	switch decisionlog.RefusalReason(e.Text("reason")) {
@@ -188,6 +191,13 @@
 	return fmt.Sprintf("%v after it arrived", at)
 }
 
+func orNone(count string) string {
+	if count == "" {
+		return "no"
+	}
+	return count
+}
+
 func capital(text string) string {
 	if text == "" {
 		return text
