--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -19,18 +19,12 @@
 	ConfigVersion int64
 }
 
-// Waited is a wait at the entry that is over.
-type Waited struct {
-	Reason string        // what was waited for
-	Waited time.Duration // how long
-	Ahead  int           // requests that were ahead of it at the start
-}
-
 // Chosen is the server that a request is sent to, with what decided it.
 type Chosen struct {
 	Server     string
 	Zone       string
 	Attempt    int           // 1 for the first
+	Waited     time.Duration // for its turn, all attempts together
 	Expected   time.Duration // expected time to first token or answer
 	Backlog    time.Duration // of it, work of the requests before this one
 	Running    int           // requests at the server, as this process believes
@@ -50,6 +44,7 @@
 	FailureTruncated   FailureKind = "truncated"   // the answer ended before it was whole
 	FailureMalformed   FailureKind = "malformed"   // bytes that are no answer to this request
 	FailureTimeout     FailureKind = "timeout"     // no answer in time
+	FailureSilent      FailureKind = "silent"      // nothing was heard from the server any more
 	FailureStatus      FailureKind = "status"      // the server answered with a failure
 	FailureTurnedAway  FailureKind = "turned away" // the server did not run it
 	FailureWrongServer FailureKind = "misdirected" // another server, or without the model
@@ -129,8 +124,11 @@
 	ViewAge       time.Duration // since the registrations were read
 	ConfigVersion int64
 	Service       string
+	Route         string
 	Model         string
 	Adapter       string
+	PromptTokens  int
+	Deadline      time.Duration // what the caller would have waited
 }
 
 // Outcome says how a request that was sent to a server ended.
@@ -166,6 +164,9 @@
 	FirstByte     time.Duration // from its arrival to the first byte for the caller
 	Total         time.Duration // from its arrival to the end
 	Objective     time.Duration
+	GapObjective  time.Duration // for the longest pause
+	Deadline      time.Duration // what the caller would have waited
+	PromptTokens  int
 	Backlog       time.Duration // of it, work of the requests before this one
 	ViewAge       time.Duration
 	Bytes         int64
@@ -177,9 +178,6 @@
 // Event implements Record.
 func (Routed) Event() event.Event { return event.RequestRouted }
 
-// Event implements Record.
-func (Waited) Event() event.Event { return event.RequestWaited }
-
 // Event implements Record.
 func (Chosen) Event() event.Event { return event.ServerChosen }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -12,21 +12,16 @@
 	e.countIfSet("config_version", r.ConfigVersion)
 }
 
-func (r Waited) encode(e *encoder) {
-	e.text("reason", r.Reason)
-	e.duration("waited_ms", r.Waited)
-	e.count("ahead", int64(r.Ahead))
-}
-
 func (r Chosen) encode(e *encoder) {
 	e.text("server", r.Server)
 	e.textIfSet("zone", r.Zone)
 	e.count("attempt", int64(r.Attempt))
-	e.duration("expected_ms", r.Expected)
-	e.duration("backlog_ms", r.Backlog)
-	e.count("running", int64(r.Running))
+	e.duration("waited_ms", r.Waited)
+	e.durationIfSet("expected_ms", r.Expected)
+	e.durationIfSet("backlog_ms", r.Backlog)
+	e.countIfSet("running", int64(r.Running))
 	e.countIfSet("cached_tokens", int64(r.Cached))
-	e.count("candidates", int64(r.Candidates))
+	e.countIfSet("candidates", int64(r.Candidates))
 	e.duration("view_age_ms", r.ViewAge)
 	e.textIfSet("reason", r.Reason)
 }
@@ -63,13 +58,16 @@
 	e.durationIfSet("expected_ms", r.Expected)
 	e.duration("waited_ms", r.Waited)
 	e.durationIfSet("backlog_ms", r.Backlog)
-	e.count("waiting", int64(r.Waiting))
-	e.count("candidates", int64(r.Candidates))
+	e.countIfSet("waiting", int64(r.Waiting))
+	e.countIfSet("candidates", int64(r.Candidates))
 	e.durationIfSet("view_age_ms", r.ViewAge)
 	e.countIfSet("config_version", r.ConfigVersion)
 	e.textIfSet("service", r.Service)
+	e.textIfSet("route", r.Route)
 	e.textIfSet("model", r.Model)
 	e.textIfSet("adapter", r.Adapter)
+	e.countIfSet("prompt_tokens", int64(r.PromptTokens))
+	e.durationIfSet("deadline_ms", r.Deadline)
 }
 
 func (r Finished) encode(e *encoder) {
@@ -86,6 +84,9 @@
 	e.durationIfSet("first_byte_ms", r.FirstByte)
 	e.duration("total_ms", r.Total)
 	e.durationIfSet("objective_ms", r.Objective)
+	e.durationIfSet("gap_objective_ms", r.GapObjective)
+	e.durationIfSet("deadline_ms", r.Deadline)
+	e.countIfSet("prompt_tokens", int64(r.PromptTokens))
 	e.durationIfSet("backlog_ms", r.Backlog)
 	e.durationIfSet("view_age_ms", r.ViewAge)
 	e.count("bytes", r.Bytes)
--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// Waiting returns the number of requests that wait here.
+func (b *Balancer) Waiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, p := range b.pools {
+		n += p.line.Len()
+	}
+	return n
+}
+
 // poke has Run look at the lines.
 func (b *Balancer) poke() {
 	select {
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -19,6 +19,7 @@
 	Expected time.Duration // until the first event
 	Backlog  time.Duration // of it, work before the request
 	Cached   int           // tokens of the prompt that the server keeps
+	Running  int           // requests that this entry had sent there before and that had not ended
 
 	b        *Balancer
 	p        *pool
@@ -39,6 +40,7 @@
 		Expected: o.Wait,
 		Backlog:  o.Backlog,
 		Cached:   w.cached,
+		Running:  s.inFlight,
 		b:        b,
 		p:        p,
 		s:        s,
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -24,8 +24,11 @@
 type Rejection struct {
 	Reason     string
 	RetryAfter time.Duration
-	NotHeld    bool // no server holds the model or adapter
-	Left       bool // the client left first
+	Expected   time.Duration // the wait that decided it; 0 when none was known
+	Waiting    int           // requests of the service that wait at this entry
+	Holders    int           // servers that hold what is asked for
+	NotHeld    bool          // no server holds the model or adapter
+	Left       bool          // the client left first
 }
 
 // waiting is a request that waits for a server.
@@ -178,8 +181,11 @@
 }
 
 func (p *pool) rejection(w *waiting, v admission.Verdict, now time.Time) *Rejection {
-	r := &Rejection{Reason: v.Reason, RetryAfter: v.RetryAfter}
-	r.NotHeld = w.artifact.model != "" && p.replicas(w, now, false) == 0
+	r := &Rejection{Reason: v.Reason, RetryAfter: v.RetryAfter, Expected: v.Wait, Waiting: p.line.Len()}
+	if w.artifact.model != "" {
+		r.Holders = p.replicas(w, now, false)
+		r.NotHeld = r.Holders == 0
+	}
 	if d := p.demand[w.artifact.model]; r.NotHeld && d != nil {
 		d.Refused++
 	}
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -112,6 +113,12 @@
 	daemon.Go(lc, c.tellDemand)
 }
 
+// givesOrders reports whether this entry holds the orders lease.
+func (c *coordination) givesOrders() bool {
+	_, mine := c.keeper.Holder()
+	return mine
+}
+
 // release gives the orders lease back, so that another entry takes it sooner.
 func (c *coordination) release(ctx context.Context) {
 	if err := c.keeper.Close(ctx); err != nil {
@@ -125,9 +132,18 @@
 	c.mesh.Broadcast(methodChange, changeNote{Server: server, Change: change})
 }
 
-// ensure asks the entry that gives the orders.
+// ensure asks the entry that gives the orders and logs why it was in vain.
 func (c *coordination) ensure(ctx context.Context, service, model, adapter string, prefer []string) (string, error) {
 	holder, mine := c.keeper.Holder()
+	id, err := c.askHolder(ctx, holder, mine, service, model, adapter, prefer)
+	if err != nil {
+		artifact := strings.TrimSuffix(model+"/"+adapter, "/")
+		event.Log(c.log, event.NotMadeResident, event.Peer(holder), event.Subject("load "+artifact), event.Err(err))
+	}
+	return id, err
+}
+
+func (c *coordination) askHolder(ctx context.Context, holder string, mine bool, service, model, adapter string, prefer []string) (string, error) {
 	if mine {
 		return c.keeper.Ensure(ctx, service, model, adapter, prefer)
 	}
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -223,6 +223,10 @@
 	after  time.Duration // until trying again makes sense; 0 when it never does
 	reason decisionlog.RefusalReason
 	detail string
+
+	expected time.Duration // the wait that decided it; 0 when none was known
+	waiting  int           // requests that wait for the same service here
+	holders  int           // servers that hold what is asked for
 }
 
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, why refusal) {
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -36,13 +36,16 @@
 func useLog(log *decisionlog.Log) logrus.FieldLogger { return log.Logger() }
 
 func startMetrics(lc fx.Lifecycle, s Settings, m *metrics.Metrics, log *decisionlog.Log, logger logrus.FieldLogger,
-	w *view.Watcher, b *balance.Balancer, f *front.Front) {
+	w *view.Watcher, b *balance.Balancer, f *front.Front, c *coordination) {
 	m.Watch(metrics.Sources{
 		Log:           log.Counts,
+		Waiting:       b.Waiting,
 		InProgress:    func() int { return int(f.Active()) },
 		BudgetLeft:    b.BudgetsLeft,
 		Servers:       func() map[metrics.ServerState]int { return serverStates(w.Current()) },
 		ConfigVersion: func() int64 { return configVersion(w.Current()) },
+		ConfigAge:     w.ConfigAge,
+		LeaseHeld:     c.givesOrders,
 		ServersAge:    func() time.Duration { return serversAge(w.Current()) },
 	})
 	mux := http.NewServeMux()
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -41,7 +41,9 @@
 	log       *decisionlog.Log
 	logger    logrus.FieldLogger // into the same log
 
-	current atomic.Pointer[fleet.View]
+	current     atomic.Pointer[fleet.View]
+	started     time.Time
+	configHeard atomic.Int64 // when the store last answered for the configuration, in nanoseconds since started
 
 	mu          sync.Mutex
 	position    int64     // of the newest registrations
@@ -55,7 +57,7 @@
 // New returns a watcher with an empty view. regions names the region of each
 // availability zone.
 func New(directory fleet.Directory, regions map[string]string, log *decisionlog.Log) *Watcher {
-	w := &Watcher{directory: directory, regions: regions, log: log, logger: log.Logger(), unreadable: map[string]bool{}}
+	w := &Watcher{started: time.Now(), directory: directory, regions: regions, log: log, logger: log.Logger(), unreadable: map[string]bool{}}
 	w.current.Store(&fleet.View{Regions: regions})
 	return w
 }
@@ -63,6 +65,11 @@
 // Current returns the view at this moment.
 func (w *Watcher) Current() *fleet.View { return w.current.Load() }
 
+// ConfigAge returns the time since the store last answered for the configuration.
+func (w *Watcher) ConfigAge() time.Duration {
+	return time.Since(w.started) - time.Duration(w.configHeard.Load())
+}
+
 // OnChange registers a function that is called after each change of the view.
 // It is called before the duties start, and must not block.
 func (w *Watcher) OnChange(f func(*fleet.View)) { w.listeners = append(w.listeners, f) }
@@ -94,6 +101,7 @@
 			event.Log(w.logger, event.ConfigFailed, event.Err(err))
 		}
 		pause = retryPause
+		w.configHeard.Store(int64(time.Since(w.started)))
 		known, position = true, s.Position
 		if s.Config != nil {
 			w.Apply(s.Config)
