--- a/entry/direct/balance/budget.go
+++ b/entry/direct/balance/budget.go
@@ -20,6 +20,13 @@
 // window the requests fell into.
 const ratioShare = 0.7
 
+// SetBudget changes the budget.
+func (b *Balancer) SetBudget(budget Budget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opts.Budget = budget
+}
+
 // Arrived counts a request of the service.
 func (b *Balancer) Arrived(service string) {
 	b.mu.Lock()
@@ -40,6 +47,24 @@
 	return true
 }
 
+// BudgetLeft returns how many attempts the budget allows now.
+func (b *Balancer) BudgetLeft(service string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.account(service).left
+}
+
+// BudgetsLeft returns what BudgetLeft does for each service.
+func (b *Balancer) BudgetsLeft() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := make(map[string]float64, len(b.spent))
+	for service, account := range b.spent {
+		left[service] = account.left
+	}
+	return left
+}
+
 // most is the largest account: this entry's part of the slack.
 func (b *Balancer) most() float64 {
 	return b.opts.Budget.Slack / float64(max(b.opts.Budget.Parts, 1))
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -14,9 +14,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/sirupsen/logrus"
 
-	"peridotchute.example/common/event"
+	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
 	"peridotchute.example/fleet"
@@ -27,6 +26,11 @@
 	// within a few round trips of their start.
 	unknownRetry = 300 * time.Millisecond
 
+	// lastStart is how long after Stop requests are still begun: new connections
+	// arrive for two seconds and a little more.
+	lastStart = 2800 * time.Millisecond
+	stopRetry = 50 * time.Millisecond // told afterwards: another entry takes the request
+
 	// defaultDeadline applies to requests without one on routes without timeout.
 	defaultDeadline = time.Minute
 )
@@ -43,7 +47,7 @@
 	Exchanger *exchange.Exchanger
 	Balancer  *balance.Balancer
 	Adapters  Adapters
-	Log       logrus.FieldLogger
+	Log       *decisionlog.Log
 }
 
 // Adapters makes models and adapters resident on request.
@@ -56,7 +60,7 @@
 // Front answers requests. It is an http.Handler.
 type Front struct {
 	opts     Options
-	stopping atomic.Bool
+	stopping atomic.Int64 // when Stop was called, in nanoseconds since start; 0 before
 	active   atomic.Int64
 }
 
@@ -64,7 +68,19 @@
 func New(opts Options) *Front { return &Front{opts: opts} }
 
 // Stop makes every answer from now on the last one of its connection.
-func (f *Front) Stop() { f.stopping.Store(true) }
+func (f *Front) Stop() { f.stopping.Store(int64(time.Since(start))) }
+
+// start is the origin of stopping.
+var start = time.Now()
+
+// lateness returns how long ago Stop was called, or 0 before.
+func (f *Front) lateness() time.Duration {
+	at := f.stopping.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Since(start) - time.Duration(at)
+}
 
 // Active returns the number of requests in progress.
 func (f *Front) Active() int64 { return f.active.Load() }
@@ -73,18 +89,23 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if f.stopping.Load() {
+	arrived := time.Now()
+	late := f.lateness()
+	if late > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	arrived := time.Now()
+	if late > lastStart {
+		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, after: stopRetry, reason: decisionlog.RefusedStopping})
+		return
+	}
 	view := f.opts.Views.Current()
 	if view.Config == nil {
-		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, after: unknownRetry, reason: "no configuration known"})
+		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, after: unknownRetry, reason: decisionlog.RefusedNoConfig})
 		return
 	}
 	route := view.Config.Match(hostOf(r.Host), pathOf(r.RequestURI))
 	if route == nil {
-		f.refuse(w, r, refusal{status: http.StatusNotFound, reason: "no route"})
+		f.refuse(w, r, refusal{status: http.StatusNotFound, reason: decisionlog.RefusedNoRoute})
 		return
 	}
 	req, refused := f.read(w, r, view.Config.Limits)
@@ -94,7 +115,7 @@
 	}
 	req.arrived, req.route = arrived, route
 	req.service = serviceOf(route, req.ID)
-	f.serve(w, r, req)
+	f.serve(w, r, req, view)
 }
 
 // request is a client's request that was read whole.
@@ -110,22 +131,22 @@
 // read checks a request against the limits and reads its body.
 func (f *Front) read(w http.ResponseWriter, r *http.Request, limits fleet.Limits) (*request, *refusal) {
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
-		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too long"}
+		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: decisionlog.RefusedTooLarge, detail: "header"}
 	}
 	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: decisionlog.RefusedTooLarge, detail: "body"}
 	}
 	parsed, err := f.opts.Codec.Request(r.Header)
 	if err != nil {
-		return nil, &refusal{status: http.StatusBadRequest, reason: err.Error()}
+		return nil, &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: err.Error()}
 	}
 	body, err := readBody(w, r, limits.BodyBytes)
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too long"}
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: decisionlog.RefusedTooLarge, detail: "body"}
 	}
 	if err != nil {
-		return nil, &refusal{status: http.StatusBadRequest, reason: "body: " + err.Error()}
+		return nil, &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: "body: " + err.Error()}
 	}
 	return &request{Request: parsed, body: body, target: originForm(r.RequestURI)}, nil
 }
@@ -209,12 +230,20 @@
 type refusal struct {
 	status int
 	after  time.Duration // until trying again makes sense; 0 when it never does
-	reason string
+	reason decisionlog.RefusalReason
+	detail string
 }
 
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, why refusal) {
 	parsed, _ := f.opts.Codec.Request(r.Header) // only its ID is used, which may be missing
-	event.Log(f.opts.Log, event.RequestRefused, event.Request(parsed.ID), event.Reason(why.reason), event.Count(int64(why.status)))
+	f.opts.Log.Trace(parsed.ID).End(decisionlog.Refused{
+		Reason:     why.reason,
+		Detail:     why.detail,
+		Status:     why.status,
+		RetryAfter: why.after,
+		Model:      parsed.Model,
+		Adapter:    parsed.Adapter,
+	})
 	f.opts.Codec.Refuse(w.Header(), parsed.ID, why.after)
 	w.Header().Set("Content-Length", strconv.Itoa(0))
 	w.WriteHeader(why.status)
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"peridotchute.example/common/event"
+	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
@@ -38,14 +38,16 @@
 	mayRun  bool          // some server may have run the request
 	exclude []string      // IDs of servers that failed it
 	verdict refusal       // in force when no further attempt is made
+	record  *record
 }
 
 // serve answers the request.
-func (f *Front) serve(w http.ResponseWriter, r *http.Request, req *request) {
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, req *request, v *fleet.View) {
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline())
 	defer cancel()
 	f.opts.Balancer.Arrived(req.service)
-	run := &run{f: f, w: w, r: r, req: req}
+	run := &run{f: f, w: w, r: r, req: req, record: newRecord(f.opts.Log, req, v)}
+	defer run.record.close()
 	for run.attempt(ctx) {
 	}
 }
@@ -66,13 +68,14 @@
 // returns false the client has its answer.
 func (r *run) attempt(ctx context.Context) bool {
 	if ctx.Err() != nil || time.Until(r.req.deadline()) < leastLeft {
-		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, reason: "no time left"})
+		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate})
 	}
 	ticket, refused := r.choose(ctx)
 	if refused != nil {
 		return r.giveUp(ctx, *refused)
 	}
 	defer ticket.End()
+	r.record.chosen(ticket, r.f.opts.Views.Current())
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := watchStall(attempt, cancel, ticket)
@@ -100,18 +103,26 @@
 		return ticket, nil
 	}
 	if !errors.Is(err, balance.ErrNotResident) {
-		return nil, &refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: err.Error()}
+		return nil, &refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedNoServer}
 	}
 	id, err := r.f.opts.Adapters.Ensure(ctx, r.req.service, r.req.Model, r.req.Adapter)
 	if err == nil {
 		ticket, err = r.f.opts.Balancer.Take(r.f.opts.Views.Current(), q, id)
 	}
 	if err != nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, after: loadRetry, reason: err.Error()}
+		return nil, &refusal{status: http.StatusServiceUnavailable, after: loadRetry, reason: r.notHeld(), detail: err.Error()}
 	}
 	return ticket, nil
 }
 
+// notHeld says what no server holds.
+func (r *run) notHeld() decisionlog.RefusalReason {
+	if r.req.Adapter != "" {
+		return decisionlog.RefusedNoAdapter
+	}
+	return decisionlog.RefusedNoHolder
+}
+
 func (r *run) call(s *fleet.Server) *exchange.Call {
 	attempt := fleet.Attempt{
 		Instance: s.ID,
@@ -135,7 +146,7 @@
 
 // failed judges an attempt without an answer.
 func (r *run) failed(ctx context.Context, t *balance.Ticket, err error) bool {
-	event.Log(r.f.opts.Log, event.AttemptFailed, event.Request(r.req.ID), event.Peer(t.Server.ID), event.Err(err))
+	r.record.attemptFailed(failureKind(err), 0, fault.Is(err, fault.KindUnavailable), err)
 	if ctx.Err() == nil {
 		t.Failed()
 	}
@@ -145,26 +156,47 @@
 		if r.unsent < unsentTries && ctx.Err() == nil {
 			return true
 		}
-		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: "no server can be reached"})
+		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedUnreachable})
 	}
 	r.sent++
 	r.mayRun = true
 	if r.mayRepeat(ctx) {
 		return true
 	}
-	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: "the server failed"})
+	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: failedReason})
 }
 
 // mayRepeat reports whether the request may be sent to one more server though
 // one may have run it, or after one declined it.
 func (r *run) mayRepeat(ctx context.Context) bool {
-	if ctx.Err() != nil || r.sent >= r.req.route.MaxAttempts {
+	budget := r.f.opts.Balancer.BudgetLeft(r.req.service)
+	if reason := r.forbidsRepeat(ctx); reason != "" {
+		r.record.withheld(reason, budget)
 		return false
 	}
-	if r.mayRun && r.req.route.Repeat == fleet.RepeatNever {
+	if !r.f.opts.Balancer.Repeat(r.req.service) {
+		r.record.withheld(decisionlog.WithheldBudget, budget)
 		return false
 	}
-	return r.f.opts.Balancer.Repeat(r.req.service)
+	lastID := ""
+	if r.stream != nil {
+		lastID = r.stream.LastID()
+	}
+	r.record.retried(lastID, budget-1)
+	return true
+}
+
+// forbidsRepeat says what but the budget forbids another attempt, or "".
+func (r *run) forbidsRepeat(ctx context.Context) decisionlog.WithheldReason {
+	switch {
+	case ctx.Err() != nil:
+		return decisionlog.WithheldTime
+	case r.sent >= r.req.route.MaxAttempts:
+		return decisionlog.WithheldAttempts
+	case r.mayRun && r.req.route.Repeat == fleet.RepeatNever:
+		return decisionlog.WithheldMayHaveRun
+	}
+	return ""
 }
 
 // answered judges an answer and passes it on unless another attempt is made.
@@ -175,6 +207,7 @@
 	case a.Status >= http.StatusInternalServerError:
 		return r.erred(ctx, t, a)
 	case r.stream != nil && a.Status != http.StatusOK:
+		r.record.attemptFailed(decisionlog.FailureStatus, a.Status, false, nil)
 		t.Failed()
 		r.exclude = append(r.exclude, t.Server.ID)
 		return r.mayRepeat(ctx) || r.giveUp(ctx, refusal{status: http.StatusBadGateway})
@@ -186,16 +219,18 @@
 
 // declined handles an answer by which the server did not run the request.
 func (r *run) declined(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
+	r.record.attemptFailed(declineKind(a.Outcome), a.Status, true, nil)
 	t.Declined(a.Outcome.Gone)
 	r.exclude = append(r.exclude, t.Server.ID)
 	if r.mayRepeat(ctx) {
 		return true
 	}
-	return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: "the server declined"})
+	return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedTurnedAway})
 }
 
 // erred handles a server's own error, which counts as a run.
 func (r *run) erred(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
+	r.record.attemptFailed(decisionlog.FailureStatus, a.Status, false, nil)
 	t.Failed()
 	r.mayRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
@@ -206,7 +241,7 @@
 		return r.giveUp(ctx, refusal{status: http.StatusBadGateway})
 	}
 	if a.Status == http.StatusServiceUnavailable {
-		return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: "the server does not say that it did not run the request"})
+		return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: unclearReason})
 	}
 	return r.passWhole(ctx, t, a)
 }
@@ -221,8 +256,11 @@
 		t.Succeeded()
 	}
 	if err := relay.Pass(r.w, a, held); err != nil {
+		r.record.fail(r.brokenOff(err), a.Status, err.Error())
 		panic(http.ErrAbortHandler)
 	}
+	r.record.progress()
+	r.record.whole(a, held)
 	return false
 }
 
@@ -235,39 +273,68 @@
 	err := r.stream.Copy(a.Body, func() {
 		t.Event()
 		watch.heard()
+		r.record.progress()
 	})
+	r.record.end.Events, r.record.end.Bytes = r.stream.Events, r.stream.Bytes
 	switch {
 	case err == nil:
 		t.Succeeded()
+		r.record.served(a.Status, r.stream.Bytes)
 		return false
 	case errors.Is(err, relay.ErrClient):
+		r.record.fail(decisionlog.OutcomeCallerLeft, a.Status, "")
 		panic(http.ErrAbortHandler)
 	}
 	if ctx.Err() == nil {
 		t.Failed()
 	}
-	event.Log(r.f.opts.Log, event.AttemptFailed, event.Request(r.req.ID), event.Peer(t.Server.ID), event.Err(err))
+	r.record.attemptFailed(failureKind(err), a.Status, false, err)
 	r.mayRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
 	if r.req.route.Repeat == fleet.RepeatResume && r.mayRepeat(ctx) {
 		return true
 	}
-	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: "the stream was cut"})
+	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: failedReason})
+}
+
+// Reasons of failures other than refusals.
+const (
+	failedReason  = "the server failed"
+	unclearReason = "the server does not say that it did not run the request"
+	lateReason    = "no answer in time"
+)
+
+// noteAnswer records an answer of our own.
+func (r *run) noteAnswer(why refusal) {
+	if why.status == http.StatusServiceUnavailable {
+		r.record.refuse(why)
+		return
+	}
+	r.record.fail(decisionlog.OutcomeFailed, why.status, string(why.reason))
+}
+
+// brokenOff says who broke an answer off.
+func (r *run) brokenOff(err error) decisionlog.Outcome {
+	if errors.Is(err, relay.ErrClient) || r.r.Context().Err() != nil {
+		return decisionlog.OutcomeCallerLeft
+	}
+	return decisionlog.OutcomeCut
 }
 
 // giveUp answers for the last time: an answer that has begun is cut, so that it
 // does not look complete, and a request that may have run is not called refused.
 func (r *run) giveUp(ctx context.Context, why refusal) bool {
 	if r.stream != nil || r.r.Context().Err() != nil {
+		r.record.fail(r.brokenOff(ctx.Err()), 0, string(why.reason))
 		panic(http.ErrAbortHandler)
 	}
 	if r.mayRun && why.status == http.StatusServiceUnavailable {
 		why = refusal{status: http.StatusBadGateway, reason: why.reason}
 	}
 	if r.mayRun && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		why = refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}
+		why = refusal{status: http.StatusGatewayTimeout, reason: lateReason}
 	}
-	event.Log(r.f.opts.Log, event.RequestRefused, event.Request(r.req.ID), event.Reason(why.reason), event.Count(int64(why.status)))
+	r.noteAnswer(why)
 	r.f.opts.Codec.Refuse(r.w.Header(), r.req.ID, why.after)
 	r.w.Header().Set("Content-Length", "0")
 	r.w.WriteHeader(why.status)
--- a/entry/direct/relay/whole.go
+++ b/entry/direct/relay/whole.go
@@ -40,6 +40,9 @@
 	complete bool
 }
 
+// Len returns the number of bytes held.
+func (h Held) Len() int { return len(h.bytes) }
+
 // Hold reads an answer until it is complete or too long to be held. An answer
 // that ends early is an error of KindUnknown.
 func Hold(a *exchange.Answer, peer string) (Held, error) {
--- /dev/null
+++ b/entry/direct/reload.go
@@ -0,0 +1,44 @@
+package direct
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/fx"
+
+	"peridotchute.example/common/daemon"
+	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/common/settings"
+	"peridotchute.example/entry/direct/balance"
+)
+
+// startReload reads the settings file again on SIGHUP. The retry budget changes
+// at once; addresses and bounds are those of the start, which a process that is
+// restarted takes in.
+func startReload(lc fx.Lifecycle, file daemon.SettingsFile, b *balance.Balancer, log *decisionlog.Log) {
+	signals := make(chan os.Signal, 1)
+	daemon.Go(lc, func(ctx context.Context) {
+		signal.Notify(signals, syscall.SIGHUP)
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-signals:
+				reload(string(file), b, log)
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+func reload(file string, b *balance.Balancer, log *decisionlog.Log) {
+	s, err := settings.Load[Settings](file)
+	if err != nil {
+		log.Write(decisionlog.Reloaded{Err: err})
+		return
+	}
+	b.SetBudget(budgetOf(s))
+	log.Write(decisionlog.Reloaded{Changed: "retry budget"})
+}
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"peridotchute.example/common/clock"
+	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/fleet"
@@ -37,22 +38,24 @@
 type Watcher struct {
 	directory fleet.Directory
 	regions   map[string]string
-	log       logrus.FieldLogger
+	log       *decisionlog.Log
+	logger    logrus.FieldLogger // into the same log
 
 	current atomic.Pointer[fleet.View]
 
-	mu         sync.Mutex
-	position   int64     // of the newest registrations
-	outageEnd  time.Time // of the last outage of the store; zero when there was none
-	outage     bool
-	unreadable map[string]bool
-	listeners  []func(*fleet.View)
+	mu          sync.Mutex
+	position    int64     // of the newest registrations
+	outageStart time.Time // of the last outage of the store
+	outageEnd   time.Time // of the last outage of the store; zero when there was none
+	outage      bool
+	unreadable  map[string]bool
+	listeners   []func(*fleet.View)
 }
 
 // New returns a watcher with an empty view. regions names the region of each
 // availability zone.
-func New(directory fleet.Directory, regions map[string]string, log logrus.FieldLogger) *Watcher {
-	w := &Watcher{directory: directory, regions: regions, log: log, unreadable: map[string]bool{}}
+func New(directory fleet.Directory, regions map[string]string, log *decisionlog.Log) *Watcher {
+	w := &Watcher{directory: directory, regions: regions, log: log, logger: log.Logger(), unreadable: map[string]bool{}}
 	w.current.Store(&fleet.View{Regions: regions})
 	return w
 }
@@ -82,13 +85,13 @@
 		}
 		if err != nil && !fault.Is(err, fault.KindInvalid) {
 			known = known && !fault.Is(err, fault.KindConflict)
-			event.Log(w.log, event.ConfigFailed, event.Err(err))
+			event.Log(w.logger, event.ConfigFailed, event.Err(err))
 			_ = clock.Sleep(ctx, pause)
 			pause = min(2*pause, retryMost)
 			continue
 		}
 		if err != nil {
-			event.Log(w.log, event.ConfigFailed, event.Err(err))
+			event.Log(w.logger, event.ConfigFailed, event.Err(err))
 		}
 		pause = retryPause
 		known, position = true, s.Position
@@ -109,7 +112,7 @@
 	next := *old
 	next.Config = c
 	w.store(&next)
-	event.Log(w.log, event.ConfigInForce, event.Count(c.Version))
+	w.log.Write(replaced(old.Config, c))
 }
 
 // RunServers reads the registrations until ctx ends.
@@ -135,7 +138,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.outage {
-		event.Log(w.log, event.StoreLost, event.Err(err))
+		w.outageStart = time.Now()
+		w.log.Write(decisionlog.StoreLost{Call: "servers", Err: err})
 	}
 	w.outage = true
 }
@@ -150,7 +154,7 @@
 	w.position = reg.Position
 	if w.outage {
 		w.outage, w.outageEnd = false, time.Now()
-		event.Log(w.log, event.StoreRegained)
+		w.log.Write(decisionlog.StoreRegained{Call: "servers", Down: w.outageEnd.Sub(w.outageStart)})
 	}
 	w.noteUnreadable(reg.Unreadable)
 	old := w.current.Load()
@@ -159,13 +163,16 @@
 	next.Servers = fleet.Merge(old.Servers, reg, keep)
 	next.ServersRead = asked
 	w.store(&next)
+	for _, r := range changes(old.Servers, next.Servers, time.Since(asked)) {
+		w.log.Write(r)
+	}
 }
 
 // noteUnreadable logs each row that cannot be understood once.
 func (w *Watcher) noteUnreadable(keys []string) {
 	for _, k := range keys {
 		if !w.unreadable[k] {
-			event.Log(w.log, event.RegistrationUnreadable, event.Subject(k))
+			w.log.Write(decisionlog.ServerChanged{Change: decisionlog.ServerUnreadable, Server: k})
 		}
 		w.unreadable[k] = true
 	}
