--- a/common/event/orders.go
+++ b/common/event/orders.go
@@ -2,7 +2,7 @@
 
 import "github.com/sirupsen/logrus"
 
-// Events 430 to 449: orders to model servers that are called directly.
+// Events 430 to 439: orders to model servers that are called directly.
 var (
 	OrdersTaken      = define(430, "orders lease taken", logrus.InfoLevel, "This entry now gives all orders to model servers, under the term given as count. The entry named by peer did before.")
 	OrdersLeaseEnded = define(431, "orders lease ended", logrus.InfoLevel, "This entry gives no more orders: the lease was released, was not renewed in time, or has another holder.")
@@ -14,3 +14,8 @@
 	WorkFinished     = define(437, "model order finished", logrus.InfoLevel, "A model server has finished loading or unloading a model.")
 	DemandNotTold    = define(438, "demand not told", logrus.InfoLevel, "The entry that gives the orders did not hear what was asked for here; it is told again with the next demand.")
 )
+
+// Event 440: libraries.
+var (
+	LibraryMessage = define(440, "library message", logrus.InfoLevel, "A library reported something to the standard log, for instance that a backend server sent more than one answer on a connection.")
+)
--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -86,7 +87,7 @@
 	}
 	resp, err := x.transport.RoundTrip(req)
 	if err != nil {
-		return nil, fault.New(kindOf(used, before), step, call.Address, err)
+		return nil, failure(call, used, before, err)
 	}
 	answer := &Answer{
 		Status:  resp.StatusCode,
@@ -106,12 +107,16 @@
 	return answer, nil
 }
 
-// kindOf says whether anything was written on the connection that was used.
-func kindOf(used *conn, before int64) fault.Kind {
-	if used == nil || used.written.Load() == before {
-		return fault.KindUnavailable
+// failure says whether anything was sent. A connection that was made before,
+// and ended before anything was written, was stale.
+func failure(call *Call, used *conn, before int64, err error) error {
+	switch {
+	case used == nil:
+		return fault.New(fault.KindUnavailable, step, call.Address, err)
+	case used.written.Load() > before:
+		return fault.New(fault.KindUnknown, step, call.Address, err)
 	}
-	return fault.KindUnknown
+	return fault.New(fault.KindUnavailable, step, call.Address, errors.Join(errStale, err))
 }
 
 // foreign says why an answer cannot be the one to the call; "" when it can.
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -85,6 +85,11 @@
 	if late > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	if len(r.TransferEncoding) > 0 {
+		// A request that is framed by chunks and by a length may hide another
+		// behind its end, so its connection is not read any further.
+		w.Header().Set("Connection", "close")
+	}
 	if late > lastStart {
 		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, after: stopRetry, reason: decisionlog.RefusedStopping})
 		return
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -79,7 +79,7 @@
 	r.record.chosen(ticket, r.f.opts.Views.Current())
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := watchStall(attempt, cancel, ticket)
+	watch := r.watch(attempt, cancel, ticket)
 	defer watch.stop()
 	answer, err := r.f.opts.Exchanger.Send(attempt, r.call(ticket.Server))
 	if err != nil {
@@ -91,6 +91,15 @@
 	return r.answered(ctx, ticket, answer, watch)
 }
 
+// watch guards an attempt that may go on elsewhere against a silent server. Any
+// other attempt lasts as long as its client waits.
+func (r *run) watch(ctx context.Context, cancel context.CancelFunc, t *balance.Ticket) *stallWatch {
+	if r.req.route.Repeat == fleet.RepeatNever || r.sent+1 >= r.req.route.MaxAttempts {
+		return nil
+	}
+	return watchStall(ctx, cancel, t)
+}
+
 // choose waits for the turn of the request at some server.
 func (r *run) choose(ctx context.Context) (*balance.Ticket, *refusal) {
 	ticket, rejected := r.f.opts.Balancer.Admit(ctx, balance.Query{
--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -17,7 +17,8 @@
 )
 
 // stallWatch gives an attempt up when its server falls silent on every
-// connection of this entry, as a VM does that lost power.
+// connection of this entry, as a VM does that lost power. The nil watch guards
+// nothing.
 type stallWatch struct {
 	mu     sync.Mutex
 	timer  *time.Timer
@@ -34,12 +35,18 @@
 }
 
 func (w *stallWatch) heard() {
+	if w == nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.last = time.Now()
 }
 
 func (w *stallWatch) stop() {
+	if w == nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ended = true
--- a/entry/direct/relay/whole.go
+++ b/entry/direct/relay/whole.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -20,20 +21,21 @@
 // Header copies the headers of a server's answer to the client.
 func Header(w http.ResponseWriter, a *exchange.Answer) {
 	h := w.Header()
+	named := strings.Split(a.Header.Get("Connection"), ",")
 	for name, values := range a.Header {
-		h[name] = values
-	}
-	for named := range strings.SplitSeq(a.Header.Get("Connection"), ",") {
-		h.Del(strings.TrimSpace(named))
-	}
-	for _, name := range connectionHeaders {
-		h.Del(name)
+		if !slices.Contains(connectionHeaders, name) && !containsName(named, name) {
+			h[name] = values
+		}
 	}
 	if h.Get("Date") == "" {
 		h["Date"] = nil // keeps net/http from adding its own
 	}
 }
 
+func containsName(names []string, name string) bool {
+	return slices.ContainsFunc(names, func(n string) bool { return strings.EqualFold(strings.TrimSpace(n), name) })
+}
+
 // Held is the beginning of an answer, or all of it.
 type Held struct {
 	bytes    []byte
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	stdlog "log"
 	"net/http"
 	"os"
 	"time"
@@ -10,6 +11,7 @@
 
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/common/event"
 	"peridotchute.example/common/metrics"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/front"
@@ -30,7 +32,23 @@
 }
 
 // startLog is invoked first, so that the log is stopped last.
-func startLog(lc fx.Lifecycle, log *decisionlog.Log) { daemon.Go(lc, log.Run) }
+func startLog(lc fx.Lifecycle, log *decisionlog.Log, logger logrus.FieldLogger) {
+	daemon.Go(lc, log.Run)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{logger})
+}
+
+// libraryLog takes the messages that net/http writes to the standard logger,
+// such as that a server sent more than one answer.
+type libraryLog struct{ logger logrus.FieldLogger }
+
+// libraryText is the longest part of a message that is logged, in bytes.
+const libraryText = 120
+
+func (l libraryLog) Write(p []byte) (int, error) {
+	event.Log(l.logger, event.LibraryMessage, event.Reason(string(p[:min(len(p), libraryText)])))
+	return len(p), nil
+}
 
 // useLog lets lines of the shared packages go through the log as well.
 func useLog(log *decisionlog.Log) logrus.FieldLogger { return log.Logger() }
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -90,6 +90,9 @@
 		if fault.Is(err, fault.KindNotFound) {
 			err = nil
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil && !fault.Is(err, fault.KindInvalid) {
 			known = known && !fault.Is(err, fault.KindConflict)
 			event.Log(w.logger, event.ConfigFailed, event.Err(err))
