--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -34,6 +34,7 @@
 	since   time.Time
 	asking  bool                  // a call is in progress
 	askAt   time.Time             // not asked again before
+	failed  int                   // calls in a row
 	virtual *routing.EngineServer // stands for the server that will hold it
 	load    time.Duration         // that it is expected to take
 }
@@ -42,7 +43,8 @@
 	adapterLoad  = 30 * time.Millisecond  // order, load of some 10 ms, and two round trips
 	loadDecision = 300 * time.Millisecond // until a load begins: demand is told, planned and ordered
 	leastLoad    = 200 * time.Millisecond // what is late is expected soon
-	askAgain     = 80 * time.Millisecond  // after a failed call
+	askAgain     = 80 * time.Millisecond  // after a failed call; doubles with each further one
+	askSeldom    = 640 * time.Millisecond // at most: an entry that gives the orders is missing for seconds
 	forgetAfter  = 3 * time.Second        // after which an artifact that nobody waits for is forgotten
 	ensureLimit  = 12 * time.Second       // of one call
 )
@@ -83,7 +85,8 @@
 	now := time.Now()
 	m.asking = false
 	if err != nil {
-		m.askAt = now.Add(askAgain)
+		m.askAt = now.Add(min(askAgain<<min(m.failed, 4), askSeldom))
+		m.failed++
 		return
 	}
 	delete(p.missing, a)
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -85,9 +85,9 @@
 	if late > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	if len(r.TransferEncoding) > 0 {
-		// A request that is framed by chunks and by a length may hide another
-		// behind its end, so its connection is not read any further.
+	if len(r.TransferEncoding) > 0 && sawLength(r) {
+		// Chunks and a length frame the same request: whatever follows on the
+		// connection may be hidden in its body, so nothing more is read.
 		w.Header().Set("Connection", "close")
 	}
 	if late > lastStart {
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -60,6 +60,7 @@
 	daemon.Serve(lc, log, daemon.Listener{Name: "ready", Address: s.ReadyAddress, Handler: mux})
 	server := &http.Server{
 		Handler:           f,
+		ConnContext:       front.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -84,7 +85,7 @@
 		return fault.New(fault.KindUnavailable, "listen.caller", address, err)
 	}
 	go func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(front.Listener{Listener: ln}); !errors.Is(err, http.ErrServerClosed) {
 			event.Log(log, event.ListenerFailed, event.Subject("caller"), event.Err(err))
 		}
 	}()
