--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -34,7 +34,7 @@
 	since   time.Time
 	asking  bool                  // a call is in progress
 	askAt   time.Time             // not asked again before
-	failed  int                   // calls in a row
+	calls   int                   // in a row, without a server that can be used
 	virtual *routing.EngineServer // stands for the server that will hold it
 	load    time.Duration         // that it is expected to take
 }
@@ -43,7 +43,7 @@
 	adapterLoad  = 30 * time.Millisecond  // order, load of some 10 ms, and two round trips
 	loadDecision = 300 * time.Millisecond // until a load begins: demand is told, planned and ordered
 	leastLoad    = 200 * time.Millisecond // what is late is expected soon
-	askAgain     = 80 * time.Millisecond  // after a failed call; doubles with each further one
+	askAgain     = 80 * time.Millisecond  // after a call that did not help; doubles with each further one
 	askSeldom    = 640 * time.Millisecond // at most: an entry that gives the orders is missing for seconds
 	forgetAfter  = 3 * time.Second        // after which an artifact that nobody waits for is forgotten
 	ensureLimit  = 12 * time.Second       // of one call
@@ -84,12 +84,11 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	m.asking = false
+	m.askAt = now.Add(min(askAgain<<min(m.calls, 4), askSeldom))
+	m.calls++
 	if err != nil {
-		m.askAt = now.Add(min(askAgain<<min(m.failed, 4), askSeldom))
-		m.failed++
 		return
 	}
-	delete(p.missing, a)
 	if s := p.servers[id]; s != nil {
 		s.added[a] = now
 		delete(s.lacks, a)
@@ -98,6 +97,13 @@
 	b.giveTurns(p)
 }
 
+// found notes that some server holds the artifact.
+func (p *pool) found(a artifact) {
+	if m := p.missing[a]; m != nil && !m.asking {
+		delete(p.missing, a)
+	}
+}
+
 // forgetMissing drops what nobody waits for any more.
 func (p *pool) forgetMissing(now time.Time) {
 	for a, m := range p.missing {
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -51,6 +51,7 @@
 	w.prompt.Planned = planned
 	holders := p.replicas(w, now, false)
 	if holders > 0 {
+		p.found(w.artifact)
 		choice, err := routing.ChooseEngine(p.models.replicas, p.models.prefixes, &w.prompt, now)
 		if err == nil && (w.artifact.adapter == "" || choice.Wait < busyHolder) {
 			return p.take(w, &choice), true
