--- a/entry/direct/orders/ensure_test.go
+++ b/entry/direct/orders/ensure_test.go
@@ -34,11 +34,21 @@
 	table   *fakeTable
 	control *fakeControl
 	keeper  *Keeper
+
+	mu      sync.Mutex
+	changes map[string]Change // the newest of each server
+}
+
+func (r *rig) noteChange(server string, c Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changes[server] = c
 }
 
 func newRig(t *testing.T, servers ...fleet.Server) *rig {
 	clock := &fakeClock{now: time.Hour}
 	r := &rig{t: t, clock: clock, table: newTable(), control: newControl(clock, testEngine("m1"), servers...)}
+	r.changes = map[string]Change{}
 	r.keeper = r.newKeeper("a")
 	return r
 }
@@ -47,7 +57,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Options{
-		Table: r.table, Control: r.control, View: r.control.view, Self: self,
+		OnChange: r.noteChange,
+		Table:    r.table, Control: r.control, View: r.control.view, Self: self,
 		LeaseGap: testGap, Clock: r.clock.read, Log: log,
 	})
 }
@@ -158,6 +169,42 @@
 	assert.Equal(t, len(r.control.broken), 0, "%v", r.control.broken)
 }
 
+func TestTakeoverAfterAKillWithAnOrderStillOnItsWay(t *testing.T) {
+	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
+	r.start()
+	killed := r.control.servers["s1"].Server
+	old := fleet.Order{Kind: fleet.OrderLoad, Model: "m1", Adapter: "a1", Holder: "a", Token: 1}
+	r.keeper = r.newKeeper("b")
+	r.start()
+	r.clock.add(validity + testGap)
+	r.start()
+	_, mine := r.keeper.Holder()
+	assert.Assert(t, mine)
+	for _, adapter := range []string{"a2", "a3"} {
+		_, err := r.ensure("m1", adapter)
+		assert.NilError(t, err)
+	}
+	outcome, err := r.control.Order(context.Background(), &killed, old)
+	assert.NilError(t, err)
+	assert.Equal(t, outcome, fleet.OrderBusy)
+	assert.Equal(t, r.control.accepted[0].Token, int64(2))
+	assert.Equal(t, len(r.control.broken), 0, "%v", r.control.broken)
+}
+
+func TestEnsureLoadsAModelInPlaceOfAnother(t *testing.T) {
+	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}, fleet.Resident{Model: "m2"}), serverWith("s2", fleet.Resident{Model: "m1"}, fleet.Resident{Model: "m2"}))
+	r.control.engine = testEngine("m1", "m2", "m3")
+	r.start()
+	server, err := r.ensure("m3", "a1")
+	assert.NilError(t, err)
+	assert.Assert(t, r.control.servers[server].models["m3"]["a1"])
+	assert.Equal(t, len(r.control.accepted), 3)
+	assert.Equal(t, len(r.control.broken), 0, "%v", r.control.broken)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	assert.DeepEqual(t, r.changes[server].Residents[1], fleet.Resident{Model: "m3", Adapters: []string{"a1"}})
+}
+
 func TestRestartedServerIsKnownAnew(t *testing.T) {
 	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
 	r.start()
--- a/entry/direct/orders/fake_test.go
+++ b/entry/direct/orders/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -35,8 +36,11 @@
 	mu      sync.Mutex
 	rows    map[string]store.Row
 	version int
-	fail    error // of all calls
-	lose    bool  // answers to writes
+	fail    error    // of all calls
+	refuse  error    // of writes
+	lose    bool     // answers to writes
+	delay   bool     // writes until deliver, without an answer
+	late    []func() // delayed writes
 }
 
 func newTable() *fakeTable { return &fakeTable{rows: map[string]store.Row{}} }
@@ -61,9 +65,27 @@
 func (t *fakeTable) CompareAndSet(_ context.Context, key, version string, value []byte) (store.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.fail != nil {
-		return store.Row{}, t.fail
+	if err := errors.Join(t.fail, t.refuse); err != nil {
+		return store.Row{}, err
+	}
+	if t.delay {
+		t.late = append(t.late, func() { _, _ = t.set(key, version, value) })
+		return store.Row{}, fault.Newf(fault.KindUnknown, "cas", "", "no answer")
+	}
+	return t.set(key, version, value)
+}
+
+// deliver carries out the delayed writes, as far as their conditions hold.
+func (t *fakeTable) deliver() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, write := range t.late {
+		write()
 	}
+	t.late = nil
+}
+
+func (t *fakeTable) set(key, version string, value []byte) (store.Row, error) {
 	if t.rows[key].Version != version {
 		return store.Row{}, fault.Newf(fault.KindConflict, "cas", "", "changed")
 	}
--- a/entry/direct/orders/give.go
+++ b/entry/direct/orders/give.go
@@ -73,7 +73,11 @@
 		return 0, fault.Newf(fault.KindUnavailable, "orders.give", c.server.ID, "the lease is not held")
 	}
 	c.order.Holder, c.order.Token = k.opts.Self, term
-	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout, left))
+	timeout := orderTimeout
+	if c.order.Adapter != "" {
+		timeout = adapterTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, left))
 	defer cancel()
 	return k.opts.Control.Order(ctx, &c.server, c.order)
 }
--- a/entry/direct/orders/keeper.go
+++ b/entry/direct/orders/keeper.go
@@ -18,8 +18,11 @@
 
 const (
 	planTime      = 100 * time.Millisecond // between plans
-	orderTimeout  = time.Second            // of an order, besides the end of the lease
+	orderTimeout  = time.Second            // of a model order; the end of the lease ends it sooner
 	reportTimeout = time.Second
+	// adapterTimeout is that of an adapter order: the request that waits for it
+	// is to be served within a second. It leaves room for one packet sent again.
+	adapterTimeout = 400 * time.Millisecond
 	// loadWindow is the default span over which the weight store counts loads.
 	loadWindow = 5 * time.Second
 	// defaultGap is the default time between the orders of two holders.
@@ -31,7 +34,7 @@
 	Table      store.Table
 	Control    fleet.Control
 	View       func() *fleet.View
-	Self       string                        // name of this entry's VM
+	Self       string                        // name of this entry's VM, which no other VM ever has
 	LeaseGap   time.Duration                 // between the orders of two holders; 0 means the default
 	LoadWindow time.Duration                 // over which the weight store counts loads; 0 means the default
 	Clock      func() time.Duration          // runs while the machine is suspended; nil means Boottime
@@ -149,9 +152,15 @@
 	return k.lease.holder(), left > 0
 }
 
-// Heard tells that the named entry is alive. While the holder is heard of, its
-// lease is not read.
-func (k *Keeper) Heard(entry string) { k.lease.hear(entry) }
+// Term returns the fencing token of the lease as last read.
+func (k *Keeper) Term() int64 {
+	term, _ := k.lease.held()
+	return term
+}
+
+// Heard tells that the named entry said that it holds the lease under a term.
+// While it goes on saying so, the lease is not read.
+func (k *Keeper) Heard(holder string, term int64) { k.lease.hear(holder, term) }
 
 // Demand takes in what an entry saw since it told last.
 func (k *Keeper) Demand(from string, seen []residence.ModelDemand) {
--- a/entry/direct/orders/lease.go
+++ b/entry/direct/orders/lease.go
@@ -19,7 +19,7 @@
 	// watchTime is the time between readings of another's lease while it is
 	// renewed, and hurryTime while it is not.
 	watchTime = 2 * time.Second
-	hurryTime = 500 * time.Millisecond
+	hurryTime = time.Second
 	// retryTime is the time after which a failed renewal is tried again.
 	retryTime = 300 * time.Millisecond
 	// heardTime is how long word of the holder replaces reading its lease.
@@ -53,7 +53,10 @@
 	previous  string        // holder before this one took the lease
 	taken     time.Duration // when the write that took the lease was sent
 	closed    bool
-	heard     time.Duration // when the holder was last heard of
+
+	heard       time.Duration // when a holder last said that it holds the lease
+	heardHolder string
+	heardTerm   int64
 }
 
 // held returns the term and for how long this entry may still give orders;
@@ -67,14 +70,18 @@
 	return l.value.Term, max(validity-(l.clock()-l.renewed), 0)
 }
 
-// holder returns the holder's name as last read.
+// holder returns the holder's name as last read or heard.
 func (l *lease) holder() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.value.Released {
+	switch {
+	case l.heardTerm > l.value.Term:
+		return l.heardHolder
+	case l.value.Released:
 		return ""
+	default:
+		return l.value.Holder
 	}
-	return l.value.Holder
 }
 
 // before returns the holder before this entry took the lease; empty when there
@@ -96,13 +103,14 @@
 	return l.taken - l.gap, l.previous != ""
 }
 
-// hear notes that the named holder is alive.
-func (l *lease) hear(holder string) {
+// hear notes that an entry said that it holds the lease under a term.
+func (l *lease) hear(holder string, term int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if holder == l.value.Holder {
-		l.heard = l.clock()
+	if term < l.value.Term || l.mine {
+		return
 	}
+	l.heard, l.heardHolder, l.heardTerm = l.clock(), holder, term
 }
 
 // step renews, reads or takes the lease, and returns the time until the next
@@ -149,13 +157,15 @@
 	if err != nil {
 		return watchTime, err
 	}
-	if next, ok := l.mayWrite(); ok {
+	next, left := l.mayWrite()
+	switch {
+	case left <= 0:
 		return renewTime, l.write(ctx, next)
+	case changed:
+		return min(watchTime, left), nil
+	default:
+		return min(hurryTime, left), nil
 	}
-	if changed {
-		return watchTime, nil
-	}
-	return hurryTime, nil
 }
 
 func (l *lease) forget() {
@@ -182,28 +192,28 @@
 	return true, nil
 }
 
-// mayWrite returns the row to write when this entry may go on with the lease
-// or take it: at once from an earlier process of this VM, a gap after a
-// release, and else a gap after the validity of a renewal that was at least as
-// old as the row.
-func (l *lease) mayWrite() (leaseRow, bool) {
+// mayWrite returns the row with which this entry goes on with the lease or takes
+// it, and how long it has to wait for that: not at all after an earlier process
+// of this VM, a gap after a release, and else a gap after the validity of a
+// renewal that was at least as old as the row.
+func (l *lease) mayWrite() (leaseRow, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	next := l.value
+	next.Beat++
 	if l.mine {
-		next := l.value
-		next.Beat++
-		return next, true
+		return next, 0
 	}
-	next := leaseRow{Holder: l.self, Term: l.value.Term + 1}
-	next.Beat = l.value.Beat + 1
+	next.Holder, next.Released = l.self, false
+	next.Term++
 	unchanged := l.clock() - l.firstSeen
 	switch {
 	case l.value.Holder == l.self:
-		return next, true
+		return next, 0
 	case l.value.Released:
-		return next, unchanged >= l.gap
+		return next, l.gap - unchanged
 	default:
-		return next, unchanged >= validity+l.gap
+		return next, validity + l.gap - unchanged
 	}
 }
 
@@ -256,9 +266,31 @@
 func (l *lease) release(ctx context.Context) error {
 	l.stepping.Lock()
 	defer l.stepping.Unlock()
+	if err := l.reread(ctx); err != nil {
+		return err
+	}
 	l.mu.Lock()
-	next := l.value
+	next, mine := l.value, l.mine
 	l.mu.Unlock()
+	if !mine {
+		return nil
+	}
 	next.Released = true
 	return l.write(ctx, next)
 }
+
+// reread reads the row when a write may have changed it.
+func (l *lease) reread(ctx context.Context) error {
+	l.mu.Lock()
+	unread := l.unread
+	l.mu.Unlock()
+	if !unread {
+		return nil
+	}
+	row, err := l.table.Get(ctx, leaseKey)
+	if err != nil {
+		return err
+	}
+	_, err = l.see(row)
+	return err
+}
--- a/entry/direct/orders/lease_test.go
+++ b/entry/direct/orders/lease_test.go
@@ -88,6 +88,11 @@
 	table.lose = false
 	clock.add(validity - renewTime)
 	assert.Assert(t, !holds(a))
+	table.refuse = fault.Newf(fault.KindUnavailable, "cas", "", "down")
+	_, err = a.step(context.Background())
+	assert.Assert(t, fault.Is(err, fault.KindUnavailable))
+	assert.Assert(t, !holds(a))
+	table.refuse = nil
 	step(t, a)
 	assert.Assert(t, holds(a))
 	term, _ := a.held()
--- a/placement/residence/adapter.go
+++ b/placement/residence/adapter.go
@@ -112,9 +112,10 @@
 // adapterOption is one way to load an adapter.
 type adapterOption struct {
 	server string
-	victim Key // to be unloaded first; empty when there is a place
-	rank   int // in the caller's preference
-	load   int // adapters that the server holds
+	victim Key  // to be unloaded first; empty when there is a place
+	lost   bool // left an order unanswered of late
+	rank   int  // in the caller's preference
+	load   int  // adapters that the server holds
 	used   time.Duration
 }
 
@@ -146,7 +147,7 @@
 }
 
 func (b *Book) adapterOption(k Key, s *State, now time.Duration) (adapterOption, bool) {
-	o := adapterOption{server: s.Server.ID}
+	o := adapterOption{server: s.Server.ID, lost: s.troubled(now)}
 	if !b.usable(s) || !s.serves(k.Model) || !s.ready() || now < s.blocked || s.leaves(k.Model) {
 		return o, false
 	}
@@ -179,6 +180,9 @@
 // uses.
 func (b *Book) idleAdapter(s *State, now time.Duration) (Key, time.Duration, bool) {
 	best, bestUsed := Key{}, never
+	if b.Demand.age() < idleTime {
+		return best, 0, false // the entries have not told yet what runs
+	}
 	for model, m := range s.Models {
 		for name, a := range m.Adapters {
 			k := Key{Model: model, Adapter: name}
@@ -204,9 +208,12 @@
 	return a.Adapter < b.Adapter
 }
 
-// before orders options: those with a free place first, then the caller's
-// preference or the victim that was used longest ago.
+// before orders options: servers that answer first, then those with a free
+// place, then by the victim that was used longest ago or the caller's preference.
 func (o *adapterOption) before(p *adapterOption) bool {
+	if o.lost != p.lost {
+		return p.lost
+	}
 	if free := o.victim == (Key{}); free != (p.victim == (Key{})) {
 		return free
 	}
--- a/placement/residence/book.go
+++ b/placement/residence/book.go
@@ -80,7 +80,7 @@
 			b.Rate.Begin(now)
 		}
 	}
-	s.Begin(o)
+	s.Begin(o, now)
 }
 
 // Report takes in a server's report. A lost load that has begun meanwhile
--- a/placement/residence/demand.go
+++ b/placement/residence/demand.go
@@ -60,7 +60,8 @@
 // told is what one entry told last.
 type told struct {
 	at      time.Duration
-	waiting map[string]int
+	waiting map[string]int // by model
+	urgency map[string]int // of the models with waiting requests
 	running map[string]map[Key]int
 }
 
@@ -94,14 +95,17 @@
 
 // Observe takes in what an entry saw.
 func (d *Demands) Observe(from string, seen []ModelDemand, now time.Duration) {
-	t := &told{at: now, waiting: map[string]int{}, running: map[string]map[Key]int{}}
+	t := &told{at: now, waiting: map[string]int{}, urgency: map[string]int{}, running: map[string]map[Key]int{}}
 	d.entries[from] = t
 	for _, m := range seen {
 		p := d.pending[m.Model]
 		p.Arrivals += m.Arrivals
 		p.PrefillTokens += m.PrefillTokens
 		d.pending[m.Model] = p
-		t.waiting[m.Model] += m.Waiting + m.Refused
+		if m.Waiting+m.Refused > 0 {
+			t.waiting[m.Model] += m.Waiting + m.Refused
+			t.urgency[m.Model] = m.Urgency
+		}
 		for _, r := range m.Running {
 			d.observeRunning(t, m.Model, r)
 		}
@@ -198,6 +202,17 @@
 	return n
 }
 
+// urgency returns the rank of the most urgent request that waits for a model.
+func (d *Demands) urgency(model string) int {
+	rank := math.MaxInt
+	for _, t := range d.entries {
+		if u, ok := t.urgency[model]; ok {
+			rank = min(rank, u)
+		}
+	}
+	return rank
+}
+
 // Running returns the requests that run at a server for a key.
 func (d *Demands) Running(server string, k Key) int {
 	n := 0
--- a/placement/residence/option.go
+++ b/placement/residence/option.go
@@ -43,6 +43,9 @@
 	}
 	_, length := s.source(m)
 	o.cost += lossMargin*o.loss + loadSecond*length.Seconds() + serverLoad*p.load[s.Server.ID]
+	if s.troubled(p.now) {
+		o.cost += troubledCost
+	}
 	o.cost += zoneReplica * float64(p.inZone(model, s.Server.Zone))
 	return o, true
 }
--- a/placement/residence/outcome.go
+++ b/placement/residence/outcome.go
@@ -9,7 +9,7 @@
 
 // Begin notes that an order is being sent. Until its answer nothing else is
 // sent to the server.
-func (s *State) Begin(o fleet.Order) { s.sent = &o }
+func (s *State) Begin(o fleet.Order, now time.Duration) { s.sent, s.sentAt = &o, now }
 
 // Answered takes in the answer to the order that was sent. Source and length
 // are those of a model load.
@@ -31,9 +31,9 @@
 // carried out at any later time.
 func (s *State) Lost(now time.Duration) {
 	s.lost = append(s.lost, *s.sent)
-	s.sent = nil
+	s.sent, s.lostAt = nil, now
 	s.known = false
-	s.askAt(now)
+	s.askAt(max(now, s.sentAt+reportLag))
 }
 
 // NotSent says that the order certainly did not reach the server.
--- a/placement/residence/replicas.go
+++ b/placement/residence/replicas.go
@@ -1,6 +1,7 @@
 package residence
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -19,6 +20,7 @@
 	serverLoad   = 0.3  // of the work that the server has already
 	zoneReplica  = 0.15 // of each replica in the same availability zone
 	runningCost  = 0.1  // of each running request that an unload has to wait for
+	troubledCost = 0.5  // of a server that has left an order unanswered of late
 	unsettledFee = 1.0  // of a victim that was loaded lately
 	// minWork is the work of a server, in tokens a second, below which more
 	// replicas would not be felt.
@@ -35,7 +37,8 @@
 type planning struct {
 	b       *Book
 	now     time.Duration
-	ids     []string
+	ids     []string                   // servers, in order
+	models  []string                   // declared, in order
 	count   map[string]int             // replicas that serve, or will, and stay
 	share   map[string]float64         // of each model's work
 	peak    map[string]float64         // of each model's highest work of late
@@ -49,7 +52,7 @@
 
 func newPlanning(b *Book, now time.Duration) *planning {
 	p := &planning{
-		b: b, now: now, ids: b.ids(),
+		b: b, now: now, ids: b.ids(), models: sortedKeys(b.Engine.Models),
 		count: map[string]int{}, share: map[string]float64{}, peak: map[string]float64{},
 		held: map[string]map[string]bool{}, running: b.Demand.runningModels(),
 	}
@@ -131,11 +134,11 @@
 			servers++
 		}
 	}
-	for _, model := range sortedKeys(p.b.Engine.Models) {
+	for _, model := range p.models {
 		total += p.b.Demand.work(model)
 	}
 	mean := max(total/float64(max(servers, 1)), minWork)
-	for model := range p.b.Engine.Models {
+	for _, model := range p.models {
 		p.share[model] = p.b.Demand.work(model) / mean
 		p.peak[model] = p.b.Demand.peak(model) / mean
 	}
@@ -146,7 +149,7 @@
 // then what nobody has asked for.
 func (p *planning) decide() {
 	var waiting, missing, unasked []string
-	for _, model := range sortedKeys(p.b.Engine.Models) {
+	for _, model := range p.models {
 		switch {
 		case p.count[model] > 0:
 		case p.waits(model):
@@ -157,9 +160,7 @@
 			unasked = append(unasked, model)
 		}
 	}
-	sort.SliceStable(waiting, func(i, j int) bool {
-		return p.b.Demand.waiting(waiting[i]) > p.b.Demand.waiting(waiting[j])
-	})
+	p.sortByUrgency(waiting)
 	p.sortByShare(missing)
 	for _, model := range waiting {
 		p.place(model, ReasonWaiting)
@@ -173,28 +174,39 @@
 	}
 }
 
+// sortByUrgency puts the models first whose requests are the most urgent, and
+// of those the ones for which most requests wait.
+func (p *planning) sortByUrgency(models []string) {
+	d := &p.b.Demand
+	sort.SliceStable(models, func(i, j int) bool {
+		if a, b := d.urgency(models[i]), d.urgency(models[j]); a != b {
+			return a < b
+		}
+		return d.waiting(models[i]) > d.waiting(models[j])
+	})
+}
+
 func (p *planning) sortByShare(models []string) {
 	sort.SliceStable(models, func(i, j int) bool { return p.share[models[i]] > p.share[models[j]] })
 }
 
 // addReplicas adds replicas where they gain most until none repays.
 func (p *planning) addReplicas() {
-	done := map[string]bool{}
-	for range len(p.ids) {
-		best := ""
-		for _, model := range sortedKeys(p.b.Engine.Models) {
-			if done[model] || p.count[model] == 0 || p.gain(model) <= loadCost {
-				continue
-			}
-			if best == "" || p.gain(model) > p.gain(best) {
-				best = model
-			}
+	var open []string
+	for _, model := range p.models {
+		if p.count[model] > 0 && p.gain(model) > loadCost {
+			open = append(open, model)
 		}
-		if best == "" {
-			return
+	}
+	for len(open) > 0 {
+		best := 0
+		for i, model := range open {
+			if p.gain(model) > p.gain(open[best]) {
+				best = i
+			}
 		}
-		if !p.place(best, ReasonDemand) {
-			done[best] = true
+		if p.gain(open[best]) <= loadCost || !p.place(open[best], ReasonDemand) {
+			open = slices.Delete(open, best, best+1)
 		}
 	}
 }
--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -16,6 +16,9 @@
 	// adapterLoad is the time in which an adapter is loaded: the slowest of the
 	// known deployments takes 10 ms.
 	adapterLoad = 12 * time.Millisecond
+	// troubleTime is how long after an order without an answer other servers are
+	// preferred.
+	troubleTime = 3 * time.Second
 	// maxFetching is how many adapters may be on their way to one server.
 	maxFetching = 4
 )
@@ -33,6 +36,8 @@
 	floor   int64 // orders that were certainly accepted; at most seq
 	known   bool  // Models and seq belong together, and whether the server is busy is known
 	sent    *fleet.Order
+	sentAt  time.Duration
+	lostAt  time.Duration // when an order was last without an answer; 0 when none was
 	lost    []fleet.Order // without an answer; may take effect until seq has passed them
 	work    *Work         // model order in progress
 	intent  *Intent       // orders decided on and not yet given
@@ -87,7 +92,7 @@
 	s.Server = sv
 	s.seq, s.floor = sv.OrderSeq, sv.OrderSeq
 	s.known = sv.OrderSeq == 0
-	s.sent, s.lost, s.work, s.intent, s.blocked = nil, nil, nil, nil, 0
+	s.sent, s.lost, s.work, s.intent, s.blocked, s.lostAt = nil, nil, nil, nil, 0, 0
 	s.ask = never
 	if !s.known {
 		s.ask = now
@@ -161,7 +166,9 @@
 		return false
 	}
 	if r.Born != 0 && r.Born != s.Server.Born {
-		return s.reportOfAnother(r, now)
+		s.known = false // until it has registered
+		s.ask = now + reportGap
+		return false
 	}
 	if r.OrderSeq < s.floor || (s.known && r.OrderSeq < s.seq) {
 		s.ask = now + reportLag
@@ -176,23 +183,6 @@
 	return true
 }
 
-// reportOfAnother takes in a report of an incarnation that has not registered
-// yet; one of an earlier incarnation is ignored.
-func (s *State) reportOfAnother(r fleet.Report, now time.Duration) bool {
-	if r.Born < s.Server.Born {
-		s.ask = now + reportLag
-		return false
-	}
-	sv := s.Server
-	sv.Born, sv.OrderSeq, sv.Draining = r.Born, r.OrderSeq, r.Draining
-	sv.Residents, sv.Fetching, sv.InMemory, sv.OnDisk = r.Residents, r.Fetching, r.InMemory, r.OnDisk
-	s.begin(sv, now)
-	s.known = true
-	s.ask = never
-	s.setBusy(r.Busy, now)
-	return true
-}
-
 func (s *State) setBusy(busy bool, now time.Duration) {
 	if !busy {
 		s.work = nil
@@ -245,6 +235,11 @@
 	return s.sent != nil && s.sent.Kind == fleet.OrderUnload && s.sent.Model == model && s.sent.Adapter == ""
 }
 
+// troubled reports whether the server has left an order unanswered of late.
+func (s *State) troubled(now time.Duration) bool {
+	return s.lostAt > 0 && now-s.lostAt < troubleTime
+}
+
 // idle reports whether a model order can be given now.
 func (s *State) idle() bool { return s.ready() && s.work == nil }
 
