Orders: what is placed stays until demand is known

A new holder, or the first one before traffic, knows no demand, and would have given replicas of busy models to models that nobody asks for. Until arrivals have been watched for a while only free places are used for those.

--- a/placement/residence/demand.go
+++ b/placement/residence/demand.go
@@ -10,6 +10,9 @@
 	fallTime = 15 * time.Second // time constant of the estimate that outlasts a pause
 	// firstTime is the least time that the slow average is taken to rest on.
 	firstTime = 5 * time.Second
+	// settleTime is how long arrivals are watched before a replica of one model
+	// makes room for another's.
+	settleTime = 4 * time.Second
 	// observationAge is how long what an entry told of waiting and running
 	// requests counts when it says nothing new.
 	observationAge = 2 * time.Second
@@ -72,7 +75,8 @@
 	lastRun map[string]map[Key]time.Duration // by server
 	pending map[string]ModelDemand           // arrivals since the last step
 	wanted  map[string]time.Duration         // when a caller of this process last said that it waits
-	started time.Duration
+	started time.Duration                    // of observing
+	first   time.Duration                    // arrival; 0 before
 	stepped time.Duration
 }
 
@@ -109,6 +113,9 @@
 		for _, r := range m.Running {
 			d.observeRunning(t, m.Model, r)
 		}
+		if m.Arrivals > 0 && d.first == 0 {
+			d.first = now
+		}
 		if m.Arrivals+m.Waiting+m.Refused > 0 {
 			d.estimate(m.Model).asked = now
 		}
@@ -165,6 +172,10 @@
 // age returns how long demand has been observed.
 func (d *Demands) age() time.Duration { return d.stepped - d.started }
 
+// settled reports whether arrivals have been seen for long enough to compare
+// models by them.
+func (d *Demands) settled() bool { return d.first > 0 && d.stepped-d.first >= settleTime }
+
 // work returns the work for a model in tokens a second: the slow average, or
 // the fast one as far as it exceeds that by more than chance.
 func (d *Demands) work(model string) float64 {
--- a/placement/residence/option.go
+++ b/placement/residence/option.go
@@ -38,7 +38,7 @@
 	if !p.makeRoom(&o, need, reason) {
 		return o, false
 	}
-	if !p.repays(model, &o, reason) {
+	if (len(o.victims) > 0 && p.learning(reason)) || !p.repays(model, &o, reason) {
 		return o, false
 	}
 	_, length := s.source(m)
@@ -50,6 +50,19 @@
 	return o, true
 }
 
+// learning reports whether too little is known of the demand to unload a model
+// for the reason: what earlier holders or the operator placed stays until then.
+func (p *planning) learning(reason string) bool {
+	switch reason {
+	case ReasonDemand:
+		return !p.b.Demand.settled()
+	case ReasonUnasked:
+		return p.b.Demand.age() < learnTime
+	default:
+		return false
+	}
+}
+
 // repays reports whether the load gains more than it costs. A model that is
 // asked for and held nowhere always does.
 func (p *planning) repays(model string, o *option, reason string) bool {
--- a/placement/residence/plan_test.go
+++ b/placement/residence/plan_test.go
@@ -66,6 +66,15 @@
 	assert.Equal(t, len(m.unreachable()), 0)
 }
 
+func TestWhatIsPlacedStaysUntilDemandIsKnown(t *testing.T) {
+	m := fleetOf(time.Second)
+	delete(m.servers, "s17")
+	m.rates = nil
+	m.run(10 * time.Second)
+	assert.DeepEqual(t, m.unreachable(), []string{"m23"})
+	assert.Equal(t, len(m.unloaded), 0, "%v", m.unloaded)
+}
+
 func TestRisingModelsGetReplicasSoon(t *testing.T) {
 	m := fleetOf(1200 * time.Millisecond)
 	m.run(10 * time.Second)
--- a/placement/residence/replicas.go
+++ b/placement/residence/replicas.go
@@ -22,6 +22,9 @@
 	runningCost  = 0.1  // of each running request that an unload has to wait for
 	troubledCost = 0.5  // of a server that has left an order unanswered of late
 	unsettledFee = 1.0  // of a victim that was loaded lately
+	// placedShare is the work that a replica is taken to carry that was placed
+	// before the demand was known.
+	placedShare = 0.5
 	// minWork is the work of a server, in tokens a second, below which more
 	// replicas would not be felt.
 	minWork = 5000.0
@@ -141,6 +144,9 @@
 	for _, model := range p.models {
 		p.share[model] = p.b.Demand.work(model) / mean
 		p.peak[model] = p.b.Demand.peak(model) / mean
+		if p.b.Demand.age() < learnTime {
+			p.peak[model] = max(p.peak[model], placedShare*float64(p.count[model]))
+		}
 	}
 }
 
