--- a/entry/direct/orders/lease.go
+++ b/entry/direct/orders/lease.go
@@ -103,14 +103,18 @@
 	return l.taken - l.gap, l.previous != ""
 }
 
-// hear notes that an entry said that it holds the lease under a term.
-func (l *lease) hear(holder string, term int64) {
+// hear notes that an entry said that it holds the lease under a term, or has
+// released it.
+func (l *lease) hear(holder string, term int64, held bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if term < l.value.Term || l.mine {
+	if term < max(l.value.Term, l.heardTerm) || l.mine {
 		return
 	}
-	l.heard, l.heardHolder, l.heardTerm = l.clock(), holder, term
+	l.heard, l.heardHolder, l.heardTerm = 0, holder, term
+	if held {
+		l.heard = l.clock()
+	}
 }
 
 // step renews, reads or takes the lease, and returns the time until the next
--- a/placement/residence/outcome.go
+++ b/placement/residence/outcome.go
@@ -54,6 +54,7 @@
 		if a := s.adapter(o.Model, o.Adapter); a != nil {
 			a.Leaving = true
 		}
+		s.askAt(now + leavingGap)
 	default:
 		s.work = &Work{Kind: o.Kind, Model: o.Model, Source: source, Due: now + length}
 		s.ask = now + length + reportLag
@@ -101,6 +102,7 @@
 		return
 	}
 	if a := m.Adapters[adapter]; a != nil && a.Ready <= ready {
+		a.Leaving = false
 		return
 	}
 	m.Adapters[adapter] = &Adapter{Ready: ready}
--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"peridotchute.example/fleet"
@@ -13,6 +12,9 @@
 	reportLag = 120 * time.Millisecond
 	// reportGap is the time between reports that are awaited for one change.
 	reportGap = 300 * time.Millisecond
+	// leavingGap is the time between reports while an adapter that is to be
+	// unloaded waits for its requests to end, which takes a second or two.
+	leavingGap = 700 * time.Millisecond
 	// adapterLoad is the time in which an adapter is loaded: the slowest of the
 	// known deployments takes 10 ms.
 	adapterLoad = 12 * time.Millisecond
@@ -78,84 +80,35 @@
 
 const never = time.Duration(math.MaxInt64)
 
-// newState returns the state of a server that was not known before. Its
-// registration alone does not say whether an order is in progress, unless it
-// has never accepted one.
+// newState returns the state of a server that was not known before.
 func newState(s fleet.Server, now time.Duration) *State {
 	st := &State{ask: never, used: map[Key]time.Duration{}, loaded: map[string]time.Duration{}}
 	st.begin(s, now)
 	return st
 }
 
-// begin starts anew with an incarnation.
+// begin starts anew with an incarnation. Its registration does not say how many
+// orders it has accepted, nor whether one is in progress: a report is due.
 func (s *State) begin(sv fleet.Server, now time.Duration) {
 	s.Server = sv
-	s.seq, s.floor = sv.OrderSeq, sv.OrderSeq
-	s.known = sv.OrderSeq == 0
+	s.seq, s.floor, s.known = 0, 0, false
 	s.sent, s.lost, s.work, s.intent, s.blocked, s.lostAt = nil, nil, nil, nil, 0, 0
-	s.ask = never
-	if !s.known {
-		s.ask = now
-	}
+	s.ask = now
 	s.Models = map[string]*Resident{}
 	s.setResidents(sv.Residents, sv.Fetching, now)
 	s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
 }
 
-// Register takes in a registration. Rows of an earlier incarnation, or older
-// than what is known, change nothing.
+// Register takes in a registration. It tells of a new incarnation, and whether
+// the server is leaving; what the server holds after its orders is told by
+// reports, since a registration can be older than they are. Rows of an earlier
+// incarnation, or older than what is known, change nothing.
 func (s *State) Register(sv fleet.Server, now time.Duration) {
-	if sv.Born < s.Server.Born || (sv.Born == s.Server.Born && sv.Registration < s.Server.Registration) {
-		return
-	}
-	if sv.Born != s.Server.Born {
-		s.begin(sv, now)
-		return
-	}
-	s.Server = sv
 	switch {
-	case s.sent != nil || sv.OrderSeq < s.seq:
-	case sv.OrderSeq > s.seq:
-		s.known = false
-		s.work = nil
-		s.askAt(now)
-		s.setResidents(sv.Residents, sv.Fetching, now)
-		s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
-	case s.known:
-		s.confirm(sv, now)
-	}
-}
-
-// confirm takes from a registration that counts the same orders what they have
-// come to. It may be older than the newest report, so that what it does not
-// show yet is no news.
-func (s *State) confirm(sv fleet.Server, now time.Duration) {
-	listed := make(map[string]fleet.Resident, len(sv.Residents))
-	for _, r := range sv.Residents {
-		listed[r.Model] = r
-	}
-	if s.work != nil && s.work.Model != "" {
-		if _, resident := listed[s.work.Model]; resident == (s.work.Kind == fleet.OrderLoad) {
-			s.work = nil
-			s.ask = never
-			s.setResidents(sv.Residents, sv.Fetching, now)
-			s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
-			return
-		}
-	}
-	s.dropGone(listed)
-}
-
-// dropGone removes the adapters that were ordered to leave and are not listed
-// any more.
-func (s *State) dropGone(listed map[string]fleet.Resident) {
-	for model, m := range s.Models {
-		r, ok := listed[model]
-		for name, a := range m.Adapters {
-			if ok && a.Leaving && !slices.Contains(r.Adapters, name) {
-				delete(m.Adapters, name)
-			}
-		}
+	case sv.Born > s.Server.Born:
+		s.begin(sv, now)
+	case sv.Born == s.Server.Born && sv.Registration >= s.Server.Registration:
+		s.Server = sv
 	}
 }
 
@@ -180,9 +133,24 @@
 	s.setResidents(r.Residents, r.Fetching, now)
 	s.InMemory, s.OnDisk = setOf(r.InMemory), setOf(r.OnDisk)
 	s.setBusy(r.Busy, now)
+	if s.anyLeaving() {
+		s.askAt(now + leavingGap)
+	}
 	return true
 }
 
+// anyLeaving reports whether an adapter is to be unloaded and still held.
+func (s *State) anyLeaving() bool {
+	for _, m := range s.Models {
+		for _, a := range m.Adapters {
+			if a.Leaving {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (s *State) setBusy(busy bool, now time.Duration) {
 	if !busy {
 		s.work = nil
