--- a/entry/direct/orders/ensure.go
+++ b/entry/direct/orders/ensure.go
@@ -143,11 +143,5 @@
 	if !sleep(ctx, left) {
 		return fault.New(fault.KindCanceled, "orders.ensure", c.Server, ctx.Err())
 	}
-	k.mu.Lock()
-	s := k.books[fk.service].Servers[c.Server]
-	k.mu.Unlock()
-	if s != nil {
-		k.tell(s)
-	}
 	return nil
 }
--- a/entry/direct/orders/give.go
+++ b/entry/direct/orders/give.go
@@ -43,7 +43,7 @@
 // give sends one order and takes in its outcome.
 func (k *Keeper) give(ctx context.Context, c call) {
 	if c.order.Kind == fleet.OrderUnload {
-		k.tell(c.state)
+		k.tell(c.state, k.opts.Clock())
 		if c.order.Adapter == "" {
 			sleep(ctx, announceTime)
 		}
@@ -59,11 +59,13 @@
 	default:
 		c.state.Lost(now)
 	}
+	ready := c.state.Ready(residence.Key{Model: c.order.Model, Adapter: c.order.Adapter})
 	k.changedLocked()
 	k.mu.Unlock()
 	k.logOrder(c, outcome, err)
-	k.tell(c.state)
 	k.wakePlanner()
+	sleep(ctx, ready-now) // of an adapter the others are told when it is there
+	k.tell(c.state, max(ready, now))
 }
 
 // send gives the order if the lease is held right before.
@@ -119,19 +121,19 @@
 	if finished {
 		event.Log(k.opts.Log, event.WorkFinished, event.Peer(s.Server.ID))
 	}
-	k.tell(s)
+	k.tell(s, now)
 	k.wakePlanner()
 }
 
-// tell reports what a server holds now.
-func (k *Keeper) tell(s *residence.State) {
+// tell reports what a server holds at the given time.
+func (k *Keeper) tell(s *residence.State, at time.Duration) {
 	if k.opts.OnChange == nil {
 		return
 	}
 	k.mu.Lock()
 	id := s.Server.ID
 	c := Change{Born: s.Server.Born, OrderSeq: s.Seq()}
-	c.Residents, c.Fetching = s.Residents(k.opts.Clock())
+	c.Residents, c.Fetching = s.Residents(at)
 	k.mu.Unlock()
 	k.opts.OnChange(id, c)
 }
--- a/placement/residence/told.go
+++ b/placement/residence/told.go
@@ -13,6 +13,15 @@
 // Working reports whether a model order is in progress.
 func (s *State) Working() bool { return s.work != nil }
 
+// Ready returns when an adapter on its way will have been loaded; 0 when the
+// server does not hold it.
+func (s *State) Ready(k Key) time.Duration {
+	if a := s.adapter(k.Model, k.Adapter); a != nil {
+		return a.Ready
+	}
+	return 0
+}
+
 // Residents returns what the server holds and keeps, and the adapters that are
 // on their way as MODEL/NAME.
 func (s *State) Residents(now time.Duration) (residents []fleet.Resident, fetching []string) {
