Orders: a lost load is recognised when it is in progress; a blip is no loss

A load whose answer was lost and that had begun counted as an unknown order, so its model was loaded at a second server too. A server that cannot be reached keeps its replicas in the count for 0.8 s before they are loaded elsewhere.

--- a/entry/direct/orders/plan.go
+++ b/entry/direct/orders/plan.go
@@ -63,7 +63,7 @@
 		k.takeIn(v, now)
 	}
 	for _, b := range k.books {
-		b.SetDown(k.opts.Down)
+		b.SetDown(k.opts.Down, now)
 	}
 }
 
--- a/placement/residence/book.go
+++ b/placement/residence/book.go
@@ -15,7 +15,7 @@
 	Rate    LoadRate
 	Demand  Demands
 
-	down map[string]bool // servers that cannot be reached at present
+	down map[string]time.Duration // since when servers cannot be reached
 }
 
 // NewBook returns a book without servers. window is the span over which the
@@ -49,13 +49,20 @@
 }
 
 // SetDown takes in which servers cannot be reached at present.
-func (b *Book) SetDown(down func(id string) bool) {
+func (b *Book) SetDown(down func(id string) bool, now time.Duration) {
 	if down == nil {
 		return
 	}
-	b.down = make(map[string]bool, len(b.Servers))
+	before := b.down
+	b.down = map[string]time.Duration{}
 	for id := range b.Servers {
-		b.down[id] = down(id)
+		if !down(id) {
+			continue
+		}
+		b.down[id] = now
+		if since, ok := before[id]; ok {
+			b.down[id] = since
+		}
 	}
 }
 
@@ -99,9 +106,20 @@
 	return true
 }
 
+// downTime is how long a server has been out of reach when what it holds is
+// loaded elsewhere: a load costs more than a short wait.
+const downTime = 800 * time.Millisecond
+
 // usable reports whether requests and new loads may go to the server.
 func (b *Book) usable(s *State) bool {
-	return !s.Server.Draining && !b.down[s.Server.ID]
+	_, down := b.down[s.Server.ID]
+	return !s.Server.Draining && !down
+}
+
+// lasts reports whether the server's residents count as replicas.
+func (b *Book) lasts(s *State, now time.Duration) bool {
+	since, down := b.down[s.Server.ID]
+	return !s.Server.Draining && (!down || now-since < downTime)
 }
 
 // ids returns the IDs of the servers in order.
--- a/placement/residence/replicas.go
+++ b/placement/residence/replicas.go
@@ -99,7 +99,7 @@
 // holds returns the models that the server serves, or will, and keeps.
 func (p *planning) holds(s *State) map[string]bool {
 	out := map[string]bool{}
-	if !p.b.usable(s) {
+	if !p.b.lasts(s, p.now) {
 		return out
 	}
 	for model := range s.Models {
--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -127,11 +127,15 @@
 		s.ask = now + reportLag
 		return false
 	}
+	late := s.lateWork(r, now)
 	s.seq, s.floor, s.known = r.OrderSeq, r.OrderSeq, true
 	s.Server.Draining = s.Server.Draining || r.Draining
 	s.dropSettled()
 	s.setResidents(r.Residents, r.Fetching, now)
 	s.InMemory, s.OnDisk = setOf(r.InMemory), setOf(r.OnDisk)
+	if s.work == nil {
+		s.work = late
+	}
 	s.setBusy(r.Busy, now)
 	if s.anyLeaving() {
 		s.askAt(now + leavingGap)
@@ -139,6 +143,23 @@
 	return true
 }
 
+// lateWork returns the model order that was lost and is in progress now, if the
+// report's count shows that it was the last to be accepted.
+func (s *State) lateWork(r fleet.Report, now time.Duration) *Work {
+	var found *Work
+	for _, o := range s.lost {
+		if !r.Busy || o.Adapter != "" || o.Seq+1 != r.OrderSeq {
+			continue
+		}
+		w := Work{Kind: o.Kind, Model: o.Model, Due: now}
+		if found != nil && *found != w {
+			return nil
+		}
+		found = &w
+	}
+	return found
+}
+
 // anyLeaving reports whether an adapter is to be unloaded and still held.
 func (s *State) anyLeaving() bool {
 	for _, m := range s.Models {
--- a/placement/residence/state_test.go
+++ b/placement/residence/state_test.go
@@ -78,6 +78,15 @@
 	}
 }
 
+func TestLostLoadIsRecognisedWhenItIsInProgress(t *testing.T) {
+	s := newState(registered(1, 1, "m0"), time.Hour)
+	s.Report(reported(1, 0, false, "m0"), time.Hour)
+	s.Begin(s.order(fleet.OrderLoad, Key{Model: "m1"}), time.Hour)
+	s.Lost(time.Hour)
+	s.Report(reported(1, 1, true, "m0"), time.Hour)
+	assert.Assert(t, s.loading("m1"))
+}
+
 func TestLostLoadCountsUntilItCanNoLongerTakeEffect(t *testing.T) {
 	e := fiveModels()
 	s := newState(registered(1, 1, "m0"), time.Hour)
