Orders: an incarnation that registers while an order is on its way no longer ends the process

The registration dropped the order, and its outcome then met none (nil dereference). The new incarnation now begins once the outcome is known. Test first: it panicked before.

--- a/placement/residence/outcome.go
+++ b/placement/residence/outcome.go
@@ -16,6 +16,7 @@
 func (s *State) Answered(outcome fleet.OrderOutcome, source Source, length, now time.Duration) {
 	o := *s.sent
 	s.sent = nil
+	defer s.beginNext(now)
 	switch outcome {
 	case fleet.OrderAccepted:
 		s.accepted(o, source, length, now)
@@ -30,6 +31,7 @@
 // Lost says that no answer came to the order that was sent, so that it may be
 // carried out at any later time.
 func (s *State) Lost(now time.Duration) {
+	defer s.beginNext(now)
 	s.lost = append(s.lost, *s.sent)
 	s.sent, s.lostAt = nil, now
 	s.known = false
@@ -38,11 +40,19 @@
 
 // NotSent says that the order certainly did not reach the server.
 func (s *State) NotSent(now time.Duration) {
+	defer s.beginNext(now)
 	s.sent = nil
 	s.known = false
 	s.askAt(now + reportGap)
 }
 
+// beginNext starts anew with an incarnation that has registered meanwhile.
+func (s *State) beginNext(now time.Duration) {
+	if s.next != nil {
+		s.begin(*s.next, now)
+	}
+}
+
 func (s *State) accepted(o fleet.Order, source Source, length, now time.Duration) {
 	s.seq = o.Seq + 1
 	s.floor = s.seq
--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -39,6 +39,7 @@
 	known   bool  // Models and seq belong together, and whether the server is busy is known
 	sent    *fleet.Order
 	sentAt  time.Duration
+	next    *fleet.Server // incarnation that registered while the order was on its way
 	lostAt  time.Duration // when an order was last without an answer; 0 when none was
 	lost    []fleet.Order // without an answer; may take effect until seq has passed them
 	work    *Work         // model order in progress
@@ -92,7 +93,8 @@
 func (s *State) begin(sv fleet.Server, now time.Duration) {
 	s.Server = sv
 	s.seq, s.floor, s.known = 0, 0, false
-	s.sent, s.lost, s.work, s.intent, s.blocked, s.lostAt = nil, nil, nil, nil, 0, 0
+	s.sent, s.next, s.lost, s.work, s.intent = nil, nil, nil, nil, nil
+	s.blocked, s.lostAt = 0, 0
 	s.ask = now
 	s.Models = map[string]*Resident{}
 	s.setResidents(sv.Residents, sv.Fetching, now)
@@ -105,6 +107,8 @@
 // incarnation, or older than what is known, change nothing.
 func (s *State) Register(sv fleet.Server, now time.Duration) {
 	switch {
+	case sv.Born > s.Server.Born && s.sent != nil:
+		s.next = &sv
 	case sv.Born > s.Server.Born:
 		s.begin(sv, now)
 	case sv.Born == s.Server.Born && sv.Registration >= s.Server.Registration:
@@ -201,9 +205,6 @@
 // ReportDue reports whether the server is to be asked for a report.
 func (s *State) ReportDue(now time.Duration) bool { return s.sent == nil && now >= s.ask }
 
-// Incarnation returns what tells this start of the server from others.
-func (s *State) Incarnation() int64 { return s.Server.Born }
-
 func (s *State) askAt(t time.Duration) { s.ask = min(s.ask, t) }
 
 // ready reports whether an order can be based on what is known.
--- a/placement/residence/state_test.go
+++ b/placement/residence/state_test.go
@@ -103,3 +103,19 @@
 	s.Report(reported(1, 1, false, "m0"), time.Hour)
 	assert.Equal(t, s.free(e, Key{Model: "m2"}), free)
 }
+
+func TestNewIncarnationWhileAnOrderIsOnItsWay(t *testing.T) {
+	for _, end := range []func(*State){
+		func(s *State) { s.Answered(fleet.OrderAccepted, SourceStore, time.Second, time.Hour) },
+		func(s *State) { s.Lost(time.Hour) },
+		func(s *State) { s.NotSent(time.Hour) },
+	} {
+		s := newState(registered(1, 1, "m1"), time.Hour)
+		s.Report(reported(1, 0, false, "m1"), time.Hour)
+		s.Begin(s.order(fleet.OrderLoad, Key{Model: "m2"}), time.Hour)
+		s.Register(registered(2, 2, "m3"), time.Hour)
+		end(s)
+		assert.DeepEqual(t, sortedKeys(s.Models), []string{"m3"})
+		assert.Assert(t, !s.ready() && s.work == nil && len(s.lost) == 0)
+	}
+}
