--- a/placement/residence/demand.go
+++ b/placement/residence/demand.go
@@ -10,6 +10,9 @@
 	fallTime = 15 * time.Second // time constant of the estimate that outlasts a pause
 	// firstTime is the least time that the slow average is taken to rest on.
 	firstTime = 5 * time.Second
+	// settleTime is how long arrivals are watched before a replica of one model
+	// makes room for another's.
+	settleTime = 4 * time.Second
 	// observationAge is how long what an entry told of waiting and running
 	// requests counts when it says nothing new.
 	observationAge = 2 * time.Second
@@ -60,7 +63,8 @@
 // told is what one entry told last.
 type told struct {
 	at      time.Duration
-	waiting map[string]int
+	waiting map[string]int // by model
+	urgency map[string]int // of the models with waiting requests
 	running map[string]map[Key]int
 }
 
@@ -71,7 +75,8 @@
 	lastRun map[string]map[Key]time.Duration // by server
 	pending map[string]ModelDemand           // arrivals since the last step
 	wanted  map[string]time.Duration         // when a caller of this process last said that it waits
-	started time.Duration
+	started time.Duration                    // of observing
+	first   time.Duration                    // arrival; 0 before
 	stepped time.Duration
 }
 
@@ -94,17 +99,23 @@
 
 // Observe takes in what an entry saw.
 func (d *Demands) Observe(from string, seen []ModelDemand, now time.Duration) {
-	t := &told{at: now, waiting: map[string]int{}, running: map[string]map[Key]int{}}
+	t := &told{at: now, waiting: map[string]int{}, urgency: map[string]int{}, running: map[string]map[Key]int{}}
 	d.entries[from] = t
 	for _, m := range seen {
 		p := d.pending[m.Model]
 		p.Arrivals += m.Arrivals
 		p.PrefillTokens += m.PrefillTokens
 		d.pending[m.Model] = p
-		t.waiting[m.Model] += m.Waiting + m.Refused
+		if m.Waiting+m.Refused > 0 {
+			t.waiting[m.Model] += m.Waiting + m.Refused
+			t.urgency[m.Model] = m.Urgency
+		}
 		for _, r := range m.Running {
 			d.observeRunning(t, m.Model, r)
 		}
+		if m.Arrivals > 0 && d.first == 0 {
+			d.first = now
+		}
 		if m.Arrivals+m.Waiting+m.Refused > 0 {
 			d.estimate(m.Model).asked = now
 		}
@@ -161,6 +172,10 @@
 // age returns how long demand has been observed.
 func (d *Demands) age() time.Duration { return d.stepped - d.started }
 
+// settled reports whether arrivals have been seen for long enough to compare
+// models by them.
+func (d *Demands) settled() bool { return d.first > 0 && d.stepped-d.first >= settleTime }
+
 // work returns the work for a model in tokens a second: the slow average, or
 // the fast one as far as it exceeds that by more than chance.
 func (d *Demands) work(model string) float64 {
@@ -198,6 +213,17 @@
 	return n
 }
 
+// urgency returns the rank of the most urgent request that waits for a model.
+func (d *Demands) urgency(model string) int {
+	rank := math.MaxInt
+	for _, t := range d.entries {
+		if u, ok := t.urgency[model]; ok {
+			rank = min(rank, u)
+		}
+	}
+	return rank
+}
+
 // Running returns the requests that run at a server for a key.
 func (d *Demands) Running(server string, k Key) int {
 	n := 0
--- a/placement/residence/plan_test.go
+++ b/placement/residence/plan_test.go
@@ -66,6 +66,15 @@
 	assert.Equal(t, len(m.unreachable()), 0)
 }
 
+func TestWhatIsPlacedStaysUntilDemandIsKnown(t *testing.T) {
+	m := fleetOf(time.Second)
+	delete(m.servers, "s17")
+	m.rates = nil
+	m.run(10 * time.Second)
+	assert.DeepEqual(t, m.unreachable(), []string{"m23"})
+	assert.Equal(t, len(m.unloaded), 0, "%v", m.unloaded)
+}
+
 func TestRisingModelsGetReplicasSoon(t *testing.T) {
 	m := fleetOf(1200 * time.Millisecond)
 	m.run(10 * time.Second)
@@ -134,10 +143,13 @@
 			for _, id := range sortedKeys(tc.servers) {
 				s := m.start(id, tc.servers[id]...)
 				if id == tc.copies {
-					s.before[0].OnDisk = []string{"m2"}
+					s.onDisk = []string{"m2"}
 				}
 			}
 			m.update(func() int { return 0 })
+			for _, id := range m.book.ids() {
+				m.report(id)
+			}
 			m.book.Demand.Observe("entry", waitingFor("m2", tc.asked, tc.running, sortedKeys(tc.servers)), m.now)
 			assert.Equal(t, stepFor("m2", m.book.Plan(m.now)), tc.want)
 		})
