--- a/admission/flow.go
+++ b/admission/flow.go
@@ -30,14 +30,15 @@
 
 // entry is one waiting request.
 type entry[T any] struct {
-	item    T
-	w       Waiter
-	latest  time.Time // latest start for the objective
-	last    time.Time // latest start for the deadline
-	flow    *flow[T]
-	batch   *routing.Batch // on which work is reserved
-	work    time.Duration
-	service time.Duration // once a server begins with it
+	item   T
+	w      Waiter
+	latest time.Time // latest start for the objective
+	last   time.Time // latest start for the deadline
+	flow   *flow[T]
+	batch  *routing.Batch // on which work is reserved
+	work   time.Duration
+	first  time.Duration // from its turn at a server to the first event
+	rest   time.Duration // from there to the end
 }
 
 // maxAwaited bounds the servers that earlier requests are remembered to wait for.
@@ -47,14 +48,17 @@
 const leastPause = 20 * time.Millisecond
 
 func newEntry[T any](item T, w Waiter, o *Offer) *entry[T] {
-	first := max(o.Wait-o.Backlog-o.Load, 0)
-	return &entry[T]{
-		item:    item,
-		w:       w,
-		latest:  w.Objective.Add(-first),
-		last:    w.Deadline.Add(-first - w.Rest),
-		service: first + w.Rest,
-	}
+	e := &entry[T]{item: item, w: w}
+	e.expect(o)
+	e.latest = w.Objective.Add(-e.first - backlogBound(&w))
+	e.last = w.Deadline.Add(-e.first - e.rest)
+	return e
+}
+
+// expect takes over how long the request would take at a server.
+func (e *entry[T]) expect(o *Offer) {
+	e.first = max(o.Wait-o.Backlog-o.Load, 0)
+	e.rest = time.Duration(e.w.Tokens) * o.Step
 }
 
 // mayAppear reports whether a server for the request may yet come up.
--- a/admission/line.go
+++ b/admission/line.go
@@ -12,14 +12,14 @@
 
 // Waiter is what matters of a request that may wait for a server.
 type Waiter struct {
-	Kind      string        // the route
-	Flow      uint64        // requests that suit the same servers: model, adapter and shared prompt parts
-	Session   uint64        // 0 means none
-	Priority  int           // 0 is the most urgent
-	Arrived   time.Time     // first seen
-	Objective time.Time     // the first event is due
-	Deadline  time.Time     // the whole answer is due: the client's deadline or the route's timeout
-	Rest      time.Duration // expected from the first event to the end
+	Kind      string    // the route
+	Flow      uint64    // requests that suit the same servers: model, adapter and shared prompt parts
+	Session   uint64    // 0 means none
+	Priority  int       // 0 is the most urgent
+	Arrived   time.Time // first seen
+	Objective time.Time // the first event is due
+	Deadline  time.Time // the whole answer is due: the client's deadline or the route's timeout
+	Tokens    int       // expected after the first event
 }
 
 // Offer is the best server for a request just now.
@@ -31,6 +31,7 @@
 	Backlog time.Duration  // work before the request
 	Wait    time.Duration  // until its first event, with all of this
 	Work    time.Duration  // of the server, for the request
+	Step    time.Duration  // between two tokens of the answer
 	Full    bool           // no slot or memory is free
 }
 
@@ -48,6 +49,7 @@
 		Backlog: c.Backlog,
 		Wait:    c.Wait,
 		Work:    c.Work,
+		Step:    c.Step,
 		Full:    c.Full || c.Overflow,
 	}
 }
@@ -72,10 +74,10 @@
 }
 
 const (
-	backlogShare  = 0.25                   // of the objective: a server's queue short enough to begin in time
+	backlogShare  = 0.12                   // of the objective: a server's queue short enough to begin in time
 	leastBacklog  = 60 * time.Millisecond  // keeps a server busy until news of it have come back
 	mostBacklog   = 400 * time.Millisecond // beyond, order matters more than any gain
-	lateShare     = 0.6                    // of the time left: what is late is let in only if it is expected well before the end
+	lateShare     = 0.3                    // of the time left: what is late through others is let in only if it ends within it
 	sessionTurn   = 100 * time.Millisecond // a session's further requests go so much later
 	serverMissing = 8                      // part of the objective for which a server may come up
 	soonestReturn = 100 * time.Millisecond // less is no relief
@@ -101,7 +103,6 @@
 	size     int
 	sessions map[uint64]int // waiting requests of each
 	shares   *shares
-	promises promises
 	vain     []vain[T] // found to wait in vain by the last plan
 	planAt   time.Time
 }
@@ -121,15 +122,10 @@
 
 // Arrive takes a new request into the line or rejects it at once.
 func (l *Line[T]) Arrive(item T, w Waiter, now time.Time, offers Offers[T]) Outcome[T] {
-	l.promises.expire(now)
-	promised := l.promises.redeem(w.Flow, now)
 	l.shares.of(w.Kind).came++
 	offer, found := offers(item, true)
 	e := newEntry(item, w, &offer)
-	if v := l.judge(e, &offer, found, promised, now); v.Action == Reject {
-		if found {
-			l.promises.make(&w, &offer, now.Add(v.RetryAfter))
-		}
+	if v := l.judge(e, &offer, found, now); v.Action == Reject {
 		return Outcome[T]{Verdict: v, Item: item}
 	}
 	if found {
@@ -140,7 +136,7 @@
 }
 
 // judge says whether a request may wait, given the server planned for it.
-func (l *Line[T]) judge(e *entry[T], o *Offer, found, promised bool, now time.Time) Verdict {
+func (l *Line[T]) judge(e *entry[T], o *Offer, found bool, now time.Time) Verdict {
 	left := e.w.Deadline.Sub(now)
 	switch {
 	case l.size >= mostWaiting:
@@ -149,18 +145,29 @@
 		return Verdict{Action: Queue}
 	case !found:
 		return comeBack("no server holds the model or loads it", left/returnShare, left)
-	case e.service > left:
+	case e.first+e.rest > left:
 		return comeBack("the time left does not suffice", left/returnShare, left)
 	case l.shares.mayStarve(e.w.Kind):
 		return Verdict{Action: Queue}
-	case o.Wait+e.w.Rest > left:
+	case o.Wait+e.rest > left:
 		return comeBack("expected after its deadline", o.Wait, left)
-	case now.Add(o.Wait).After(e.w.Objective) && !promised && o.Wait+e.w.Rest > time.Duration(float64(left)*lateShare):
-		return comeBack("expected late, and close to its deadline", o.Wait, left)
+	case e.crowdedOut(o, now):
+		return comeBack("expected late for the requests before it", o.Wait, left)
 	}
 	return Verdict{Action: Queue}
 }
 
+// crowdedOut reports whether the requests before this one make it late by so
+// much that it would only be in the way of those that can be in time. A load
+// in progress is waited for: it is no better to come back after it.
+func (e *entry[T]) crowdedOut(o *Offer, now time.Time) bool {
+	if !now.Add(o.Wait - o.Load).After(e.w.Objective) {
+		return false
+	}
+	left := e.w.Deadline.Sub(now)
+	return o.Wait-o.Load+e.rest > time.Duration(float64(left)*lateShare)
+}
+
 // comeBack rejects a request that is expected to be served after wait.
 func comeBack(reason string, wait, left time.Duration) Verdict {
 	after := max(min(wait, left/returnShare), soonestReturn)
@@ -170,7 +177,6 @@
 // Next returns the next verdict on a waiting request: Admit with the server to
 // send it to, or Reject. It reports false when all that are left go on waiting.
 func (l *Line[T]) Next(now time.Time, offers Offers[T]) (Outcome[T], bool) {
-	l.promises.expire(now)
 	if l.size == 0 {
 		return Outcome[T]{}, false
 	}
--- a/routing/batch.go
+++ b/routing/batch.go
@@ -14,6 +14,10 @@
 	// leastBacklog is the least share of the work told or sent that still counts
 	// while no first event shows that it is done.
 	leastBacklog = 0.25
+
+	// dutySpan is the time over which a server's busy time is averaged, about
+	// as long as an answer takes.
+	dutySpan = 2 * time.Second
 )
 
 // Priorities is how many priorities are told apart; less urgent ones count as the last.
@@ -65,6 +69,8 @@
 	own      Load
 	others   Load
 	anchor   time.Time // when the work was last known to be still to do
+	duty     float64   // share of the last seconds in which there was work
+	dutyAt   time.Time // when it was computed
 	heard    map[string]heard
 	silentAt time.Time // when the oldest of heard is too old
 }
@@ -76,6 +82,7 @@
 
 // Sent counts a request that was sent to the server.
 func (b *Batch) Sent(s Sending, now time.Time) {
+	b.account(now)
 	if b.own.Work+b.others.Work == 0 {
 		b.anchor = now
 	}
@@ -86,6 +93,7 @@
 
 // Started counts the first event of a request.
 func (b *Batch) Started(s Sending, now time.Time) {
+	b.account(now)
 	b.own.Waiting--
 	b.own.Work -= s.Work
 	b.own.Running++
@@ -93,7 +101,8 @@
 }
 
 // Ended removes a request; started says whether Started was called for it.
-func (b *Batch) Ended(s Sending, started bool, _ time.Time) {
+func (b *Batch) Ended(s Sending, started bool, now time.Time) {
+	b.account(now)
 	b.own.Tokens -= s.Tokens
 	if started {
 		b.own.Running--
@@ -109,6 +118,16 @@
 	b.own.Reserved[min(max(priority, 0), Priorities-1)] += work
 }
 
+// account brings the duty up to date, before the work changes.
+func (b *Batch) account(now time.Time) {
+	keep := halved(now.Sub(b.dutyAt), dutySpan)
+	b.dutyAt = now
+	b.duty *= keep
+	if b.own.Work+b.others.Work > 0 {
+		b.duty += 1 - keep
+	}
+}
+
 // Own returns this entry's part, to be told to the other entries.
 func (b *Batch) Own() Load { return b.own }
 
@@ -117,6 +136,7 @@
 	if b.heard == nil {
 		b.heard = map[string]heard{}
 	}
+	b.account(now)
 	b.heard[entry] = heard{l, at}
 	b.sum(now)
 	b.anchor = now
@@ -160,6 +180,8 @@
 	return max(work-now.Sub(b.anchor), time.Duration(float64(work)*leastBacklog))
 }
 
-// Reset forgets what is under way, for instance after the server's restart.
-// What is reserved stays.
-func (b *Batch) Reset() { *b = Batch{own: Load{Reserved: b.own.Reserved}} }
+// Restarted forgets what other entries told of the server's earlier
+// incarnation. Own requests end one by one as their connections break.
+func (b *Batch) Restarted() {
+	b.heard, b.others, b.silentAt = nil, Load{}, time.Time{}
+}
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -32,9 +32,10 @@
 	return s
 }
 
-// Restarted forgets what an earlier incarnation of the server had under way and kept.
+// Restarted forgets what an earlier incarnation of the server kept and what
+// other entries had under way there.
 func (s *EngineServer) Restarted() {
-	s.Batch.Reset()
+	s.Batch.Restarted()
 	s.Health = Health{}
 	if s.Kept != nil {
 		s.Kept.Clear()
@@ -57,6 +58,7 @@
 	Cached   int           // tokens of the prompt that the server keeps
 	Load     time.Duration // until the model and adapter are resident
 	Work     time.Duration // prefill, at a server of usual speed
+	Step     time.Duration // expected between two tokens of the answer
 	Overflow bool          // the server's memory is too small for what it runs and this
 	Full     bool          // all slots are taken
 	Reason   string
@@ -73,7 +75,8 @@
 	memoryInUse    = 0.97            // of KVTokens: blocks are partly filled
 	comparedAll    = 48              // replicas of a model; beyond, a sample is compared
 	sampled        = 16              // far above the two that avoid the longest queues
-	workWeight     = 0.5             // the work that a choice adds delays those who come after
+	workWeight     = 1.0             // the work that a choice adds delays those who come after
+	finishWeight   = 0.1             // long answers go where little is prefilled meanwhile
 	homeWeight     = 0.5             // the chance that another entry has sent the shared parts home
 	reasonHome     = "home of the prompt prefix"
 	reasonCached   = "prompt prefix cached"
@@ -111,6 +114,14 @@
 	return wait + s.RoundTrip
 }
 
+// step returns the expected time between two tokens of an answer. While the
+// server prefills, a chunk goes between any two.
+func (s *EngineServer) step(load *Load, p *Prompt, now time.Time) time.Duration {
+	step := stepTime + time.Duration(load.Running)*stepPerRunning
+	step += time.Duration(0.15 * s.Batch.duty * float64(chunkTokens*p.PerToken))
+	return time.Duration(float64(step) * s.Health.Slowness(now))
+}
+
 // overflows reports whether the server would have to preempt requests.
 func (s *EngineServer) overflows(load *Load, p *Prompt) bool {
 	return s.KVTokens > 0 && load.Tokens+p.Memory() > int(float64(s.KVTokens)*memoryInUse)
@@ -216,6 +227,7 @@
 	load := s.Batch.Load(c.now)
 	cost := s.estimate(&load, s.before(&load, c.p, c.now), c.p, cached, c.now) + r.Load
 	cost += time.Duration(float64(c.p.Work(cached)) * workWeight)
+	cost += time.Duration(finishWeight * float64(c.p.Out) * s.Batch.duty * float64(chunkTokens*c.p.PerToken))
 	if s.overflows(&load, c.p) {
 		cost += overflowCost
 	}
@@ -247,6 +259,7 @@
 		Cached:   s.cached,
 		Load:     r.Load,
 		Work:     c.p.Work(s.cached),
+		Step:     s.step(&load, c.p, c.now),
 		Full:     s.Slots > 0 && load.Waiting+load.Running >= s.Slots,
 		Overflow: s.overflows(&load, c.p),
 	}
--- a/routing/pace.go
+++ b/routing/pace.go
@@ -77,17 +77,14 @@
 	h.penaltyAt = now
 }
 
-// Answered counts a sound answer that was expected after expected and came after took.
-func (h *Health) Answered(expected, took time.Duration, now time.Time) {
-	h.succeeded(now)
-	if expected <= 0 || took <= 0 {
-		return
-	}
+// answered learns from an answer that was expected after expected and came after took.
+func (h *Health) answered(expected, took time.Duration, now time.Time) {
 	ratio := min(max(float64(took)/float64(expected), 1/mostDeviation), mostDeviation)
 	h.learn(math.Log(ratio)*speedStep, now)
 }
 
-// Prefilled is Answered for a first event, of whose expected time work was prefill.
+// Prefilled learns from a first event that was expected after expected, of
+// which work was prefill, and came after took.
 func (h *Health) Prefilled(work, expected, took time.Duration, now time.Time) {
 	h.succeeded(now)
 	if d, ok := deviation(work, expected, took); ok {
--- a/routing/plain.go
+++ b/routing/plain.go
@@ -58,7 +58,7 @@
 //	choice.Server.Batch.Sent(routing.Sending{}, now)
 //	// once it is answered:
 //	choice.Server.Batch.Ended(routing.Sending{}, false, now)
-//	choice.Server.Health.Answered(choice.Wait, took, now)
+//	usual.Answered(&choice, took, now) // or choice.Server.Health.Failed(now)
 func ChoosePlain(servers []*PlainServer, req PlainRequest, now time.Time) (PlainChoice, error) {
 	best, second := -1, -1
 	var cost, next time.Duration
@@ -162,12 +162,17 @@
 	return u.value
 }
 
-// Observe learns from an answer of a server that is not suspect, which was
-// expected after expected and came after took.
-func (u *Usual) Observe(expected, took time.Duration) {
-	if expected <= 0 {
+// Answered learns from a sound answer to a request that was sent as chosen.
+// What had to queue says nothing of the server's speed, nor of the service's.
+func (u *Usual) Answered(c *PlainChoice, took time.Duration, now time.Time) {
+	h := &c.Server.Health
+	h.succeeded(now)
+	if c.Backlog > 0 || c.Wait <= 0 || took <= 0 {
 		return
 	}
-	ratio := min(max(float64(took)/float64(expected), 1/mostDeviation), mostDeviation)
-	u.value = time.Duration(float64(u.Time()) * (1 + (ratio-1)*usualStep))
+	h.answered(c.Wait, took, now)
+	if !h.Suspect(now) {
+		ratio := min(max(float64(took)/float64(c.Wait), 1/mostDeviation), mostDeviation)
+		u.value = time.Duration(float64(u.Time()) * (1 + (ratio-1)*usualStep))
+	}
 }
