--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -135,6 +135,8 @@
 		switch l.Event {
 		case event.AttemptFailed.ID:
 			said = append(said, fmt.Sprintf("Attempt %s at %s failed after %v: %s; %s.", l.Text("attempt"), l.Text("server"), l.Duration("after_ms"), failure(l), ran(l)))
+		case event.RequestRetried.ID:
+			said = append(said, retried(l))
 		case event.RetryWithheld.ID:
 			said = append(said, fmt.Sprintf("It was not tried again: %s.", l.Text("reason")))
 		}
@@ -142,6 +144,13 @@
 	return said
 }
 
+func retried(l *Line) string {
+	if after := l.Text("resume_after"); after != "" {
+		return fmt.Sprintf("Attempt %s was to go on after event %s.", l.Text("attempt"), after)
+	}
+	return fmt.Sprintf("Attempt %s was to follow.", l.Text("attempt"))
+}
+
 func failure(l *Line) string {
 	text := l.Text("kind")
 	if status := l.Text("status"); status != "" {
--- a/operator/explain/command.go
+++ b/operator/explain/command.go
@@ -13,7 +13,7 @@
 // Spans around a request within which changes are told unless flags say
 // otherwise: a server's registration lapses within seconds of its end.
 const (
-	defaultBefore = 15 * time.Second
+	defaultBefore = 10 * time.Second
 	defaultAfter  = 5 * time.Second
 )
 
--- a/operator/explain/line.go
+++ b/operator/explain/line.go
@@ -49,7 +49,10 @@
 	return milliseconds(ms)
 }
 
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// milliseconds rounds to what the log tells, a tenth of a millisecond.
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond)).Round(100 * time.Microsecond)
+}
 
 // parseLine reads the JSON object of a line, whatever a collector put before
 // it. It reports false for a line that is none of a decision log.
--- a/operator/explain/print.go
+++ b/operator/explain/print.go
@@ -19,7 +19,7 @@
 	fmt.Fprintln(w)
 	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight|tabwriter.DiscardEmptyColumns)
 	for _, m := range t.Moments {
-		fmt.Fprintf(tab, "%s\t%s\t%s\t%d\t  %s  %s\n", offset(m.At), mark(m.Own), m.Line.Node, m.Line.Event, m.Line.Name, details(m.Line))
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%d\t  %s  %s\n", offset(m.At), mark(m.Own), m.Line.Node, m.Line.Event, m.Line.Name, details(m))
 	}
 	return tab.Flush()
 }
@@ -47,10 +47,13 @@
 	return ""
 }
 
-func details(l *Line) string {
-	parts := make([]string, len(l.Fields))
-	for i, f := range l.Fields {
-		parts[i] = f.Key + "=" + quoteIfNeeded(f.Value)
+func details(m Moment) string {
+	var parts []string
+	for _, f := range m.Line.Fields {
+		parts = append(parts, f.Key+"="+quoteIfNeeded(f.Value))
+	}
+	if m.More > 0 {
+		parts = append(parts, fmt.Sprintf("(and %d more)", m.More))
 	}
 	return strings.Join(parts, " ")
 }
--- a/operator/explain/story.go
+++ b/operator/explain/story.go
@@ -21,6 +21,7 @@
 	Line *Line
 	At   time.Duration // since the request arrived, on the reference's clock
 	Own  bool          // about the request itself
+	More int           // lines alike that followed and are left out
 }
 
 // Story is what happened to a request, in order.
@@ -48,6 +49,7 @@
 	}
 	story.Moments = story.withoutRepeats()
 	slices.SortStableFunc(story.Moments, func(a, b Moment) int { return cmp.Compare(a.At, b.At) })
+	story.Moments = folded(story.Moments)
 	return story, nil
 }
 
@@ -149,6 +151,28 @@
 	})
 }
 
+// folded counts runs of lines alike that are not about the request, such as
+// those of a call that is made again and again, at the first of them.
+func folded(moments []Moment) []Moment {
+	var out []Moment
+	latest := map[string]int{} // index in out of the newest line of each node
+	for _, m := range moments {
+		if i, ok := latest[m.Line.Node]; ok && !m.Own && alike(out[i].Line, m.Line) {
+			out[i].More++
+			continue
+		}
+		latest[m.Line.Node] = len(out)
+		out = append(out, m)
+	}
+	return out
+}
+
+// alike compares what two lines are about, and not their causes.
+func alike(a, b *Line) bool {
+	return a.Event == b.Event && a.Text("peer") == b.Text("peer") && a.Text("subject") == b.Text("subject") && a.Text("server") == b.Text("server") &&
+		a.Text("subject") != ""
+}
+
 // telling returns the lines of a process that bear on the request and come
 // before the end of the window.
 func (t *Story) telling(p *process, about subject, until, shift time.Duration) []*Line {
