--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"peridotchute.example/fleet"
@@ -12,6 +13,9 @@
 	reportLag = 120 * time.Millisecond
 	// reportGap is the time between reports that are awaited for one change.
 	reportGap = 300 * time.Millisecond
+	// leavingGap is the time between reports while an adapter that is to be
+	// unloaded waits for its requests to end, which takes a second or two.
+	leavingGap = 700 * time.Millisecond
 	// adapterLoad is the time in which an adapter is loaded: the slowest of the
 	// known deployments takes 10 ms.
 	adapterLoad = 12 * time.Millisecond
@@ -38,6 +42,7 @@
 	ask     time.Duration // when a report is due; math.MaxInt64 when none is
 	blocked time.Duration // no adapter orders until then
 	used    map[Key]time.Duration
+	loaded  map[string]time.Duration // when models were, or should have been, loaded by order
 }
 
 // Resident is a model that a server holds.
@@ -75,7 +80,7 @@
 // registration alone does not say whether an order is in progress, unless it
 // has never accepted one.
 func newState(s fleet.Server, now time.Duration) *State {
-	st := &State{ask: never, used: map[Key]time.Duration{}}
+	st := &State{ask: never, used: map[Key]time.Duration{}, loaded: map[string]time.Duration{}}
 	st.begin(s, now)
 	return st
 }
@@ -106,21 +111,19 @@
 		return
 	}
 	s.Server = sv
-	if sv.OrderSeq == fleet.OrdersUnknown {
+	switch {
+	case sv.OrderSeq == fleet.OrdersUnknown:
 		s.seen(sv)
-		return
-	}
-	if s.sent != nil || sv.OrderSeq < s.seq {
-		return
-	}
-	if sv.OrderSeq > s.seq {
+	case s.sent != nil || sv.OrderSeq < s.seq:
+	case sv.OrderSeq > s.seq:
 		s.known = false
 		s.work = nil
 		s.askAt(now)
+		s.setResidents(sv.Residents, sv.Fetching, now)
+		s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
+	case s.known:
+		s.confirm(sv, now)
 	}
-	s.setResidents(sv.Residents, sv.Fetching, now)
-	s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
-	s.endWorkIfSeen()
 }
 
 // seen takes in a registration that does not tell how many orders the server
@@ -142,15 +145,36 @@
 	s.work, s.ask = nil, never
 }
 
-// endWorkIfSeen ends the order in progress when the residents show its effect.
-func (s *State) endWorkIfSeen() {
-	if s.work == nil || s.work.Model == "" {
-		return
+// confirm takes from a registration that counts the same orders what they have
+// come to. It may be older than the newest report, so that what it does not
+// show yet is no news.
+func (s *State) confirm(sv fleet.Server, now time.Duration) {
+	listed := make(map[string]fleet.Resident, len(sv.Residents))
+	for _, r := range sv.Residents {
+		listed[r.Model] = r
 	}
-	_, resident := s.Models[s.work.Model]
-	if resident == (s.work.Kind == fleet.OrderLoad) {
-		s.work = nil
-		s.ask = never
+	if s.work != nil && s.work.Model != "" {
+		if _, resident := listed[s.work.Model]; resident == (s.work.Kind == fleet.OrderLoad) {
+			s.work = nil
+			s.ask = never
+			s.setResidents(sv.Residents, sv.Fetching, now)
+			s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
+			return
+		}
+	}
+	s.dropGone(listed)
+}
+
+// dropGone removes the adapters that were ordered to leave and are not listed
+// any more.
+func (s *State) dropGone(listed map[string]fleet.Resident) {
+	for model, m := range s.Models {
+		r, ok := listed[model]
+		for name, a := range m.Adapters {
+			if ok && a.Leaving && !slices.Contains(r.Adapters, name) {
+				delete(m.Adapters, name)
+			}
+		}
 	}
 }
 
@@ -173,9 +197,24 @@
 	s.setResidents(r.Residents, r.Fetching, now)
 	s.InMemory, s.OnDisk = setOf(r.InMemory), setOf(r.OnDisk)
 	s.setBusy(r.Busy, now)
+	if s.anyLeaving() {
+		s.askAt(now + leavingGap)
+	}
 	return true
 }
 
+// anyLeaving reports whether an adapter is to be unloaded and still held.
+func (s *State) anyLeaving() bool {
+	for _, m := range s.Models {
+		for _, a := range m.Adapters {
+			if a.Leaving {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // reportOfAnother takes in a report of an incarnation that has not registered
 // yet; one of an earlier incarnation is ignored.
 func (s *State) reportOfAnother(r fleet.Report, now time.Duration) bool {
