--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -50,7 +50,6 @@
 	ServerDraining
 	ServerUnreadable
 	ServerSuspected
-	ServerTrusted
 )
 
 // ServerChanged tells that the process sees a server differently.
@@ -123,7 +122,7 @@
 func (r ServerChanged) Event() event.Event {
 	return [...]event.Event{
 		event.ServerAppeared, event.ServerLeft, event.ServerDraining,
-		event.ServerUnreadable, event.ServerSuspected, event.ServerTrusted,
+		event.ServerUnreadable, event.ServerSuspected,
 	}[r.Change]
 }
 
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -126,13 +126,15 @@
 	t.s.health().Failed(time.Now())
 }
 
-// Unreachable notes that no connection to the server could be made.
-func (t *Ticket) Unreachable() {
+// Unreachable notes that no connection to the server could be made. It reports
+// whether that is news.
+func (t *Ticket) Unreachable() bool {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	t.s.downUntil = time.Now().Add(min(downFirst<<min(t.s.downs, 4), downMost))
 	t.s.downs++
 	t.p.line.Lost()
+	return t.s.downs == 1
 }
 
 // Declined notes that the server did not run the request; gone that it is
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -165,7 +165,7 @@
 	}
 	if fault.Is(err, fault.KindUnavailable) {
 		if ctx.Err() == nil {
-			t.Unreachable()
+			r.unreachable(t, err)
 		}
 		r.unsent++
 		if r.unsent < unsentTries && ctx.Err() == nil {
@@ -334,6 +334,23 @@
 	}
 }
 
+// unreachable notes that a server cannot be reached.
+func (r *run) unreachable(t *balance.Ticket, err error) {
+	if !t.Unreachable() {
+		return
+	}
+	r.f.opts.Log.Write(decisionlog.ServerChanged{
+		Change:     decisionlog.ServerSuspected,
+		Server:     t.Server.ID,
+		Service:    t.Server.Service,
+		Address:    t.Server.Address,
+		Zone:       t.Server.Zone,
+		RowVersion: t.Server.Registration,
+		ViewAge:    r.record.end.ViewAge,
+		Reason:     err.Error(),
+	})
+}
+
 // noteAnswer records an answer of our own.
 func (r *run) noteAnswer(why refusal) {
 	if why.status == http.StatusServiceUnavailable {
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -68,7 +68,9 @@
 	for _, m := range t.Moments {
 		l := m.Line
 		switch l.Event {
-		case event.ServerLeft.ID, event.ServerDraining.ID, event.ModelGone.ID, event.ModelHeld.ID:
+		case event.ServerLeft.ID, event.ServerDraining.ID, event.ServerSuspected.ID:
+			said = append(said, fmt.Sprintf("%s: %s %s, as %s saw it%s.", when(m.At), l.Name, l.Text("server"), l.Node, because(l)))
+		case event.ModelGone.ID, event.ModelHeld.ID:
 			said = append(said, fmt.Sprintf("%s: %s at %s, as %s saw it.", when(m.At), l.Name, l.Text("server"), l.Node))
 		case event.OrderGiven.ID, event.OrderDeclined.ID, event.OrderNoAnswer.ID:
 			ordered = ordered || m.At <= 0
@@ -118,7 +120,7 @@
 	for _, m := range t.Moments {
 		switch m.Line.Event {
 		case event.ServerLeft.ID, event.ServerDraining.ID, event.ServerSuspected.ID:
-			said = append(said, fmt.Sprintf("%s: %s, %s, as %s saw it%s.", when(m.At), m.Line.Text("server"), m.Line.Name, m.Line.Node, because(m.Line)))
+			said = append(said, fmt.Sprintf("%s: %s %s, as %s saw it%s.", when(m.At), m.Line.Name, m.Line.Text("server"), m.Line.Node, because(m.Line)))
 		}
 	}
 	return said
--- a/operator/explain/read_test.go
+++ b/operator/explain/read_test.go
@@ -129,3 +129,18 @@
 	_, err := logs.Story(Window{})
 	assert.ErrorContains(t, err, "no line about request y among 2 lines of 1 processes (1 of them tell that lines were left out)")
 }
+
+// A request whose process was killed has no end; its story says so.
+func TestUnfinishedRequest(t *testing.T) {
+	logs := NewLogs("x")
+	text := logOf("a", time.Time{}, noPrefix, nil, `"request":"x","msg":"request routed","event":600`,
+		`"request":"x","msg":"attempt failed","event":125,"attempt":1,"server":"i-1","kind":"reset","after_ms":12,"not_run":true`)
+	assert.NilError(t, logs.Read("log", strings.NewReader(text)))
+	story, err := logs.Story(Window{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, story.Cause(), []string{
+		"No line ends this request: it is still in progress, or its process was killed first.",
+		"Attempt 1 at i-1 failed after 12ms: reset; the server did not run it.",
+		"a wrote nothing after it.",
+	})
+}
--- a/operator/explain/story.go
+++ b/operator/explain/story.go
@@ -233,7 +233,7 @@
 func (a subject) concerns(l *Line, sameNode bool) bool {
 	switch l.Event {
 	case event.ServerAppeared.ID, event.ServerLeft.ID, event.ServerDraining.ID,
-		event.ServerSuspected.ID, event.ServerTrusted.ID, event.ModelHeld.ID, event.ModelGone.ID:
+		event.ServerSuspected.ID, event.ModelHeld.ID, event.ModelGone.ID:
 		return a.servers[l.Text("server")] || a.models[l.Text("model")] || a.anyHeld(l)
 	case event.OrderGiven.ID, event.OrderDeclined.ID, event.OrderNoAnswer.ID, event.NotMadeResident.ID:
 		return a.artifacts[ordered(l)]
