--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -19,6 +19,7 @@
 	Expected time.Duration // until the first event
 	Backlog  time.Duration // of it, work before the request
 	Cached   int           // tokens of the prompt that the server keeps
+	Holders  int           // usable servers that held what is asked for; 0 at plain services
 	Running  int           // requests that this entry had sent there before and that had not ended
 
 	b        *Balancer
@@ -47,6 +48,9 @@
 		artifact: w.artifact,
 		begun:    now,
 	}
+	if s.engine != nil && w.artifact.model != "" {
+		t.Holders = p.replicas(w, now, false)
+	}
 	if s.engine != nil {
 		t.sending = routing.Sending{Work: o.Work, Tokens: w.prompt.Memory()}
 	}
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -62,6 +62,8 @@
 		Running:  t.Running,
 		Cached:   t.Cached,
 		ViewAge:  r.end.ViewAge,
+
+		Candidates: t.Holders,
 	})
 }
 
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -94,9 +94,20 @@
 		said = append(said, fmt.Sprintf("Of that it waited %v at %s; the rest, %v, passed at %s, where %v was expected, %v of it for requests before it.",
 			waited, t.Taker.node, (first-waited).Round(100*time.Microsecond), e.Text("server"), expected, e.Duration("backlog_ms")))
 	}
+	said = append(said, t.holders()...)
 	return append(append(said, t.attempts()...), t.burst())
 }
 
+// holders tells how many servers a late request could have been sent to.
+func (t *Story) holders() []string {
+	for _, m := range t.Moments {
+		if n := m.Line.Text("candidates"); m.Own && n != "" && m.Line.Event == event.ServerChosen.ID {
+			return []string{fmt.Sprintf("When its turn came, %s usable servers held what it asked for.", n)}
+		}
+	}
+	return nil
+}
+
 // burst tells how other requests fared at the same entry shortly before.
 func (t *Story) burst() string {
 	until := t.end.Offset
