--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -68,7 +68,9 @@
 	for _, m := range t.Moments {
 		l := m.Line
 		switch l.Event {
-		case event.ServerLeft.ID, event.ServerDraining.ID, event.ModelGone.ID, event.ModelHeld.ID:
+		case event.ServerLeft.ID, event.ServerDraining.ID, event.ServerSuspected.ID:
+			said = append(said, fmt.Sprintf("%s: %s %s, as %s saw it%s.", when(m.At), l.Name, l.Text("server"), l.Node, because(l)))
+		case event.ModelGone.ID, event.ModelHeld.ID:
 			said = append(said, fmt.Sprintf("%s: %s at %s, as %s saw it.", when(m.At), l.Name, l.Text("server"), l.Node))
 		case event.OrderGiven.ID, event.OrderDeclined.ID, event.OrderNoAnswer.ID:
 			ordered = ordered || m.At <= 0
@@ -92,9 +94,20 @@
 		said = append(said, fmt.Sprintf("Of that it waited %v at %s; the rest, %v, passed at %s, where %v was expected, %v of it for requests before it.",
 			waited, t.Taker.node, (first-waited).Round(100*time.Microsecond), e.Text("server"), expected, e.Duration("backlog_ms")))
 	}
+	said = append(said, t.holders()...)
 	return append(append(said, t.attempts()...), t.burst())
 }
 
+// holders tells how many servers a late request could have been sent to.
+func (t *Story) holders() []string {
+	for _, m := range t.Moments {
+		if n := m.Line.Text("candidates"); m.Own && n != "" && m.Line.Event == event.ServerChosen.ID {
+			return []string{fmt.Sprintf("When its turn came, %s usable servers held what it asked for.", n)}
+		}
+	}
+	return nil
+}
+
 // burst tells how other requests fared at the same entry shortly before.
 func (t *Story) burst() string {
 	until := t.end.Offset
@@ -118,7 +131,7 @@
 	for _, m := range t.Moments {
 		switch m.Line.Event {
 		case event.ServerLeft.ID, event.ServerDraining.ID, event.ServerSuspected.ID:
-			said = append(said, fmt.Sprintf("%s: %s, %s, as %s saw it%s.", when(m.At), m.Line.Text("server"), m.Line.Name, m.Line.Node, because(m.Line)))
+			said = append(said, fmt.Sprintf("%s: %s %s, as %s saw it%s.", when(m.At), m.Line.Name, m.Line.Text("server"), m.Line.Node, because(m.Line)))
 		}
 	}
 	return said
@@ -135,6 +148,8 @@
 		switch l.Event {
 		case event.AttemptFailed.ID:
 			said = append(said, fmt.Sprintf("Attempt %s at %s failed after %v: %s; %s.", l.Text("attempt"), l.Text("server"), l.Duration("after_ms"), failure(l), ran(l)))
+		case event.RequestRetried.ID:
+			said = append(said, retried(l))
 		case event.RetryWithheld.ID:
 			said = append(said, fmt.Sprintf("It was not tried again: %s.", l.Text("reason")))
 		}
@@ -142,6 +157,13 @@
 	return said
 }
 
+func retried(l *Line) string {
+	if after := l.Text("resume_after"); after != "" {
+		return fmt.Sprintf("Attempt %s was to go on after event %s.", l.Text("attempt"), after)
+	}
+	return fmt.Sprintf("Attempt %s was to follow.", l.Text("attempt"))
+}
+
 func failure(l *Line) string {
 	text := l.Text("kind")
 	if status := l.Text("status"); status != "" {
