--- a/admission/line.go
+++ b/admission/line.go
@@ -127,6 +127,7 @@
 	offer, found := offers(item, true)
 	e := newEntry(item, w, &offer)
 	if v := l.judge(e, &offer, found, promised, now); v.Action == Reject {
+		v.Wait = offer.Wait
 		if found {
 			l.promises.make(&w, &offer, now.Add(v.RetryAfter))
 		}
--- a/common/decisionlog/bench_test.go
+++ b/common/decisionlog/bench_test.go
@@ -10,8 +10,7 @@
 func fullTrace(l *Log, end Record) {
 	t := l.Trace("9c41d07be2a35f68")
 	t.Add(Routed{Route: "r1", Service: "llm", Model: "daka510000", PromptTokens: 9190, Deadline: 6 * time.Second, ConfigVersion: 412})
-	t.Add(Waited{Reason: "server busy", Waited: 31 * time.Millisecond, Ahead: 4})
-	t.Add(Chosen{Server: "i-7f3a91c2", Zone: "tweed-a", Attempt: 1, Expected: 310 * time.Millisecond, Backlog: 240 * time.Millisecond, Candidates: 3, ViewAge: 400 * time.Millisecond})
+	t.Add(Chosen{Server: "i-7f3a91c2", Zone: "tweed-a", Attempt: 1, Waited: 31 * time.Millisecond, Expected: 310 * time.Millisecond, Backlog: 240 * time.Millisecond, Candidates: 3, ViewAge: 400 * time.Millisecond})
 	t.End(end)
 }
 
@@ -35,7 +34,7 @@
 // BenchmarkServedWritten is a served request with the formatting of its line.
 func BenchmarkServedWritten(b *testing.B) { benchmarkWritten(b, benchServed) }
 
-// BenchmarkLateWritten is a late request with the formatting of its four lines.
+// BenchmarkLateWritten is a late request with the formatting of its two lines.
 func BenchmarkLateWritten(b *testing.B) { benchmarkWritten(b, benchLate) }
 
 func benchmarkWritten(b *testing.B, end Record) {
@@ -47,7 +46,7 @@
 		fullTrace(l, end)
 		l.drain()
 	}
-	l.flush()
+	l.flush(l.buffer.Len())
 	b.ReportMetric(float64(out.bytes)/float64(b.N), "bytes/request")
 }
 
--- a/common/event/decision.go
+++ b/common/event/decision.go
@@ -5,7 +5,6 @@
 // Events 600 to 639: requests that are sent to backend servers directly.
 var (
 	RequestRouted   = define(600, "request routed", logrus.InfoLevel, "The route, service and model of a request, and the configuration version that decided them. Written when the request met trouble later.")
-	RequestWaited   = define(601, "request waited", logrus.InfoLevel, "A request waited at the entry for the given reason. Long waits with a high backlog mean too few servers that hold the model.")
 	ServerChosen    = define(602, "server chosen", logrus.InfoLevel, "The backend server that a request was sent to, with the expected time to first token, the backlog and the age of the view that decided it.")
 	RequestRetried  = define(603, "request retried", logrus.InfoLevel, "A failed attempt is followed by another one; resume_after is the last event that the caller has, when a stream goes on.")
 	RetryWithheld   = define(604, "retry withheld", logrus.WarnLevel, "A failed attempt was the last one; reason says what forbids another.")
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -50,12 +51,16 @@
 	r.end.Server = t.Server.ID
 	r.end.Expected = t.Expected
 	r.end.ViewAge = r.sentAt.Sub(v.ServersRead)
-	r.end.Waited = r.sentAt.Sub(r.req.arrived)
+	r.end.Backlog = t.Backlog
 	r.trace.Add(decisionlog.Chosen{
 		Server:   t.Server.ID,
 		Zone:     t.Server.Zone,
 		Attempt:  r.end.Attempts,
+		Waited:   r.end.Waited,
 		Expected: t.Expected,
+		Backlog:  t.Backlog,
+		Running:  t.Running,
+		Cached:   t.Cached,
 		ViewAge:  r.end.ViewAge,
 	})
 }
@@ -85,15 +90,19 @@
 	})
 }
 
-// failureKind says how an attempt failed from its error.
-func failureKind(err error) decisionlog.FailureKind {
+// failureKind says how an attempt failed from its error; ctx is the request's.
+func failureKind(ctx context.Context, err error) decisionlog.FailureKind {
 	switch {
-	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return decisionlog.FailureTimeout
+	case errors.Is(err, context.Canceled):
+		return decisionlog.FailureSilent
 	case fault.Is(err, fault.KindUnavailable):
 		return decisionlog.FailureConnect
 	case fault.Is(err, fault.KindInvalid):
 		return decisionlog.FailureMalformed
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return decisionlog.FailureTruncated
 	}
 	return decisionlog.FailureReset
 }
@@ -128,12 +137,18 @@
 		Detail:        why.detail,
 		Status:        why.status,
 		RetryAfter:    why.after,
-		Waited:        time.Since(r.req.arrived),
+		Waited:        r.end.Waited,
+		Expected:      why.expected,
+		Waiting:       why.waiting,
+		Candidates:    why.holders,
 		ViewAge:       r.end.ViewAge,
 		ConfigVersion: r.version,
 		Service:       r.req.service,
 		Model:         r.req.Model,
 		Adapter:       r.req.Adapter,
+		Route:         r.req.route.Name,
+		PromptTokens:  r.req.TokensIn,
+		Deadline:      r.req.Deadline,
 	}
 }
 
@@ -179,7 +194,8 @@
 	end := r.end
 	end.Service, end.Route = r.req.service, r.req.route.Name
 	end.Model, end.Adapter = r.req.Model, r.req.Adapter
-	end.Objective = r.req.route.Objective
+	end.PromptTokens, end.Deadline = r.req.TokensIn, r.req.Deadline
+	end.Objective, end.GapObjective = r.req.route.Objective, r.req.route.GapObjective
 	end.Total = time.Since(r.req.arrived)
 	end.ConfigVersion = r.version
 	if !r.firstByte.IsZero() {
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -22,8 +22,7 @@
 	// leastLeft is less time than any answer takes.
 	leastLeft = 5 * time.Millisecond
 
-	busyRetry = 400 * time.Millisecond // told when servers are full
-	loadRetry = time.Second            // told when the model has to be loaded
+	busyRetry = 400 * time.Millisecond // told when servers declined or could not be reached
 )
 
 // run is one request on its way.
@@ -70,7 +69,9 @@
 	if ctx.Err() != nil || time.Until(r.req.deadline()) < leastLeft {
 		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate})
 	}
+	asked := time.Now()
 	ticket, refused := r.choose(ctx)
+	r.record.end.Waited += time.Since(asked)
 	if refused != nil {
 		return r.giveUp(ctx, *refused)
 	}
@@ -90,29 +91,36 @@
 	return r.answered(ctx, ticket, answer, watch)
 }
 
-// choose takes a server, loading what is missing.
+// choose waits for the turn of the request at some server.
 func (r *run) choose(ctx context.Context) (*balance.Ticket, *refusal) {
-	q := balance.Query{
-		Service: r.req.service,
-		Request: &r.req.Request,
-		Route:   r.req.route,
-		Exclude: r.exclude,
-	}
-	ticket, err := r.f.opts.Balancer.Choose(r.f.opts.Views.Current(), q)
-	if err == nil {
+	ticket, rejected := r.f.opts.Balancer.Admit(ctx, balance.Query{
+		Service:  r.req.service,
+		Request:  &r.req.Request,
+		Route:    r.req.route,
+		Arrived:  r.req.arrived,
+		Deadline: r.req.deadline(),
+		Exclude:  r.exclude,
+	})
+	if rejected == nil {
 		return ticket, nil
 	}
-	if !errors.Is(err, balance.ErrNotResident) {
-		return nil, &refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedNoServer}
-	}
-	id, err := r.f.opts.Adapters.Ensure(ctx, r.req.service, r.req.Model, r.req.Adapter)
-	if err == nil {
-		ticket, err = r.f.opts.Balancer.Take(r.f.opts.Views.Current(), q, id)
+	why := &refusal{
+		status: http.StatusServiceUnavailable,
+		after:  rejected.RetryAfter,
+		reason: decisionlog.RefusedTooLate,
+		detail: rejected.Reason,
+
+		expected: rejected.Expected,
+		waiting:  rejected.Waiting,
+		holders:  rejected.Holders,
 	}
-	if err != nil {
-		return nil, &refusal{status: http.StatusServiceUnavailable, after: loadRetry, reason: r.notHeld(), detail: err.Error()}
+	switch {
+	case rejected.Left:
+		why.reason = decisionlog.RefusedTooLate
+	case rejected.NotHeld:
+		why.reason = r.notHeld()
 	}
-	return ticket, nil
+	return nil, why
 }
 
 // notHeld says what no server holds.
@@ -146,12 +154,19 @@
 
 // failed judges an attempt without an answer.
 func (r *run) failed(ctx context.Context, t *balance.Ticket, err error) bool {
-	r.record.attemptFailed(failureKind(err), 0, fault.Is(err, fault.KindUnavailable), err)
+	r.noteFailure(ctx, 0, err)
+	if exchange.IsStale(err) {
+		r.unsent++
+		return r.unsent < unsentTries || r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedUnreachable})
+	}
+	r.exclude = append(r.exclude, t.Server.ID)
 	if ctx.Err() == nil {
 		t.Failed()
 	}
-	r.exclude = append(r.exclude, t.Server.ID)
 	if fault.Is(err, fault.KindUnavailable) {
+		if ctx.Err() == nil {
+			t.Unreachable()
+		}
 		r.unsent++
 		if r.unsent < unsentTries && ctx.Err() == nil {
 			return true
@@ -170,6 +185,9 @@
 // one may have run it, or after one declined it.
 func (r *run) mayRepeat(ctx context.Context) bool {
 	budget := r.f.opts.Balancer.BudgetLeft(r.req.service)
+	if r.callerLeft() {
+		return false
+	}
 	if reason := r.forbidsRepeat(ctx); reason != "" {
 		r.record.withheld(reason, budget)
 		return false
@@ -191,10 +209,10 @@
 	switch {
 	case ctx.Err() != nil:
 		return decisionlog.WithheldTime
-	case r.sent >= r.req.route.MaxAttempts:
-		return decisionlog.WithheldAttempts
 	case r.mayRun && r.req.route.Repeat == fleet.RepeatNever:
 		return decisionlog.WithheldMayHaveRun
+	case r.sent >= r.req.route.MaxAttempts:
+		return decisionlog.WithheldAttempts
 	}
 	return ""
 }
@@ -234,7 +252,7 @@
 	t.Failed()
 	r.mayRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
-	if r.req.route.Repeat != fleet.RepeatNever && r.mayRepeat(ctx) {
+	if r.mayRepeat(ctx) {
 		return true
 	}
 	if r.stream != nil {
@@ -288,10 +306,12 @@
 	if ctx.Err() == nil {
 		t.Failed()
 	}
-	r.record.attemptFailed(failureKind(err), a.Status, false, err)
+	r.noteFailure(ctx, a.Status, err)
 	r.mayRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
-	if r.req.route.Repeat == fleet.RepeatResume && r.mayRepeat(ctx) {
+	if r.req.route.Repeat != fleet.RepeatResume {
+		r.record.withheld(decisionlog.WithheldBegun, r.f.opts.Balancer.BudgetLeft(r.req.service))
+	} else if r.mayRepeat(ctx) {
 		return true
 	}
 	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: failedReason})
@@ -304,6 +324,16 @@
 	lateReason    = "no answer in time"
 )
 
+// callerLeft reports whether the caller closed its connection.
+func (r *run) callerLeft() bool { return r.r.Context().Err() != nil }
+
+// noteFailure records a failed attempt, unless it ended because the caller left.
+func (r *run) noteFailure(ctx context.Context, status int, err error) {
+	if !r.callerLeft() {
+		r.record.attemptFailed(failureKind(ctx, err), status, fault.Is(err, fault.KindUnavailable), err)
+	}
+}
+
 // noteAnswer records an answer of our own.
 func (r *run) noteAnswer(why refusal) {
 	if why.status == http.StatusServiceUnavailable {
@@ -313,9 +343,17 @@
 	r.record.fail(decisionlog.OutcomeFailed, why.status, string(why.reason))
 }
 
+// brokenOffReason prefers the end of the request's time to what it led to.
+func brokenOffReason(ctx context.Context, why refusal) decisionlog.RefusalReason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return lateReason
+	}
+	return why.reason
+}
+
 // brokenOff says who broke an answer off.
 func (r *run) brokenOff(err error) decisionlog.Outcome {
-	if errors.Is(err, relay.ErrClient) || r.r.Context().Err() != nil {
+	if errors.Is(err, relay.ErrClient) || r.callerLeft() {
 		return decisionlog.OutcomeCallerLeft
 	}
 	return decisionlog.OutcomeCut
@@ -324,8 +362,8 @@
 // giveUp answers for the last time: an answer that has begun is cut, so that it
 // does not look complete, and a request that may have run is not called refused.
 func (r *run) giveUp(ctx context.Context, why refusal) bool {
-	if r.stream != nil || r.r.Context().Err() != nil {
-		r.record.fail(r.brokenOff(ctx.Err()), 0, string(why.reason))
+	if r.stream != nil || r.callerLeft() {
+		r.record.fail(r.brokenOff(ctx.Err()), 0, string(brokenOffReason(ctx, why)))
 		panic(http.ErrAbortHandler)
 	}
 	if r.mayRun && why.status == http.StatusServiceUnavailable {
