--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -85,6 +85,11 @@
 	if late > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	if len(r.TransferEncoding) > 0 && sawLength(r) {
+		// Chunks and a length frame the same request: whatever follows on the
+		// connection may be hidden in its body, so nothing more is read.
+		w.Header().Set("Connection", "close")
+	}
 	if late > lastStart {
 		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, after: stopRetry, reason: decisionlog.RefusedStopping})
 		return
