peridotchute-load: files by subject, and what its measurements share stands once

The bounded command, the table of figures, waiting with a context and the calls to stand-ins stood two to five times; they are in subcommand, measure, common/clock and integration/cluster. No behaviour changes, except that an answer other than 2xx to a stand-in's control call is now an error everywhere. Tested: go test ./cmd/peridotchute-load/... ./integration/cluster/ passed; each subcommand was run once with few processes.

--- a/cmd/peridotchute-load/control/command.go
+++ b/cmd/peridotchute-load/control/command.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"peridotchute.example/cmd/peridotchute-load/subcommand"
 )
 
 // Options of one measurement.
@@ -23,16 +26,8 @@
 // Command returns the subcommand.
 func Command() *cobra.Command {
 	o := Options{}
-	cmd := &cobra.Command{
-		Use:   "control",
-		Short: "Measure what control costs each process, as slopes",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), o.limit())
-			defer cancel()
-			return Run(ctx, o, cmd.OutOrStdout())
-		},
-	}
+	run := func(ctx context.Context, out io.Writer) error { return Run(ctx, o, out) }
+	cmd := subcommand.New("control", "Measure what control costs each process, as slopes", func() time.Duration { return o.limit() }, run)
 	f := cmd.Flags()
 	f.IntVar(&o.Repeats, "repeats", 3, "windows measured at each point")
 	f.IntSliceVar(&o.Sides, "sides", []int{10, 50, 100, 200}, "numbers of side processes before one entry")
--- a/cmd/peridotchute-load/control/run.go
+++ b/cmd/peridotchute-load/control/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotchute.example/cmd/peridotchute-load/measure"
+	"peridotchute.example/common/clock"
 	"peridotchute.example/config"
 	"peridotchute.example/integration/cluster"
 )
@@ -94,7 +95,7 @@
 			if err := c.Side(1 + next%n).Restart(); err != nil {
 				return err
 			}
-			if err := idle(ctx, replaceEvery)(); err != nil {
+			if err := clock.Sleep(ctx, replaceEvery); err != nil {
 				return err
 			}
 		}
@@ -145,7 +146,7 @@
 					return err
 				}
 				next++
-				if err := idle(ctx, moveEvery)(); err != nil {
+				if err := clock.Sleep(ctx, moveEvery); err != nil {
 					return err
 				}
 			}
@@ -162,7 +163,7 @@
 		if err := c.Publish(ctx, declared); err != nil {
 			return err
 		}
-		if err := idle(ctx, changeEvery)(); err != nil {
+		if err := clock.Sleep(ctx, changeEvery); err != nil {
 			return err
 		}
 	}
--- a/cmd/peridotchute-load/control/window.go
+++ b/cmd/peridotchute-load/control/window.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotchute.example/cmd/peridotchute-load/procstat"
+	"peridotchute.example/common/clock"
 	"peridotchute.example/entry"
 	"peridotchute.example/integration/cluster"
 )
@@ -105,16 +106,7 @@
 
 // idle waits for d.
 func idle(ctx context.Context, d time.Duration) func() error {
-	return func() error {
-		timer := time.NewTimer(d)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return func() error { return clock.Sleep(ctx, d) }
 }
 
 // withCluster runs f on a cluster that has settled.
@@ -127,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	if err := idle(ctx, wait)(); err != nil {
+	if err := clock.Sleep(ctx, wait); err != nil {
 		return err
 	}
 	return f(c)
--- a/cmd/peridotchute-load/faults/chaos.go
+++ b/cmd/peridotchute-load/faults/chaos.go
@@ -137,8 +137,8 @@
 	return fault{
 		place: "service of " + s.Name,
 		what:  fmt.Sprintf("%+v", b),
-		begin: func() error { return setBehaviour(s, b) },
-		end:   func() error { return setBehaviour(s, plain.Behaviour{}) },
+		begin: func() error { return s.SetBehaviour(b) },
+		end:   func() error { return s.SetBehaviour(plain.Behaviour{}) },
 	}
 }
 
--- /dev/null
+++ b/cmd/peridotchute-load/measure/figure.go
@@ -0,0 +1,30 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+)
+
+// Figure is one line of a report: a number that every repeat R gives.
+type Figure[R any] struct {
+	Name     string
+	Decimals int
+	Of       func(R) float64
+}
+
+// Table writes a Markdown table with the median and the extremes of each figure.
+func Table[R any](out io.Writer, title string, figures []Figure[R], repeats []R) error {
+	if _, err := fmt.Fprintf(out, "| %s | median of %d (least to most) |\n|---|---|\n", title, len(repeats)); err != nil {
+		return err
+	}
+	for _, f := range figures {
+		values := make([]float64, len(repeats))
+		for i, r := range repeats {
+			values[i] = f.Of(r)
+		}
+		if _, err := fmt.Fprintf(out, "| %s | %s |\n", f.Name, Of(values).Format(f.Decimals)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/peridotchute-load/path/command.go
+++ b/cmd/peridotchute-load/path/command.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"peridotchute.example/cmd/peridotchute-load/subcommand"
 )
 
 // Options of one measurement.
@@ -27,16 +30,8 @@
 // Command returns the subcommand.
 func Command() *cobra.Command {
 	o := Options{}
-	cmd := &cobra.Command{
-		Use:   "path",
-		Short: "Measure the path's own cost against the engine called directly",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), o.limit())
-			defer cancel()
-			return Run(ctx, o, cmd.OutOrStdout())
-		},
-	}
+	run := func(ctx context.Context, out io.Writer) error { return Run(ctx, o, out) }
+	cmd := subcommand.New("path", "Measure the path's own cost against the engine called directly", func() time.Duration { return o.limit() }, run)
 	f := cmd.Flags()
 	f.IntVar(&o.Repeats, "repeats", 5, "rounds")
 	f.IntVar(&o.Sequential, "sequential", 1000, "requests in sequence a round, each way")
--- a/cmd/peridotchute-load/path/run.go
+++ b/cmd/peridotchute-load/path/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"time"
 
 	"peridotchute.example/cmd/peridotchute-load/caller"
 	"peridotchute.example/cmd/peridotchute-load/measure"
@@ -62,7 +63,7 @@
 	if err := draw(o.Plots, rounds); err != nil {
 		return err
 	}
-	return report(out, rounds)
+	return measure.Table(out, "figure", figures, rounds)
 }
 
 // bench is a running cluster with one entry.
@@ -137,10 +138,7 @@
 func (b *bench) saturate(ctx context.Context, r *round) error {
 	req := caller.Request{Model: cluster.SampleModel, Prompt: prompt, MaxTokens: shortAnswer}
 	direct := b.caller.Closed(ctx, b.direct, req, b.opts.Callers, b.opts.Saturated)
-	var through *caller.Result
-	entry, sides, err := b.use(ctx, "saturated", func() {
-		through = b.caller.Closed(ctx, b.path, req, b.opts.Callers, b.opts.Saturated)
-	})
+	through, entry, sides, err := b.throughPath(ctx, "saturated", req, b.opts.Callers, b.opts.Saturated)
 	if err != nil {
 		return err
 	}
@@ -154,10 +152,7 @@
 	for i := range rounds {
 		r := &rounds[i]
 		direct := b.caller.Closed(ctx, b.direct, req, b.opts.Streams, b.opts.Paced)
-		var through *caller.Result
-		entry, sides, err := b.use(ctx, "paced", func() {
-			through = b.caller.Closed(ctx, b.path, req, b.opts.Streams, b.opts.Paced)
-		})
+		through, entry, sides, err := b.throughPath(ctx, "paced", req, b.opts.Streams, b.opts.Paced)
 		if err != nil {
 			return err
 		}
@@ -171,6 +166,13 @@
 	return nil
 }
 
+// throughPath keeps callers busy at the entry and returns what the entry and the
+// side processes used for it.
+func (b *bench) throughPath(ctx context.Context, name string, req caller.Request, callers int, d time.Duration) (r *caller.Result, entry, sides procstat.Use, err error) {
+	entry, sides, err = b.use(ctx, name, func() { r = b.caller.Closed(ctx, b.path, req, callers, d) })
+	return r, entry, sides, err
+}
+
 func failures(results ...*caller.Result) error {
 	for _, r := range results {
 		if r.OK == 0 || r.Failed > 0 {
--- a/cmd/peridotchute-load/replay/client.go
+++ b/cmd/peridotchute-load/replay/client.go
@@ -5,13 +5,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/wire"
 )
 
@@ -46,12 +46,12 @@
 	start := time.Now()
 	for moment, act := range at {
 		group.Go(func() {
-			wait(ctx, start.Add(scaled(moment, c.scale)))
+			_ = clock.Sleep(ctx, time.Until(start.Add(scaled(moment, c.scale))))
 			act()
 		})
 	}
 	for i, a := range w.Arrivals {
-		wait(ctx, start.Add(scaled(a.At, c.scale)))
+		_ = clock.Sleep(ctx, time.Until(start.Add(scaled(a.At, c.scale))))
 		group.Go(func() {
 			out[i] = c.send(ctx, a)
 			out[i].at = a.At
@@ -61,15 +61,6 @@
 	return out
 }
 
-func wait(ctx context.Context, at time.Time) {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // completion is the request's body.
 type completion struct {
 	Model     string          `json:"model"`
@@ -136,15 +127,3 @@
 	s.first = first.Sub(began)
 	s.perToken = last.Sub(first) / time.Duration(max(events-1, 1))
 }
-
-func getJSON(base, path string, into any) error {
-	resp, err := http.Get(base + path)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s%s answered %s", base, path, resp.Status)
-	}
-	return json.NewDecoder(resp.Body).Decode(into)
-}
--- a/cmd/peridotchute-load/replay/command.go
+++ b/cmd/peridotchute-load/replay/command.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"peridotchute.example/cmd/peridotchute-load/subcommand"
 	"peridotchute.example/routing"
 )
 
@@ -17,20 +18,16 @@
 	var o Options
 	var policies []string
 	var seeds int
-	cmd := &cobra.Command{
-		Use:   "replay",
-		Short: "Compare policies by a seeded workload: attainment per accelerator, moves, latencies",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			for _, p := range policies {
-				o.Policies = append(o.Policies, routing.Policy(p))
-			}
-			for i := range seeds {
-				o.Seeds = append(o.Seeds, uint64(i+1))
-			}
-			return Run(cmd.Context(), o, cmd.OutOrStdout())
-		},
+	run := func(ctx context.Context, out io.Writer) error {
+		for _, p := range policies {
+			o.Policies = append(o.Policies, routing.Policy(p))
+		}
+		for i := range seeds {
+			o.Seeds = append(o.Seeds, uint64(i+1))
+		}
+		return Run(ctx, o, out)
 	}
+	cmd := subcommand.New("replay", "Compare policies by a seeded workload: attainment per accelerator, moves, latencies", nil, run)
 	all := []string{string(routing.RoundRobin), string(routing.LeastInFlight), string(routing.Static), string(routing.Adaptive)}
 	cmd.Flags().StringVar(&o.Deployment, "deployment", "", "tweed-tay or piton-ridge; empty for both")
 	cmd.Flags().StringSliceVar(&policies, "policy", all, "policies to compare")
--- a/cmd/peridotchute-load/replay/run.go
+++ b/cmd/peridotchute-load/replay/run.go
@@ -160,8 +160,8 @@
 func (r *run) counts() (moves, error) {
 	var m moves
 	for _, s := range r.cluster.Sides() {
-		var b engine.Breaches
-		if err := getJSON(s.BackendURL(), "/control/breaches", &b); err != nil {
+		b, err := s.Breaches()
+		if err != nil {
 			return m, err
 		}
 		m.models += b.Loads - b.AdapterLoads
@@ -171,7 +171,7 @@
 	}
 	for _, e := range r.cluster.Entries() {
 		var v entryVars
-		if err := getJSON(e.AdminURL(), "/debug/vars", &v); err != nil {
+		if err := cluster.GetJSON(e.AdminURL()+"/debug/vars", &v); err != nil {
 			return m, err
 		}
 		m.linkBytes += v.LinkBytes
--- a/cmd/peridotchute-load/rollout/command.go
+++ b/cmd/peridotchute-load/rollout/command.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"peridotchute.example/cmd/peridotchute-load/measure"
+	"peridotchute.example/cmd/peridotchute-load/subcommand"
 )
 
 // Options of one measurement.
@@ -24,16 +25,8 @@
 // Command returns the subcommand.
 func Command() *cobra.Command {
 	o := Options{}
-	cmd := &cobra.Command{
-		Use:   "rollout",
-		Short: "Measure the time from accept to in force everywhere, and that of a leave",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), o.limit())
-			defer cancel()
-			return Run(ctx, o, cmd.OutOrStdout())
-		},
-	}
+	run := func(ctx context.Context, out io.Writer) error { return Run(ctx, o, out) }
+	cmd := subcommand.New("rollout", "Measure the time from accept to in force everywhere, and that of a leave", func() time.Duration { return o.limit() }, run)
 	f := cmd.Flags()
 	f.IntVar(&o.Entries, "entries", 20, "entry processes")
 	f.IntVar(&o.Sides, "sides", 30, "side processes")
--- a/cmd/peridotchute-load/rollout/leave.go
+++ b/cmd/peridotchute-load/rollout/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,8 +9,8 @@
 	"sync"
 	"time"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/integration/cluster"
-	"peridotchute.example/standin/plain"
 	"peridotchute.example/store"
 )
 
@@ -43,14 +42,14 @@
 }
 
 func (r results) leave(ctx context.Context, c *cluster.Cluster, s *cluster.Side) error {
-	if err := pause(ctx, warmUp); err != nil {
+	if err := clock.Sleep(ctx, warmUp); err != nil {
 		return err
 	}
 	at := time.Now()
 	if err := c.SetVMState(s.Name, store.VMLeaving); err != nil {
 		return err
 	}
-	if err := pause(ctx, watchFor); err != nil {
+	if err := clock.Sleep(ctx, watchFor); err != nil {
 		return err
 	}
 	last, err := lastCall(s)
@@ -96,28 +95,12 @@
 
 // lastCall returns when the stand-in behind the side process ran its last call.
 func lastCall(s *cluster.Side) (time.Time, error) {
-	resp, err := http.Get(s.BackendURL() + "/control/calls")
+	all, err := s.Calls()
 	if err != nil {
 		return time.Time{}, err
 	}
-	defer resp.Body.Close()
-	var all []plain.Call
-	if err := json.NewDecoder(resp.Body).Decode(&all); err != nil {
-		return time.Time{}, err
-	}
 	if len(all) == 0 {
 		return time.Time{}, fmt.Errorf("%s ran no call", s.Name)
 	}
 	return all[len(all)-1].At, nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/cmd/peridotchute-load/survival/command.go
+++ b/cmd/peridotchute-load/survival/command.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"peridotchute.example/cmd/peridotchute-load/subcommand"
 )
 
 // Options of one measurement.
@@ -28,16 +31,8 @@
 // Command returns the subcommand.
 func Command() *cobra.Command {
 	o := Options{}
-	cmd := &cobra.Command{
-		Use:   "survival",
-		Short: "Measure goodput while parts of the deployment are lost, and under overload",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), o.limit())
-			defer cancel()
-			return Run(ctx, o, cmd.OutOrStdout())
-		},
-	}
+	run := func(ctx context.Context, out io.Writer) error { return Run(ctx, o, out) }
+	cmd := subcommand.New("survival", "Measure goodput while parts of the deployment are lost, and under overload", func() time.Duration { return o.limit() }, run)
 	f := cmd.Flags()
 	f.IntVar(&o.Repeats, "repeats", 3, "repeats of each loss")
 	f.IntVar(&o.Entries, "entries", 4, "entry processes")
--- a/cmd/peridotchute-load/survival/load.go
+++ b/cmd/peridotchute-load/survival/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotchute.example/cmd/peridotchute-load/caller"
+	"peridotchute.example/common/clock"
 	"peridotchute.example/integration/cluster"
 )
 
@@ -87,7 +88,7 @@
 	var all sync.WaitGroup
 	for i := range n {
 		at := time.Duration(float64(i) / rate * float64(time.Second))
-		if !sleep(ctx, time.Until(start.Add(at))) {
+		if clock.Sleep(ctx, time.Until(start.Add(at))) != nil {
 			events = events[:i]
 			break
 		}
@@ -103,15 +104,3 @@
 	all.Wait()
 	return events
 }
-
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(max(d, 0))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/peridotchute-load/survival/overload.go
+++ b/cmd/peridotchute-load/survival/overload.go
@@ -10,6 +10,7 @@
 	"peridotchute.example/cmd/peridotchute-load/caller"
 	"peridotchute.example/cmd/peridotchute-load/measure"
 	"peridotchute.example/cmd/peridotchute-load/procstat"
+	"peridotchute.example/common/clock"
 	"peridotchute.example/integration/cluster"
 )
 
@@ -51,7 +52,7 @@
 	close(done)
 	out.count(events, o.Target)
 	out.growth(<-peaks)
-	sleep(ctx, o.After)
+	_ = clock.Sleep(ctx, o.After)
 	out.entryAfter = memory(c)
 	return out, nil
 }
@@ -136,38 +137,25 @@
 	return float64(largest) / megabyte
 }
 
-var overloadFigures = []struct {
-	name     string
-	decimals int
-	of       func(overload) float64
-}{
-	{"engines' capacity, answers/s", 0, func(v overload) float64 { return v.capacity }},
-	{"offered, requests/s", 0, func(v overload) float64 { return v.offered }},
-	{"answered within the target, by capacity", 2, func(v overload) float64 { return v.good / v.capacity }},
-	{"rejected, %", 1, func(v overload) float64 { return 100 * v.rejected }},
-	{"rejections with Retry-After, %", 1, func(v overload) float64 { return 100 * v.told }},
-	{"time until a rejection, p99, ms", 0, func(v overload) float64 { return v.rejectP99 }},
-	{"answered late, %", 1, func(v overload) float64 { return 100 * v.late }},
-	{"given up at the deadline with 504, %", 1, func(v overload) float64 { return 100 * v.given }},
-	{"anything else, %", 1, func(v overload) float64 { return 100 * v.other }},
-	{"largest entry before, MB", 0, func(v overload) float64 { return v.entryRest }},
-	{"largest entry at its peak, MB", 0, func(v overload) float64 { return v.entryPeak }},
-	{"largest entry afterwards, MB", 0, func(v overload) float64 { return v.entryAfter }},
-	{"memory in the second half by the first", 2, func(v overload) float64 { return v.entryLate }},
+var overloadFigures = []measure.Figure[overload]{
+	{Name: "engines' capacity, answers/s", Decimals: 0, Of: func(v overload) float64 { return v.capacity }},
+	{Name: "offered, requests/s", Decimals: 0, Of: func(v overload) float64 { return v.offered }},
+	{Name: "answered within the target, by capacity", Decimals: 2, Of: func(v overload) float64 { return v.good / v.capacity }},
+	{Name: "rejected, %", Decimals: 1, Of: func(v overload) float64 { return 100 * v.rejected }},
+	{Name: "rejections with Retry-After, %", Decimals: 1, Of: func(v overload) float64 { return 100 * v.told }},
+	{Name: "time until a rejection, p99, ms", Decimals: 0, Of: func(v overload) float64 { return v.rejectP99 }},
+	{Name: "answered late, %", Decimals: 1, Of: func(v overload) float64 { return 100 * v.late }},
+	{Name: "given up at the deadline with 504, %", Decimals: 1, Of: func(v overload) float64 { return 100 * v.given }},
+	{Name: "anything else, %", Decimals: 1, Of: func(v overload) float64 { return 100 * v.other }},
+	{Name: "largest entry before, MB", Decimals: 0, Of: func(v overload) float64 { return v.entryRest }},
+	{Name: "largest entry at its peak, MB", Decimals: 0, Of: func(v overload) float64 { return v.entryPeak }},
+	{Name: "largest entry afterwards, MB", Decimals: 0, Of: func(v overload) float64 { return v.entryAfter }},
+	{Name: "memory in the second half by the first", Decimals: 2, Of: func(v overload) float64 { return v.entryLate }},
 }
 
 func reportOverload(out io.Writer, all []overload) error {
-	if _, err := fmt.Fprintf(out, "\n| overload | median of %d (least to most) |\n|---|---|\n", len(all)); err != nil {
+	if _, err := fmt.Fprintln(out); err != nil {
 		return err
 	}
-	for _, f := range overloadFigures {
-		values := make([]float64, len(all))
-		for i, v := range all {
-			values[i] = f.of(v)
-		}
-		if _, err := fmt.Fprintf(out, "| %s | %s |\n", f.name, measure.Of(values).Format(f.decimals)); err != nil {
-			return err
-		}
-	}
-	return nil
+	return measure.Table(out, "overload", overloadFigures, all)
 }
--- a/cmd/peridotchute-load/survival/run.go
+++ b/cmd/peridotchute-load/survival/run.go
@@ -10,6 +10,7 @@
 	"peridotchute.example/cmd/peridotchute-load/caller"
 	"peridotchute.example/cmd/peridotchute-load/measure"
 	"peridotchute.example/cmd/peridotchute-load/plots"
+	"peridotchute.example/common/clock"
 	"peridotchute.example/integration/cluster"
 )
 
@@ -137,9 +138,9 @@
 func (o Options) suffer(ctx context.Context, c *cluster.Cluster, l loss) (timeline, error) {
 	errs := make(chan error, 1)
 	go func() {
-		sleep(ctx, o.Before)
+		_ = clock.Sleep(ctx, o.Before)
 		err := l.lose(c)
-		sleep(ctx, o.During)
+		_ = clock.Sleep(ctx, o.During)
 		errs <- errors.Join(err, l.restore(c))
 	}()
 	events := offer(ctx, newBalancer(c), o.request(), o.Rate, o.Before+o.During+o.After)
--- a/integration/cluster/cluster.go
+++ b/integration/cluster/cluster.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -233,16 +232,3 @@
 		return conn.Close()
 	}
 }
-
-// get performs a GET and fails on any status but 200.
-func get(url string) (*http.Response, error) {
-	resp, err := http.Get(url)
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		_ = resp.Body.Close()
-		return nil, fmt.Errorf("GET %s: %s", url, resp.Status)
-	}
-	return resp, nil
-}
--- a/integration/cluster/publish.go
+++ b/integration/cluster/publish.go
@@ -44,7 +44,7 @@
 
 // Fault sets the faults of the stand-in at the address.
 func (c *Cluster) Fault(address string, f faults.Settings) error {
-	return c.control(address, faults.Path, f)
+	return putJSON("http://"+address+faults.Path, f)
 }
 
 // StoreDown switches the table service and the object store off or on.
--- a/integration/cluster/vms.go
+++ b/integration/cluster/vms.go
@@ -1,7 +1,6 @@
 package cluster
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -47,28 +46,7 @@
 	}
 	c.mu.Unlock()
 	control := vmlist.Control{VMs: store.TargetGroups(vms), LagMS: int(c.opts.VMListLag.Milliseconds())}
-	return c.control(c.StandIn.Settings.VMListAddress, "/control/vms", control)
-}
-
-// control performs a control call on a stand-in.
-func (c *Cluster) control(address, path string, body any) error {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(raw))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("PUT %s%s: %s", address, path, resp.Status)
-	}
-	return nil
+	return putJSON("http://"+c.StandIn.Settings.VMListAddress+"/control/vms", control)
 }
 
 // views serves the platform's VM list to each reader with the addresses that
