--- /dev/null
+++ b/entry/direct/front/serve.go
@@ -0,0 +1,380 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/direct/balance"
+	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/relay"
+	"peridotchute.example/fleet"
+)
+
+const (
+	// unsentTries bounds the servers that are tried in vain without anything
+	// having been sent.
+	unsentTries = 4
+
+	// leastLeft is less time than any answer takes.
+	leastLeft = 5 * time.Millisecond
+
+	busyRetry = 400 * time.Millisecond // told when servers declined or could not be reached
+)
+
+// run is one request on its way.
+type run struct {
+	f       *Front
+	w       http.ResponseWriter
+	r       *http.Request
+	req     *request
+	stream  *relay.Stream // nil until the first event of a stream
+	sent    int           // attempts that reached a server
+	unsent  int           // attempts of which nothing was sent
+	mayRun  bool          // some server may have run the request
+	exclude []string      // IDs of servers that failed it
+	verdict refusal       // in force when no further attempt is made
+	record  *record
+}
+
+// serve answers the request.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, req *request, v *fleet.View) {
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline())
+	defer cancel()
+	f.opts.Balancer.Arrived(req.service)
+	run := &run{f: f, w: w, r: r, req: req, record: newRecord(f.opts.Log, req, v)}
+	defer run.record.close()
+	for run.attempt(ctx) {
+	}
+}
+
+// deadline is when the client leaves or the route's timeout is over.
+func (q *request) deadline() time.Time {
+	wait := q.Deadline
+	if t := q.route.Timeout; t > 0 && (wait <= 0 || t < wait) {
+		wait = t
+	}
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	return q.arrived.Add(wait)
+}
+
+// attempt sends the request once and reports whether to try again. When it
+// returns false the client has its answer.
+func (r *run) attempt(ctx context.Context) bool {
+	if ctx.Err() != nil || time.Until(r.req.deadline()) < leastLeft {
+		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate})
+	}
+	asked := time.Now()
+	ticket, refused := r.choose(ctx)
+	r.record.end.Waited += time.Since(asked)
+	if refused != nil {
+		return r.giveUp(ctx, *refused)
+	}
+	defer ticket.End()
+	r.record.chosen(ticket, r.f.opts.Views.Current())
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := watchStall(attempt, cancel, ticket)
+	defer watch.stop()
+	answer, err := r.f.opts.Exchanger.Send(attempt, r.call(ticket.Server))
+	if err != nil {
+		return r.failed(ctx, ticket, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	r.sent++
+	watch.heard()
+	return r.answered(ctx, ticket, answer, watch)
+}
+
+// choose waits for the turn of the request at some server.
+func (r *run) choose(ctx context.Context) (*balance.Ticket, *refusal) {
+	ticket, rejected := r.f.opts.Balancer.Admit(ctx, balance.Query{
+		Service:  r.req.service,
+		Request:  &r.req.Request,
+		Route:    r.req.route,
+		Arrived:  r.req.arrived,
+		Deadline: r.req.deadline(),
+		Exclude:  r.exclude,
+	})
+	if rejected == nil {
+		return ticket, nil
+	}
+	why := &refusal{
+		status: http.StatusServiceUnavailable,
+		after:  rejected.RetryAfter,
+		reason: decisionlog.RefusedTooLate,
+		detail: rejected.Reason,
+
+		expected: rejected.Expected,
+		waiting:  rejected.Waiting,
+		holders:  rejected.Holders,
+	}
+	switch {
+	case rejected.Left:
+		why.reason = decisionlog.RefusedTooLate
+	case rejected.NotHeld:
+		why.reason = r.notHeld()
+	}
+	return nil, why
+}
+
+// notHeld says what no server holds.
+func (r *run) notHeld() decisionlog.RefusalReason {
+	if r.req.Adapter != "" {
+		return decisionlog.RefusedNoAdapter
+	}
+	return decisionlog.RefusedNoHolder
+}
+
+func (r *run) call(s *fleet.Server) *exchange.Call {
+	attempt := fleet.Attempt{
+		Instance: s.ID,
+		Left:     time.Until(r.req.deadline()),
+		Urgency:  r.req.route.Priority,
+	}
+	if r.stream != nil {
+		attempt.LastEventID = r.stream.LastID()
+	}
+	return &exchange.Call{
+		ID:      r.req.ID,
+		Method:  r.r.Method,
+		Target:  r.req.target,
+		Host:    r.r.Host,
+		Body:    r.req.body,
+		Header:  r.r.Header,
+		Attempt: attempt,
+		Address: s.Address,
+	}
+}
+
+// failed judges an attempt without an answer.
+func (r *run) failed(ctx context.Context, t *balance.Ticket, err error) bool {
+	r.noteFailure(ctx, 0, err)
+	if exchange.IsStale(err) {
+		r.unsent++
+		return r.unsent < unsentTries || r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedUnreachable})
+	}
+	r.exclude = append(r.exclude, t.Server.ID)
+	if ctx.Err() == nil {
+		t.Failed()
+	}
+	if fault.Is(err, fault.KindUnavailable) {
+		if ctx.Err() == nil {
+			t.Unreachable()
+		}
+		r.unsent++
+		if r.unsent < unsentTries && ctx.Err() == nil {
+			return true
+		}
+		return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedUnreachable})
+	}
+	r.sent++
+	r.mayRun = true
+	if r.mayRepeat(ctx) {
+		return true
+	}
+	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: failedReason})
+}
+
+// mayRepeat reports whether the request may be sent to one more server though
+// one may have run it, or after one declined it.
+func (r *run) mayRepeat(ctx context.Context) bool {
+	budget := r.f.opts.Balancer.BudgetLeft(r.req.service)
+	if r.callerLeft() {
+		return false
+	}
+	if reason := r.forbidsRepeat(ctx); reason != "" {
+		r.record.withheld(reason, budget)
+		return false
+	}
+	if !r.f.opts.Balancer.Repeat(r.req.service) {
+		r.record.withheld(decisionlog.WithheldBudget, budget)
+		return false
+	}
+	lastID := ""
+	if r.stream != nil {
+		lastID = r.stream.LastID()
+	}
+	r.record.retried(lastID, budget-1)
+	return true
+}
+
+// forbidsRepeat says what but the budget forbids another attempt, or "".
+func (r *run) forbidsRepeat(ctx context.Context) decisionlog.WithheldReason {
+	switch {
+	case ctx.Err() != nil:
+		return decisionlog.WithheldTime
+	case r.mayRun && r.req.route.Repeat == fleet.RepeatNever:
+		return decisionlog.WithheldMayHaveRun
+	case r.sent >= r.req.route.MaxAttempts:
+		return decisionlog.WithheldAttempts
+	}
+	return ""
+}
+
+// answered judges an answer and passes it on unless another attempt is made.
+func (r *run) answered(ctx context.Context, t *balance.Ticket, a *exchange.Answer, watch *stallWatch) bool {
+	switch {
+	case a.Outcome.NotRun:
+		return r.declined(ctx, t, a)
+	case a.Status >= http.StatusInternalServerError:
+		return r.erred(ctx, t, a)
+	case r.stream != nil && a.Status != http.StatusOK:
+		r.record.attemptFailed(decisionlog.FailureStatus, a.Status, false, nil)
+		t.Failed()
+		r.exclude = append(r.exclude, t.Server.ID)
+		return r.mayRepeat(ctx) || r.giveUp(ctx, refusal{status: http.StatusBadGateway})
+	case r.req.route.Stream && a.Status == http.StatusOK:
+		return r.passStream(ctx, t, a, watch)
+	}
+	return r.passWhole(ctx, t, a)
+}
+
+// declined handles an answer by which the server did not run the request.
+func (r *run) declined(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
+	r.record.attemptFailed(declineKind(a.Outcome), a.Status, true, nil)
+	t.Declined(a.Outcome.Gone)
+	r.exclude = append(r.exclude, t.Server.ID)
+	if r.mayRepeat(ctx) {
+		return true
+	}
+	return r.giveUp(ctx, refusal{status: http.StatusServiceUnavailable, after: busyRetry, reason: decisionlog.RefusedTurnedAway})
+}
+
+// erred handles a server's own error, which counts as a run.
+func (r *run) erred(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
+	r.record.attemptFailed(decisionlog.FailureStatus, a.Status, false, nil)
+	t.Failed()
+	r.mayRun = true
+	r.exclude = append(r.exclude, t.Server.ID)
+	if r.mayRepeat(ctx) {
+		return true
+	}
+	if r.stream != nil {
+		return r.giveUp(ctx, refusal{status: http.StatusBadGateway})
+	}
+	if a.Status == http.StatusServiceUnavailable {
+		return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: unclearReason})
+	}
+	return r.passWhole(ctx, t, a)
+}
+
+func (r *run) passWhole(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
+	held, err := relay.Hold(a, t.Server.ID)
+	if err != nil {
+		r.sent-- // failed counts it
+		return r.failed(ctx, t, err)
+	}
+	if a.Status < http.StatusInternalServerError {
+		t.Succeeded()
+	}
+	if err := relay.Pass(r.w, a, held); err != nil {
+		r.record.fail(r.brokenOff(err), a.Status, err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	r.record.progress()
+	r.record.whole(a, held)
+	return false
+}
+
+func (r *run) passStream(ctx context.Context, t *balance.Ticket, a *exchange.Answer, watch *stallWatch) bool {
+	if r.stream == nil {
+		relay.Header(r.w, a)
+		r.w.WriteHeader(a.Status)
+		r.stream = relay.NewStream(r.w)
+	}
+	err := r.stream.Copy(a.Body, func() {
+		t.Event()
+		watch.heard()
+		r.record.progress()
+	})
+	r.record.end.Events, r.record.end.Bytes = r.stream.Events, r.stream.Bytes
+	switch {
+	case err == nil:
+		t.Succeeded()
+		r.record.served(a.Status, r.stream.Bytes)
+		return false
+	case errors.Is(err, relay.ErrClient):
+		r.record.fail(decisionlog.OutcomeCallerLeft, a.Status, "")
+		panic(http.ErrAbortHandler)
+	}
+	if ctx.Err() == nil {
+		t.Failed()
+	}
+	r.noteFailure(ctx, a.Status, err)
+	r.mayRun = true
+	r.exclude = append(r.exclude, t.Server.ID)
+	if r.req.route.Repeat != fleet.RepeatResume {
+		r.record.withheld(decisionlog.WithheldBegun, r.f.opts.Balancer.BudgetLeft(r.req.service))
+	} else if r.mayRepeat(ctx) {
+		return true
+	}
+	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: failedReason})
+}
+
+// Reasons of failures other than refusals.
+const (
+	failedReason  = "the server failed"
+	unclearReason = "the server does not say that it did not run the request"
+	lateReason    = "no answer in time"
+)
+
+// callerLeft reports whether the caller closed its connection.
+func (r *run) callerLeft() bool { return r.r.Context().Err() != nil }
+
+// noteFailure records a failed attempt, unless it ended because the caller left.
+func (r *run) noteFailure(ctx context.Context, status int, err error) {
+	if !r.callerLeft() {
+		r.record.attemptFailed(failureKind(ctx, err), status, fault.Is(err, fault.KindUnavailable), err)
+	}
+}
+
+// noteAnswer records an answer of our own.
+func (r *run) noteAnswer(why refusal) {
+	if why.status == http.StatusServiceUnavailable {
+		r.record.refuse(why)
+		return
+	}
+	r.record.fail(decisionlog.OutcomeFailed, why.status, string(why.reason))
+}
+
+// brokenOffReason prefers the end of the request's time to what it led to.
+func brokenOffReason(ctx context.Context, why refusal) decisionlog.RefusalReason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return lateReason
+	}
+	return why.reason
+}
+
+// brokenOff says who broke an answer off.
+func (r *run) brokenOff(err error) decisionlog.Outcome {
+	if errors.Is(err, relay.ErrClient) || r.callerLeft() {
+		return decisionlog.OutcomeCallerLeft
+	}
+	return decisionlog.OutcomeCut
+}
+
+// giveUp answers for the last time: an answer that has begun is cut, so that it
+// does not look complete, and a request that may have run is not called refused.
+func (r *run) giveUp(ctx context.Context, why refusal) bool {
+	if r.stream != nil || r.callerLeft() {
+		r.record.fail(r.brokenOff(ctx.Err()), 0, string(brokenOffReason(ctx, why)))
+		panic(http.ErrAbortHandler)
+	}
+	if r.mayRun && why.status == http.StatusServiceUnavailable {
+		why = refusal{status: http.StatusBadGateway, reason: why.reason}
+	}
+	if r.mayRun && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		why = refusal{status: http.StatusGatewayTimeout, reason: lateReason}
+	}
+	r.noteAnswer(why)
+	r.f.opts.Codec.Refuse(r.w.Header(), r.req.ID, why.after)
+	r.w.Header().Set("Content-Length", "0")
+	r.w.WriteHeader(why.status)
+	return false
+}
--- /dev/null
+++ b/entry/direct/module.go
@@ -0,0 +1,69 @@
+package direct
+
+import (
+	"runtime/debug"
+
+	"go.uber.org/fx"
+
+	"peridotchute.example/common/daemon"
+	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/common/metrics"
+	"peridotchute.example/entry/direct/balance"
+	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/front"
+	"peridotchute.example/entry/direct/view"
+	"peridotchute.example/fleet"
+	"peridotchute.example/platform"
+	"peridotchute.example/store"
+)
+
+const (
+	// memoryShare is the part of the VM's memory that the Go runtime keeps to.
+	memoryShare = 0.7
+
+	slackParts = 8 // entries among which the slack of retries is divided
+
+)
+
+// Module wires an entry from its settings.
+func Module(s Settings) fx.Option {
+	debug.SetMemoryLimit(int64(s.MemoryMB * memoryShare * (1 << 20)))
+	return fx.Module("direct",
+		fx.Supply(s),
+		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newFront, newReadiness),
+		fx.Decorate(useLog),
+		fx.Invoke(startLog, startMetrics, startDuties, startListeners, startReload),
+	)
+}
+
+func newDirectory(s Settings) fleet.Directory { return platform.NewDirectory(s.Store) }
+
+func newTable(s Settings) store.Table { return platform.NewTable(s.Store) }
+
+func newControl() fleet.Control { return platform.NewControl() }
+
+func newCodec() fleet.Codec { return platform.Codec{} }
+
+func newWatcher(s Settings, d fleet.Directory, log *decisionlog.Log) *view.Watcher {
+	return view.New(d, s.Regions, log)
+}
+
+func newExchanger(codec fleet.Codec) *exchange.Exchanger { return exchange.New(codec) }
+
+func newBalancer(c *coordination) *balance.Balancer { return c.balancer }
+
+func budgetOf(s Settings) balance.Budget {
+	return balance.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindowS), Parts: slackParts}
+}
+
+func newFront(codec fleet.Codec, w *view.Watcher, x *exchange.Exchanger, b *balance.Balancer, log *decisionlog.Log) *front.Front {
+	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Log: log})
+}
+
+func startDuties(lc fx.Lifecycle, w *view.Watcher, b *balance.Balancer, c *coordination) {
+	w.OnChange(b.Update)
+	daemon.Go(lc, b.Run)
+	daemon.Go(lc, w.RunConfig)
+	daemon.Go(lc, w.RunServers)
+	c.start(lc)
+}
--- /dev/null
+++ b/entry/direct/telemetry.go
@@ -0,0 +1,81 @@
+package direct
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"peridotchute.example/common/daemon"
+	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/common/metrics"
+	"peridotchute.example/entry/direct/balance"
+	"peridotchute.example/entry/direct/front"
+	"peridotchute.example/entry/direct/view"
+	"peridotchute.example/fleet"
+)
+
+// States of servers in the metrics.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
+// newLog returns the log of decisions on standard output; each record is
+// counted in the metrics as well.
+func newLog(s Settings, m *metrics.Metrics) *decisionlog.Log {
+	return decisionlog.New(decisionlog.Options{Node: s.Name, Out: os.Stdout, Observe: m.Observe})
+}
+
+// startLog is invoked first, so that the log is stopped last.
+func startLog(lc fx.Lifecycle, log *decisionlog.Log) { daemon.Go(lc, log.Run) }
+
+// useLog lets lines of the shared packages go through the log as well.
+func useLog(log *decisionlog.Log) logrus.FieldLogger { return log.Logger() }
+
+func startMetrics(lc fx.Lifecycle, s Settings, m *metrics.Metrics, log *decisionlog.Log, logger logrus.FieldLogger,
+	w *view.Watcher, b *balance.Balancer, f *front.Front, c *coordination) {
+	m.Watch(metrics.Sources{
+		Log:           log.Counts,
+		Waiting:       b.Waiting,
+		InProgress:    func() int { return int(f.Active()) },
+		BudgetLeft:    b.BudgetsLeft,
+		Servers:       func() map[metrics.ServerState]int { return serverStates(w.Current()) },
+		ConfigVersion: func() int64 { return configVersion(w.Current()) },
+		ConfigAge:     w.ConfigAge,
+		LeaseHeld:     c.givesOrders,
+		ServersAge:    func() time.Duration { return serversAge(w.Current()) },
+	})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	daemon.Serve(lc, logger, daemon.Listener{Name: "metrics", Address: s.MetricsAddress, Handler: mux})
+}
+
+func serverStates(v *fleet.View) map[metrics.ServerState]int {
+	states := map[metrics.ServerState]int{}
+	for i := range v.Servers {
+		state := stateReady
+		if v.Servers[i].Draining {
+			state = stateDraining
+		}
+		states[metrics.ServerState{Service: v.Servers[i].Service, State: state}]++
+	}
+	return states
+}
+
+func configVersion(v *fleet.View) int64 {
+	if v.Config == nil {
+		return 0
+	}
+	return v.Config.Version
+}
+
+// serversAge is zero before the first reading.
+func serversAge(v *fleet.View) time.Duration {
+	if v.ServersRead.IsZero() {
+		return 0
+	}
+	return time.Since(v.ServersRead)
+}
