Entry: packages grouped by what serves requests, spreads configuration and serves operators

Sixteen packages of the deployment with side processes lay side by side with those that call backend servers directly. serving/ holds the path of a request, configuration/ what brings the newest version, operating/ what operators use; planner stays, direct/ is the other kind of deployment. Imports only; two tests name the Python client's directory from one level deeper. Tested: go test ./entry/... passed.

--- a/cmd/peridotchute-load/faults/history.go
+++ b/cmd/peridotchute-load/faults/history.go
@@ -9,7 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/serving/action"
 	"peridotchute.example/standin/plain"
 )
 
--- a/cmd/peridotchute/dev/operator.go
+++ b/cmd/peridotchute/dev/operator.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 
 	"peridotchute.example/config"
-	"peridotchute.example/entry/adminapi"
+	"peridotchute.example/entry/operating/adminapi"
 	"peridotchute.example/operator/api"
 )
 
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -6,11 +6,11 @@
 
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/action"
-	"peridotchute.example/entry/answer"
-	"peridotchute.example/entry/dispatch"
-	"peridotchute.example/entry/forward"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/action"
+	"peridotchute.example/entry/serving/answer"
+	"peridotchute.example/entry/serving/dispatch"
+	"peridotchute.example/entry/serving/forward"
+	"peridotchute.example/entry/serving/pool"
 	"peridotchute.example/store"
 )
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -10,11 +10,11 @@
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/action"
-	"peridotchute.example/entry/admit"
-	"peridotchute.example/entry/answer"
-	"peridotchute.example/entry/dispatch"
-	"peridotchute.example/entry/job"
+	"peridotchute.example/entry/serving/action"
+	"peridotchute.example/entry/serving/admit"
+	"peridotchute.example/entry/serving/answer"
+	"peridotchute.example/entry/serving/dispatch"
+	"peridotchute.example/entry/serving/job"
 	"peridotchute.example/store"
 )
 
--- a/entry/adminapi/adminapi_test.go
+++ b/entry/operating/adminapi/adminapi_test.go
@@ -20,7 +20,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
-	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/serving/action"
 	"peridotchute.example/operator/api"
 	"peridotchute.example/standin/objects"
 	"peridotchute.example/standin/table"
--- a/entry/adminapi/api.go
+++ b/entry/operating/adminapi/api.go
@@ -12,7 +12,7 @@
 
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
-	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/serving/action"
 	"peridotchute.example/operator/api"
 	"peridotchute.example/store"
 )
--- a/entry/adminapi/cli_test.go
+++ b/entry/operating/adminapi/cli_test.go
@@ -178,7 +178,7 @@
 	f := newFixture(t)
 	s := newShell(t, f)
 	text := fmt.Sprintf(script, readKey, planKey, acceptKey, readKey)
-	cmd := exec.Command(python, "-B", s.write("script.py", text), "../../operator/python", s.url, s.dir)
+	cmd := exec.Command(python, "-B", s.write("script.py", text), "../../../operator/python", s.url, s.dir)
 	out, err := cmd.CombinedOutput()
 	assert.NilError(t, err, string(out))
 	for _, part := range []string{"CONFIGURATION (version 1)", "+ models fly", "load model/fly@1 on 1 servers", "DIGEST "} {
--- a/entry/adminapi/https_test.go
+++ b/entry/operating/adminapi/https_test.go
@@ -44,7 +44,7 @@
 	python, err := exec.LookPath("python3")
 	assert.NilError(t, err, "python3 is needed to test the Python client")
 	key := s.write("reader.key", readKey+"\n")
-	cmd := exec.Command(python, "-B", s.write("https.py", httpsScript), "../../operator/python", s.url, key, ca)
+	cmd := exec.Command(python, "-B", s.write("https.py", httpsScript), "../../../operator/python", s.url, key, ca)
 	text, err := cmd.CombinedOutput()
 	assert.NilError(t, err, string(text))
 }
--- a/entry/adminapi/operate.go
+++ b/entry/operating/adminapi/operate.go
@@ -5,7 +5,7 @@
 
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/serving/action"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/operator/api"
 )
--- a/entry/adminapi/routes_test.go
+++ b/entry/operating/adminapi/routes_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/config"
-	"peridotchute.example/entry/action"
+	"peridotchute.example/entry/serving/action"
 	"peridotchute.example/operator/api"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/store"
--- a/entry/roster/roster.go
+++ b/entry/operating/roster/roster.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"peridotchute.example/config/spread"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/pool"
 	"peridotchute.example/operator/api"
 	"peridotchute.example/rpc"
 	"peridotchute.example/store"
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -11,7 +11,7 @@
 	"peridotchute.example/config"
 	"peridotchute.example/config/spread"
 	"peridotchute.example/entry/planner"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/pool"
 	"peridotchute.example/membership"
 	"peridotchute.example/routing"
 	"peridotchute.example/rpc"
--- a/entry/action/action_test.go
+++ b/entry/serving/action/action_test.go
@@ -13,7 +13,7 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/table"
--- a/entry/action/peers.go
+++ b/entry/serving/action/peers.go
@@ -7,7 +7,7 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/pool"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/rpc"
 )
--- a/entry/action/rows.go
+++ b/entry/serving/action/rows.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"peridotchute.example/common/fault"
-	"peridotchute.example/entry/answer"
+	"peridotchute.example/entry/serving/answer"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/store"
 )
--- a/entry/action/runner.go
+++ b/entry/serving/action/runner.go
@@ -10,7 +10,7 @@
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
-	"peridotchute.example/entry/answer"
+	"peridotchute.example/entry/serving/answer"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/store"
 )
--- a/entry/action/serve.go
+++ b/entry/serving/action/serve.go
@@ -12,9 +12,9 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/dispatch"
-	"peridotchute.example/entry/forward"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/dispatch"
+	"peridotchute.example/entry/serving/forward"
+	"peridotchute.example/entry/serving/pool"
 	"peridotchute.example/idempotency"
 )
 
--- a/entry/admit/admit.go
+++ b/entry/serving/admit/admit.go
@@ -14,7 +14,7 @@
 	"peridotchute.example/admission"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 	"peridotchute.example/routing"
 )
 
--- a/entry/admit/admit_test.go
+++ b/entry/serving/admit/admit_test.go
@@ -10,7 +10,7 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 	"peridotchute.example/routing"
 )
 
--- a/entry/admit/reject.go
+++ b/entry/serving/admit/reject.go
@@ -7,7 +7,7 @@
 	"peridotchute.example/admission"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 )
 
 const (
--- a/entry/admit/room.go
+++ b/entry/serving/admit/room.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"peridotchute.example/admission"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 	"peridotchute.example/routing"
 )
 
--- a/entry/caller/action.go
+++ b/entry/serving/caller/action.go
@@ -7,7 +7,7 @@
 	"github.com/gorilla/mux"
 
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 )
 
 // serve lets a request in and hands it on: actions to where they run at most once, the rest
--- a/entry/caller/caller.go
+++ b/entry/serving/caller/caller.go
@@ -18,7 +18,7 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 )
 
 // Backend answers a request on w, or returns the failure to be written.
--- a/entry/caller/inference.go
+++ b/entry/serving/caller/inference.go
@@ -6,7 +6,7 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 )
 
 func (a *API) inference(w http.ResponseWriter, r *http.Request) {
--- a/entry/caller/service.go
+++ b/entry/serving/caller/service.go
@@ -8,7 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 )
 
 // servicePath returns the decoded, cleaned path at the service, so that an
--- a/entry/dispatch/dispatch.go
+++ b/entry/serving/dispatch/dispatch.go
@@ -14,8 +14,8 @@
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
 	"peridotchute.example/engine"
-	"peridotchute.example/entry/forward"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/forward"
+	"peridotchute.example/entry/serving/pool"
 	"peridotchute.example/routing"
 )
 
--- a/entry/dispatch/failure.go
+++ b/entry/serving/dispatch/failure.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/serving/forward"
 )
 
 // FailureOf reads an error answer of a side process or backend server.
--- a/entry/dispatch/run.go
+++ b/entry/serving/dispatch/run.go
@@ -9,8 +9,8 @@
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/forward"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/forward"
+	"peridotchute.example/entry/serving/pool"
 )
 
 // run is one request on its way.
--- a/entry/job/job.go
+++ b/entry/serving/job/job.go
@@ -16,7 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 )
 
 // State is where a job stands.
--- a/entry/job/job_test.go
+++ b/entry/serving/job/job_test.go
@@ -12,7 +12,7 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 	"peridotchute.example/standin/faults"
 	"peridotchute.example/standin/table"
 	"peridotchute.example/store"
--- a/entry/job/recorder.go
+++ b/entry/serving/job/recorder.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/dispatch"
 )
 
 // recorder keeps an answer in memory.
--- a/entry/job/serve.go
+++ b/entry/serving/job/serve.go
@@ -13,8 +13,8 @@
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/answer"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/answer"
+	"peridotchute.example/entry/serving/dispatch"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/store"
 )
--- a/entry/job/worker.go
+++ b/entry/serving/job/worker.go
@@ -13,8 +13,8 @@
 	"peridotchute.example/common/ring"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/answer"
-	"peridotchute.example/entry/dispatch"
+	"peridotchute.example/entry/serving/answer"
+	"peridotchute.example/entry/serving/dispatch"
 	"peridotchute.example/store"
 )
 
--- a/entry/pool/bench_test.go
+++ b/entry/serving/pool/bench_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/config"
-	"peridotchute.example/entry/link"
+	"peridotchute.example/entry/serving/link"
 	"peridotchute.example/membership"
 	"peridotchute.example/rpc"
 )
--- a/entry/pool/pool.go
+++ b/entry/serving/pool/pool.go
@@ -15,7 +15,7 @@
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/ring"
 	"peridotchute.example/config"
-	"peridotchute.example/entry/link"
+	"peridotchute.example/entry/serving/link"
 	"peridotchute.example/membership"
 	"peridotchute.example/routing"
 	"peridotchute.example/rpc"
--- a/integration/action_faults_test.go
+++ b/integration/action_faults_test.go
@@ -15,8 +15,8 @@
 
 	"peridotchute.example/common/wire"
 	"peridotchute.example/entry"
-	"peridotchute.example/entry/action"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/action"
+	"peridotchute.example/entry/serving/pool"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/integration/cluster"
 	"peridotchute.example/integration/proxy"
--- a/integration/cluster/publish.go
+++ b/integration/cluster/publish.go
@@ -12,7 +12,7 @@
 
 	"peridotchute.example/config"
 	"peridotchute.example/config/publish"
-	"peridotchute.example/entry/forward"
+	"peridotchute.example/entry/serving/forward"
 	"peridotchute.example/standin/faults"
 )
 
--- a/integration/membership_test.go
+++ b/integration/membership_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/common/wire"
-	"peridotchute.example/entry/pool"
+	"peridotchute.example/entry/serving/pool"
 	"peridotchute.example/integration/cluster"
 	"peridotchute.example/integration/proxy"
 	"peridotchute.example/membership"
