Scans of durable rows: shards, sightings and pages stand once

The scans of claims and of jobs each walked through shards, read page by page and remembered since when a row was unchanged. That is entry/serving/scan and store.EachRow now; keys of rows are as before. Tested: go test ./entry/serving/... ./store passed.

--- a/entry/serving/action/reconcile.go
+++ b/entry/serving/action/reconcile.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/serving/scan"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/store"
 )
@@ -25,7 +25,6 @@
 	// each standInTurns times less often than the one before it.
 	standIns     = 2
 	standInTurns = 2
-	forgetAfter  = 10 * time.Minute // an open claim that no scan meets any more
 )
 
 // Reconciler settles the claims that entries left open and removes rows whose
@@ -38,20 +37,13 @@
 	vms    store.VMs
 	self   string
 	log    logrus.FieldLogger
-	seen   map[string]sighting // open claims by row key
-	turn   int                 // scans so far
-}
-
-// sighting is an open claim and when this entry first saw it, by its own clock.
-type sighting struct {
-	token string
-	since time.Time
-	last  time.Time // start of the last scan that met it
+	seen   scan.Sightings // of open claims
+	turn   int            // scans so far
 }
 
 // NewReconciler returns a reconciler for the entry named self.
 func NewReconciler(runner *Runner, vms store.VMs, self string, log logrus.FieldLogger) *Reconciler {
-	return &Reconciler{runner: runner, vms: vms, self: self, log: log, seen: map[string]sighting{}}
+	return &Reconciler{runner: runner, vms: vms, self: self, log: log, seen: scan.NewSightings()}
 }
 
 // Run scans until ctx ends, and settles what this entry left open itself.
@@ -73,21 +65,12 @@
 func (r *Reconciler) Scan(ctx context.Context, now time.Time) {
 	owns := r.Owns(ctx, r.turn)
 	r.turn++
-	for shard := range shardCount {
-		name := fmt.Sprintf("%02x", shard)
-		if !owns(name) {
-			continue
-		}
-		if err := r.scanShard(ctx, name, now); err != nil {
-			event.Log(r.log, event.SettleFailed, event.Subject(name), event.Err(err))
-			return
-		}
-	}
-	for key, s := range r.seen {
-		if now.Sub(s.last) > forgetAfter {
-			delete(r.seen, key)
-		}
+	shard, err := scan.Shards(shardCount, owns, func(shard string) error { return r.scanShard(ctx, shard, now) })
+	if err != nil {
+		event.Log(r.log, event.SettleFailed, event.Subject(shard), event.Err(err))
+		return
 	}
+	r.seen.Forget(now)
 }
 
 // Owns returns which shards this entry scans at a turn, by the VM list as it
@@ -135,21 +118,11 @@
 }
 
 func (r *Reconciler) scanShard(ctx context.Context, shard string, now time.Time) error {
-	prefix := actionPrefix + shard + "/"
-	after := ""
-	for {
-		page, err := r.runner.rows.table.List(ctx, prefix, after, scanPage)
-		if err != nil {
-			return errStore("reconcile.list", err)
-		}
-		for _, row := range page {
-			r.look(ctx, row, now)
-			after = row.Key
-		}
-		if len(page) < scanPage {
-			return nil
-		}
+	look := func(row store.Row) { r.look(ctx, row, now) }
+	if err := store.EachRow(ctx, r.runner.rows.table, actionPrefix+shard+"/", scanPage, look); err != nil {
+		return errStore("reconcile.list", err)
 	}
+	return nil
 }
 
 // look settles, removes or leaves one row.
@@ -163,7 +136,7 @@
 		r.lookOpen(ctx, row, rec, now)
 		return
 	}
-	delete(r.seen, row.Key)
+	r.seen.Drop(row.Key)
 	if rec.State != idempotency.StateUnresolved && now.After(rec.Expires.Add(expiryMargin)) {
 		err := r.runner.rows.table.Delete(ctx, row.Key, row.Version)
 		if err != nil && !fault.Is(err, fault.KindConflict) {
@@ -173,20 +146,14 @@
 }
 
 func (r *Reconciler) lookOpen(ctx context.Context, row store.Row, rec idempotency.Record, now time.Time) {
-	s, ok := r.seen[row.Key]
-	if !ok || s.token != rec.Token {
-		s = sighting{token: rec.Token, since: now}
-	}
-	s.last = now
-	r.seen[row.Key] = s
-	if now.Sub(s.since) < openAge {
+	if r.seen.Unchanged(row.Key, rec.Token, now) < openAge {
 		return
 	}
 	reply := r.runner.Settle(ctx, rec.Team, rec.Key, settlePass)
 	if unfinished(reply) {
 		return
 	}
-	delete(r.seen, row.Key)
+	r.seen.Drop(row.Key)
 	scoped := strings.TrimPrefix(row.Key, actionPrefix)
 	event.Log(r.log, event.ActionSettled, event.Subject(scoped), event.Peer(rec.Entry), event.Reason(string(reply.Outcome)))
 }
--- a/entry/serving/action/rows.go
+++ b/entry/serving/action/rows.go
@@ -6,12 +6,10 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-
-	"github.com/cespare/xxhash/v2"
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/serving/answer"
+	"peridotchute.example/entry/serving/scan"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/store"
 )
@@ -25,14 +23,9 @@
 	unresolvedPrefix = "unresolved/"
 )
 
-// shardOf returns the two digits of the shard of a key.
-func shardOf(scoped string) string {
-	return fmt.Sprintf("%02x", xxhash.Sum64String(scoped)%shardCount)
-}
-
 func actionKey(team, key string) string {
 	scoped := idempotency.ScopedKey(team, key)
-	return actionPrefix + shardOf(scoped) + "/" + scoped
+	return actionPrefix + scan.ShardOf(scoped, shardCount) + "/" + scoped
 }
 
 func unresolvedKey(team, key string) string {
--- a/entry/serving/job/job.go
+++ b/entry/serving/job/job.go
@@ -9,14 +9,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"net/url"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"peridotchute.example/common/wire"
 	"peridotchute.example/entry/serving/dispatch"
+	"peridotchute.example/entry/serving/scan"
 )
 
 // State is where a job stands.
@@ -73,11 +71,9 @@
 // then brings the answer, or runs the work that did not take effect.
 func (r Record) ended() bool { return r.State == StateDone }
 
-func shardName(n int) string { return fmt.Sprintf("%02x", n) }
-
 func rowKey(team, id string) string {
 	scoped := url.PathEscape(team) + "/" + id
-	return jobPrefix + shardName(int(xxhash.Sum64String(scoped)%shardCount)) + "/" + scoped
+	return jobPrefix + scan.ShardOf(scoped, shardCount) + "/" + scoped
 }
 
 // idOf returns the id of the job under a caller's key, so that a repeat finds
--- a/entry/serving/job/scan.go
+++ b/entry/serving/job/scan.go
@@ -6,28 +6,18 @@
 
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/serving/scan"
 	"peridotchute.example/store"
 )
 
-// sighting is a job's row and since when this entry has seen it unchanged, by
-// its own clock.
-type sighting struct {
-	version string
-	since   time.Time
-	last    time.Time // start of the last scan that met it
-}
-
-// forgetAfter is when a job that no scan meets any more is forgotten.
-const forgetAfter = 10 * time.Minute
-
 // scanner finds the jobs that nobody runs.
 type scanner struct {
 	server *Server
-	turn   int // scans so far
-	seen   map[string]sighting
+	turn   int            // scans so far
+	seen   scan.Sightings // of the jobs' rows
 }
 
-func newScanner(s *Server) *scanner { return &scanner{server: s, seen: map[string]sighting{}} }
+func newScanner(s *Server) *scanner { return &scanner{server: s, seen: scan.NewSightings()} }
 
 func (c *scanner) run(ctx context.Context) {
 	ticker := time.NewTicker(scanInterval)
@@ -45,39 +35,20 @@
 func (c *scanner) scan(ctx context.Context, now time.Time) {
 	owns := c.server.opts.Owns(ctx, c.turn)
 	c.turn++
-	for n := range shardCount {
-		shard := shardName(n)
-		if !owns(shard) {
-			continue
-		}
-		if err := c.scanShard(ctx, shard, now); err != nil {
-			event.Log(c.server.opts.Log, event.JobScan, event.Subject(shard), event.Err(err))
-			return
-		}
-	}
-	for key, s := range c.seen {
-		if now.Sub(s.last) > forgetAfter {
-			delete(c.seen, key)
-		}
+	shard, err := scan.Shards(shardCount, owns, func(shard string) error { return c.scanShard(ctx, shard, now) })
+	if err != nil {
+		event.Log(c.server.opts.Log, event.JobScan, event.Subject(shard), event.Err(err))
+		return
 	}
+	c.seen.Forget(now)
 }
 
 func (c *scanner) scanShard(ctx context.Context, shard string, now time.Time) error {
-	prefix := jobPrefix + shard + "/"
-	after := ""
-	for {
-		page, err := c.server.opts.Table.List(ctx, prefix, after, scanPage)
-		if err != nil {
-			return fault.New(fault.KindOf(err), "job.scan", "table", err)
-		}
-		for _, row := range page {
-			c.look(ctx, row, now)
-			after = row.Key
-		}
-		if len(page) < scanPage {
-			return nil
-		}
+	look := func(row store.Row) { c.look(ctx, row, now) }
+	if err := store.EachRow(ctx, c.server.opts.Table, jobPrefix+shard+"/", scanPage, look); err != nil {
+		return fault.New(fault.KindOf(err), "job.scan", "table", err)
 	}
+	return nil
 }
 
 // look queues a job that waits, or whose row has not changed for the time of a
@@ -94,17 +65,12 @@
 		}
 		return
 	}
-	s, ok := c.seen[row.Key]
-	if !ok || s.version != row.Version {
-		s = sighting{version: row.Version, since: now}
-	}
-	s.last = now
-	c.seen[row.Key] = s
+	unchanged := c.seen.Unchanged(row.Key, row.Version, now)
 	wait := leaseTime
 	if rec.State == StateAccepted {
 		wait = min(time.Duration(rec.Tries)*scanInterval, maxPause)
 	}
-	if now.Sub(s.since) >= wait {
+	if unchanged >= wait {
 		c.server.offer(rec.Team, rec.ID)
 	}
 }
