Mesh: broadcasts in order, and broken connections as events

A broadcast was handled in a goroutine of its own, so two of one peer could change places: HandleBroadcast keeps their order. Errors of connections were written to the standard error output by package jsonrpc2; with Local.OnError they are numbered events. Tested: go test -race ./rpc/... ./entry/direct/mesh passed (new: 40 broadcasts in order), also entry/planner, entry/serving/pool, config/spread.

--- a/entry/direct/mesh/documents_test.go
+++ b/entry/direct/mesh/documents_test.go
@@ -75,10 +75,7 @@
 			}
 			return 2 * n, nil
 		})
-		Handle(m, "tell", func(_ context.Context, _ string, n int64) (struct{}, error) {
-			told.Add(n)
-			return struct{}{}, nil
-		})
+		HandleBroadcast(m, "tell", func(_ string, n int64) { told.Add(n) })
 		Handle(m, "hang", func(ctx context.Context, _ string, _ int) (int, error) {
 			<-ctx.Done()
 			return 0, ctx.Err()
@@ -109,6 +106,28 @@
 	await(t, "both broadcasts", func() bool { return told.Load() == 11 })
 }
 
+func TestBroadcastsKeepTheirOrder(t *testing.T) {
+	const messages = 40 // fewer than wait for a peer at most
+	got := make(chan int, messages)
+	opts := options(t, "b")
+	b := start(t, opts, func(m *Mesh) {
+		HandleBroadcast(m, "tell", func(from string, n int) {
+			assert.Check(t, from == "a")
+			got <- n
+		})
+	})
+	opts = options(t, "a")
+	opts.Seeds = []string{b.self.Address}
+	a := start(t, opts)
+	awaitAll(t, []*entry{a, b})
+	for n := range messages {
+		a.Broadcast("tell", n)
+	}
+	for n := range messages {
+		assert.Equal(t, <-got, n)
+	}
+}
+
 func TestCallToAPeerThatEnds(t *testing.T) {
 	opts := options(t, "b")
 	called := make(chan struct{})
--- a/entry/direct/mesh/link.go
+++ b/entry/direct/mesh/link.go
@@ -159,6 +159,9 @@
 }
 
 func (m *Mesh) flush(ctx context.Context, l *link) error {
+	if !m.speaks(l) {
+		return nil // receive wakes the link
+	}
 	if u, ok := m.compose(l); ok {
 		if err := rpc.Notify(ctx, l.peer, methodUpdate, u); err != nil {
 			return err
@@ -176,15 +179,20 @@
 	return nil
 }
 
+// speaks reports whether this end may send. The accepting end waits for the
+// first update of the other, which by then has taken the connection in.
+func (m *Mesh) speaks(l *link) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return l.speaks
+}
+
 // compose makes the update that a peer is due.
 func (m *Mesh) compose(l *link) (update, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
 	var u update
-	if !l.speaks {
-		return u, false
-	}
 	if pace := heartbeat(len(m.links)); pace != l.pace {
 		l.pace = pace
 		u.NextMS = pace.Milliseconds()
--- a/entry/direct/mesh/mesh.go
+++ b/entry/direct/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"peridotchute.example/common/event"
 	"peridotchute.example/rpc"
 	"peridotchute.example/store"
 )
@@ -109,6 +110,7 @@
 			m.seeds[address] = newSeed(address)
 		}
 	}
+	m.local.OnError = m.connectionError
 	rpc.HandleInOrder(m.handlers, methodUpdate, m.receive)
 	rpc.Handle(m.handlers, methodDocument, m.deliver)
 	return m
@@ -147,6 +149,11 @@
 	return err
 }
 
+// connectionError logs why a connection broke.
+func (m *Mesh) connectionError(address, reason string) {
+	event.Log(m.log, event.EntryConnectionError, event.Peer(address), event.Reason(reason))
+}
+
 // changed notes that peers may have to be told something. The caller holds mu.
 func (m *Mesh) changed() {
 	m.news++
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
@@ -59,27 +58,6 @@
 	h.inOrder[method] = true
 }
 
-// Local describes this process to its peers.
-type Local struct {
-	Identity      Identity
-	Key           string        // deployment key
-	Open          bool          // the deployment has no key; Key is empty then
-	ConfigVersion func() uint64 // version in force now
-	Servers       func() int    // backend servers known now; nil tells none
-	TLS           *tls.Config   // nil for plain TCP
-	Silence       time.Duration // unanswered data or probes end a connection after it; 0 leaves it to the system
-}
-
-// accepts reports whether a peer that shows the key belongs to the deployment.
-// A deployment without a key is open only if its settings say so: a key that
-// was left out by mistake admits nobody.
-func (l Local) accepts(key string) bool {
-	if l.Key == "" {
-		return l.Open && key == ""
-	}
-	return subtle.ConstantTimeCompare([]byte(key), []byte(l.Key)) == 1
-}
-
 // Peer is an authenticated connection to another process.
 type Peer struct {
 	Identity Identity
@@ -133,7 +111,7 @@
 		return nil, fault.New(fault.KindUnavailable, "rpc.dial", address, err)
 	}
 	s := &session{local: local, handlers: handlers, dialed: true, ready: make(chan struct{})}
-	s.peer.conn = jsonrpc2.NewConn(context.Background(), stream(conn), s)
+	s.peer.conn = jsonrpc2.NewConn(context.Background(), stream(conn), s, local.logger(conn))
 	hello := Hello{Identity: local.Identity, Key: local.Key, ConfigVersion: local.version(), Servers: local.servers()}
 	var reply HelloReply
 	if err := s.peer.conn.Call(ctx, MethodHello, hello, &reply); err != nil {
@@ -160,20 +138,6 @@
 	return jsonrpc2.NewBufferedStream(countedConn{conn}, jsonrpc2.VSCodeObjectCodec{})
 }
 
-func (l Local) version() uint64 {
-	if l.ConfigVersion == nil {
-		return 0
-	}
-	return l.ConfigVersion()
-}
-
-func (l Local) servers() int {
-	if l.Servers == nil {
-		return 0
-	}
-	return l.Servers()
-}
-
 // session is one connection before and after its hello.
 type session struct {
 	local    Local
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -90,7 +90,7 @@
 	conn = &guardedConn{Conn: conn, known: ses.known, left: maxHelloBytes}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := jsonrpc2.NewConn(context.Background(), stream(conn), ses)
+	c := jsonrpc2.NewConn(context.Background(), stream(conn), ses, s.local.logger(conn))
 	s.conns[c] = struct{}{}
 	go s.forget(c)
 }
