--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -15,14 +15,12 @@
 
 // Stopping tells that a graceful shutdown began.
 type Stopping struct {
-	Reason     string
 	InProgress int // requests
 }
 
 // Stopped tells that the graceful shutdown ended.
 type Stopped struct {
 	InProgress int // requests that were still in progress
-	Took       time.Duration
 }
 
 // Reloaded tells that the settings file was read again.
@@ -37,7 +35,6 @@
 	Previous int64
 	Routes   int
 	Services int
-	Source   string // store, or the entry that passed it on
 }
 
 // ServerChange says what became of a server.
@@ -64,7 +61,6 @@
 	Remaining  time.Duration // until a draining server is gone; 0 when not told
 	Held       string        // models that it holds or held, joined by spaces
 	Reason     string
-	Source     string // store, or the entry that passed it on
 }
 
 // HoldingChanged tells that a server began or ceased to hold a model.
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -7,13 +7,11 @@
 }
 
 func (r Stopping) encode(e *encoder) {
-	e.textIfSet("reason", r.Reason)
 	e.count("in_progress", int64(r.InProgress))
 }
 
 func (r Stopped) encode(e *encoder) {
 	e.count("in_progress", int64(r.InProgress))
-	e.duration("took_ms", r.Took)
 }
 
 func (r Reloaded) encode(e *encoder) {
@@ -26,7 +24,6 @@
 	e.countIfSet("previous", r.Previous)
 	e.count("routes", int64(r.Routes))
 	e.count("services", int64(r.Services))
-	e.textIfSet("source", r.Source)
 }
 
 func (r ServerChanged) encode(e *encoder) {
@@ -39,7 +36,6 @@
 	e.durationIfSet("remaining_ms", r.Remaining)
 	e.textIfSet("held", r.Held)
 	e.textIfSet("reason", r.Reason)
-	e.textIfSet("source", r.Source)
 }
 
 func (r HoldingChanged) encode(e *encoder) {
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -76,7 +76,6 @@
 			return server.Close()
 		},
 	})
-	daemon.Announce(lc, log)
 }
 
 func listen(server *http.Server, address string, log logrus.FieldLogger) error {
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -32,7 +32,7 @@
 		fx.Supply(s),
 		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newFront, newReadiness),
 		fx.Decorate(useLog),
-		fx.Invoke(startLog, startMetrics, startDuties, startListeners, startReload),
+		fx.Invoke(startLog, startMetrics, startDuties, startListeners, startReload, announce),
 	)
 }
 
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	stdlog "log"
 	"net/http"
 	"os"
@@ -32,12 +33,31 @@
 }
 
 // startLog is invoked first, so that the log is stopped last.
-func startLog(lc fx.Lifecycle, log *decisionlog.Log, logger logrus.FieldLogger) {
+func startLog(lc fx.Lifecycle, log *decisionlog.Log, logger logrus.FieldLogger, f *front.Front) {
 	daemon.Go(lc, log.Run)
+	lc.Append(fx.Hook{OnStop: func(context.Context) error {
+		log.Write(decisionlog.Stopped{InProgress: int(f.Active())})
+		return nil
+	}})
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{logger})
 }
 
+// announce tells the start after and the stop before everything else: it is
+// invoked last.
+func announce(lc fx.Lifecycle, s Settings, f *front.Front, log *decisionlog.Log) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			log.Write(decisionlog.Started{Role: "entry", Address: s.CallerAddress, Zone: s.Zone})
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			log.Write(decisionlog.Stopping{InProgress: int(f.Active())})
+			return nil
+		},
+	})
+}
+
 // libraryLog takes the messages that net/http writes to the standard logger,
 // such as that a server sent more than one answer.
 type libraryLog struct{ logger logrus.FieldLogger }
