--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -13,6 +13,7 @@
 	"peridotchute.example/admission"
 	"peridotchute.example/fleet"
 	"peridotchute.example/placement/residence"
+	"peridotchute.example/routing"
 )
 
 // Resident asks that a model or adapter be made resident at some server, and
@@ -60,17 +61,17 @@
 
 // pool is the servers of one service and the requests that wait for them.
 type pool struct {
-	name     string
-	engine   *fleet.Engine // nil for plain services
-	servers  map[string]*server
-	order    []*server // by ID
-	line     *admission.Line[*waiting]
-	waiting  map[*waiting]struct{}
-	budget   admission.RetryBudget
-	models   models
-	missing  map[artifact]*missing
-	demand   map[string]*residence.ModelDemand // by model, since it was last taken
-	estimate estimate
+	name    string
+	engine  *fleet.Engine // nil for plain services
+	servers map[string]*server
+	order   []*server // by ID
+	line    *admission.Line[*waiting]
+	waiting map[*waiting]struct{}
+	budget  admission.RetryBudget
+	models  models
+	missing map[artifact]*missing
+	demand  map[string]*residence.ModelDemand // by model, since it was last taken
+	usual   routing.Usual                     // of plain services
 }
 
 // Update takes in a new view. It does not keep the caller waiting.
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -33,7 +33,7 @@
 		m.plains = append(m.plains, s.plain)
 		m.chosen = append(m.chosen, s)
 	}
-	usual := p.estimate.usual.Time()
+	usual := p.usual.Time()
 	choice, err := routing.ChoosePlain(m.plains, routing.PlainRequest{
 		Usual:    usual,
 		Draw:     w.draw,
@@ -43,7 +43,7 @@
 	if err != nil {
 		return admission.Offer{}, false
 	}
-	w.server = m.chosen[choice.Index]
+	w.server, w.plain = m.chosen[choice.Index], choice
 	return admission.OfferPlain(&choice, usual), true
 }
 
@@ -111,5 +111,5 @@
 	load := m.left(now)
 	w.server = nil
 	work := w.prompt.Work(0)
-	return admission.Offer{Batch: &m.virtual.Batch, Load: load, Wait: load + work, Work: work}, true
+	return admission.Offer{Batch: &m.virtual.Batch, Load: load, Wait: load + work, Work: work, Step: tokenTime}, true
 }
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -8,11 +8,6 @@
 	"peridotchute.example/routing"
 )
 
-// estimate is what a plain pool learns of its answers.
-type estimate struct {
-	usual routing.Usual
-}
-
 // Ticket is one attempt in progress at a server. End must be called.
 type Ticket struct {
 	Server   *fleet.Server // as it was when the attempt began
@@ -27,6 +22,7 @@
 	s        *server
 	artifact artifact
 	sending  routing.Sending
+	plain    routing.PlainChoice // at plain services
 	begun    time.Time
 	started  bool
 	ended    bool
@@ -46,6 +42,7 @@
 		p:        p,
 		s:        s,
 		artifact: w.artifact,
+		plain:    w.plain,
 		begun:    now,
 	}
 	if s.engine != nil && w.artifact.model != "" {
@@ -116,11 +113,7 @@
 	if t.s.plain == nil {
 		return
 	}
-	took := now.Sub(t.begun)
-	if !t.s.plain.Health.Suspect(now) {
-		t.p.estimate.usual.Observe(t.Expected, took)
-	}
-	t.s.plain.Health.Answered(t.Expected, took, now)
+	t.p.usual.Answered(&t.plain, now.Sub(t.begun), now)
 }
 
 // Failed notes that the server failed the attempt.
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -42,6 +42,7 @@
 
 	server *server // of the newest offer; nil while the model is missing
 	cached int     // tokens of the prompt that it keeps
+	plain  routing.PlainChoice
 }
 
 // turn ends a wait: one of both is set.
@@ -104,7 +105,6 @@
 // waiter says what the line is to know of the request.
 func (p *pool) waiter(w *waiting, q Query) admission.Waiter {
 	r := q.Request
-	rest := time.Duration(expectedOut(r)) * tokenTime
 	objective := q.Route.Objective
 	if objective <= 0 {
 		objective = q.Deadline.Sub(q.Arrived)
@@ -116,7 +116,7 @@
 		Arrived:   q.Arrived,
 		Objective: q.Arrived.Add(objective),
 		Deadline:  q.Deadline,
-		Rest:      rest,
+		Tokens:    expectedOut(r),
 	}
 	if n := len(r.Parts); n > 0 {
 		out.Session = r.Parts[n-1].ID
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -53,13 +54,22 @@
 	opts     Options
 	stopping atomic.Int64 // when Stop was called, in nanoseconds since start; 0 before
 	active   atomic.Int64
+	waits    context.Context // ends some time after Stop, when requests wait no longer
+	endWaits context.CancelFunc
 }
 
 // New returns a front.
-func New(opts Options) *Front { return &Front{opts: opts} }
+func New(opts Options) *Front {
+	f := &Front{opts: opts}
+	f.waits, f.endWaits = context.WithCancel(context.Background())
+	return f
+}
 
 // Stop makes every answer from now on the last one of its connection.
-func (f *Front) Stop() { f.stopping.Store(int64(time.Since(start))) }
+func (f *Front) Stop() {
+	f.stopping.Store(int64(time.Since(start)))
+	time.AfterFunc(lastStart, f.endWaits)
+}
 
 // start is the origin of stopping.
 var start = time.Now()
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -102,7 +102,10 @@
 
 // choose waits for the turn of the request at some server.
 func (r *run) choose(ctx context.Context) (*balance.Ticket, *refusal) {
-	ticket, rejected := r.f.opts.Balancer.Admit(ctx, balance.Query{
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.f.waits, cancel)()
+	ticket, rejected := r.f.opts.Balancer.Admit(wait, balance.Query{
 		Service:  r.req.service,
 		Request:  &r.req.Request,
 		Route:    r.req.route,
@@ -124,6 +127,8 @@
 		holders:  rejected.Holders,
 	}
 	switch {
+	case rejected.Left && ctx.Err() == nil:
+		why.reason, why.after = decisionlog.RefusedStopping, stopRetry
 	case rejected.Left:
 		why.reason = decisionlog.RefusedTooLate
 	case rejected.NotHeld:
