--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -8,10 +8,6 @@
 	"peridotchute.example/routing"
 )
 
-// busyHolder is the wait at the servers that hold an adapter from which on it
-// is worth loading it at another server.
-const busyHolder = 400 * time.Millisecond
-
 // offers finds the best server for waiting requests.
 func (b *Balancer) offers(p *pool, now time.Time) admission.Offers[*waiting] {
 	return func(w *waiting, planned bool) (admission.Offer, bool) {
@@ -49,11 +45,10 @@
 
 func (b *Balancer) offerEngine(p *pool, w *waiting, planned bool, now time.Time) (admission.Offer, bool) {
 	w.prompt.Planned = planned
-	holders := p.replicas(w, now, false)
-	if holders > 0 {
+	if p.replicas(w, now, false) > 0 {
 		p.found(w.artifact)
 		choice, err := routing.ChooseEngine(p.models.replicas, p.models.prefixes, &w.prompt, now)
-		if err == nil && (w.artifact.adapter == "" || choice.Wait < busyHolder) {
+		if err == nil {
 			return p.take(w, &choice), true
 		}
 	}
