Where only servers that failed a request hold its model, one of them may serve it

Cause: a request that excluded the only holder asked for the model while another request found it resident, in turn, 2800 times in half a second.

--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -19,16 +19,10 @@
 }
 
 func (p *pool) offerPlain(w *waiting, planned bool, now time.Time) (admission.Offer, bool) {
-	m := &p.models
-	m.plains, m.chosen = m.plains[:0], m.chosen[:0]
-	for _, s := range p.order {
-		if s.plain == nil || slices.Contains(w.exclude, s.ID) {
-			continue
-		}
-		s.plain.Usable = s.usable(now)
-		m.plains = append(m.plains, s.plain)
-		m.chosen = append(m.chosen, s)
+	if p.listPlain(w.exclude, now) == 0 {
+		p.listPlain(nil, now)
 	}
+	m := &p.models
 	usual := p.usual.Time()
 	choice, err := routing.ChoosePlain(m.plains, routing.PlainRequest{
 		Usual:    usual,
@@ -43,9 +37,24 @@
 	return admission.OfferPlain(&choice, usual), true
 }
 
+// listPlain lists the servers that can be used, without the excluded ones, and
+// returns how many there are.
+func (p *pool) listPlain(exclude []string, now time.Time) int {
+	m := &p.models
+	m.plains, m.chosen = m.plains[:0], m.chosen[:0]
+	for _, s := range p.order {
+		if s.plain == nil || !s.usable(now) || slices.Contains(exclude, s.ID) {
+			continue
+		}
+		m.plains = append(m.plains, s.plain)
+		m.chosen = append(m.chosen, s)
+	}
+	return len(m.plains)
+}
+
 func (b *Balancer) offerEngine(p *pool, w *waiting, planned bool, now time.Time) (admission.Offer, bool) {
 	w.prompt.Planned = planned
-	if p.replicas(w, now, false) > 0 {
+	if p.replicas(w, now, false) > 0 || p.replicas(w.anywhere(), now, false) > 0 {
 		p.found(w.artifact)
 		choice, err := routing.ChooseEngine(p.models.replicas, p.models.prefixes, &w.prompt, now)
 		if err == nil {
@@ -70,6 +79,14 @@
 	return admission.OfferEngine(choice)
 }
 
+// anywhere is the request without the servers that failed it: where no other
+// server holds what it asks for, one of them may serve it yet.
+func (w *waiting) anywhere() *waiting {
+	again := *w
+	again.exclude = nil
+	return &again
+}
+
 // replicas lists the servers that hold what the request asks for, and with
 // loadable also those that hold the model and may load the adapter. It returns
 // how many of them can be used.
