--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -195,42 +195,6 @@
 	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: failedReason})
 }
 
-// mayRepeat reports whether the request may be sent to one more server though
-// one may have run it, or after one declined it.
-func (r *run) mayRepeat(ctx context.Context) bool {
-	budget := r.f.opts.Balancer.BudgetLeft(r.req.service)
-	if r.callerLeft() {
-		return false
-	}
-	if reason := r.forbidsRepeat(ctx); reason != "" {
-		r.record.withheld(reason, budget)
-		return false
-	}
-	if !r.f.opts.Balancer.Repeat(r.req.service) {
-		r.record.withheld(decisionlog.WithheldBudget, budget)
-		return false
-	}
-	lastID := ""
-	if r.stream != nil {
-		lastID = r.stream.LastID()
-	}
-	r.record.retried(lastID, budget-1)
-	return true
-}
-
-// forbidsRepeat says what but the budget forbids another attempt, or "".
-func (r *run) forbidsRepeat(ctx context.Context) decisionlog.WithheldReason {
-	switch {
-	case ctx.Err() != nil:
-		return decisionlog.WithheldTime
-	case r.mayRun && r.req.route.Repeat == fleet.RepeatNever:
-		return decisionlog.WithheldMayHaveRun
-	case r.sent >= r.req.route.MaxAttempts:
-		return decisionlog.WithheldAttempts
-	}
-	return ""
-}
-
 // answered judges an answer and passes it on unless another attempt is made.
 func (r *run) answered(ctx context.Context, t *balance.Ticket, a *exchange.Answer, watch *stallWatch) bool {
 	switch {
@@ -331,65 +295,6 @@
 	return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: failedReason})
 }
 
-// Reasons of failures other than refusals.
-const (
-	failedReason  = "the server failed"
-	unclearReason = "the server does not say that it did not run the request"
-	lateReason    = "no answer in time"
-)
-
-// callerLeft reports whether the caller closed its connection.
-func (r *run) callerLeft() bool { return r.r.Context().Err() != nil }
-
-// noteFailure records a failed attempt, unless it ended because the caller left.
-func (r *run) noteFailure(ctx context.Context, status int, err error) {
-	if !r.callerLeft() {
-		r.record.attemptFailed(failureKind(ctx, err), status, fault.Is(err, fault.KindUnavailable), err)
-	}
-}
-
-// unreachable notes that a server cannot be reached.
-func (r *run) unreachable(t *balance.Ticket, err error) {
-	if !t.Unreachable() {
-		return
-	}
-	r.f.opts.Log.Write(decisionlog.ServerChanged{
-		Change:     decisionlog.ServerSuspected,
-		Server:     t.Server.ID,
-		Service:    t.Server.Service,
-		Address:    t.Server.Address,
-		Zone:       t.Server.Zone,
-		RowVersion: t.Server.Registration,
-		ViewAge:    r.record.end.ViewAge,
-		Reason:     err.Error(),
-	})
-}
-
-// noteAnswer records an answer of our own.
-func (r *run) noteAnswer(why refusal) {
-	if why.status == http.StatusServiceUnavailable {
-		r.record.refuse(why)
-		return
-	}
-	r.record.fail(decisionlog.OutcomeFailed, why.status, string(why.reason))
-}
-
-// brokenOffReason prefers the end of the request's time to what it led to.
-func brokenOffReason(ctx context.Context, why refusal) decisionlog.RefusalReason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return lateReason
-	}
-	return why.reason
-}
-
-// brokenOff says who broke an answer off.
-func (r *run) brokenOff(err error) decisionlog.Outcome {
-	if errors.Is(err, relay.ErrClient) || r.callerLeft() {
-		return decisionlog.OutcomeCallerLeft
-	}
-	return decisionlog.OutcomeCut
-}
-
 // giveUp answers for the last time: an answer that has begun is cut, so that it
 // does not look complete, and a request that may have run is not called refused.
 func (r *run) giveUp(ctx context.Context, why refusal) bool {
