--- a/entry/direct/front/note.go
+++ b/entry/direct/front/note.go
@@ -54,8 +54,12 @@
 	r.record.fail(decisionlog.OutcomeFailed, why.status, string(why.reason))
 }
 
-// brokenOffReason prefers the end of the request's time to what it led to.
-func brokenOffReason(ctx context.Context, why refusal) decisionlog.RefusalReason {
+// brokenOffReason prefers the end of the request's time to what it led to. A
+// caller who left needs no reason.
+func (r *run) brokenOffReason(ctx context.Context, why refusal) decisionlog.RefusalReason {
+	if r.callerLeft() {
+		return ""
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return lateReason
 	}
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -299,7 +299,7 @@
 // does not look complete, and a request that may have run is not called refused.
 func (r *run) giveUp(ctx context.Context, why refusal) bool {
 	if r.stream != nil || r.callerLeft() {
-		r.record.fail(r.brokenOff(ctx.Err()), 0, string(brokenOffReason(ctx, why)))
+		r.record.fail(r.brokenOff(ctx.Err()), 0, string(r.brokenOffReason(ctx, why)))
 		panic(http.ErrAbortHandler)
 	}
 	if r.mayRun && why.status == http.StatusServiceUnavailable {
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -23,6 +23,8 @@
 		return t.refused()
 	case event.RequestLate.ID:
 		return t.late()
+	case event.CallerLeft.ID:
+		return t.callerLeft()
 	case event.RequestServed.ID:
 		return append([]string{fmt.Sprintf("Served in time by %s.", t.end.Text("server"))}, t.attempts()...)
 	}
@@ -45,7 +47,7 @@
 		said = append(said, fmt.Sprintf("The caller was told to come back after %v.", retry))
 	}
 	if candidates := e.Text("candidates"); candidates != "" {
-		said = append(said, fmt.Sprintf("%s servers hold what it asked for; %s other requests waited for the service at %s.", candidates, orNone(e.Text("waiting")), t.Taker.node))
+		said = append(said, fmt.Sprintf("Usable servers that hold what it asked for: %s; %s other requests waited for the service at %s.", candidates, orNone(e.Text("waiting")), t.Taker.node))
 	}
 	if expected := e.Duration("expected_ms"); expected > 0 {
 		said = append(said, fmt.Sprintf("Its answer was expected to begin %v later.", expected))
@@ -89,7 +91,7 @@
 	waited, expected := e.Duration("waited_ms"), e.Duration("expected_ms")
 	said := []string{fmt.Sprintf("Served whole but late: first byte after %v, objective %v.", first, objective)}
 	if pause := e.Duration("longest_pause_ms"); first <= objective && pause > 0 {
-		said = append(said, fmt.Sprintf("The first byte was in time; the longest pause between events was %v, objective %v.", pause, e.Duration("gap_objective_ms")))
+		said = append(said, fmt.Sprintf("The first byte was in time; the longest pause between events of %s was %v, objective %v.", e.Text("server"), pause, e.Duration("gap_objective_ms")))
 	} else {
 		said = append(said, fmt.Sprintf("Of that it waited %v at %s; the rest, %v, passed at %s, where %v was expected, %v of it for requests before it.",
 			waited, t.Taker.node, (first-waited).Round(100*time.Microsecond), e.Text("server"), expected, e.Duration("backlog_ms")))
@@ -102,7 +104,7 @@
 func (t *Story) holders() []string {
 	for _, m := range t.Moments {
 		if n := m.Line.Text("candidates"); m.Own && n != "" && m.Line.Event == event.ServerChosen.ID {
-			return []string{fmt.Sprintf("When its turn came, %s usable servers held what it asked for.", n)}
+			return []string{fmt.Sprintf("Usable servers that held what it asked for when its turn came: %s.", n)}
 		}
 	}
 	return nil
@@ -124,6 +126,18 @@
 	return fmt.Sprintf("In the %v before, %s wrote the ends of %d requests, %d of them not in time.", burstWindow, t.Taker.node, total, troubled)
 }
 
+// callerLeft tells how far a request had come when its caller gave it up.
+func (t *Story) callerLeft() []string {
+	e := t.end
+	said := []string{fmt.Sprintf("The caller left after %v of the %v that it had announced, with %s events.", e.Duration("total_ms"), e.Duration("deadline_ms"), orNone(e.Text("events")))}
+	if server := e.Text("server"); server == "" {
+		said = append(said, fmt.Sprintf("It was not sent to any server: it waited %v for its turn at %s.", e.Duration("waited_ms"), t.Taker.node))
+	} else {
+		said = append(said, fmt.Sprintf("It waited %v for its turn and was then at %s, where its first event was expected after %v.", e.Duration("waited_ms"), server, e.Duration("expected_ms")))
+	}
+	return append(append(append(said, t.holders()...), t.attempts()...), t.burst())
+}
+
 func (t *Story) failed() []string {
 	e := t.end
 	said := []string{fmt.Sprintf("%s after %v%s.", capital(e.Name), e.Duration("total_ms"), because(e))}
