Answers that clients would take for a promise, HEAD, shares of connections, framing

Cause, from the path tests: a server's own 429 or 408 without the header that says it did not run was passed on; a HEAD lost its length; requests beyond a server's connections were reset; a header of 100 KB was cut, not answered; a kept connection ended after any chunks. Change: such statuses become 502; HEAD keeps its length; each entry uses its part of max_conns; lengths are counted by connection.

--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -46,6 +46,8 @@
 	ctx   context.Context // of Run
 	rnd   *rand.Rand
 	pools map[string]*pool // by service
+
+	entries int // that share the servers, this one included
 }
 
 // New returns a balancer that knows no server.
@@ -56,13 +58,23 @@
 		ctx:   context.Background(),
 		rnd:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools: map[string]*pool{},
+
+		entries: 1,
 	}
 }
 
+// SetEntries tells how many entries share the servers' connections.
+func (b *Balancer) SetEntries(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = max(n, 1)
+}
+
 // pool is the servers of one service and the requests that wait for them.
 type pool struct {
 	name    string
 	engine  *fleet.Engine // nil for plain services
+	conns   int           // of one server by all callers together; 0 means no limit
 	servers map[string]*server
 	order   []*server // by ID
 	line    *admission.Line[*waiting]
@@ -87,7 +99,7 @@
 			p = b.newPool(name)
 			b.pools[name] = p
 		}
-		p.engine = service.Engine
+		p.engine, p.conns = service.Engine, service.MaxConnections
 		if b.sync(p, v) {
 			p.line.Lost()
 		}
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -10,11 +10,16 @@
 
 // offers finds the best server for waiting requests.
 func (b *Balancer) offers(p *pool, now time.Time) admission.Offers[*waiting] {
-	return func(w *waiting, planned bool) (admission.Offer, bool) {
+	return func(w *waiting, planned bool) (o admission.Offer, found bool) {
 		if p.engine == nil || w.artifact.model == "" {
-			return p.offerPlain(w, planned, now)
+			o, found = p.offerPlain(w, planned, now)
+		} else {
+			o, found = b.offerEngine(p, w, planned, now)
 		}
-		return b.offerEngine(p, w, planned, now)
+		if found && w.server != nil && p.conns > 0 && w.server.inFlight >= max(p.conns/b.entries, 1) {
+			o.Full = true
+		}
+		return o, found
 	}
 }
 
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -176,6 +176,7 @@
 // tellLoads exchanges the requests in progress with the other entries.
 func (c *coordination) tellLoads(ctx context.Context) {
 	for clock.Sleep(ctx, loadEvery) == nil {
+		c.balancer.SetEntries(1 + len(c.mesh.Connected()))
 		own := c.balancer.Loads()
 		told := make([]mesh.ServerLoad, len(own))
 		for i, l := range own {
--- a/entry/direct/front/framing.go
+++ b/entry/direct/front/framing.go
@@ -10,7 +10,8 @@
 
 // net/http drops the length of a request that also has chunks, before a handler
 // sees it. Such a request is answered, but its connection must not be used
-// again (RFC 9112, section 6.1), so connections note whether a length was sent.
+// again (RFC 9112, section 6.1). So connections count the lengths that were
+// sent, and the requests for which one was seen.
 
 // Listener wraps the accepted connections for that.
 type Listener struct{ net.Listener }
@@ -24,43 +25,43 @@
 	return &clientConn{Conn: c}, nil
 }
 
-// clientConn notes whether its client ever sent the name of the length header.
+// clientConn counts how often its client sent the name of the length header.
 // The name within a body counts too, which costs a connection and no more.
 type clientConn struct {
 	net.Conn
-	length atomic.Bool
-	tail   []byte // end of the previous read, in which the name may begin
+	sent atomic.Int64
+	seen atomic.Int64 // requests with a length
+	tail []byte       // end of the previous read, in which the name may begin
 }
 
 var lengthName = []byte("content-length")
 
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.length.Load() {
+	if n > 0 {
 		c.look(p[:n])
 	}
 	return n, err
 }
 
 func (c *clientConn) look(p []byte) {
-	seam := append(c.tail, p[:min(len(p), len(lengthName))]...)
-	if hasName(seam) || hasName(p) {
-		c.length.Store(true)
-		return
-	}
-	rest := p[max(len(p)-len(lengthName)+1, 0):]
-	c.tail = append(c.tail[:0], rest...)
+	const most = 13 // bytes of the name that one read may end with
+	seam := append(c.tail, p[:min(len(p), most)]...)
+	c.sent.Add(countNames(seam) + countNames(p))
+	rest := append(c.tail, p...)
+	c.tail = append([]byte(nil), rest[max(len(rest)-most, 0):]...)
 }
 
-// hasName reports whether p holds the name in any case.
-func hasName(p []byte) bool {
+// countNames counts the name in any case.
+func countNames(p []byte) (n int64) {
 	for {
-		i := bytes.IndexAny(p, "Cc")
-		if i < 0 || len(p)-i < len(lengthName) {
-			return false
+		i := bytes.IndexByte(p, '-')
+		if i < 0 {
+			return n
 		}
-		if bytes.EqualFold(p[i:i+len(lengthName)], lengthName) {
-			return true
+		const before, after = len("content"), len("-length")
+		if i >= before && len(p)-i >= after && bytes.EqualFold(p[i-before:i+after], lengthName) {
+			n++
 		}
 		p = p[i+1:]
 	}
@@ -73,9 +74,18 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// sawLength reports whether the client of a request has sent a length on its
-// connection.
-func sawLength(r *http.Request) bool {
+// hidesLength reports whether a request in chunks may have had a length too. It
+// is asked once for each request.
+func hidesLength(r *http.Request) bool {
 	c, ok := r.Context().Value(connKey{}).(*clientConn)
-	return ok && c.length.Load()
+	if !ok {
+		return false
+	}
+	if len(r.TransferEncoding) == 0 {
+		if r.Header.Get("Content-Length") != "" {
+			c.seen.Add(1)
+		}
+		return false
+	}
+	return c.sent.Load() > c.seen.Load()
 }
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -95,7 +95,7 @@
 	if late > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	if len(r.TransferEncoding) > 0 && sawLength(r) {
+	if hidesLength(r) {
 		// Chunks and a length frame the same request: whatever follows on the
 		// connection may be hidden in its body, so nothing more is read.
 		w.Header().Set("Connection", "close")
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -236,7 +236,7 @@
 	switch {
 	case a.Outcome.NotRun:
 		return r.declined(ctx, t, a)
-	case a.Status >= http.StatusInternalServerError:
+	case a.Status >= http.StatusInternalServerError || promises(a.Status):
 		return r.erred(ctx, t, a)
 	case r.stream != nil && a.Status != http.StatusOK:
 		r.record.attemptFailed(decisionlog.FailureStatus, a.Status, false, nil)
@@ -249,6 +249,16 @@
 	return r.passWhole(ctx, t, a)
 }
 
+// promises reports whether clients take the status for a promise that the
+// request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // declined handles an answer by which the server did not run the request.
 func (r *run) declined(ctx context.Context, t *balance.Ticket, a *exchange.Answer) bool {
 	r.record.attemptFailed(declineKind(a.Outcome), a.Status, true, nil)
@@ -272,7 +282,7 @@
 	if r.stream != nil {
 		return r.giveUp(ctx, refusal{status: http.StatusBadGateway})
 	}
-	if a.Status == http.StatusServiceUnavailable {
+	if promises(a.Status) {
 		return r.giveUp(ctx, refusal{status: http.StatusBadGateway, reason: unclearReason})
 	}
 	return r.passWhole(ctx, t, a)
@@ -287,7 +297,7 @@
 	if a.Status < http.StatusInternalServerError {
 		t.Succeeded()
 	}
-	if err := relay.Pass(r.w, a, held); err != nil {
+	if err := relay.Pass(r.w, r.r.Method, a, held); err != nil {
 		r.record.fail(r.brokenOff(err), a.Status, err.Error())
 		panic(http.ErrAbortHandler)
 	}
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -31,7 +31,7 @@
 
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 90 * time.Second
-	maxHeaderBytes    = 64 << 10 // the configured limit is checked apart
+	maxHeaderBytes    = 2 << 20 // the configured limit is checked apart
 )
 
 // readiness answers the platform's question whether the entry takes new
--- a/entry/direct/relay/whole.go
+++ b/entry/direct/relay/whole.go
@@ -58,13 +58,15 @@
 // Pass writes the answer to the client. It returns ErrClient when the client is
 // gone, and the source's error when the answer ended early; the client's
 // connection must then be cut.
-func Pass(w http.ResponseWriter, a *exchange.Answer, held Held) error {
+func Pass(w http.ResponseWriter, method string, a *exchange.Answer, held Held) error {
 	Header(w, a)
 	switch {
+	case method == http.MethodHead:
+		setLength(w, a.Length)
 	case held.complete:
 		w.Header().Set("Content-Length", strconv.Itoa(len(held.bytes)))
-	case a.Length >= 0:
-		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	default:
+		setLength(w, a.Length)
 	}
 	w.WriteHeader(a.Status)
 	if _, err := w.Write(held.bytes); err != nil {
@@ -76,3 +78,10 @@
 	_, err := io.Copy(w, a.Body)
 	return err
 }
+
+// setLength tells the length of an answer's body where it is known.
+func setLength(w http.ResponseWriter, n int64) {
+	if n >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+}
