--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -8,10 +8,6 @@
 	"peridotchute.example/routing"
 )
 
-// busyHolder is the wait at the servers that hold an adapter from which on it
-// is worth loading it at another server.
-const busyHolder = 400 * time.Millisecond
-
 // offers finds the best server for waiting requests.
 func (b *Balancer) offers(p *pool, now time.Time) admission.Offers[*waiting] {
 	return func(w *waiting, planned bool) (admission.Offer, bool) {
@@ -33,7 +29,7 @@
 		m.plains = append(m.plains, s.plain)
 		m.chosen = append(m.chosen, s)
 	}
-	usual := p.estimate.usual.Time()
+	usual := p.usual.Time()
 	choice, err := routing.ChoosePlain(m.plains, routing.PlainRequest{
 		Usual:    usual,
 		Draw:     w.draw,
@@ -43,16 +39,16 @@
 	if err != nil {
 		return admission.Offer{}, false
 	}
-	w.server = m.chosen[choice.Index]
+	w.server, w.plain = m.chosen[choice.Index], choice
 	return admission.OfferPlain(&choice, usual), true
 }
 
 func (b *Balancer) offerEngine(p *pool, w *waiting, planned bool, now time.Time) (admission.Offer, bool) {
 	w.prompt.Planned = planned
-	holders := p.replicas(w, now, false)
-	if holders > 0 {
+	if p.replicas(w, now, false) > 0 {
+		p.found(w.artifact)
 		choice, err := routing.ChooseEngine(p.models.replicas, p.models.prefixes, &w.prompt, now)
-		if err == nil && (w.artifact.adapter == "" || choice.Wait < busyHolder) {
+		if err == nil {
 			return p.take(w, &choice), true
 		}
 	}
@@ -110,5 +106,5 @@
 	load := m.left(now)
 	w.server = nil
 	work := w.prompt.Work(0)
-	return admission.Offer{Batch: &m.virtual.Batch, Load: load, Wait: load + work, Work: work}, true
+	return admission.Offer{Batch: &m.virtual.Batch, Load: load, Wait: load + work, Work: work, Step: tokenTime}, true
 }
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -8,17 +8,13 @@
 	"peridotchute.example/routing"
 )
 
-// estimate is what a plain pool learns of its answers.
-type estimate struct {
-	usual routing.Usual
-}
-
 // Ticket is one attempt in progress at a server. End must be called.
 type Ticket struct {
 	Server   *fleet.Server // as it was when the attempt began
 	Expected time.Duration // until the first event
 	Backlog  time.Duration // of it, work before the request
 	Cached   int           // tokens of the prompt that the server keeps
+	Holders  int           // usable servers that held what is asked for; 0 at plain services
 	Running  int           // requests that this entry had sent there before and that had not ended
 
 	b        *Balancer
@@ -26,6 +22,7 @@
 	s        *server
 	artifact artifact
 	sending  routing.Sending
+	plain    routing.PlainChoice // at plain services
 	begun    time.Time
 	started  bool
 	ended    bool
@@ -45,8 +42,12 @@
 		p:        p,
 		s:        s,
 		artifact: w.artifact,
+		plain:    w.plain,
 		begun:    now,
 	}
+	if s.engine != nil && w.artifact.model != "" {
+		t.Holders = p.replicas(w, now, false)
+	}
 	if s.engine != nil {
 		t.sending = routing.Sending{Work: o.Work, Tokens: w.prompt.Memory()}
 	}
@@ -112,11 +113,7 @@
 	if t.s.plain == nil {
 		return
 	}
-	took := now.Sub(t.begun)
-	if !t.s.plain.Health.Suspect(now) {
-		t.p.estimate.usual.Observe(t.Expected, took)
-	}
-	t.s.plain.Health.Answered(t.Expected, took, now)
+	t.p.usual.Answered(&t.plain, now.Sub(t.begun), now)
 }
 
 // Failed notes that the server failed the attempt.
@@ -126,13 +123,15 @@
 	t.s.health().Failed(time.Now())
 }
 
-// Unreachable notes that no connection to the server could be made.
-func (t *Ticket) Unreachable() {
+// Unreachable notes that no connection to the server could be made. It reports
+// whether that is news.
+func (t *Ticket) Unreachable() bool {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	t.s.downUntil = time.Now().Add(min(downFirst<<min(t.s.downs, 4), downMost))
 	t.s.downs++
 	t.p.line.Lost()
+	return t.s.downs == 1
 }
 
 // Declined notes that the server did not run the request; gone that it is
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -26,6 +26,7 @@
 	methodEnsure = "orders.ensure"
 	methodDemand = "orders.demand"
 	methodChange = "orders.change"
+	methodLease  = "orders.lease"
 )
 
 const (
@@ -66,6 +67,12 @@
 	Change orders.Change `json:"change"`
 }
 
+// leaseNote tells that its sender holds the orders lease, or has released it.
+type leaseNote struct {
+	Term int64 `json:"term"`
+	Held bool  `json:"held"`
+}
+
 func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, log logrus.FieldLogger) *coordination {
 	c := &coordination{name: s.Name, log: log}
 	c.balancer = balance.New(balance.Options{Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Ensure: c.ensure})
@@ -78,6 +85,7 @@
 		LoadWindow: seconds(s.LoadWindowS),
 		Down:       c.balancer.Down,
 		OnChange:   c.changed,
+		OnLease:    c.tellLease,
 		Log:        log,
 	})
 	c.mesh = mesh.New(mesh.Options{
@@ -98,6 +106,10 @@
 		c.balancer.Told(n.Server, n.Change)
 		return struct{}{}, nil
 	})
+	mesh.Handle(c.mesh, methodLease, func(_ context.Context, from string, n leaseNote) (struct{}, error) {
+		c.keeper.Heard(from, n.Term, n.Held)
+		return struct{}{}, nil
+	})
 	return c
 }
 
@@ -126,6 +138,12 @@
 	}
 }
 
+// tellLease tells the other entries that this one holds the orders lease, so
+// that they need not read it, or has released it.
+func (c *coordination) tellLease(term int64, held bool) {
+	c.mesh.Broadcast(methodLease, leaseNote{Term: term, Held: held})
+}
+
 // changed passes on what a server holds after an order.
 func (c *coordination) changed(server string, change orders.Change) {
 	c.balancer.Told(server, change)
@@ -174,11 +192,6 @@
 // tellDemand tells the entry that gives the orders what was asked for.
 func (c *coordination) tellDemand(ctx context.Context) {
 	for clock.Sleep(ctx, demandEvery) == nil {
-		for _, p := range c.mesh.Peers() {
-			if p.Connected && p.Silent < time.Second {
-				c.keeper.Heard(p.Name)
-			}
-		}
 		demand := c.balancer.TakeDemand()
 		holder, mine := c.keeper.Holder()
 		switch {
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -79,7 +79,7 @@
 	r.record.chosen(ticket, r.f.opts.Views.Current())
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := watchStall(attempt, cancel, ticket)
+	watch := r.watch(attempt, cancel, ticket)
 	defer watch.stop()
 	answer, err := r.f.opts.Exchanger.Send(attempt, r.call(ticket.Server))
 	if err != nil {
@@ -91,9 +91,21 @@
 	return r.answered(ctx, ticket, answer, watch)
 }
 
+// watch guards an attempt that may go on elsewhere against a silent server. Any
+// other attempt lasts as long as its client waits.
+func (r *run) watch(ctx context.Context, cancel context.CancelFunc, t *balance.Ticket) *stallWatch {
+	if r.req.route.Repeat == fleet.RepeatNever || r.sent+1 >= r.req.route.MaxAttempts {
+		return nil
+	}
+	return watchStall(ctx, cancel, t)
+}
+
 // choose waits for the turn of the request at some server.
 func (r *run) choose(ctx context.Context) (*balance.Ticket, *refusal) {
-	ticket, rejected := r.f.opts.Balancer.Admit(ctx, balance.Query{
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.f.waits, cancel)()
+	ticket, rejected := r.f.opts.Balancer.Admit(wait, balance.Query{
 		Service:  r.req.service,
 		Request:  &r.req.Request,
 		Route:    r.req.route,
@@ -115,6 +127,8 @@
 		holders:  rejected.Holders,
 	}
 	switch {
+	case rejected.Left && ctx.Err() == nil:
+		why.reason, why.after = decisionlog.RefusedStopping, stopRetry
 	case rejected.Left:
 		why.reason = decisionlog.RefusedTooLate
 	case rejected.NotHeld:
@@ -165,7 +179,7 @@
 	}
 	if fault.Is(err, fault.KindUnavailable) {
 		if ctx.Err() == nil {
-			t.Unreachable()
+			r.unreachable(t, err)
 		}
 		r.unsent++
 		if r.unsent < unsentTries && ctx.Err() == nil {
@@ -334,6 +348,23 @@
 	}
 }
 
+// unreachable notes that a server cannot be reached.
+func (r *run) unreachable(t *balance.Ticket, err error) {
+	if !t.Unreachable() {
+		return
+	}
+	r.f.opts.Log.Write(decisionlog.ServerChanged{
+		Change:     decisionlog.ServerSuspected,
+		Server:     t.Server.ID,
+		Service:    t.Server.Service,
+		Address:    t.Server.Address,
+		Zone:       t.Server.Zone,
+		RowVersion: t.Server.Registration,
+		ViewAge:    r.record.end.ViewAge,
+		Reason:     err.Error(),
+	})
+}
+
 // noteAnswer records an answer of our own.
 func (r *run) noteAnswer(why refusal) {
 	if why.status == http.StatusServiceUnavailable {
--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"peridotchute.example/fleet"
@@ -19,6 +18,9 @@
 	// adapterLoad is the time in which an adapter is loaded: the slowest of the
 	// known deployments takes 10 ms.
 	adapterLoad = 12 * time.Millisecond
+	// troubleTime is how long after an order without an answer other servers are
+	// preferred.
+	troubleTime = 3 * time.Second
 	// maxFetching is how many adapters may be on their way to one server.
 	maxFetching = 4
 )
@@ -36,6 +38,9 @@
 	floor   int64 // orders that were certainly accepted; at most seq
 	known   bool  // Models and seq belong together, and whether the server is busy is known
 	sent    *fleet.Order
+	sentAt  time.Duration
+	next    *fleet.Server // incarnation that registered while the order was on its way
+	lostAt  time.Duration // when an order was last without an answer; 0 when none was
 	lost    []fleet.Order // without an answer; may take effect until seq has passed them
 	work    *Work         // model order in progress
 	intent  *Intent       // orders decided on and not yet given
@@ -76,105 +81,38 @@
 
 const never = time.Duration(math.MaxInt64)
 
-// newState returns the state of a server that was not known before. Its
-// registration alone does not say whether an order is in progress, unless it
-// has never accepted one.
+// newState returns the state of a server that was not known before.
 func newState(s fleet.Server, now time.Duration) *State {
 	st := &State{ask: never, used: map[Key]time.Duration{}, loaded: map[string]time.Duration{}}
 	st.begin(s, now)
 	return st
 }
 
-// begin starts anew with an incarnation.
+// begin starts anew with an incarnation. Its registration does not say how many
+// orders it has accepted, nor whether one is in progress: a report is due.
 func (s *State) begin(sv fleet.Server, now time.Duration) {
 	s.Server = sv
-	s.seq, s.floor = max(sv.OrderSeq, 0), max(sv.OrderSeq, 0)
-	s.known = sv.OrderSeq == 0
-	s.sent, s.lost, s.work, s.intent, s.blocked = nil, nil, nil, nil, 0
-	s.ask = never
-	if !s.known {
-		s.ask = now
-	}
+	s.seq, s.floor, s.known = 0, 0, false
+	s.sent, s.next, s.lost, s.work, s.intent = nil, nil, nil, nil, nil
+	s.blocked, s.lostAt = 0, 0
+	s.ask = now
 	s.Models = map[string]*Resident{}
 	s.setResidents(sv.Residents, sv.Fetching, now)
 	s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
 }
 
-// Register takes in a registration. Rows of an earlier incarnation, or older
-// than what is known, change nothing.
+// Register takes in a registration. It tells of a new incarnation, and whether
+// the server is leaving; what the server holds after its orders is told by
+// reports, since a registration can be older than they are. Rows of an earlier
+// incarnation, or older than what is known, change nothing.
 func (s *State) Register(sv fleet.Server, now time.Duration) {
-	if sv.Born < s.Server.Born || (sv.Born == s.Server.Born && sv.Registration < s.Server.Registration) {
-		return
-	}
-	if sv.Born != s.Server.Born {
-		s.begin(sv, now)
-		return
-	}
-	s.Server = sv
 	switch {
-	case sv.OrderSeq == fleet.OrdersUnknown:
-		s.seen(sv)
-	case s.sent != nil || sv.OrderSeq < s.seq:
-	case sv.OrderSeq > s.seq:
-		s.known = false
-		s.work = nil
-		s.askAt(now)
-		s.setResidents(sv.Residents, sv.Fetching, now)
-		s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
-	case s.known:
-		s.confirm(sv, now)
-	}
-}
-
-// seen takes in a registration that does not tell how many orders the server
-// has accepted. It can be older than what is known, so it shows only whether
-// the model order in progress is done.
-func (s *State) seen(sv fleet.Server) {
-	if s.sent != nil || s.work == nil || s.work.Model == "" {
-		return
-	}
-	done := sv.Holds(s.work.Model, "") == (s.work.Kind == fleet.OrderLoad)
-	switch {
-	case !done:
-		return
-	case s.work.Kind == fleet.OrderUnload:
-		delete(s.Models, s.work.Model)
-	case s.Models[s.work.Model] == nil:
-		s.Models[s.work.Model] = &Resident{Adapters: map[string]*Adapter{}}
-	}
-	s.work, s.ask = nil, never
-}
-
-// confirm takes from a registration that counts the same orders what they have
-// come to. It may be older than the newest report, so that what it does not
-// show yet is no news.
-func (s *State) confirm(sv fleet.Server, now time.Duration) {
-	listed := make(map[string]fleet.Resident, len(sv.Residents))
-	for _, r := range sv.Residents {
-		listed[r.Model] = r
-	}
-	if s.work != nil && s.work.Model != "" {
-		if _, resident := listed[s.work.Model]; resident == (s.work.Kind == fleet.OrderLoad) {
-			s.work = nil
-			s.ask = never
-			s.setResidents(sv.Residents, sv.Fetching, now)
-			s.InMemory, s.OnDisk = setOf(sv.InMemory), setOf(sv.OnDisk)
-			return
-		}
-	}
-	s.dropGone(listed)
-}
-
-// dropGone removes the adapters that were ordered to leave and are not listed
-// any more.
-func (s *State) dropGone(listed map[string]fleet.Resident) {
-	for model, m := range s.Models {
-		r, ok := listed[model]
-		for name, a := range m.Adapters {
-			if ok && a.Leaving && !slices.Contains(r.Adapters, name) {
-				delete(m.Adapters, name)
-			}
-		}
+	case sv.Born > s.Server.Born && s.sent != nil:
+		s.next = &sv
+	case sv.Born > s.Server.Born:
+		s.begin(sv, now)
+	case sv.Born == s.Server.Born && sv.Registration >= s.Server.Registration:
+		s.Server = sv
 	}
 }
 
@@ -185,17 +123,23 @@
 		return false
 	}
 	if r.Born != 0 && r.Born != s.Server.Born {
-		return s.reportOfAnother(r, now)
+		s.known = false // until it has registered
+		s.ask = now + reportGap
+		return false
 	}
 	if r.OrderSeq < s.floor || (s.known && r.OrderSeq < s.seq) {
 		s.ask = now + reportLag
 		return false
 	}
+	late := s.lateWork(r, now)
 	s.seq, s.floor, s.known = r.OrderSeq, r.OrderSeq, true
 	s.Server.Draining = s.Server.Draining || r.Draining
 	s.dropSettled()
 	s.setResidents(r.Residents, r.Fetching, now)
 	s.InMemory, s.OnDisk = setOf(r.InMemory), setOf(r.OnDisk)
+	if s.work == nil {
+		s.work = late
+	}
 	s.setBusy(r.Busy, now)
 	if s.anyLeaving() {
 		s.askAt(now + leavingGap)
@@ -203,6 +147,23 @@
 	return true
 }
 
+// lateWork returns the model order that was lost and is in progress now, if the
+// report's count shows that it was the last to be accepted.
+func (s *State) lateWork(r fleet.Report, now time.Duration) *Work {
+	var found *Work
+	for _, o := range s.lost {
+		if !r.Busy || o.Adapter != "" || o.Seq+1 != r.OrderSeq {
+			continue
+		}
+		w := Work{Kind: o.Kind, Model: o.Model, Due: now}
+		if found != nil && *found != w {
+			return nil
+		}
+		found = &w
+	}
+	return found
+}
+
 // anyLeaving reports whether an adapter is to be unloaded and still held.
 func (s *State) anyLeaving() bool {
 	for _, m := range s.Models {
@@ -215,23 +176,6 @@
 	return false
 }
 
-// reportOfAnother takes in a report of an incarnation that has not registered
-// yet; one of an earlier incarnation is ignored.
-func (s *State) reportOfAnother(r fleet.Report, now time.Duration) bool {
-	if r.Born < s.Server.Born {
-		s.ask = now + reportLag
-		return false
-	}
-	sv := s.Server
-	sv.Born, sv.OrderSeq, sv.Draining = r.Born, r.OrderSeq, r.Draining
-	sv.Residents, sv.Fetching, sv.InMemory, sv.OnDisk = r.Residents, r.Fetching, r.InMemory, r.OnDisk
-	s.begin(sv, now)
-	s.known = true
-	s.ask = never
-	s.setBusy(r.Busy, now)
-	return true
-}
-
 func (s *State) setBusy(busy bool, now time.Duration) {
 	if !busy {
 		s.work = nil
@@ -261,9 +205,6 @@
 // ReportDue reports whether the server is to be asked for a report.
 func (s *State) ReportDue(now time.Duration) bool { return s.sent == nil && now >= s.ask }
 
-// Incarnation returns what tells this start of the server from others.
-func (s *State) Incarnation() int64 { return s.Server.Born }
-
 func (s *State) askAt(t time.Duration) { s.ask = min(s.ask, t) }
 
 // ready reports whether an order can be based on what is known.
@@ -284,6 +225,11 @@
 	return s.sent != nil && s.sent.Kind == fleet.OrderUnload && s.sent.Model == model && s.sent.Adapter == ""
 }
 
+// troubled reports whether the server has left an order unanswered of late.
+func (s *State) troubled(now time.Duration) bool {
+	return s.lostAt > 0 && now-s.lostAt < troubleTime
+}
+
 // idle reports whether a model order can be given now.
 func (s *State) idle() bool { return s.ready() && s.work == nil }
 
