A failed exchange is classified in one place; stand-ins wait by clock.Sleep

Five clients told a dial that failed from a request that may have been handled, each by its own copy: fault.OfExchange. Three stand-ins had a copy of clock.Sleep. No behaviour changes. Tested: go test of standin, engine, operator, side, common, entry/serving and cmd passed.

--- a/cmd/peridotchute-load/survival/load.go
+++ b/cmd/peridotchute-load/survival/load.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"peridotchute.example/cmd/peridotchute-load/caller"
 	"peridotchute.example/common/clock"
+	"peridotchute.example/common/fault"
 	"peridotchute.example/integration/cluster"
 )
 
@@ -40,8 +39,7 @@
 	for range b.urls {
 		url := b.pick()
 		a, err = b.client.Do(ctx, url, r)
-		var op *net.OpError
-		if !errors.As(err, &op) || op.Op != "dial" {
+		if fault.OfExchange(err) != fault.KindUnavailable {
 			return a, err
 		}
 		b.mu.Lock()
--- a/common/fault/fault.go
+++ b/common/fault/fault.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 )
 
 // Kind classifies an error by what its receiver may conclude.
@@ -83,3 +84,14 @@
 func Is(err error, kind Kind) bool {
 	return err != nil && KindOf(err) == kind
 }
+
+// OfExchange returns the kind of a failed request or call over a network: after
+// a dial that failed nothing can have been sent, and after any other failure the
+// peer may have acted.
+func OfExchange(err error) Kind {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return KindUnavailable
+	}
+	return KindUnknown
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -149,7 +147,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, fault.New(kindOfCall(err), step, c.base, err)
+		return nil, fault.New(fault.OfExchange(err), step, c.base, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
@@ -162,16 +160,6 @@
 	return raw, nil
 }
 
-// kindOfCall tells a failed dial, after which nothing can have been sent, from
-// every other failure.
-func kindOfCall(err error) fault.Kind {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fault.KindUnavailable
-	}
-	return fault.KindUnknown
-}
-
 // kindOfStatus treats a server error as unknown: the order may have run.
 func kindOfStatus(status int) fault.Kind {
 	switch {
--- a/entry/serving/forward/forward.go
+++ b/entry/serving/forward/forward.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -94,7 +93,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, fault.New(kindOf(err), stepSend, address, err)
+		return nil, fault.New(fault.OfExchange(err), stepSend, address, err)
 	}
 	if got := resp.Header.Get(wire.HeaderRequestID); got != c.RequestID {
 		_ = resp.Body.Close()
@@ -133,16 +132,6 @@
 	return req, nil
 }
 
-// kindOf tells a failed dial, after which nothing can have been sent, from
-// every other failure.
-func kindOf(err error) fault.Kind {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fault.KindUnavailable
-	}
-	return fault.KindUnknown
-}
-
 // Answer is a whole answer that was not streamed.
 type Answer struct {
 	Status      int
--- a/operator/client.go
+++ b/operator/client.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -218,12 +217,11 @@
 // sendKind tells a connection that was never made, over which nothing was
 // sent, from every other failure.
 func sendKind(err error) fault.Kind {
-	var op *net.OpError
 	var cert *tls.CertificateVerificationError
-	if errors.As(err, &cert) || (errors.As(err, &op) && op.Op == "dial") {
+	if errors.As(err, &cert) {
 		return fault.KindUnavailable
 	}
-	return fault.KindUnknown
+	return fault.OfExchange(err)
 }
 
 func refusal(status int, raw []byte) *Refusal {
--- a/side/gate/backend.go
+++ b/side/gate/backend.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"peridotchute.example/common/fault"
 	"peridotchute.example/common/wire"
 )
 
@@ -120,8 +121,7 @@
 // callFailure tells a call that never left from one that may have run.
 func callFailure(err error) *wire.Failure {
 	outcome := wire.OutcomeUnknown
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if fault.OfExchange(err) == fault.KindUnavailable {
 		outcome = wire.OutcomeNotRun
 	}
 	return wire.NewFailure(http.StatusBadGateway, outcome, codeBackend, "the backend server did not answer").After(retryElsewhere)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/gorilla/mux"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/wire"
 	api "peridotchute.example/engine"
 )
@@ -127,12 +128,5 @@
 	if wait <= 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return clock.Sleep(ctx, wait)
 }
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"peridotchute.example/common/clock"
 )
 
 // Path is where the settings are read with GET and set with PUT.
@@ -82,7 +84,7 @@
 
 func (i *Injector) inject(w http.ResponseWriter, r *http.Request) {
 	s, lose := i.decide(r)
-	if s.SlowMS > 0 && !sleep(r, time.Duration(s.SlowMS)*time.Millisecond) {
+	if s.SlowMS > 0 && clock.Sleep(r.Context(), time.Duration(s.SlowMS)*time.Millisecond) != nil {
 		return
 	}
 	if s.Down {
@@ -119,18 +121,6 @@
 	return strings.Contains(r.URL.Path, s.Match) || strings.Contains(r.Header.Get("X-Amz-Target"), s.Match)
 }
 
-// sleep reports false when the client left first.
-func sleep(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 // discard is a response that nobody receives.
 type discard struct {
 	header http.Header
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"peridotchute.example/common/admin"
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/wire"
 )
 
@@ -127,14 +128,7 @@
 		*inFlight--
 		s.mu.Unlock()
 	}()
-	timer := time.NewTimer(time.Duration(float64(full) * slower * s.opts.TimeScale))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return clock.Sleep(ctx, time.Duration(float64(full)*slower*s.opts.TimeScale))
 }
 
 func (s *Store) countLocked(inFlight *int) {
