--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -19,6 +19,7 @@
 	Expected time.Duration // until the first event
 	Backlog  time.Duration // of it, work before the request
 	Cached   int           // tokens of the prompt that the server keeps
+	Holders  int           // usable servers that held what is asked for; 0 at plain services
 	Running  int           // requests that this entry had sent there before and that had not ended
 
 	b        *Balancer
@@ -47,6 +48,9 @@
 		artifact: w.artifact,
 		begun:    now,
 	}
+	if s.engine != nil && w.artifact.model != "" {
+		t.Holders = p.replicas(w, now, false)
+	}
 	if s.engine != nil {
 		t.sending = routing.Sending{Work: o.Work, Tokens: w.prompt.Memory()}
 	}
@@ -126,13 +130,15 @@
 	t.s.health().Failed(time.Now())
 }
 
-// Unreachable notes that no connection to the server could be made.
-func (t *Ticket) Unreachable() {
+// Unreachable notes that no connection to the server could be made. It reports
+// whether that is news.
+func (t *Ticket) Unreachable() bool {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	t.s.downUntil = time.Now().Add(min(downFirst<<min(t.s.downs, 4), downMost))
 	t.s.downs++
 	t.p.line.Lost()
+	return t.s.downs == 1
 }
 
 // Declined notes that the server did not run the request; gone that it is
--- a/entry/direct/orders/give.go
+++ b/entry/direct/orders/give.go
@@ -43,7 +43,7 @@
 // give sends one order and takes in its outcome.
 func (k *Keeper) give(ctx context.Context, c call) {
 	if c.order.Kind == fleet.OrderUnload {
-		k.tell(c.state)
+		k.tell(c.state, k.opts.Clock())
 		if c.order.Adapter == "" {
 			sleep(ctx, announceTime)
 		}
@@ -51,19 +51,36 @@
 	outcome, err := k.send(ctx, &c)
 	k.mu.Lock()
 	now := k.opts.Clock()
+	k.takeOutcomeLocked(c, outcome, err, now)
+	ready := c.state.Ready(residence.Key{Model: c.order.Model, Adapter: c.order.Adapter})
+	k.changedLocked()
+	k.mu.Unlock()
+	k.logOrder(c, outcome, err)
+	k.wakePlanner()
+	sleep(ctx, ready-now) // of an adapter the others are told when it is there
+	k.tell(c.state, max(ready, now))
+}
+
+func (k *Keeper) takeOutcomeLocked(c call, outcome fleet.OrderOutcome, err error, now time.Duration) {
 	switch {
+	case err == nil && taken(outcome):
+		k.counts.Accepted++
+		c.book.Answered(c.state, outcome, now)
 	case err == nil:
+		k.counts.Declined++
 		c.book.Answered(c.state, outcome, now)
 	case certainlyNot(err):
+		k.counts.Declined++
 		c.state.NotSent(now)
 	default:
+		k.counts.Unanswered++
 		c.state.Lost(now)
 	}
-	k.changedLocked()
-	k.mu.Unlock()
-	k.logOrder(c, outcome, err)
-	k.tell(c.state)
-	k.wakePlanner()
+}
+
+// taken reports whether the server has done, or does, what it was ordered.
+func taken(o fleet.OrderOutcome) bool {
+	return o == fleet.OrderAccepted || o == fleet.OrderHolds
 }
 
 // send gives the order if the lease is held right before.
@@ -73,7 +90,11 @@
 		return 0, fault.Newf(fault.KindUnavailable, "orders.give", c.server.ID, "the lease is not held")
 	}
 	c.order.Holder, c.order.Token = k.opts.Self, term
-	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout, left))
+	timeout := orderTimeout
+	if c.order.Adapter != "" {
+		timeout = adapterTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, left))
 	defer cancel()
 	return k.opts.Control.Order(ctx, &c.server, c.order)
 }
@@ -100,7 +121,9 @@
 	delete(k.asking, s.Server.ID)
 	now := k.opts.Clock()
 	worked := s.Working()
+	k.counts.Reports++
 	if err != nil {
+		k.counts.FailedReports++
 		s.ReportFailed(now)
 	} else {
 		b.Report(s, r, now)
@@ -115,19 +138,19 @@
 	if finished {
 		event.Log(k.opts.Log, event.WorkFinished, event.Peer(s.Server.ID))
 	}
-	k.tell(s)
+	k.tell(s, now)
 	k.wakePlanner()
 }
 
-// tell reports what a server holds now.
-func (k *Keeper) tell(s *residence.State) {
+// tell reports what a server holds at the given time.
+func (k *Keeper) tell(s *residence.State, at time.Duration) {
 	if k.opts.OnChange == nil {
 		return
 	}
 	k.mu.Lock()
 	id := s.Server.ID
 	c := Change{Born: s.Server.Born, OrderSeq: s.Seq()}
-	c.Residents, c.Fetching = s.Residents(k.opts.Clock())
+	c.Residents, c.Fetching = s.Residents(at)
 	k.mu.Unlock()
 	k.opts.OnChange(id, c)
 }
@@ -141,7 +164,7 @@
 		what = event.OrderDeclined
 	case err != nil:
 		what = event.OrderNoAnswer
-	case outcome != fleet.OrderAccepted && outcome != fleet.OrderHolds:
+	case !taken(outcome):
 		what = event.OrderDeclined
 		reason = fmt.Sprintf("%s; outcome %d", reason, outcome)
 	}
--- a/entry/direct/orders/keeper.go
+++ b/entry/direct/orders/keeper.go
@@ -18,8 +18,11 @@
 
 const (
 	planTime      = 100 * time.Millisecond // between plans
-	orderTimeout  = time.Second            // of an order, besides the end of the lease
+	orderTimeout  = time.Second            // of a model order; the end of the lease ends it sooner
 	reportTimeout = time.Second
+	// adapterTimeout is that of an adapter order: the request that waits for it
+	// is to be served within a second. It leaves room for one packet sent again.
+	adapterTimeout = 400 * time.Millisecond
 	// loadWindow is the default span over which the weight store counts loads.
 	loadWindow = 5 * time.Second
 	// defaultGap is the default time between the orders of two holders.
@@ -31,12 +34,13 @@
 	Table      store.Table
 	Control    fleet.Control
 	View       func() *fleet.View
-	Self       string                        // name of this entry's VM
+	Self       string                        // name of this entry's VM, which no other VM ever has
 	LeaseGap   time.Duration                 // between the orders of two holders; 0 means the default
 	LoadWindow time.Duration                 // over which the weight store counts loads; 0 means the default
 	Clock      func() time.Duration          // runs while the machine is suspended; nil means Boottime
 	Down       func(server string) bool      // whether a server cannot be reached; may be nil
 	OnChange   func(server string, c Change) // called without locks held; may be nil
+	OnLease    func(term int64, held bool)   // after each renewal, and when the lease has been released; may be nil
 	Log        logrus.FieldLogger
 }
 
@@ -54,6 +58,8 @@
 	lease *lease
 	wake  chan struct{} // has the planner run at once
 
+	released chan struct{} // has the lease read at once
+
 	mu      sync.Mutex
 	books   map[string]*residence.Book // by service
 	term    int64                      // of the lease under which the books were begun
@@ -64,6 +70,7 @@
 	stopped bool
 	calls   int        // orders and reports in progress
 	settled *sync.Cond // signalled when calls becomes 0
+	counts  Counts
 }
 
 // New returns a keeper that holds nothing.
@@ -78,13 +85,15 @@
 		opts.LoadWindow = loadWindow
 	}
 	k := &Keeper{
-		opts:    opts,
-		lease:   &lease{table: opts.Table, self: opts.Self, gap: opts.LeaseGap, clock: opts.Clock},
-		wake:    make(chan struct{}, 1),
-		books:   map[string]*residence.Book{},
-		asking:  map[string]bool{},
-		changed: make(chan struct{}),
-		flights: map[flightKey]*flight{},
+		opts:  opts,
+		lease: &lease{table: opts.Table, self: opts.Self, gap: opts.LeaseGap, clock: opts.Clock},
+		wake:  make(chan struct{}, 1),
+
+		released: make(chan struct{}, 1),
+		books:    map[string]*residence.Book{},
+		asking:   map[string]bool{},
+		changed:  make(chan struct{}),
+		flights:  map[flightKey]*flight{},
 	}
 	k.settled = sync.NewCond(&k.mu)
 	return k
@@ -139,7 +148,13 @@
 		return nil
 	}
 	event.Log(k.opts.Log, event.OrdersLeaseEnded, event.Reason("released"))
-	return k.lease.release(ctx)
+	if err := k.lease.release(ctx); err != nil {
+		return err
+	}
+	if k.opts.OnLease != nil {
+		k.opts.OnLease(k.Term(), false)
+	}
+	return nil
 }
 
 // Holder returns the name of the VM that gives the orders, empty when it is not
@@ -149,9 +164,23 @@
 	return k.lease.holder(), left > 0
 }
 
-// Heard tells that the named entry is alive. While the holder is heard of, its
-// lease is not read.
-func (k *Keeper) Heard(entry string) { k.lease.hear(entry) }
+// Term returns the fencing token of the lease as last read.
+func (k *Keeper) Term() int64 {
+	term, _ := k.lease.held()
+	return term
+}
+
+// Heard tells that the named entry said that it holds the lease under a term,
+// or has released it. While it says that it holds it, the lease is not read.
+func (k *Keeper) Heard(holder string, term int64, held bool) {
+	k.lease.hear(holder, term, held)
+	if !held {
+		select {
+		case k.released <- struct{}{}:
+		default:
+		}
+	}
+}
 
 // Demand takes in what an entry saw since it told last.
 func (k *Keeper) Demand(from string, seen []residence.ModelDemand) {
@@ -176,16 +205,39 @@
 func (k *Keeper) runLease(ctx context.Context) {
 	held := false
 	for {
-		call, cancel := context.WithTimeout(ctx, store.DefaultTimeout)
-		wait, err := k.lease.step(call)
-		cancel()
-		if err != nil && ctx.Err() == nil {
-			event.Log(k.opts.Log, event.OrdersLeaseError, event.Err(err))
-		}
+		wait := k.stepLease(ctx)
 		held = k.logLease(held)
-		if !sleep(ctx, wait) {
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-k.released:
+		case <-ctx.Done():
+			timer.Stop()
 			return
 		}
+		timer.Stop()
+	}
+}
+
+// stepLease renews, reads or takes the lease and returns the time until the
+// next step.
+func (k *Keeper) stepLease(ctx context.Context) time.Duration {
+	call, cancel := context.WithTimeout(ctx, store.DefaultTimeout)
+	defer cancel()
+	wait, err := k.lease.step(call)
+	if err != nil && ctx.Err() == nil {
+		event.Log(k.opts.Log, event.OrdersLeaseError, event.Err(err))
+	}
+	if err == nil {
+		k.announceLease()
+	}
+	return wait
+}
+
+// announceLease tells the other entries that this one holds the lease.
+func (k *Keeper) announceLease() {
+	if term, left := k.lease.held(); left > 0 && k.opts.OnLease != nil {
+		k.opts.OnLease(term, true)
 	}
 }
 
