Silent servers, prompts too large for any memory, streams that go on

A server that stops answering without a reset kept its small backlog and drew requests for as long as it was quiet: a first event that is overdue now counts as backlog, and Silent tells when requests there had better go elsewhere. A prompt larger than any server's memory is rejected at once instead of at its deadline. A stream that goes on at another server goes first in its priority.

--- a/admission/line.go
+++ b/admission/line.go
@@ -16,6 +16,7 @@
 	Flow      uint64    // requests that suit the same servers: model, adapter and shared prompt parts
 	Session   uint64    // 0 means none
 	Priority  int       // 0 is the most urgent
+	Resumed   bool      // a broken stream that goes on; Objective is when its next event is due
 	Arrived   time.Time // first seen
 	Objective time.Time // the first event is due
 	Deadline  time.Time // the whole answer is due: the client's deadline or the route's timeout
@@ -34,6 +35,7 @@
 	Work    time.Duration  // of the server, for the request
 	Step    time.Duration  // between two tokens of the answer
 	Full    bool           // no slot or memory is free
+	Never   bool           // no server can take it
 }
 
 // Offers finds the best server for a request; planned means that the work
@@ -52,6 +54,7 @@
 		Work:    c.Work,
 		Step:    c.Step,
 		Full:    c.Full || c.Overflow || c.Yield,
+		Never:   c.TooLarge,
 	}
 }
 
@@ -71,7 +74,7 @@
 type Outcome[T any] struct {
 	Verdict
 	Item  T
-	Offer Offer // set when Admit
+	Offer Offer // of the server to send to when Admit, of the planned one when Queue
 }
 
 const (
@@ -133,7 +136,7 @@
 		e.reserve(&offer)
 	}
 	l.add(e)
-	return Outcome[T]{Verdict: Verdict{Action: Queue, Reason: "waits for its turn"}, Item: item}
+	return Outcome[T]{Verdict: Verdict{Action: Queue, Reason: "waits for its turn"}, Item: item, Offer: offer}
 }
 
 // judge says whether a request may wait, given the server planned for it.
@@ -146,9 +149,11 @@
 		return Verdict{Action: Queue}
 	case !found:
 		return comeBack("no server holds the model or loads it", left/returnShare, left)
+	case o.Never:
+		return comeBack("larger than any server's memory", left/returnShare, left)
 	case e.first+e.rest > left:
 		return comeBack("the time left does not suffice", left/returnShare, left)
-	case l.shares.mayStarve(e.class):
+	case e.w.Resumed || l.shares.mayStarve(e.class):
 		return Verdict{Action: Queue}
 	case o.Wait+e.rest > left:
 		return comeBack("expected after its deadline", o.Wait, left)
--- a/admission/line_test.go
+++ b/admission/line_test.go
@@ -126,6 +126,22 @@
 	assert.Equal(t, l.Len(), 0)
 }
 
+func TestABrokenStreamGoesOnBeforeNewRequests(t *testing.T) {
+	b, l := newBank(1), NewLine[job]()
+	b.servers[0].Server.Batch.Sent(routing.Sending{Work: time.Second}, b.now)
+	for i, resumed := range []bool{false, false, true} {
+		j := job{id: i, tokens: 4000}
+		w := b.waiter(j, 2*time.Second, 3*time.Second)
+		if w.Resumed = resumed; resumed {
+			w.Objective = b.now.Add(400 * ms)
+		}
+		assert.Equal(t, l.Arrive(j, w, b.now, b.offers).Action, Queue)
+	}
+	b.now = b.now.Add(100 * ms)
+	b.finish(l, 0, time.Second)
+	assert.Equal(t, ids(b.run(l))[0], 2)
+}
+
 func TestAModelThatLoadsInTimeIsWaitedFor(t *testing.T) {
 	for load, want := range map[time.Duration]Action{2 * time.Second: Queue, 7 * time.Second: Reject} {
 		b, l := newBank(1), NewLine[job]()
--- a/routing/batch.go
+++ b/routing/batch.go
@@ -15,6 +15,12 @@
 	// while no first event shows that it is done.
 	leastBacklog = 0.25
 
+	// A first event is overdue when it takes so many times the work known there
+	// and as much more: other entries' requests may go first.
+	overdueTimes = 2
+	overdueAfter = 300 * time.Millisecond
+	silentAfter  = 700 * time.Millisecond // overdue; with the above about a second, above any batch step
+
 	// dutySpan is the time over which a server's busy time is averaged, about
 	// as long as an answer takes.
 	dutySpan = 2 * time.Second
@@ -79,6 +85,7 @@
 	own      Load
 	others   Load
 	anchor   time.Time // when the work was last known to be still to do
+	progress time.Time // last own first event, or when own requests began to wait
 	duty     float64   // share of the last seconds in which there was work
 	dutyAt   time.Time // when it was computed
 	heard    map[string]heard
@@ -96,6 +103,9 @@
 	if b.own.Work+b.others.Work == 0 {
 		b.anchor = now
 	}
+	if b.own.Waiting == 0 {
+		b.progress = now
+	}
 	b.own.Waiting++
 	b.own.Urgent += s.urgent()
 	b.own.Work += s.Work
@@ -108,7 +118,7 @@
 	b.own.Waiting--
 	b.own.Work -= s.Work
 	b.own.Running++
-	b.anchor = now
+	b.anchor, b.progress = now, now
 }
 
 // Ended removes a request; started says whether Started was called for it.
@@ -189,7 +199,23 @@
 	if work <= 0 {
 		return 0
 	}
-	return max(work-now.Sub(b.anchor), time.Duration(float64(work)*leastBacklog))
+	left := max(work-now.Sub(b.anchor), time.Duration(float64(work)*leastBacklog))
+	return left + b.overdue(work, now)
+}
+
+// overdue returns for how long a first event has been missing beyond any doubt.
+// A server that has gone silent gets no more requests by it.
+func (b *Batch) overdue(work time.Duration, now time.Time) time.Duration {
+	if b.own.Waiting == 0 {
+		return 0
+	}
+	return max(now.Sub(b.progress)-work*overdueTimes-overdueAfter, 0)
+}
+
+// Silent reports whether the server has shown no progress for so long that the
+// requests waiting there had better be sent elsewhere, if they may be.
+func (b *Batch) Silent(now time.Time) bool {
+	return b.overdue(b.Load(now).Work, now) > silentAfter
 }
 
 // Restarted forgets what other entries told of the server's earlier
--- a/routing/compare.go
+++ b/routing/compare.go
@@ -22,6 +22,7 @@
 	reasonLeast    = "least expected wait among residents"
 	reasonLoading  = "model or adapter loads there"
 	reasonOverfull = "no server has memory left"
+	reasonTooLarge = "larger than any server's memory"
 )
 
 // ChooseEngine takes the server with the least expected time to the first
@@ -162,6 +163,7 @@
 	}
 	s.Batch.account(c.now)
 	out.Yield = c.p.Priority > 0 && load.Urgent > 0 && s.Batch.duty > dutyBesideUrgent
+	out.TooLarge = c.tooLarge(replicas)
 	out.Reason = c.reason(r, &out)
 	if c.second >= 0 {
 		out.RunnerUp = replicas[c.second].Server
@@ -169,8 +171,21 @@
 	return out
 }
 
+// tooLarge reports whether no replica has the memory, even when it runs nothing else.
+func (c *comparison) tooLarge(replicas []Replica) bool {
+	for i := range replicas {
+		s := replicas[i].Server
+		if s.KVTokens <= 0 || c.p.Memory() <= s.KVTokens {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *comparison) reason(r *Replica, out *EngineChoice) string {
 	switch {
+	case out.TooLarge:
+		return reasonTooLarge
 	case out.Overflow:
 		return reasonOverfull
 	case r.Load > 0:
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -61,6 +61,7 @@
 	Step     time.Duration // expected between two tokens of the answer
 	Overflow bool          // the server's memory is too small for what it runs and this
 	Full     bool          // all slots are taken
+	TooLarge bool          // for the memory of any of the replicas
 	Yield    bool          // more urgent answers there would become too slow
 	Reason   string
 	RunnerUp *EngineServer // nil when there was no other
--- a/routing/engine_test.go
+++ b/routing/engine_test.go
@@ -106,6 +106,27 @@
 	assert.Assert(t, chooseEngine(t, r, x, p).Overflow)
 }
 
+func TestARequestLargerThanAnyMemoryIsToldApart(t *testing.T) {
+	r, x := replicas(2)
+	r[0].Server.KVTokens = 1000
+	assert.Assert(t, !chooseEngine(t, r, x, shared(1, 2)).TooLarge)
+	r[1].Server.KVTokens = 1000
+	assert.Assert(t, chooseEngine(t, r, x, shared(1, 2)).TooLarge)
+}
+
+func TestALessUrgentPromptYieldsToAnswersInProgress(t *testing.T) {
+	r, x := replicas(1)
+	b := &r[0].Server.Batch
+	b.Sent(Sending{Priority: 1, Work: time.Minute}, start.Add(-10*time.Second))
+	p := short(1)
+	p.Priority = 1
+	assert.Assert(t, !chooseEngine(t, r, x, p).Yield, "nothing urgent runs there")
+	b.Sent(Sending{}, start)
+	assert.Assert(t, chooseEngine(t, r, x, p).Yield)
+	p.Priority = 0
+	assert.Assert(t, !chooseEngine(t, r, x, p).Yield)
+}
+
 func TestAServerThatFailsIsProbedByOneRequestAtATime(t *testing.T) {
 	r, x := replicas(2)
 	bad := r[0].Server
--- a/standin/batch/entry.go
+++ b/standin/batch/entry.go
@@ -87,6 +87,9 @@
 		Tokens:    a.out - a.made,
 		Size:      a.size(),
 	}
+	if a.made > 0 {
+		w.Resumed, w.Objective = true, now.Add(a.kind.Gap)
+	}
 	if out := e.line.Arrive(a, w, now, e.offers); out.Action == admission.Reject {
 		e.refuse(a, out.RetryAfter)
 		return
--- a/standin/batch/scenario.go
+++ b/standin/batch/scenario.go
@@ -75,6 +75,7 @@
 type Fault struct {
 	From, Until time.Duration
 	Crash       bool    // of Server
+	Dark        bool    // Server is cut off: nothing comes from it, nor does a reset
 	Plain       bool    // Server is one of the plain service
 	Slow        float64 // times as long at Server; 0 means none
 	Server      int
@@ -223,6 +224,8 @@
 		during(func() { w.bursts[f.Kind] = f.Burst }, func() { w.bursts[f.Kind] = 1 })
 	case f.Crash && f.Plain:
 		during(w.plains[f.Server].crash, func() { w.plains[f.Server].up = true })
+	case f.Dark:
+		during(func() { w.servers[f.Server].dark = true }, w.servers[f.Server].lightUp)
 	case f.Crash:
 		during(func() { w.crash(f.Server) }, func() { w.restart(f.Server) })
 	case f.Plain:
