A missing adapter is loaded at a server that declined its request before

Cause: TestRequestOutlivesItsWorker: the only server restarted empty, declined the request, and was left out when the adapter could be loaded there again.

--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -66,7 +66,7 @@
 			return p.take(w, &choice), true
 		}
 	}
-	if w.artifact.adapter != "" && p.replicas(w, now, true) > 0 {
+	if w.artifact.adapter != "" && (p.replicas(w, now, true) > 0 || p.replicas(w.anywhere(), now, true) > 0) {
 		choice, err := routing.ChooseEngine(p.models.replicas, p.models.prefixes, &w.prompt, now)
 		if err == nil {
 			if choice.Load > 0 {
