--- a/admission/line.go
+++ b/admission/line.go
@@ -16,10 +16,12 @@
 	Flow      uint64    // requests that suit the same servers: model, adapter and shared prompt parts
 	Session   uint64    // 0 means none
 	Priority  int       // 0 is the most urgent
+	Resumed   bool      // a broken stream that goes on; Objective is when its next event is due
 	Arrived   time.Time // first seen
 	Objective time.Time // the first event is due
 	Deadline  time.Time // the whole answer is due: the client's deadline or the route's timeout
 	Tokens    int       // expected after the first event
+	Size      float64   // against others of its kind; 0 when they are alike
 }
 
 // Offer is the best server for a request just now.
@@ -33,6 +35,7 @@
 	Work    time.Duration  // of the server, for the request
 	Step    time.Duration  // between two tokens of the answer
 	Full    bool           // no slot or memory is free
+	Never   bool           // no server can take it
 }
 
 // Offers finds the best server for a request; planned means that the work
@@ -50,7 +53,8 @@
 		Wait:    c.Wait,
 		Work:    c.Work,
 		Step:    c.Step,
-		Full:    c.Full || c.Overflow,
+		Full:    c.Full || c.Overflow || c.Yield,
+		Never:   c.TooLarge,
 	}
 }
 
@@ -70,7 +74,7 @@
 type Outcome[T any] struct {
 	Verdict
 	Item  T
-	Offer Offer // set when Admit
+	Offer Offer // of the server to send to when Admit, of the planned one when Queue
 }
 
 const (
@@ -114,7 +118,7 @@
 
 // NewLine returns an empty line.
 func NewLine[T any]() *Line[T] {
-	return &Line[T]{flows: map[flowKey]*flow[T]{}, sessions: map[uint64]int{}, shares: &shares{kinds: map[string]*share{}}}
+	return &Line[T]{flows: map[flowKey]*flow[T]{}, sessions: map[uint64]int{}, shares: newShares()}
 }
 
 // Len returns how many requests wait.
@@ -122,9 +126,9 @@
 
 // Arrive takes a new request into the line or rejects it at once.
 func (l *Line[T]) Arrive(item T, w Waiter, now time.Time, offers Offers[T]) Outcome[T] {
-	l.shares.of(w.Kind).came++
 	offer, found := offers(item, true)
 	e := newEntry(item, w, &offer)
+	e.class = l.shares.arrived(w.Kind, w.Size)
 	if v := l.judge(e, &offer, found, now); v.Action == Reject {
 		v.Wait = offer.Wait
 		return Outcome[T]{Verdict: v, Item: item}
@@ -133,7 +137,7 @@
 		e.reserve(&offer)
 	}
 	l.add(e)
-	return Outcome[T]{Verdict: Verdict{Action: Queue, Reason: "waits for its turn"}, Item: item}
+	return Outcome[T]{Verdict: Verdict{Action: Queue, Reason: "waits for its turn"}, Item: item, Offer: offer}
 }
 
 // judge says whether a request may wait, given the server planned for it.
@@ -146,9 +150,11 @@
 		return Verdict{Action: Queue}
 	case !found:
 		return comeBack("no server holds the model or loads it", left/returnShare, left)
+	case o.Never:
+		return comeBack("larger than any server's memory", left/returnShare, left)
 	case e.first+e.rest > left:
 		return comeBack("the time left does not suffice", left/returnShare, left)
-	case l.shares.mayStarve(e.w.Kind):
+	case e.w.Resumed || l.shares.mayStarve(e.class):
 		return Verdict{Action: Queue}
 	case o.Wait+e.rest > left:
 		return comeBack("expected after its deadline", o.Wait, left)
@@ -222,7 +228,7 @@
 			o, found := offers(e.item, false)
 			if found && o.ready(&e.w) && !contains(awaited[:n], o.Server) {
 				l.drop(e)
-				l.shares.of(e.w.Kind).through++
+				l.shares.served(e.class)
 				return Outcome[T]{Verdict: Verdict{Action: Admit, Reason: "server has room"}, Item: e.item, Offer: o}, true
 			}
 			f.await(&o, found, now)
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -31,7 +31,7 @@
 
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 90 * time.Second
-	maxHeaderBytes    = 64 << 10 // the configured limit is checked apart
+	maxHeaderBytes    = 2 << 20 // the configured limit is checked apart
 )
 
 // readiness answers the platform's question whether the entry takes new
@@ -76,7 +76,6 @@
 			return server.Close()
 		},
 	})
-	daemon.Announce(lc, log)
 }
 
 func listen(server *http.Server, address string, log logrus.FieldLogger) error {
