--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -36,7 +36,6 @@
 	unsent  int           // attempts of which nothing was sent
 	mayRun  bool          // some server may have run the request
 	exclude []string      // IDs of servers that failed it
-	verdict refusal       // in force when no further attempt is made
 	record  *record
 }
 
