A test finds names of the platform outside its adapter

It read 3 places: the setting load_burst_factor (now load_burst, as other settings are in our words; nothing reads it yet) and max_body_bytes of the own configuration, which is older than the adapter and plain English: not searched. Tested: go test -run 'Names|Only' ./platform: red with these, passes now.

--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -30,7 +30,7 @@
 	RetryWindowS   float64           `json:"retry_window_s" validate:"gt=0"`
 	RetrySlack     float64           `json:"retry_slack" validate:"gte=0"`
 	LoadWindowS    float64           `json:"load_window_s" validate:"gt=0"`
-	LoadBurst      float64           `json:"load_burst_factor" validate:"gt=0"`
+	LoadBurst      float64           `json:"load_burst" validate:"gt=0"`
 }
 
 // seconds converts a setting in seconds.
