--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -36,7 +36,6 @@
 	unsent  int           // attempts of which nothing was sent
 	mayRun  bool          // some server may have run the request
 	exclude []string      // IDs of servers that failed it
-	verdict refusal       // in force when no further attempt is made
 	record  *record
 }
 
@@ -309,7 +308,7 @@
 // does not look complete, and a request that may have run is not called refused.
 func (r *run) giveUp(ctx context.Context, why refusal) bool {
 	if r.stream != nil || r.callerLeft() {
-		r.record.fail(r.brokenOff(ctx.Err()), 0, string(brokenOffReason(ctx, why)))
+		r.record.fail(r.brokenOff(ctx.Err()), 0, string(r.brokenOffReason(ctx, why)))
 		panic(http.ErrAbortHandler)
 	}
 	if r.mayRun && why.status == http.StatusServiceUnavailable {
