--- a/admission/line.go
+++ b/admission/line.go
@@ -1,10 +1,6 @@
 package admission
 
-import (
-	"time"
-
-	"peridotchute.example/routing"
-)
+import "time"
 
 // More requests than servers can begin with in time: they wait here, where the
 // order can still change and a refusal still promises that they have not run,
@@ -24,52 +20,6 @@
 	Size      float64   // against others of its kind; 0 when they are alike
 }
 
-// Offer is the best server for a request just now.
-type Offer struct {
-	Server  string
-	Index   int            // of the server, for the caller
-	Batch   *routing.Batch // of the server
-	Load    time.Duration  // until model and adapter are resident; 0 when they are
-	Backlog time.Duration  // work before the request
-	Wait    time.Duration  // until its first event, with all of this
-	Work    time.Duration  // of the server, for the request
-	Step    time.Duration  // between two tokens of the answer
-	Full    bool           // no slot or memory is free
-	Never   bool           // no server can take it
-}
-
-// Offers finds the best server for a request; planned means that the work
-// reserved on servers goes before it. It reports false when there is none.
-type Offers[T any] func(item T, planned bool) (Offer, bool)
-
-// OfferEngine is the offer of a chosen model server.
-func OfferEngine(c *routing.EngineChoice) Offer {
-	return Offer{
-		Server:  c.Server.Name,
-		Index:   c.Index,
-		Batch:   &c.Server.Batch,
-		Load:    c.Load,
-		Backlog: c.Backlog,
-		Wait:    c.Wait,
-		Work:    c.Work,
-		Step:    c.Step,
-		Full:    c.Full || c.Overflow || c.Yield,
-		Never:   c.TooLarge,
-	}
-}
-
-// OfferPlain is the offer of a chosen plain server.
-func OfferPlain(c *routing.PlainChoice, usual time.Duration) Offer {
-	return Offer{
-		Server:  c.Server.Name,
-		Index:   c.Index,
-		Batch:   &c.Server.Batch,
-		Backlog: c.Backlog,
-		Wait:    c.Wait,
-		Work:    c.Server.Work(usual),
-	}
-}
-
 // Outcome is the verdict on one request of a line.
 type Outcome[T any] struct {
 	Verdict
@@ -167,7 +117,7 @@
 // much that it would only be in the way of those that can be in time. A load
 // in progress is waited for: it is no better to come back after it.
 func (e *entry[T]) crowdedOut(o *Offer, now time.Time) bool {
-	if !now.Add(o.Wait - o.Load).After(e.w.Objective) {
+	if o.Backlog <= backlogBound(&e.w) || !now.Add(o.Wait-o.Load).After(e.w.Objective) {
 		return false
 	}
 	left := e.w.Deadline.Sub(now)
@@ -240,16 +190,6 @@
 	return Outcome[T]{}, false
 }
 
-// ready reports whether a request should be sent there now.
-func (o *Offer) ready(w *Waiter) bool {
-	return o.Load <= 0 && !o.Full && o.Backlog <= backlogBound(w)
-}
-
-func backlogBound(w *Waiter) time.Duration {
-	bound := time.Duration(float64(w.Objective.Sub(w.Arrived)) * backlogShare)
-	return min(max(bound, leastBacklog), mostBacklog)
-}
-
 // Changed notes that a server has news: progress, a model, its end. The empty
 // name means all servers.
 func (l *Line[T]) Changed(server string) {
--- a/admission/line_test.go
+++ b/admission/line_test.go
@@ -86,7 +86,7 @@
 	got := b.run(l)
 	assert.DeepEqual(t, ids(got), []int{1})
 	assert.Equal(t, l.Len(), 0)
-	assert.Equal(t, b.servers[0].Server.Batch.Own().Reserved, [routing.Priorities]time.Duration{})
+	assert.Equal(t, b.servers[0].Server.Batch.Own(b.now).Reserved, [routing.Priorities]time.Duration{})
 }
 
 func TestTheBacklogOfAServerIsBounded(t *testing.T) {
@@ -219,7 +219,7 @@
 		b.run(l)
 		assert.Equal(t, l.Len(), 0)
 		for _, r := range b.servers {
-			assert.Equal(t, r.Server.Batch.Own().Reserved, [routing.Priorities]time.Duration{})
+			assert.Equal(t, r.Server.Batch.Own(b.now).Reserved, [routing.Priorities]time.Duration{})
 		}
 	})
 }
--- a/routing/batch.go
+++ b/routing/batch.go
@@ -84,8 +84,8 @@
 type Batch struct {
 	own      Load
 	others   Load
-	anchor   time.Time // when the work was last known to be still to do
 	progress time.Time // last own first event, or when own requests began to wait
+	toldAt   time.Time // when the others' work was told, as a mean over it
 	duty     float64   // share of the last seconds in which there was work
 	dutyAt   time.Time // when it was computed
 	heard    map[string]heard
@@ -100,9 +100,6 @@
 // Sent counts a request that was sent to the server.
 func (b *Batch) Sent(s Sending, now time.Time) {
 	b.account(now)
-	if b.own.Work+b.others.Work == 0 {
-		b.anchor = now
-	}
 	if b.own.Waiting == 0 {
 		b.progress = now
 	}
@@ -118,7 +115,7 @@
 	b.own.Waiting--
 	b.own.Work -= s.Work
 	b.own.Running++
-	b.anchor, b.progress = now, now
+	b.progress = now
 }
 
 // Ended removes a request; started says whether Started was called for it.
@@ -151,7 +148,11 @@
 }
 
 // Own returns this entry's part, to be told to the other entries.
-func (b *Batch) Own() Load { return b.own }
+func (b *Batch) Own(now time.Time) Load {
+	l := b.own
+	l.Work = left(l.Work, b.Load(now).Work, now.Sub(b.progress))
+	return l
+}
 
 // Hear replaces what another entry told, which it did at the time at.
 func (b *Batch) Hear(entry string, l Load, at, now time.Time) {
@@ -161,11 +162,11 @@
 	b.account(now)
 	b.heard[entry] = heard{l, at}
 	b.sum(now)
-	b.anchor = now
 }
 
 func (b *Batch) sum(now time.Time) {
 	b.others, b.silentAt = Load{}, time.Time{}
+	var ages float64
 	for entry, h := range b.heard {
 		until := h.at.Add(heardFor)
 		if !now.Before(until) {
@@ -173,10 +174,15 @@
 			continue
 		}
 		b.others.add(&h.load)
+		ages += float64(h.load.Work) * float64(now.Sub(h.at))
 		if b.silentAt.IsZero() || until.Before(b.silentAt) {
 			b.silentAt = until
 		}
 	}
+	b.toldAt = now
+	if b.others.Work > 0 {
+		b.toldAt = now.Add(-time.Duration(ages / float64(b.others.Work)))
+	}
 }
 
 // Load returns what all entries together have under way.
@@ -199,8 +205,19 @@
 	if work <= 0 {
 		return 0
 	}
-	left := max(work-now.Sub(b.anchor), time.Duration(float64(work)*leastBacklog))
-	return left + b.overdue(work, now)
+	own := left(b.own.Work, work, now.Sub(b.progress))
+	others := left(b.others.Work, work, now.Sub(b.toldAt))
+	return own + others + b.overdue(work, now)
+}
+
+// left returns what is left of a part of a server's work some time after it
+// was known to be still to do, when the server works on all parts alike.
+func left(part, all, since time.Duration) time.Duration {
+	if all <= 0 {
+		return 0
+	}
+	done := min(float64(since)/float64(all), 1-leastBacklog)
+	return time.Duration(float64(part) * (1 - done))
 }
 
 // overdue returns for how long a first event has been missing beyond any doubt.
--- a/routing/batch_test.go
+++ b/routing/batch_test.go
@@ -46,6 +46,16 @@
 	assert.Equal(t, b.Load(start.Add(2*heardFor)), Load{})
 }
 
+func TestWhatWasToldIsWorkedOffLikeOwnWork(t *testing.T) {
+	var b Batch
+	b.Hear("a", Load{Waiting: 1, Work: 100 * ms}, start, start.Add(10*ms))
+	b.Hear("b", Load{Waiting: 1, Work: 100 * ms}, start.Add(10*ms), start.Add(10*ms))
+	b.Sent(Sending{Work: 200 * ms}, start.Add(10*ms))
+	assert.Equal(t, b.Backlog(start.Add(10*ms)), 397500*time.Microsecond, "told 5 ms ago on average, half of the work")
+	assert.Equal(t, b.Backlog(start.Add(110*ms)), 297500*time.Microsecond)
+	assert.Equal(t, b.Own(start.Add(110*ms)).Work, 150*ms, "the server works on all alike")
+}
+
 func TestKeptCountsWholeLeadingParts(t *testing.T) {
 	k := NewPrefixes().Server()
 	p := shared(1, 2)
--- a/standin/batch/entry.go
+++ b/standin/batch/entry.go
@@ -162,7 +162,7 @@
 func (e *entry) least(now time.Time) (admission.Offer, bool) {
 	best, fewest := -1, 0
 	for i, r := range e.scratch {
-		load := r.Server.Batch.Own()
+		load := r.Server.Batch.Own(now)
 		if n := load.Waiting + load.Running; r.Server.Usable && r.Load == 0 && (best < 0 || n < fewest) {
 			best, fewest = i, n
 		}
@@ -294,7 +294,7 @@
 func (e *entry) hear(from *entry) {
 	now := e.clock.now
 	for i, s := range from.known {
-		e.known[i].Batch.Hear(from.name, s.Batch.Own(), now, now)
+		e.known[i].Batch.Hear(from.name, s.Batch.Own(now), now, now)
 	}
 	e.line.Changed("")
 	e.plain.hear(from.plain)
--- a/standin/batch/plain.go
+++ b/standin/batch/plain.go
@@ -142,7 +142,7 @@
 
 func (e *plainEntry) least(a *plainAttempt) {
 	best := slices.MinFunc(e.known, func(x, y *routing.PlainServer) int {
-		return x.Batch.Own().Waiting - y.Batch.Own().Waiting
+		return x.Batch.Own(e.clock.now).Waiting - y.Batch.Own(e.clock.now).Waiting
 	})
 	a.choice = routing.PlainChoice{Server: best}
 	e.send(a, slices.Index(e.known, best))
@@ -235,7 +235,7 @@
 func (e *plainEntry) hear(from *plainEntry) {
 	now := e.clock.now
 	for i, s := range from.known {
-		e.known[i].Batch.Hear(strconv.Itoa(from.number), s.Batch.Own(), now, now)
+		e.known[i].Batch.Hear(strconv.Itoa(from.number), s.Batch.Own(now), now, now)
 	}
 	e.line.Changed("")
 }
--- a/standin/batch/replay_test.go
+++ b/standin/batch/replay_test.go
@@ -57,6 +57,7 @@
 		"shared prefixes":            {Servers: 3, Entries: 4, Kinds: mixed(20, 10), Models: three},
 		"long prompts among short":   {Servers: 2, Entries: 3, Kinds: mixed(6, 30), Models: []Model{{Servers: []int{0, 1}}}},
 		"replicas that come up":      {Servers: 3, Entries: 4, Kinds: mixed(14, 12), Models: []Model{{Servers: []int{0}, Loads: []ModelLoad{{1, 5 * s, 8 * s}, {2, 7 * s, 10 * s}}}}},
+		"many models, 1.7 times":     site(9, 16, 1.7),
 		"full plain service":         {Entries: 4, Plain: Plain{Servers: 3}, Kinds: []Kind{booking(900), lookup(400)}},
 		"burst at the plain service": {Entries: 4, Plain: Plain{Servers: 3}, Kinds: []Kind{booking(600), lookup(250)}, Faults: disturbed(Fault{Burst: 1.7})},
 		"slow plain server":          {Entries: 4, Plain: Plain{Servers: 3}, Kinds: []Kind{booking(300), lookup(100)}, Faults: disturbed(Fault{Plain: true, Slow: 7.5})},
@@ -64,6 +65,24 @@
 	}
 }
 
+// site is servers with three models each, of which six are busy and have the
+// places that are left over.
+func site(servers, models int, times float64) Scenario {
+	all, shares := make([]Model, models), make([]float64, models)
+	for i := range 3 * servers {
+		m := i
+		if i >= models {
+			m = []int{0, 0, 1, 2, 3, 4, 5, 0, 1, 2}[(i-models)%10]
+		}
+		all[m].Servers = append(all[m].Servers, (i+i/servers)%servers)
+	}
+	for i := range shares {
+		shares[i] = 0.02
+	}
+	copy(shares, []float64{0.33, 0.18, 0.15, 0.13, 0.12, 0.11})
+	return Scenario{Servers: servers, Entries: 8, Models: all, Kinds: []Kind{brief(14*times, shares...), chat(18*times, shares...)}}
+}
+
 const seeds = 4
 
 var played = map[string][]*Result{} // so that no pattern is played twice
