--- a/routing/batch.go
+++ b/routing/batch.go
@@ -39,14 +39,17 @@
 	Reserved [Priorities]time.Duration // work that waits in the entry and is meant for the server
 }
 
-func (l *Load) add(m *Load) {
-	l.Waiting += m.Waiting
-	l.Running += m.Running
-	l.Urgent += m.Urgent
-	l.Work += m.Work
-	l.Tokens += m.Tokens
+func (l *Load) add(m *Load) { l.change(m, 1) }
+
+// change adds or, with sign -1, takes off another load.
+func (l *Load) change(m *Load, sign int) {
+	l.Waiting += sign * m.Waiting
+	l.Running += sign * m.Running
+	l.Urgent += sign * m.Urgent
+	l.Work += time.Duration(sign) * m.Work
+	l.Tokens += sign * m.Tokens
 	for i := range l.Reserved {
-		l.Reserved[i] += m.Reserved[i]
+		l.Reserved[i] += time.Duration(sign) * m.Reserved[i]
 	}
 }
 
@@ -160,35 +163,48 @@
 		b.heard = map[string]heard{}
 	}
 	b.account(now)
-	b.heard[entry] = heard{l, at}
-	b.sum(now)
+	b.Load(now) // without what is too old
+	if old, ok := b.heard[entry]; ok {
+		b.count(&old, -1)
+	}
+	h := heard{l, at}
+	b.heard[entry] = h
+	b.count(&h, 1)
+}
+
+// count adds what an entry told to the totals or, with sign -1, takes it off.
+func (b *Batch) count(h *heard, sign int) {
+	before := b.others.Work
+	b.others.change(&h.load, sign)
+	switch {
+	case before <= 0:
+		b.toldAt = h.at
+	case b.others.Work > 0:
+		// The mean time of telling moves by the weight of this work.
+		weight := float64(b.others.Work-before) / float64(b.others.Work)
+		b.toldAt = b.toldAt.Add(time.Duration(weight * float64(h.at.Sub(b.toldAt))))
+	}
+	if until := h.at.Add(heardFor); sign > 0 && (b.silentAt.IsZero() || until.Before(b.silentAt)) {
+		b.silentAt = until
+	}
 }
 
-func (b *Batch) sum(now time.Time) {
-	b.others, b.silentAt = Load{}, time.Time{}
-	var ages float64
+// forget leaves out what was told too long ago.
+func (b *Batch) forget(now time.Time) {
+	b.others, b.silentAt, b.toldAt = Load{}, time.Time{}, now
 	for entry, h := range b.heard {
-		until := h.at.Add(heardFor)
-		if !now.Before(until) {
+		if !now.Before(h.at.Add(heardFor)) {
 			delete(b.heard, entry)
 			continue
 		}
-		b.others.add(&h.load)
-		ages += float64(h.load.Work) * float64(now.Sub(h.at))
-		if b.silentAt.IsZero() || until.Before(b.silentAt) {
-			b.silentAt = until
-		}
-	}
-	b.toldAt = now
-	if b.others.Work > 0 {
-		b.toldAt = now.Add(-time.Duration(ages / float64(b.others.Work)))
+		b.count(&h, 1)
 	}
 }
 
 // Load returns what all entries together have under way.
 func (b *Batch) Load(now time.Time) Load {
 	if !b.silentAt.IsZero() && !now.Before(b.silentAt) {
-		b.sum(now)
+		b.forget(now)
 	}
 	sum := b.own
 	sum.add(&b.others)
@@ -238,5 +254,5 @@
 // Restarted forgets what other entries told of the server's earlier
 // incarnation. Own requests end one by one as their connections break.
 func (b *Batch) Restarted() {
-	b.heard, b.others, b.silentAt = nil, Load{}, time.Time{}
+	b.heard, b.others, b.silentAt, b.toldAt = nil, Load{}, time.Time{}, time.Time{}
 }
--- a/routing/batch_test.go
+++ b/routing/batch_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
+	"pgregory.net/rapid"
 )
 
 const ms = time.Millisecond
@@ -108,3 +109,36 @@
 	assert.Assert(t, pace.PerToken() < 15*time.Microsecond, "per token %v", pace.PerToken())
 	assert.Assert(t, slow.Slowness(now.Add(time.Minute)) < 1.1, "a speed that is not measured again fades")
 }
+
+func TestTotalsOfManyEntriesStayExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Batch
+		now, told := start, map[string]Load{}
+		for range rapid.IntRange(1, 60).Draw(t, "messages") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "gap")) * ms)
+			entry := string(rune('a' + rapid.IntRange(0, 5).Draw(t, "entry")))
+			told[entry] = Load{Waiting: rapid.IntRange(0, 9).Draw(t, "waiting"), Work: time.Duration(rapid.IntRange(0, 300).Draw(t, "work")) * ms}
+			b.Hear(entry, told[entry], now, now)
+		}
+		var want Load
+		for _, l := range told {
+			want.add(&l)
+		}
+		assert.Equal(t, b.Load(now), want)
+		assert.Assert(t, !b.toldAt.After(now) && now.Sub(b.toldAt) < heardFor, "told %v ago", now.Sub(b.toldAt))
+		assert.Equal(t, b.Load(now.Add(heardFor)), Load{})
+	})
+}
+
+func BenchmarkHear(b *testing.B) {
+	var batch Batch
+	names := make([]string, 25)
+	for i := range names {
+		names[i] = string(rune('a' + i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := start.Add(time.Duration(i) * 10 * ms)
+		batch.Hear(names[i%len(names)], Load{Work: time.Duration(i%100) * ms}, now, now)
+	}
+}
