--- a/admission/line.go
+++ b/admission/line.go
@@ -175,7 +175,7 @@
 		if !now.Before(f.askAt) {
 			e := f.head()
 			o, found := offers(e.item, false)
-			if found && o.ready(&e.w) && !contains(awaited[:n], o.Server) {
+			if found && o.ready(&e.w, f.starves) && !contains(awaited[:n], o.Server) {
 				l.drop(e)
 				l.shares.served(e.class)
 				return Outcome[T]{Verdict: Verdict{Action: Admit, Reason: "server has room"}, Item: e.item, Offer: o}, true
--- a/admission/offer.go
+++ b/admission/offer.go
@@ -20,6 +20,7 @@
 	Work      time.Duration  // of the server, for the request
 	Step      time.Duration  // between two tokens of the answer
 	RoundTrip time.Duration  // to the server and back
+	Yield     bool           // more urgent answers there would become too slow
 	Full      bool           // no slot or memory is free
 	Never     bool           // no server can take it
 }
@@ -40,7 +41,8 @@
 		Work:      c.Work,
 		Step:      c.Step,
 		RoundTrip: c.Server.RoundTrip,
-		Full:      c.Full || c.Overflow || c.Yield,
+		Full:      c.Full || c.Overflow,
+		Yield:     c.Yield,
 		Never:     c.TooLarge,
 	}
 }
@@ -60,8 +62,12 @@
 
 // ready reports whether a request should be sent there now: it and the news
 // that makes room for the next are on their way for a round trip.
-func (o *Offer) ready(w *Waiter) bool {
-	return o.Load <= 0 && !o.Full && o.Backlog <= backlogBound(w)+o.RoundTrip
+// A kind that starves need not yield.
+func (o *Offer) ready(w *Waiter, starves bool) bool {
+	if o.Load > 0 || o.Full || (o.Yield && !starves) {
+		return false
+	}
+	return o.Backlog <= backlogBound(w)+o.RoundTrip
 }
 
 func backlogBound(w *Waiter) time.Duration {
