--- a/admission/offer.go
+++ b/admission/offer.go
@@ -50,13 +50,12 @@
 // OfferPlain is the offer of a chosen plain server.
 func OfferPlain(c *routing.PlainChoice, usual time.Duration) Offer {
 	return Offer{
-		Server:    c.Server.Name,
-		Index:     c.Index,
-		Batch:     &c.Server.Batch,
-		Backlog:   c.Backlog,
-		Wait:      c.Wait,
-		Work:      c.Server.Work(usual),
-		RoundTrip: c.Server.RoundTrip,
+		Server:  c.Server.Name,
+		Index:   c.Index,
+		Batch:   &c.Server.Batch,
+		Backlog: c.Backlog,
+		Wait:    c.Wait,
+		Work:    c.Server.Work(usual),
 	}
 }
 
--- a/cmd/peridotchute-load/main.go
+++ b/cmd/peridotchute-load/main.go
@@ -14,6 +14,7 @@
 	"peridotchute.example/cmd/peridotchute-load/control"
 	"peridotchute.example/cmd/peridotchute-load/faults"
 	"peridotchute.example/cmd/peridotchute-load/path"
+	"peridotchute.example/cmd/peridotchute-load/policies"
 	"peridotchute.example/cmd/peridotchute-load/replay"
 	"peridotchute.example/cmd/peridotchute-load/rollout"
 	"peridotchute.example/cmd/peridotchute-load/survival"
@@ -34,7 +35,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(faults.Command(), path.Command(), rollout.Command(), control.Command(), survival.Command(), replay.Command())
+	root.AddCommand(faults.Command(), path.Command(), rollout.Command(), control.Command(), survival.Command(), replay.Command(), policies.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
--- a/routing/engine_test.go
+++ b/routing/engine_test.go
@@ -145,6 +145,20 @@
 	assert.Equal(t, got.Index, 0, "the failures are forgotten by and by")
 }
 
+func TestAServerThatWentSilentIsAvoidedForSeconds(t *testing.T) {
+	r, x := replicas(2)
+	r[0].Server.Health.Silenced(start)
+	for i := range uint64(8) {
+		p := shared(50+i, 50+i)
+		send(r[1].Server, &p, start)
+	}
+	assert.Equal(t, chooseEngine(t, r, x, short(1)).Index, 1)
+	p := short(1)
+	got, err := ChooseEngine(r, x, &p, start.Add(4*time.Second))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Index, 0, "tried again when the other is busy")
+}
+
 func TestUnusableAndExcludedServers(t *testing.T) {
 	r, x := replicas(2)
 	r[0].Server.Usable = false
--- a/routing/pace.go
+++ b/routing/pace.go
@@ -71,6 +71,12 @@
 	h.penaltyAt = now
 }
 
+// Silenced counts that requests were taken back from a server that showed no
+// progress. Unlike a failure it is told late, so it weighs as much as many.
+func (h *Health) Silenced(now time.Time) {
+	h.penalty, h.penaltyAt = mostPenalty, now
+}
+
 // succeeded halves the price of earlier failures.
 func (h *Health) succeeded(now time.Time) {
 	h.penalty = h.Penalty(now) / 2
--- a/standin/batch/entry.go
+++ b/standin/batch/entry.go
@@ -35,6 +35,7 @@
 	index   []int // server of each of scratch
 	budget  admission.RetryBudget
 	wakeAt  time.Time
+	waiting []*attempt // sent, without a first event
 	plain   *plainEntry
 }
 
@@ -187,6 +188,7 @@
 	r.event = func(done bool) { e.clock.after(e.to(o.Index), func() { e.event(a, r, done) }) }
 	r.failed = func() { e.clock.after(e.to(o.Index), func() { e.broken(a, r) }) }
 	a.run = r
+	e.waiting = append(e.waiting, a)
 	e.clock.after(e.to(o.Index), func() {
 		s := e.servers[o.Index]
 		if a.run == r && (!s.up || !s.submit(r)) {
@@ -211,6 +213,7 @@
 	now, known := e.clock.now, e.known[a.server]
 	if !a.started {
 		a.started = true
+		e.unwait(a)
 		known.Batch.Started(a.sending, now)
 		e.learn(a, now)
 		e.line.Changed(known.Name)
@@ -235,6 +238,7 @@
 // end takes an attempt off its server's count.
 func (e *entry) end(a *attempt, now time.Time) {
 	known := e.known[a.server]
+	e.unwait(a)
 	known.Batch.Ended(a.sending, a.started, now)
 	a.run, a.server = nil, -1
 	e.line.Changed(known.Name)
@@ -274,28 +278,3 @@
 	}
 	e.turnAway(a.request, after)
 }
-
-// lost notes that a server has gone.
-func (e *entry) lost(i int) {
-	e.known[i].Usable = false
-	e.known[i].Restarted()
-	e.line.Lost()
-	e.decide()
-}
-
-// back notes that a server has come up again.
-func (e *entry) back(i int) {
-	e.known[i].Usable = true
-	e.line.Changed("")
-	e.decide()
-}
-
-// hear takes in what another entry has under way.
-func (e *entry) hear(from *entry) {
-	now := e.clock.now
-	for i, s := range from.known {
-		e.known[i].Batch.Hear(from.name, s.Batch.Own(now), now, now)
-	}
-	e.line.Changed("")
-	e.plain.hear(from.plain)
-}
--- a/standin/batch/replay_test.go
+++ b/standin/batch/replay_test.go
@@ -58,7 +58,7 @@
 func TestNoKindOrSizeIsStarved(t *testing.T) {
 	for name := range Patterns() {
 		t.Run(name, func(t *testing.T) {
-			day := pool(play(t, name, Line))
+			day := Pool(play(t, name, Line))
 			var all Tally
 			for _, k := range day.Kinds {
 				all.add(k)
@@ -74,20 +74,6 @@
 	}
 }
 
-// pool takes several runs as one.
-func pool(runs []*Result) *Result {
-	day := &Result{Kinds: map[string]*Tally{}, names: runs[0].names}
-	for _, r := range runs {
-		for name, k := range r.Kinds {
-			if day.Kinds[name] == nil {
-				day.Kinds[name] = &Tally{}
-			}
-			day.Kinds[name].add(k)
-		}
-	}
-	return day
-}
-
 func TestEqualSeedsGiveEqualRuns(t *testing.T) {
 	name := "crash of a server"
 	assert.Equal(t, play(t, name, Line)[1].String(), playAnew(Patterns()[name], Line)[1].String())
--- a/standin/batch/result.go
+++ b/standin/batch/result.go
@@ -76,6 +76,22 @@
 	return r
 }
 
+// Pool takes several runs as one.
+func Pool(runs []*Result) *Result {
+	all := &Result{Kinds: map[string]*Tally{}, names: runs[0].names}
+	for _, r := range runs {
+		all.Read += r.Read
+		all.Preempted += r.Preempted
+		for name, k := range r.Kinds {
+			if all.Kinds[name] == nil {
+				all.Kinds[name] = &Tally{}
+			}
+			all.Kinds[name].add(k)
+		}
+	}
+	return all
+}
+
 // Worth returns the share of all worth that was earned.
 func (r *Result) Worth() float64 {
 	var all Tally
--- a/standin/batch/scenario.go
+++ b/standin/batch/scenario.go
@@ -130,6 +130,16 @@
 	return w.result
 }
 
+// RunAll plays a scenario with the seeds from 1 on and takes the runs as one.
+func RunAll(s Scenario, seeds uint64) *Result {
+	var runs []*Result
+	for seed := range max(seeds, 1) {
+		s.Seed = seed + 1
+		runs = append(runs, Run(s))
+	}
+	return Pool(runs)
+}
+
 // world is the state of a run.
 type world struct {
 	*Scenario
@@ -266,6 +276,9 @@
 			}
 		}
 		for _, e := range w.entries {
+			if w.Policy == Line {
+				e.rescue()
+			}
 			e.decide()
 			e.plain.decide()
 		}
