peridotchute-load losses: where requests are lost or late

Reads entries' decision logs, as they are or with a collector's prefix, and writes a table by route and cause.

--- a/cmd/peridotchute-load/main.go
+++ b/cmd/peridotchute-load/main.go
@@ -13,6 +13,7 @@
 
 	"peridotchute.example/cmd/peridotchute-load/control"
 	"peridotchute.example/cmd/peridotchute-load/faults"
+	"peridotchute.example/cmd/peridotchute-load/losses"
 	"peridotchute.example/cmd/peridotchute-load/path"
 	"peridotchute.example/cmd/peridotchute-load/replay"
 	"peridotchute.example/cmd/peridotchute-load/rollout"
@@ -34,7 +35,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(faults.Command(), path.Command(), rollout.Command(), control.Command(), survival.Command(), replay.Command())
+	root.AddCommand(faults.Command(), losses.Command(), path.Command(), rollout.Command(), control.Command(), survival.Command(), replay.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
--- a/operator/explain/line.go
+++ b/operator/explain/line.go
@@ -54,9 +54,9 @@
 	return time.Duration(ms * float64(time.Millisecond)).Round(100 * time.Microsecond)
 }
 
-// parseLine reads the JSON object of a line, whatever a collector put before
+// ParseLine reads the JSON object of a line, whatever a collector put before
 // it. It reports false for a line that is none of a decision log.
-func parseLine(text string) (*Line, bool) {
+func ParseLine(text string) (*Line, bool) {
 	start := strings.IndexByte(text, '{')
 	if start < 0 {
 		return nil, false
--- a/operator/explain/read.go
+++ b/operator/explain/read.go
@@ -47,7 +47,7 @@
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
-		if l, ok := parseLine(scanner.Text()); ok {
+		if l, ok := ParseLine(scanner.Text()); ok {
 			s.add(l)
 		}
 	}
--- a/operator/explain/read_test.go
+++ b/operator/explain/read_test.go
@@ -22,7 +22,7 @@
 		"[12s] pod-3 | ":    {node: "edge-1", collected: 12 * time.Second, timed: true},
 		"<14>pod-3: ":       {node: "edge-1"},
 	} {
-		l, ok := parseLine(prefix + object)
+		l, ok := ParseLine(prefix + object)
 		assert.Assert(t, ok, prefix)
 		assert.Equal(t, l.Event, 642)
 		assert.Equal(t, l.Name, "server left")
@@ -34,7 +34,7 @@
 }
 
 func TestParseLineWithoutNodeTakesThatOfTheCollector(t *testing.T) {
-	l, ok := parseLine(`1.5 edge-2 {"msg":"peer lost","event":111}`)
+	l, ok := ParseLine(`1.5 edge-2 {"msg":"peer lost","event":111}`)
 	assert.Assert(t, ok)
 	assert.Equal(t, l.Node, "edge-2")
 	assert.Assert(t, !l.HasOffset)
@@ -42,7 +42,7 @@
 
 func TestParseLinePassesOverOtherOutput(t *testing.T) {
 	for _, text := range []string{"", "panic: x", "{", `{"msg":"x"}`, `{"event":"text"}`, `{"event":600`, "{}", "a {b} c"} {
-		_, ok := parseLine(text)
+		_, ok := ParseLine(text)
 		assert.Assert(t, !ok, text)
 	}
 }
