--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -49,7 +49,7 @@
 		t.Holders = p.replicas(w, now, false)
 	}
 	if s.engine != nil {
-		t.sending = routing.Sending{Work: o.Work, Tokens: w.prompt.Memory()}
+		t.sending = routing.Sending{Priority: w.priority, Work: o.Work, Tokens: w.prompt.Memory()}
 	}
 	if s.inFlight == 0 {
 		s.owes = now
@@ -141,16 +141,17 @@
 	defer t.b.mu.Unlock()
 	now := time.Now()
 	t.s.heard, t.s.owes = now, now
-	if !gone {
+	switch {
+	case !gone && t.artifact.model != "":
+		t.s.lacks[t.artifact] = now.Add(orderHolds)
+	case !gone:
 		t.s.health().Failed(now)
-		return
-	}
-	if t.artifact.model != "" {
-		t.s.lacks[t.artifact] = now
+	case t.artifact.model != "":
+		t.s.lacks[t.artifact] = now.Add(lackHolds)
 		delete(t.s.added, t.artifact)
-		return
+	default:
+		t.s.downUntil = now.Add(lackHolds)
 	}
-	t.s.downUntil = now.Add(lackHolds)
 }
 
 // ServerSilent reports whether nothing was received from the server for d
@@ -158,7 +159,12 @@
 func (t *Ticket) ServerSilent(d time.Duration) bool {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
-	return time.Since(t.s.heard) >= d && time.Since(t.s.owes) >= d
+	now := time.Now()
+	if now.Sub(t.s.heard) < d || now.Sub(t.s.owes) < d {
+		return false
+	}
+	t.s.health().Silenced(now)
+	return true
 }
 
 // End ends the attempt.
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -18,6 +18,7 @@
 	Arrived  time.Time
 	Deadline time.Time
 	Exclude  []string // IDs of servers that failed the request
+	Resumed  bool     // a stream that goes on
 }
 
 // Rejection says that a request is not sent to any server.
@@ -102,6 +103,10 @@
 // tokenTime is the time of one token of an answer in a batch that is half full.
 const tokenTime = 6 * time.Millisecond
 
+// outWeight is the weight of a token of the answer against one of the prompt,
+// by the time that each takes.
+const outWeight = 10
+
 // waiter says what the line is to know of the request.
 func (p *pool) waiter(w *waiting, q Query) admission.Waiter {
 	r := q.Request
@@ -117,6 +122,11 @@
 		Objective: q.Arrived.Add(objective),
 		Deadline:  q.Deadline,
 		Tokens:    expectedOut(r),
+		Size:      float64(r.TokensIn + outWeight*r.TokensOut),
+		Resumed:   q.Resumed,
+	}
+	if q.Resumed {
+		out.Objective = time.Now().Add(q.Route.GapObjective)
 	}
 	if n := len(r.Parts); n > 0 {
 		out.Session = r.Parts[n-1].ID
