--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -91,7 +91,6 @@
 	}
 	if s := p.servers[id]; s != nil {
 		s.added[a] = now
-		delete(s.lacks, a)
 	}
 	p.line.Changed("")
 	b.giveTurns(p)
--- a/entry/direct/balance/peers.go
+++ b/entry/direct/balance/peers.go
@@ -17,8 +17,9 @@
 
 // peerLoad is what the other entries together told of a server.
 type peerLoad struct {
-	load Load
-	at   time.Time
+	load  Load
+	told  time.Time // first heard so
+	heard time.Time // last passed on to the routing
 }
 
 // renewLoad is the age at which unchanged loads are heard again, which is
@@ -32,10 +33,11 @@
 func (b *Balancer) Loads() []Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := time.Now()
 	var out []Load
 	for _, p := range b.pools {
 		for _, s := range p.order {
-			own := s.batch().Own()
+			own := s.batch().Own(now)
 			out = append(out, Load{ID: s.ID, Requests: own.Waiting + own.Running, Work: own.Work, Tokens: own.Tokens})
 		}
 	}
@@ -62,11 +64,15 @@
 
 func (s *server) hear(l Load, now time.Time) bool {
 	changed := s.peers.load != l
-	if !changed && (l.Requests == 0 || now.Sub(s.peers.at) < renewLoad) {
+	if !changed && (l.Requests == 0 || now.Sub(s.peers.heard) < renewLoad) {
 		return false
 	}
-	s.peers = peerLoad{load: l, at: now}
-	s.batch().Hear(peersName, routing.Load{Running: l.Requests, Work: l.Work, Tokens: l.Tokens}, now, now)
+	if changed {
+		s.peers = peerLoad{load: l, told: now}
+	}
+	s.peers.heard = now
+	work := max(l.Work-now.Sub(s.peers.told), 0) // worked off since it was told
+	s.batch().Hear(peersName, routing.Load{Running: l.Requests, Work: work, Tokens: l.Tokens}, now, now)
 	return changed
 }
 
