--- a/common/metrics/metrics_test.go
+++ b/common/metrics/metrics_test.go
@@ -39,6 +39,7 @@
 		ConfigAge:     func() time.Duration { return 1500 * time.Millisecond },
 		ServersAge:    func() time.Duration { return 400 * time.Millisecond },
 		LeaseHeld:     func() bool { return true },
+		ServerCalls:   func() map[string]int64 { return map[string]int64{"report": 9} },
 	})
 	for _, r := range []decisionlog.Record{
 		decisionlog.Finished{Service: "llm", Outcome: decisionlog.OutcomeLate, FirstByte: time.Second, Total: 2 * time.Second, Waited: time.Millisecond},
@@ -84,6 +85,7 @@
 		`peridotchute_config_age_seconds 1.5`,
 		`peridotchute_servers_age_seconds 0.4`,
 		`peridotchute_lease_held 1`,
+		`peridotchute_server_calls_total{outcome="report"} 9`,
 	} {
 		assert.Assert(t, strings.Contains(text, want+"\n"), "missing %s", want)
 	}
--- a/common/metrics/sources.go
+++ b/common/metrics/sources.go
@@ -26,6 +26,7 @@
 	ConfigAge     func() time.Duration
 	ServersAge    func() time.Duration
 	LeaseHeld     func() bool
+	ServerCalls   func() map[string]int64 // orders and reports of model servers, by kind and outcome
 }
 
 // sources makes metrics of Sources.
@@ -45,6 +46,7 @@
 	descConfigVersion = describe("config_version", "Version of the configuration in force.")
 	descConfigAge     = describe("config_age_seconds", "Time since the store was last asked for the configuration with success.")
 	descServersAge    = describe("servers_age_seconds", "Time since the store was last asked for the backend servers with success.")
+	descServerCalls   = describe("server_calls_total", "Orders given to model servers and reports asked of them.", labelOutcome)
 	descLeaseHeld     = describe("lease_held", "1 when this process gives orders to the backend servers.")
 )
 
@@ -52,7 +54,7 @@
 func (s sources) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		descWritten, descLeftOut, descWaiting, descInProgress, descBudget,
-		descServers, descConfigVersion, descConfigAge, descServersAge, descLeaseHeld,
+		descServers, descConfigVersion, descConfigAge, descServersAge, descLeaseHeld, descServerCalls,
 	} {
 		out <- d
 	}
@@ -70,6 +72,11 @@
 	if s.LeaseHeld != nil {
 		send(out, descLeaseHeld, prometheus.GaugeValue, one(s.LeaseHeld()))
 	}
+	if s.ServerCalls != nil {
+		for outcome, n := range s.ServerCalls() {
+			send(out, descServerCalls, prometheus.CounterValue, float64(n), outcome)
+		}
+	}
 }
 
 func (s sources) collectLog(out chan<- prometheus.Metric) {
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -93,7 +93,11 @@
 		Seeds: s.Seeds,
 		Table: table,
 		Log:   log,
+
+		OnDocument: func(d mesh.Document) { takeDocument(w, d, log) },
+		Patience:   map[string]time.Duration{view.KindConfig: configPatience},
 	})
+	w.OnRead(func(d view.Document) { c.mesh.Offer(mesh.Document(d)) })
 	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q ensureQuery) (ensureReply, error) {
 		id, err := c.keeper.Ensure(ctx, q.Service, q.Model, q.Adapter, q.Prefer)
 		return ensureReply{Server: id}, err
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"runtime/debug"
 
 	"go.uber.org/fx"
@@ -22,7 +23,6 @@
 	memoryShare = 0.7
 
 	slackParts = 8 // entries among which the slack of retries is divided
-
 )
 
 // Module wires an entry from its settings.
@@ -64,6 +64,6 @@
 	w.OnChange(b.Update)
 	daemon.Go(lc, b.Run)
 	daemon.Go(lc, w.RunConfig)
-	daemon.Go(lc, w.RunServers)
+	daemon.Go(lc, func(ctx context.Context) { w.RunServers(ctx, c.nextReading) })
 	c.start(lc)
 }
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -10,12 +10,14 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/metrics"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/front"
+	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/entry/direct/view"
 	"peridotchute.example/fleet"
 )
@@ -85,10 +87,12 @@
 		ConfigAge:     w.ConfigAge,
 		LeaseHeld:     c.givesOrders,
 		ServersAge:    func() time.Duration { return serversAge(w.Current()) },
+		ServerCalls:   func() map[string]int64 { return serverCalls(c.keeper.Counts()) },
 	})
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", m.Handler())
-	daemon.Serve(lc, logger, daemon.Listener{Name: "metrics", Address: s.MetricsAddress, Handler: mux})
+	server := admin.NewServer()
+	server.Router().Handle("/metrics", m.Handler()).Methods(http.MethodGet)
+	addSections(server, w, b, c)
+	daemon.Serve(lc, logger, daemon.Listener{Name: "metrics", Address: s.MetricsAddress, Handler: server.Router()})
 }
 
 func serverStates(v *fleet.View) map[metrics.ServerState]int {
@@ -103,6 +107,17 @@
 	return states
 }
 
+// serverCalls names the counts of calls to model servers.
+func serverCalls(c orders.Counts) map[string]int64 {
+	return map[string]int64{
+		"order accepted":   c.Accepted,
+		"order declined":   c.Declined,
+		"order unanswered": c.Unanswered,
+		"report":           c.Reports,
+		"report failed":    c.FailedReports,
+	}
+}
+
 func configVersion(v *fleet.View) int64 {
 	if v.Config == nil {
 		return 0
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -24,14 +24,6 @@
 
 	retryPause = 150 * time.Millisecond // after a failed call
 	retryMost  = 600 * time.Millisecond // the pause doubles up to this
-
-	// serversEvery is the time between two readings of the registrations: a
-	// third of the shortest time in which a draining server must be left alone.
-	serversEvery = 800 * time.Millisecond
-
-	// lapseGrace is how long a server that was missing at the end of an outage of
-	// the store stays known: live servers are registered again within 2 s.
-	lapseGrace = 2300 * time.Millisecond
 )
 
 // Watcher keeps the view up to date. Both Run duties must be running.
@@ -45,19 +37,28 @@
 	started     time.Time
 	configHeard atomic.Int64 // when the store last answered for the configuration, in nanoseconds since started
 
-	mu          sync.Mutex
-	position    int64     // of the newest registrations
-	outageStart time.Time // of the last outage of the store
-	outageEnd   time.Time // of the last outage of the store; zero when there was none
-	outage      bool
-	unreadable  map[string]bool
-	listeners   []func(*fleet.View)
+	mu         sync.Mutex
+	position   int64     // of the newest registrations
+	lostSince  time.Time // since when the store does not answer this entry; zero while it does
+	gapSince   time.Time // the same, but zero as well once a peer has read the registrations since
+	outageEnd  time.Time // of the last outage of the store; zero when there was none
+	unreadable map[string]bool
+	listeners  []func(*fleet.View)
+	share      func(Document)
 }
 
 // New returns a watcher with an empty view. regions names the region of each
 // availability zone.
 func New(directory fleet.Directory, regions map[string]string, log *decisionlog.Log) *Watcher {
-	w := &Watcher{started: time.Now(), directory: directory, regions: regions, log: log, logger: log.Logger(), unreadable: map[string]bool{}}
+	w := &Watcher{
+		started:    time.Now(),
+		directory:  directory,
+		regions:    regions,
+		log:        log,
+		logger:     log.Logger(),
+		unreadable: map[string]bool{},
+		share:      func(Document) {},
+	}
 	w.current.Store(&fleet.View{Regions: regions})
 	return w
 }
@@ -106,87 +107,26 @@
 		pause = retryPause
 		w.configHeard.Store(int64(time.Since(w.started)))
 		known, position = true, s.Position
-		if s.Config != nil {
-			w.Apply(s.Config)
+		if s.Config != nil && w.Apply(s.Config) {
+			w.share(Document{Kind: KindConfig, Version: s.Config.Version, Body: s.Raw})
 		}
 	}
 }
 
-// Apply puts a configuration in force unless a newer one is.
-func (w *Watcher) Apply(c *fleet.Config) {
+// Apply puts a configuration in force unless it or a newer one is already,
+// and reports whether it did.
+func (w *Watcher) Apply(c *fleet.Config) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.current.Load()
 	if old.Config != nil && old.Config.Version >= c.Version {
-		return
+		return false
 	}
 	next := *old
 	next.Config = c
 	w.store(&next)
 	w.log.Write(replaced(old.Config, c))
-}
-
-// RunServers reads the registrations until ctx ends.
-func (w *Watcher) RunServers(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.Refresh(ctx)
-		_ = clock.Sleep(ctx, serversEvery)
-	}
-}
-
-// Refresh reads the registrations once.
-func (w *Watcher) Refresh(ctx context.Context) {
-	asked := time.Now()
-	reg, err := w.directory.Servers(ctx)
-	if err != nil {
-		w.lost(err)
-		return
-	}
-	w.Take(reg, asked)
-}
-
-func (w *Watcher) lost(err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !w.outage {
-		w.outageStart = time.Now()
-		w.log.Write(decisionlog.StoreLost{Call: "servers", Err: err})
-	}
-	w.outage = true
-}
-
-// Take applies registrations that were asked for at the given time.
-func (w *Watcher) Take(reg fleet.Registry, asked time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if reg.Position < w.position {
-		return
-	}
-	w.position = reg.Position
-	if w.outage {
-		w.outage, w.outageEnd = false, time.Now()
-		w.log.Write(decisionlog.StoreRegained{Call: "servers", Down: w.outageEnd.Sub(w.outageStart)})
-	}
-	w.noteUnreadable(reg.Unreadable)
-	old := w.current.Load()
-	keep := !w.outageEnd.IsZero() && time.Since(w.outageEnd) < lapseGrace
-	next := *old
-	next.Servers = fleet.Merge(old.Servers, reg, keep)
-	next.ServersRead = asked
-	w.store(&next)
-	for _, r := range changes(old.Servers, next.Servers, time.Since(asked)) {
-		w.log.Write(r)
-	}
-}
-
-// noteUnreadable logs each row that cannot be understood once.
-func (w *Watcher) noteUnreadable(keys []string) {
-	for _, k := range keys {
-		if !w.unreadable[k] {
-			w.log.Write(decisionlog.ServerChanged{Change: decisionlog.ServerUnreadable, Server: k})
-		}
-		w.unreadable[k] = true
-	}
+	return true
 }
 
 func (w *Watcher) store(v *fleet.View) {
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -16,6 +16,8 @@
 	// Servers reads all registrations. Rows that cannot be understood are left
 	// out and counted in Unreadable.
 	Servers(ctx context.Context) (Registry, error)
+	// DecodeConfig decodes a configuration as Snapshot.Raw has it.
+	DecodeConfig(raw []byte) (*Config, error)
 }
 
 // Snapshot is a configuration with the position at which it was read. Config
