--- a/routing/batch.go
+++ b/routing/batch.go
@@ -91,8 +91,8 @@
 //
 //	s := routing.Sending{Work: prompt.Work(choice.Cached), Tokens: prompt.Memory()}
 //	server.Batch.Sent(s, now)
-//	server.Batch.Started(s, now)     // first event
-//	server.Batch.Ended(s, true, now) // whole, broken or given up
+//	server.Started(s, &pace, choice.Wait, took, now) // first event
+//	server.Batch.Ended(s, true, now)                 // whole, broken or given up
 type Batch struct {
 	own      Load
 	others   Load
--- a/routing/batch_test.go
+++ b/routing/batch_test.go
@@ -97,9 +97,9 @@
 		took := 54 * ms // 6 us a token: a small model
 		for server, h := range map[*Health]time.Duration{&usual: took, &slow: took * 4} {
 			expected := time.Duration(float64(work()) * server.Slowness(now))
-			server.Prefilled(work(), expected, h, now)
+			server.prefilled(work(), expected, h, now)
 			if !server.Suspect(now) {
-				pace.Observe(work(), expected, h)
+				pace.observe(work(), expected, h)
 			}
 		}
 	}
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -42,6 +42,17 @@
 	}
 }
 
+// Started records the first event of a request, which came after took, and
+// learns from it the model's pace and the server's speed. expected is the Wait
+// of the choice by which it was sent.
+func (s *EngineServer) Started(sent Sending, pace *Pace, expected, took time.Duration, now time.Time) {
+	s.Batch.Started(sent, now)
+	s.Health.prefilled(sent.Work, expected, took, now)
+	if !s.Health.Suspect(now) {
+		pace.observe(sent.Work, expected, took)
+	}
+}
+
 // Replica is a server that holds the model and adapter of a request, or will
 // hold them after Load.
 type Replica struct {
--- a/routing/pace.go
+++ b/routing/pace.go
@@ -10,7 +10,7 @@
 
 const (
 	startPerToken  = 26 * time.Microsecond   // a 70B model reads some 38 tokens a ms
-	fewestSamples  = 2 * time.Millisecond    // work too short to tell a rate from
+	leastTelling   = 2 * time.Millisecond    // shorter work tells no rate
 	paceStep       = 0.2                     // share of a deviation that the model's pace takes over
 	speedStep      = 0.2                     // share of a deviation that the server's speed takes over
 	mostDeviation  = 4.0                     // one measurement counts at most as so many times too long or short
@@ -35,10 +35,9 @@
 	return time.Duration(float64(startPerToken) * math.Exp(p.factor))
 }
 
-// Observe learns from a request whose first event was expected after expected,
-// of which work was prefill, and came after took. It returns the deviation
-// that is left, to be shown to the server's Health.
-func (p *Pace) Observe(work, expected, took time.Duration) {
+// observe learns from a first event that was expected after expected, of which
+// work was prefill, and came after took.
+func (p *Pace) observe(work, expected, took time.Duration) {
 	if d, ok := deviation(work, expected, took); ok {
 		p.factor += d * paceStep
 	}
@@ -46,7 +45,7 @@
 
 // deviation is the logarithm of how much longer than expected the prefill took.
 func deviation(work, expected, took time.Duration) (float64, bool) {
-	if work < fewestSamples || expected <= 0 || took <= 0 {
+	if work < leastTelling || expected <= 0 || took <= 0 {
 		return 0, false
 	}
 	share := float64(work) / float64(max(expected, work))
@@ -89,9 +88,9 @@
 	h.learn(math.Log(ratio)*speedStep, now)
 }
 
-// Prefilled learns from a first event that was expected after expected, of
+// prefilled learns from a first event that was expected after expected, of
 // which work was prefill, and came after took.
-func (h *Health) Prefilled(work, expected, took time.Duration, now time.Time) {
+func (h *Health) prefilled(work, expected, took time.Duration, now time.Time) {
 	h.succeeded(now)
 	if d, ok := deviation(work, expected, took); ok {
 		h.learn(d*speedStep, now)
--- a/standin/batch/entry.go
+++ b/standin/batch/entry.go
@@ -214,8 +214,7 @@
 	if !a.started {
 		a.started = true
 		e.unwait(a)
-		known.Batch.Started(a.sending, now)
-		e.learn(a, now)
+		known.Started(a.sending, &e.paces[a.model], a.expect.Wait, now.Sub(a.sentAt), now)
 		e.line.Changed(known.Name)
 	}
 	a.made = r.made
@@ -227,14 +226,6 @@
 	e.decide()
 }
 
-func (e *entry) learn(a *attempt, now time.Time) {
-	known, took := e.known[a.server], now.Sub(a.sentAt)
-	known.Health.Prefilled(a.expect.Work, a.expect.Wait, took, now)
-	if !known.Health.Suspect(now) {
-		e.paces[a.model].Observe(a.expect.Work, a.expect.Wait, took)
-	}
-}
-
 // end takes an attempt off its server's count.
 func (e *entry) end(a *attempt, now time.Time) {
 	known := e.known[a.server]
