--- a/cmd/peridotchute-load/main.go
+++ b/cmd/peridotchute-load/main.go
@@ -13,7 +13,9 @@
 
 	"peridotchute.example/cmd/peridotchute-load/control"
 	"peridotchute.example/cmd/peridotchute-load/faults"
+	"peridotchute.example/cmd/peridotchute-load/losses"
 	"peridotchute.example/cmd/peridotchute-load/path"
+	"peridotchute.example/cmd/peridotchute-load/policies"
 	"peridotchute.example/cmd/peridotchute-load/replay"
 	"peridotchute.example/cmd/peridotchute-load/rollout"
 	"peridotchute.example/cmd/peridotchute-load/survival"
@@ -34,7 +36,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(faults.Command(), path.Command(), rollout.Command(), control.Command(), survival.Command(), replay.Command())
+	root.AddCommand(faults.Command(), losses.Command(), path.Command(), rollout.Command(), control.Command(), survival.Command(), replay.Command(), policies.Command())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -25,7 +25,7 @@
 	told   *orders.Change // newest word of the entry that gives the orders
 	toldAt time.Time
 	added  map[artifact]time.Time // resident since then, by an answer to Ensure
-	lacks  map[artifact]time.Time // the server said so then
+	lacks  map[artifact]time.Time // by the server's own word, until then
 
 	running   map[artifact]int
 	inFlight  int
@@ -44,7 +44,8 @@
 	// outweighs them: servers write theirs about every second.
 	wordHolds = 2500 * time.Millisecond
 
-	lackHolds = 1500 * time.Millisecond // a server that lacked a model may have loaded it by then
+	lackHolds  = 700 * time.Millisecond // a server that lacked a model may have loaded it by then
+	orderHolds = 150 * time.Millisecond // a server that was full, or had an order for the model, may take requests again
 
 	downFirst = 700 * time.Millisecond // until a server that was not reached is tried again
 	downMost  = 4 * time.Second
@@ -157,8 +158,8 @@
 
 // holds reports whether the server holds an artifact.
 func (s *server) holds(a artifact, now time.Time) bool {
-	if at, ok := s.lacks[a]; ok {
-		if now.Sub(at) < lackHolds {
+	if until, ok := s.lacks[a]; ok {
+		if now.Before(until) {
 			return false
 		}
 		delete(s.lacks, a)
@@ -192,6 +193,11 @@
 		}
 		s.told, s.toldAt = &c, time.Now()
 		clear(s.added)
+		for a := range s.lacks {
+			if resident(c.Residents, a) {
+				delete(s.lacks, a)
+			}
+		}
 		p.line.Changed("")
 		b.giveTurns(p)
 	}
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -111,6 +111,7 @@
 		Arrived:  r.req.arrived,
 		Deadline: r.req.deadline(),
 		Exclude:  r.exclude,
+		Resumed:  r.stream != nil,
 	})
 	if rejected == nil {
 		return ticket, nil
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -72,7 +72,12 @@
 			f.Stop()
 			c.release(ctx)
 			server.SetKeepAlivesEnabled(false)
-			drain(ctx, f, seconds(s.GraceS)-stopMargin)
+			ctx, cancel := context.WithTimeout(ctx, seconds(s.GraceS)-stopMargin)
+			defer cancel()
+			drain(ctx, f)
+			if err := server.Shutdown(ctx); err == nil {
+				return nil
+			}
 			return server.Close()
 		},
 	})
@@ -92,13 +97,10 @@
 }
 
 // drain waits until no new connections arrive and the requests in progress have
-// ended, at most for limit.
-func drain(ctx context.Context, f *front.Front, limit time.Duration) {
+// ended, or until ctx ends.
+func drain(ctx context.Context, f *front.Front) {
 	begun := time.Now()
-	for time.Since(begun) < limit {
-		if time.Since(begun) >= stopNotice && f.Active() == 0 {
-			return
-		}
+	for time.Since(begun) < stopNotice || f.Active() > 0 {
 		if clock.Sleep(ctx, stopLook) != nil {
 			return
 		}
--- a/routing/batch.go
+++ b/routing/batch.go
@@ -39,14 +39,17 @@
 	Reserved [Priorities]time.Duration // work that waits in the entry and is meant for the server
 }
 
-func (l *Load) add(m *Load) {
-	l.Waiting += m.Waiting
-	l.Running += m.Running
-	l.Urgent += m.Urgent
-	l.Work += m.Work
-	l.Tokens += m.Tokens
+func (l *Load) add(m *Load) { l.change(m, 1) }
+
+// change adds or, with sign -1, takes off another load.
+func (l *Load) change(m *Load, sign int) {
+	l.Waiting += sign * m.Waiting
+	l.Running += sign * m.Running
+	l.Urgent += sign * m.Urgent
+	l.Work += time.Duration(sign) * m.Work
+	l.Tokens += sign * m.Tokens
 	for i := range l.Reserved {
-		l.Reserved[i] += m.Reserved[i]
+		l.Reserved[i] += time.Duration(sign) * m.Reserved[i]
 	}
 }
 
@@ -84,8 +87,8 @@
 type Batch struct {
 	own      Load
 	others   Load
-	anchor   time.Time // when the work was last known to be still to do
 	progress time.Time // last own first event, or when own requests began to wait
+	toldAt   time.Time // when the others' work was told, as a mean over it
 	duty     float64   // share of the last seconds in which there was work
 	dutyAt   time.Time // when it was computed
 	heard    map[string]heard
@@ -100,9 +103,6 @@
 // Sent counts a request that was sent to the server.
 func (b *Batch) Sent(s Sending, now time.Time) {
 	b.account(now)
-	if b.own.Work+b.others.Work == 0 {
-		b.anchor = now
-	}
 	if b.own.Waiting == 0 {
 		b.progress = now
 	}
@@ -118,7 +118,7 @@
 	b.own.Waiting--
 	b.own.Work -= s.Work
 	b.own.Running++
-	b.anchor, b.progress = now, now
+	b.progress = now
 }
 
 // Ended removes a request; started says whether Started was called for it.
@@ -151,7 +151,11 @@
 }
 
 // Own returns this entry's part, to be told to the other entries.
-func (b *Batch) Own() Load { return b.own }
+func (b *Batch) Own(now time.Time) Load {
+	l := b.own
+	l.Work = left(l.Work, b.Load(now).Work, now.Sub(b.progress))
+	return l
+}
 
 // Hear replaces what another entry told, which it did at the time at.
 func (b *Batch) Hear(entry string, l Load, at, now time.Time) {
@@ -159,30 +163,48 @@
 		b.heard = map[string]heard{}
 	}
 	b.account(now)
-	b.heard[entry] = heard{l, at}
-	b.sum(now)
-	b.anchor = now
+	b.Load(now) // without what is too old
+	if old, ok := b.heard[entry]; ok {
+		b.count(&old, -1)
+	}
+	h := heard{l, at}
+	b.heard[entry] = h
+	b.count(&h, 1)
 }
 
-func (b *Batch) sum(now time.Time) {
-	b.others, b.silentAt = Load{}, time.Time{}
+// count adds what an entry told to the totals or, with sign -1, takes it off.
+func (b *Batch) count(h *heard, sign int) {
+	before := b.others.Work
+	b.others.change(&h.load, sign)
+	switch {
+	case before <= 0:
+		b.toldAt = h.at
+	case b.others.Work > 0:
+		// The mean time of telling moves by the weight of this work.
+		weight := float64(b.others.Work-before) / float64(b.others.Work)
+		b.toldAt = b.toldAt.Add(time.Duration(weight * float64(h.at.Sub(b.toldAt))))
+	}
+	if until := h.at.Add(heardFor); sign > 0 && (b.silentAt.IsZero() || until.Before(b.silentAt)) {
+		b.silentAt = until
+	}
+}
+
+// forget leaves out what was told too long ago.
+func (b *Batch) forget(now time.Time) {
+	b.others, b.silentAt, b.toldAt = Load{}, time.Time{}, now
 	for entry, h := range b.heard {
-		until := h.at.Add(heardFor)
-		if !now.Before(until) {
+		if !now.Before(h.at.Add(heardFor)) {
 			delete(b.heard, entry)
 			continue
 		}
-		b.others.add(&h.load)
-		if b.silentAt.IsZero() || until.Before(b.silentAt) {
-			b.silentAt = until
-		}
+		b.count(&h, 1)
 	}
 }
 
 // Load returns what all entries together have under way.
 func (b *Batch) Load(now time.Time) Load {
 	if !b.silentAt.IsZero() && !now.Before(b.silentAt) {
-		b.sum(now)
+		b.forget(now)
 	}
 	sum := b.own
 	sum.add(&b.others)
@@ -199,8 +221,19 @@
 	if work <= 0 {
 		return 0
 	}
-	left := max(work-now.Sub(b.anchor), time.Duration(float64(work)*leastBacklog))
-	return left + b.overdue(work, now)
+	own := left(b.own.Work, work, now.Sub(b.progress))
+	others := left(b.others.Work, work, now.Sub(b.toldAt))
+	return own + others + b.overdue(work, now)
+}
+
+// left returns what is left of a part of a server's work some time after it
+// was known to be still to do, when the server works on all parts alike.
+func left(part, all, since time.Duration) time.Duration {
+	if all <= 0 {
+		return 0
+	}
+	done := min(float64(since)/float64(all), 1-leastBacklog)
+	return time.Duration(float64(part) * (1 - done))
 }
 
 // overdue returns for how long a first event has been missing beyond any doubt.
@@ -221,5 +254,5 @@
 // Restarted forgets what other entries told of the server's earlier
 // incarnation. Own requests end one by one as their connections break.
 func (b *Batch) Restarted() {
-	b.heard, b.others, b.silentAt = nil, Load{}, time.Time{}
+	b.heard, b.others, b.silentAt, b.toldAt = nil, Load{}, time.Time{}, time.Time{}
 }
