--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -92,9 +92,7 @@
 	}
 	t.started = true
 	took := now.Sub(t.begun)
-	t.s.engine.Batch.Started(t.sending, now)
-	t.s.engine.Health.Prefilled(t.sending.Work, t.Expected, took, now)
-	t.p.models.pace(t.artifact.model).Observe(t.sending.Work, t.Expected, took)
+	t.s.engine.Started(t.sending, t.p.models.pace(t.artifact.model), t.Expected, took, now)
 	t.turns()
 }
 
