Loads after a crash begin within 0.4 s, and their end is known sooner

Change: 300 ms out of reach suffice, and a pause of 300 ms does not begin them anew; reports follow each other by 150 ms.

--- a/placement/residence/book.go
+++ b/placement/residence/book.go
@@ -15,7 +15,12 @@
 	Rate    LoadRate
 	Demand  Demands
 
-	down map[string]time.Duration // since when servers cannot be reached
+	down map[string]outage // servers that cannot be reached
+}
+
+// outage is the time during which a server was not reached.
+type outage struct {
+	since, last time.Duration
 }
 
 // NewBook returns a book without servers. window is the span over which the
@@ -54,14 +59,16 @@
 		return
 	}
 	before := b.down
-	b.down = map[string]time.Duration{}
+	b.down = map[string]outage{}
 	for id := range b.Servers {
-		if !down(id) {
-			continue
-		}
-		b.down[id] = now
-		if since, ok := before[id]; ok {
-			b.down[id] = since
+		o, known := before[id]
+		switch {
+		case down(id) && known:
+			b.down[id] = outage{since: o.since, last: now}
+		case down(id):
+			b.down[id] = outage{since: now, last: now}
+		case known && now-o.last < downPause:
+			b.down[id] = o
 		}
 	}
 }
@@ -106,9 +113,15 @@
 	return true
 }
 
-// downTime is how long a server has been out of reach when what it holds is
-// loaded elsewhere: a load costs more than a short wait.
-const downTime = 800 * time.Millisecond
+const (
+	// downTime is how long a server has been out of reach when what it holds is
+	// loaded elsewhere. A crash shows in the registrations three seconds later; a
+	// load in vain costs less than the requests of that time.
+	downTime = 300 * time.Millisecond
+	// downPause is the time for which a server that was out of reach may count as
+	// reachable without having been reached: until the next request tries it.
+	downPause = 300 * time.Millisecond
+)
 
 // usable reports whether requests and new loads may go to the server.
 func (b *Book) usable(s *State) bool {
@@ -118,8 +131,8 @@
 
 // lasts reports whether the server's residents count as replicas.
 func (b *Book) lasts(s *State, now time.Duration) bool {
-	since, down := b.down[s.Server.ID]
-	return !s.Server.Draining && (!down || now-since < downTime)
+	o, down := b.down[s.Server.ID]
+	return !s.Server.Draining && (!down || now-o.since < downTime)
 }
 
 // ids returns the IDs of the servers in order.
--- a/placement/residence/state.go
+++ b/placement/residence/state.go
@@ -10,8 +10,9 @@
 const (
 	// reportLag is the age that a report may have when it is answered.
 	reportLag = 120 * time.Millisecond
-	// reportGap is the time between reports that are awaited for one change.
-	reportGap = 300 * time.Millisecond
+	// reportGap is the time between reports that are awaited for one change: a
+	// report of a known deployment is up to 200 ms old, so that the second tells.
+	reportGap = 150 * time.Millisecond
 	// leavingGap is the time between reports while an adapter that is to be
 	// unloaded waits for its requests to end, which takes a second or two.
 	leavingGap = 700 * time.Millisecond
