--- a/placement/residence/option.go
+++ b/placement/residence/option.go
@@ -129,8 +129,9 @@
 }
 
 // evictable reports whether a model may leave a server. The last replica of a
-// model stays unless nobody has asked for it lately and another that is asked
-// for is held nowhere.
+// model stays unless nobody has asked for it lately, and another that is asked
+// for is held nowhere or carries too much. The latter waits until the models
+// asked for are known.
 func (p *planning) evictable(v string, s *State, reason string) bool {
 	needed := reason == ReasonWaiting || reason == ReasonMissing
 	if s.mayUnload(v) || (!needed && p.unsettled(v, s)) {
@@ -139,7 +140,8 @@
 	if p.count[v] > 1 {
 		return true
 	}
-	return needed && !p.asked(v)
+	known := needed || (reason == ReasonDemand && p.b.Demand.age() >= learnTime)
+	return known && !p.asked(v)
 }
 
 func (p *planning) inZone(model, zone string) int {
--- /dev/null
+++ b/placement/residence/rise_test.go
@@ -0,0 +1,27 @@
+package residence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRisingModelTakesThePlacesOfModelsNobodyAsksFor replays a shift of the
+// models asked for where every place holds some model's last replica.
+func TestRisingModelTakesThePlacesOfModelsNobodyAsksFor(t *testing.T) {
+	m := newSim(fourModels(), 5*time.Second)
+	m.engine.WeightsMB = 100
+	for i := range 4 {
+		m.start(fmt.Sprintf("s%d", i), modelName1(i))
+	}
+	m.rates = map[string]float64{"m0": 22}
+	m.run(learnTime + time.Second)
+	assert.Equal(t, m.replicas("m0"), 1)
+	m.rates["m0"] = 40
+	m.run(10 * time.Second)
+	assert.Assert(t, m.replicas("m0") >= 2, "%d replicas", m.replicas("m0"))
+}
+
+func modelName1(i int) string { return fmt.Sprintf("m%d", i) }
