A holder that stops giving orders tells the next one what it needs to begin at once

The next one takes the lease at once and leaves those servers alone until the gap is over. Others know from what they heard since when a row stands.

--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -67,12 +67,6 @@
 	Change orders.Change `json:"change"`
 }
 
-// leaseNote tells that its sender holds the orders lease, or has released it.
-type leaseNote struct {
-	Term int64 `json:"term"`
-	Held bool  `json:"held"`
-}
-
 func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, log logrus.FieldLogger) *coordination {
 	c := &coordination{name: s.Name, log: log}
 	c.balancer = balance.New(balance.Options{Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Ensure: c.ensure})
@@ -110,8 +104,8 @@
 		c.balancer.Told(n.Server, n.Change)
 		return struct{}{}, nil
 	})
-	mesh.Handle(c.mesh, methodLease, func(_ context.Context, from string, n leaseNote) (struct{}, error) {
-		c.keeper.Heard(from, n.Term, n.Held)
+	mesh.Handle(c.mesh, methodLease, func(_ context.Context, from string, n orders.LeaseNote) (struct{}, error) {
+		c.keeper.Heard(from, n)
 		return struct{}{}, nil
 	})
 	return c
@@ -144,9 +138,7 @@
 
 // tellLease tells the other entries that this one holds the orders lease, so
 // that they need not read it, or has released it.
-func (c *coordination) tellLease(term int64, held bool) {
-	c.mesh.Broadcast(methodLease, leaseNote{Term: term, Held: held})
-}
+func (c *coordination) tellLease(n orders.LeaseNote) { c.mesh.Broadcast(methodLease, n) }
 
 // changed passes on what a server holds after an order.
 func (c *coordination) changed(server string, change orders.Change) {
--- a/entry/direct/orders/leaserow.go
+++ b/entry/direct/orders/leaserow.go
@@ -15,6 +15,9 @@
 	Term     int64  `json:"term"`               // grows with every change of holder
 	Beat     int64  `json:"beat"`               // grows with every renewal
 	Released bool   `json:"released,omitempty"` // the holder gives no more orders
+
+	Handover  *Handover `json:"handover,omitempty"`  // when Released and known
+	Inherited *Handover `json:"inherited,omitempty"` // what the holder had from the one before
 }
 
 func (l *lease) forget() {
@@ -38,13 +41,16 @@
 	}
 	l.mine = l.mine && value.Holder == l.self && value.Term == l.value.Term
 	l.row, l.value, l.firstSeen = row, value, l.clock()
+	if row.Version == l.heardRow {
+		l.firstSeen = l.heardRowAt
+	}
 	return true, nil
 }
 
 // mayWrite returns the row with which this entry goes on with the lease or takes
 // it, and how long it has to wait for that: not at all after an earlier process
-// of this VM, a gap after a release, and else a gap after the validity of a
-// renewal that was at least as old as the row.
+// of this VM or a handover, a gap after a release, and else a gap after the
+// validity of a renewal that was at least as old as the row.
 func (l *lease) mayWrite() (leaseRow, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -53,12 +59,12 @@
 	if l.mine {
 		return next, 0
 	}
-	next.Holder, next.Released = l.self, false
+	next.Holder, next.Released, next.Handover, next.Inherited = l.self, false, nil, l.inherits()
 	next.Term++
 	unchanged := l.clock() - l.firstSeen
 	switch {
-	case l.value.Holder == l.self:
-		return next, 0
+	case l.value.Holder == l.self, l.handedOver() != nil:
+		return next, 0 // inherits says which servers have to be left alone
 	case l.value.Released:
 		return next, l.gap - unchanged
 	default:
@@ -66,6 +72,27 @@
 	}
 }
 
+// handedOver returns what the holder of the row told when it gave the lease up,
+// or nil. l.mu is held.
+func (l *lease) handedOver() *Handover {
+	switch {
+	case l.value.Released:
+		return l.value.Handover
+	case l.heardHolder == l.value.Holder && l.heardTerm == l.value.Term:
+		return l.resigned
+	}
+	return nil
+}
+
+// inherits returns what this entry has to know if it takes the lease now. An
+// entry that takes its own lease again may have lost what it knew. l.mu is held.
+func (l *lease) inherits() *Handover {
+	if l.value.Holder == l.self {
+		return l.value.Inherited.renewed()
+	}
+	return l.handedOver()
+}
+
 // write writes the row if it is still the one last seen.
 func (l *lease) write(ctx context.Context, next leaseRow) error {
 	raw, err := json.Marshal(next)
@@ -89,7 +116,7 @@
 		return err
 	}
 	if !l.mine {
-		l.previous, l.taken = l.value.Holder, sent
+		l.previous, l.taken, l.handover = l.value.Holder, l.clock(), next.Inherited
 	}
 	l.row, l.value, l.firstSeen, l.renewed = row, next, l.clock(), sent
 	l.mine = !next.Released
@@ -111,8 +138,9 @@
 	return l.mine
 }
 
-// release writes that the holder, which was closed before, gives no more orders.
-func (l *lease) release(ctx context.Context) error {
+// release writes that the holder, which was closed before, gives no more
+// orders, and what the next one is to know; nil when that is not known.
+func (l *lease) release(ctx context.Context, h *Handover) error {
 	l.stepping.Lock()
 	defer l.stepping.Unlock()
 	if err := l.reread(ctx); err != nil {
@@ -124,7 +152,7 @@
 	if !mine {
 		return nil
 	}
-	next.Released = true
+	next.Released, next.Handover = true, h
 	return l.write(ctx, next)
 }
 
--- a/entry/direct/orders/plan.go
+++ b/entry/direct/orders/plan.go
@@ -75,9 +75,7 @@
 		b := k.books[name]
 		if b == nil {
 			b = residence.NewBook(k.opts.LoadWindow)
-			if last, ok := k.lease.lastOrders(); ok {
-				b.Rate.Assume(service.Engine.LoadsPerS, last)
-			}
+			k.inherit(b, name, service.Engine)
 			k.books[name] = b
 		}
 		b.Update(service.Engine, serversOf(v, name), now)
@@ -90,6 +88,20 @@
 	k.changedLocked()
 }
 
+// inherit counts the loads that the holder before began, or may have begun.
+func (k *Keeper) inherit(b *residence.Book, service string, engine *fleet.Engine) {
+	at, h, ok := k.lease.lastOrders()
+	switch {
+	case !ok:
+	case h == nil:
+		b.Rate.Assume(engine.LoadsPerS, at)
+	default:
+		for _, begun := range h.loads(service, at) {
+			b.Rate.Begin(begun)
+		}
+	}
+}
+
 func serversOf(v *fleet.View, service string) []fleet.Server {
 	var out []fleet.Server
 	for _, s := range v.Servers {
--- a/placement/residence/loadrate.go
+++ b/placement/residence/loadrate.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// Ages returns how long ago each load of the window began.
+func (l *LoadRate) Ages(now time.Duration) []time.Duration {
+	l.forget(now)
+	ages := make([]time.Duration, len(l.begun))
+	for i, at := range l.begun {
+		ages[i] = now - at
+	}
+	return ages
+}
+
 func (l *LoadRate) forget(now time.Duration) {
 	keep := 0
 	for keep < len(l.begun) && now-l.begun[keep] > l.Window {
