--- a/entry/direct/orders/give.go
+++ b/entry/direct/orders/give.go
@@ -89,6 +89,11 @@
 	if left <= 0 {
 		return 0, fault.Newf(fault.KindUnavailable, "orders.give", c.server.ID, "the lease is not held")
 	}
+	if now := k.opts.Clock(); now < k.lease.barred()[c.server.ID] {
+		return 0, fault.Newf(fault.KindUnavailable, "orders.give", c.server.ID, "it had an order of another entry lately")
+	}
+	k.note(c.server.ID, true)
+	defer k.note(c.server.ID, false)
 	c.order.Holder, c.order.Token = k.opts.Self, term
 	timeout := orderTimeout
 	if c.order.Adapter != "" {
@@ -99,6 +104,17 @@
 	return k.opts.Control.Order(ctx, &c.server, c.order)
 }
 
+// note keeps when an order to a server began or ended.
+func (k *Keeper) note(server string, begins bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if begins {
+		k.given.begin(server, k.opts.Clock())
+		return
+	}
+	k.given.end(server, k.opts.Clock())
+}
+
 // certainlyNot reports whether the failed order cannot have reached its server.
 func certainlyNot(err error) bool {
 	return fault.Is(err, fault.KindUnavailable) || fault.Is(err, fault.KindRefused) || fault.Is(err, fault.KindInvalid)
--- a/entry/direct/orders/keeper.go
+++ b/entry/direct/orders/keeper.go
@@ -40,7 +40,7 @@
 	Clock      func() time.Duration          // runs while the machine is suspended; nil means Boottime
 	Down       func(server string) bool      // whether a server cannot be reached; may be nil
 	OnChange   func(server string, c Change) // called without locks held; may be nil
-	OnLease    func(term int64, held bool)   // after each renewal, and when the lease has been released; may be nil
+	OnLease    func(LeaseNote)               // tells the other entries; may be nil
 	Log        logrus.FieldLogger
 }
 
@@ -68,6 +68,7 @@
 	changed chan struct{}              // closed at the next change of a book
 	flights map[flightKey]*flight
 	stopped bool
+	given   given
 	calls   int        // orders and reports in progress
 	settled *sync.Cond // signalled when calls becomes 0
 	counts  Counts
@@ -94,6 +95,7 @@
 		asking:   map[string]bool{},
 		changed:  make(chan struct{}),
 		flights:  map[flightKey]*flight{},
+		given:    newGiven(),
 	}
 	k.settled = sync.NewCond(&k.mu)
 	return k
@@ -148,13 +150,11 @@
 		return nil
 	}
 	event.Log(k.opts.Log, event.OrdersLeaseEnded, event.Reason("released"))
-	if err := k.lease.release(ctx); err != nil {
-		return err
-	}
+	h := k.handover()
 	if k.opts.OnLease != nil {
-		k.opts.OnLease(k.Term(), false)
+		defer k.opts.OnLease(LeaseNote{Term: k.Term(), Handover: h})
 	}
-	return nil
+	return k.lease.release(ctx, h)
 }
 
 // Holder returns the name of the VM that gives the orders, empty when it is not
@@ -170,15 +170,16 @@
 	return term
 }
 
-// Heard tells that the named entry said that it holds the lease under a term,
-// or has released it. While it says that it holds it, the lease is not read.
-func (k *Keeper) Heard(holder string, term int64, held bool) {
-	k.lease.hear(holder, term, held)
-	if !held {
-		select {
-		case k.released <- struct{}{}:
-		default:
-		}
+// Heard takes in what the named entry said of the lease. While it says that it
+// holds it, the lease is not read.
+func (k *Keeper) Heard(holder string, n LeaseNote) {
+	k.lease.hear(holder, n)
+	if n.Held {
+		return
+	}
+	select {
+	case k.released <- struct{}{}:
+	default:
 	}
 }
 
@@ -227,6 +228,7 @@
 	wait, err := k.lease.step(call)
 	if err != nil && ctx.Err() == nil {
 		event.Log(k.opts.Log, event.OrdersLeaseError, event.Err(err))
+		k.resign()
 	}
 	if err == nil {
 		k.announceLease()
@@ -237,7 +239,7 @@
 // announceLease tells the other entries that this one holds the lease.
 func (k *Keeper) announceLease() {
 	if term, left := k.lease.held(); left > 0 && k.opts.OnLease != nil {
-		k.opts.OnLease(term, true)
+		k.opts.OnLease(LeaseNote{Term: term, Held: true, Version: k.lease.version()})
 	}
 }
 
--- a/entry/direct/orders/lease.go
+++ b/entry/direct/orders/lease.go
@@ -19,6 +19,12 @@
 	// renewed, and hurryTime while it is not.
 	watchTime = 2 * time.Second
 	hurryTime = time.Second
+	// resignAfter is the age of the newest renewal at which a holder that fails to
+	// renew gives up, so that another can go on before the validity is over.
+	resignAfter = 1100 * time.Millisecond
+	// renewTimeout bounds one renewal; the store answers in some 10 ms, and in
+	// 300 ms when it is slow.
+	renewTimeout = 600 * time.Millisecond
 	// retryTime is the time after which a failed renewal is tried again.
 	retryTime = 300 * time.Millisecond
 	// heardTime is how long word of the holder replaces reading its lease.
@@ -43,11 +49,16 @@
 	unread    bool          // a write may have changed the row
 	previous  string        // holder before this one took the lease
 	taken     time.Duration // when the write that took the lease was sent
+	handover  *Handover     // of the holder before; nil when it told none
 	closed    bool
 
 	heard       time.Duration // when a holder last said that it holds the lease
 	heardHolder string
 	heardTerm   int64
+	heardRow    string        // version of the row that the holder wrote then
+	heardRowAt  time.Duration // when it was first heard of
+	resigned    *Handover     // of the holder and term last heard, which gave the lease up
+	resignedAt  time.Duration
 }
 
 // held returns the term and for how long this entry may still give orders;
@@ -84,28 +95,73 @@
 }
 
 // lastOrders returns the latest time at which an earlier holder may have given
-// an order. It reports false when there was none.
-func (l *lease) lastOrders() (time.Duration, bool) {
+// an order, and what it told. It reports false when there was none.
+func (l *lease) lastOrders() (at time.Duration, h *Handover, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.previous == l.self {
-		return l.taken, true
+	switch {
+	case l.previous == l.self:
+		return l.taken, nil, true
+	case l.handover != nil:
+		return l.taken, l.handover, true
 	}
-	return l.taken - l.gap, l.previous != ""
+	return l.taken - l.gap, nil, l.previous != ""
+}
+
+// knowsOrders reports whether this process knows all orders of the last gap: not
+// when an earlier process of this VM may have given some.
+func (l *lease) knowsOrders() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.previous != l.self || l.clock()-l.taken >= l.gap
 }
 
-// hear notes that an entry said that it holds the lease under a term, or has
-// released it.
-func (l *lease) hear(holder string, term int64, held bool) {
+// barred returns until when this holder gives each server no order.
+func (l *lease) barred() map[string]time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if term < max(l.value.Term, l.heardTerm) || l.mine {
+	if l.handover == nil {
+		return nil
+	}
+	return l.handover.barred(l.taken, l.gap)
+}
+
+// hear takes in what an entry said of the lease.
+func (l *lease) hear(holder string, n LeaseNote) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n.Term < max(l.value.Term, l.heardTerm) || l.mine {
 		return
 	}
-	l.heard, l.heardHolder, l.heardTerm = 0, holder, term
-	if held {
-		l.heard = l.clock()
+	now := l.clock()
+	l.heard, l.heardHolder, l.heardTerm = 0, holder, n.Term
+	l.resigned, l.resignedAt = n.Handover, now
+	if !n.Held {
+		return
 	}
+	l.heard, l.resigned = now, nil
+	if n.Version != l.heardRow {
+		l.heardRow, l.heardRowAt = n.Version, now
+	}
+}
+
+// resign gives the lease up when its renewals fail, and returns its term. It
+// reports false when it is not held, or was renewed lately.
+func (l *lease) resign() (term int64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.mine || l.closed || l.clock()-l.renewed < resignAfter {
+		return 0, false
+	}
+	l.mine, l.unread = false, true
+	return l.value.Term, true
+}
+
+// version returns the version of the row as last read or written.
+func (l *lease) version() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.row.Version
 }
 
 // step renews, reads or takes the lease, and returns the time until the next
@@ -128,6 +184,8 @@
 
 // renew writes a further beat.
 func (l *lease) renew(ctx context.Context) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
 	l.mu.Lock()
 	next := l.value
 	l.mu.Unlock()
--- a/entry/direct/orders/lease_test.go
+++ b/entry/direct/orders/lease_test.go
@@ -44,7 +44,7 @@
 			assert.Assert(t, holds(a))
 			if tc.release {
 				assert.Assert(t, a.close())
-				assert.NilError(t, a.release(context.Background()))
+				assert.NilError(t, a.release(context.Background(), nil))
 				assert.Assert(t, !holds(a))
 			}
 			step(t, b)
