The lease is released beside the drain, within the grace

Cause: the release waited for a silent store before the drain began, so that a stop took 3.8 s of a grace of 3 s (TestStopWithoutAStoreKeepsToItsGrace, red first), and answers meanwhile did not end their connections.

--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -68,17 +68,23 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return listen(server, s.CallerAddress, log) },
 		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, seconds(s.GraceS)-stopMargin)
+			defer cancel()
 			ready.stopping.Store(true)
 			f.Stop()
-			c.release(ctx)
 			server.SetKeepAlivesEnabled(false)
-			ctx, cancel := context.WithTimeout(ctx, seconds(s.GraceS)-stopMargin)
-			defer cancel()
+			released := make(chan struct{})
+			go func() {
+				defer close(released)
+				c.release(ctx)
+			}()
 			drain(ctx, f)
-			if err := server.Shutdown(ctx); err == nil {
-				return nil
+			err := server.Shutdown(ctx)
+			if err != nil {
+				err = server.Close()
 			}
-			return server.Close()
+			<-released
+			return err
 		},
 	})
 }
