The burst of the weight store and the processors of the VM come from the settings

Cause: 1.1 stood as a constant, so a deployment with a smaller factor could see more loads than it allows; GOMAXPROCS was left to the runtime.

--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -77,6 +77,7 @@
 		Self:       s.Name,
 		LeaseGap:   milliseconds(s.LeaseMS),
 		LoadWindow: seconds(s.LoadWindowS),
+		LoadBurst:  s.LoadBurst,
 		Down:       c.balancer.Down,
 		OnChange:   c.changed,
 		OnLease:    c.tellLease,
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"runtime"
 	"runtime/debug"
 
 	"go.uber.org/fx"
@@ -28,6 +30,7 @@
 // Module wires an entry from its settings.
 func Module(s Settings) fx.Option {
 	debug.SetMemoryLimit(int64(s.MemoryMB * memoryShare * (1 << 20)))
+	runtime.GOMAXPROCS(max(int(math.Ceil(s.Cores)), 1))
 	return fx.Module("direct",
 		fx.Supply(s),
 		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newFront, newReadiness),
--- a/entry/direct/orders/keeper.go
+++ b/entry/direct/orders/keeper.go
@@ -37,6 +37,7 @@
 	Self       string                        // name of this entry's VM, which no other VM ever has
 	LeaseGap   time.Duration                 // between the orders of two holders; 0 means the default
 	LoadWindow time.Duration                 // over which the weight store counts loads; 0 means the default
+	LoadBurst  float64                       // how far a window may exceed the rate of loads; 0 means not at all
 	Clock      func() time.Duration          // runs while the machine is suspended; nil means Boottime
 	Down       func(server string) bool      // whether a server cannot be reached; may be nil
 	OnChange   func(server string, c Change) // called without locks held; may be nil
--- a/entry/direct/orders/plan.go
+++ b/entry/direct/orders/plan.go
@@ -74,7 +74,7 @@
 		}
 		b := k.books[name]
 		if b == nil {
-			b = residence.NewBook(k.opts.LoadWindow)
+			b = residence.NewBook(k.opts.LoadWindow, k.opts.LoadBurst)
 			k.inherit(b, name, service.Engine)
 			k.books[name] = b
 		}
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -23,6 +23,7 @@
 	Seeds          []string          `json:"seeds" validate:"omitempty,dive,ip_port"` // rpc addresses of other entries; may be stale
 	Store          platform.Settings `json:"store" validate:"required"`
 	MemoryMB       float64           `json:"memory_mb" validate:"gt=0"` // at which the process is killed
+	Cores          float64           `json:"cores" validate:"gt=0"`     // of the VM
 	DrainMS        float64           `json:"drain_ms" validate:"gt=0"`  // within which a draining server gets its last request
 	GraceS         float64           `json:"grace_s" validate:"gt=0"`   // from SIGTERM to SIGKILL
 	LeaseMS        float64           `json:"lease_ms" validate:"gt=0"`  // least time between orders of two holders to one server
--- a/placement/residence/book.go
+++ b/placement/residence/book.go
@@ -24,11 +24,11 @@
 }
 
 // NewBook returns a book without servers. window is the span over which the
-// weight store counts loads.
-func NewBook(window time.Duration) *Book {
+// weight store counts loads, burst how far one may exceed its rate.
+func NewBook(window time.Duration, burst float64) *Book {
 	return &Book{
 		Servers: map[string]*State{},
-		Rate:    LoadRate{Window: window},
+		Rate:    LoadRate{Window: window, Burst: burst},
 		Demand:  newDemands(),
 	}
 }
--- a/placement/residence/loadrate.go
+++ b/placement/residence/loadrate.go
@@ -8,15 +8,13 @@
 // LoadRate keeps the loads from the weight store below a rate in every window.
 type LoadRate struct {
 	Window time.Duration
+	Burst  float64         // how far a window may exceed the rate; 0 means exactly the rate
 	begun  []time.Duration // loads that began within the window, in order
 }
 
-// burstFactor is how far the weight store lets a window exceed its rate.
-const burstFactor = 1.1
-
 // Limit returns the loads that may begin in one window.
 func (l *LoadRate) Limit(perS float64) int {
-	return max(int(math.Floor(perS*l.Window.Seconds()*burstFactor)), 1)
+	return max(int(math.Floor(perS*l.Window.Seconds()*max(l.Burst, 1))), 1)
 }
 
 // Free returns how many loads may begin now.
--- a/placement/residence/property_test.go
+++ b/placement/residence/property_test.go
@@ -97,7 +97,7 @@
 		}
 	case 5:
 		m.pass(time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap")) * time.Millisecond)
-		m.book = NewBook(5 * time.Second)
+		m.book = NewBook(5*time.Second, 1.1)
 		m.book.Rate.Assume(m.engine.LoadsPerS, m.now)
 	}
 }
--- a/placement/residence/sim_test.go
+++ b/placement/residence/sim_test.go
@@ -47,7 +47,7 @@
 }
 
 func newSim(e *fleet.Engine, window time.Duration) *sim {
-	return &sim{engine: e, book: NewBook(window), now: time.Hour, servers: map[string]*simServer{}, since: map[string]time.Duration{}, random: rand.New(rand.NewPCG(1, 2))}
+	return &sim{engine: e, book: NewBook(window, 1.1), now: time.Hour, servers: map[string]*simServer{}, since: map[string]time.Duration{}, random: rand.New(rand.NewPCG(1, 2))}
 }
 
 func (m *sim) start(id string, models ...string) *simServer {
