A stop ends no connection that a request may be crossing; orders are given until its end

Change: connections end with their next answer, and those still idle when no request is begun any more; the lease is released after the drain.

--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -130,8 +130,16 @@
 	return mine
 }
 
-// release gives the orders lease back, so that another entry takes it sooner.
-func (c *coordination) release(ctx context.Context) {
+// releaseTimeout bounds the release of the lease at the end of a stop. The other
+// entries are told of it as well.
+const releaseTimeout = 400 * time.Millisecond
+
+// release gives the orders lease back at the end of a stop: until then this
+// entry gives orders, since while entries are stopped in turn the others may be
+// stopping, too.
+func (c *coordination) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
 	if err := c.keeper.Close(ctx); err != nil {
 		event.Log(c.log, event.OrdersLeaseError, event.Err(err))
 	}
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -26,9 +26,10 @@
 	// within a few round trips of their start.
 	unknownRetry = 300 * time.Millisecond
 
-	// lastStart is how long after Stop requests are still begun: new connections
-	// arrive for two seconds and a little more.
-	lastStart = 2800 * time.Millisecond
+	// LastStart is how long after Stop requests are still begun. New connections
+	// arrive for two seconds and a little more: the platform looks whether an entry
+	// is ready once a second, and believes the second answer.
+	LastStart = 2800 * time.Millisecond
 	stopRetry = 50 * time.Millisecond // told afterwards: another entry takes the request
 
 	// defaultDeadline applies to requests without one on routes without timeout.
@@ -68,12 +69,20 @@
 // Stop makes every answer from now on the last one of its connection.
 func (f *Front) Stop() {
 	f.stopping.Store(int64(time.Since(start)))
-	time.AfterFunc(lastStart, f.endWaits)
+	time.AfterFunc(LastStart, f.endWaits)
 }
 
 // start is the origin of stopping.
 var start = time.Now()
 
+// markLast makes an answer the last one of its connection once Stop was called.
+// It is called before the header is written.
+func (f *Front) markLast(w http.ResponseWriter) {
+	if f.lateness() > 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // lateness returns how long ago Stop was called, or 0 before.
 func (f *Front) lateness() time.Duration {
 	at := f.stopping.Load()
@@ -100,7 +109,7 @@
 		// connection may be hidden in its body, so nothing more is read.
 		w.Header().Set("Connection", "close")
 	}
-	if late > lastStart {
+	if late > LastStart {
 		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, after: stopRetry, reason: decisionlog.RefusedStopping})
 		return
 	}
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -261,6 +261,7 @@
 	if a.Status < http.StatusInternalServerError {
 		t.Succeeded()
 	}
+	r.f.markLast(r.w)
 	if err := relay.Pass(r.w, r.r.Method, a, held); err != nil {
 		r.record.fail(r.brokenOff(err), a.Status, err.Error())
 		panic(http.ErrAbortHandler)
@@ -273,6 +274,7 @@
 func (r *run) passStream(ctx context.Context, t *balance.Ticket, a *exchange.Answer, watch *stallWatch) bool {
 	if r.stream == nil {
 		relay.Header(r.w, a)
+		r.f.markLast(r.w)
 		r.w.WriteHeader(a.Status)
 		r.stream = relay.NewStream(r.w)
 	}
@@ -319,6 +321,7 @@
 		why = refusal{status: http.StatusGatewayTimeout, reason: lateReason}
 	}
 	r.noteAnswer(why)
+	r.f.markLast(r.w)
 	r.f.opts.Codec.Refuse(r.w.Header(), r.req.ID, why.after)
 	r.w.Header().Set("Content-Length", "0")
 	r.w.WriteHeader(why.status)
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -20,9 +20,10 @@
 )
 
 const (
-	// stopNotice is how long new connections may go on arriving at an entry that
-	// is not ready: the balancer needs two looks, one a second.
-	stopNotice = 2600 * time.Millisecond
+	// stopNotice is how long a stop lasts at least. It is longer than requests are
+	// still begun, so that none that crosses the close of its idle connection has
+	// been passed on to a server.
+	stopNotice = front.LastStart + 100*time.Millisecond
 
 	// stopMargin is left between the cut of the last answers and the kill.
 	stopMargin = 700 * time.Millisecond
@@ -72,19 +73,12 @@
 			defer cancel()
 			ready.stopping.Store(true)
 			f.Stop()
-			server.SetKeepAlivesEnabled(false)
-			released := make(chan struct{})
-			go func() {
-				defer close(released)
-				c.release(ctx)
-			}()
 			drain(ctx, f)
-			err := server.Shutdown(ctx)
-			if err != nil {
-				err = server.Close()
+			c.release()
+			if err := server.Shutdown(ctx); err != nil {
+				return server.Close()
 			}
-			<-released
-			return err
+			return nil
 		},
 	})
 }
