--- a/placement/residence/option.go
+++ b/placement/residence/option.go
@@ -35,7 +35,7 @@
 	}
 	m := p.b.Engine.Models[model]
 	need := m.WeightsMB - s.free(p.b.Engine, Key{Model: model})
-	if !p.makeRoom(&o, need, reason) {
+	if !p.makeRoom(&o, need, reason, p.mayEvictLast(model, reason)) {
 		return o, false
 	}
 	if (len(o.victims) > 0 && p.learning(reason)) || !p.repays(model, &o, reason) {
@@ -91,11 +91,11 @@
 }
 
 // makeRoom adds the victims that lose least until the memory needed is free.
-func (p *planning) makeRoom(o *option, need float64, reason string) bool {
+func (p *planning) makeRoom(o *option, need float64, reason string, last bool) bool {
 	for need > 0 {
 		best, bestCost := "", 0.0
 		for _, v := range sortedKeys(o.server.Models) {
-			if slices.Contains(o.victims, v) || !p.evictable(v, o.server, reason) {
+			if slices.Contains(o.victims, v) || !p.evictable(v, o.server, reason, last) {
 				continue
 			}
 			if cost := p.victimCost(v, o.server); best == "" || cost < bestCost {
@@ -129,10 +129,8 @@
 }
 
 // evictable reports whether a model may leave a server. The last replica of a
-// model stays unless nobody has asked for it lately, and another that is asked
-// for is held nowhere or carries too much. The latter waits until the models
-// asked for are known.
-func (p *planning) evictable(v string, s *State, reason string) bool {
+// model stays unless last allows it to leave and nobody has asked for it lately.
+func (p *planning) evictable(v string, s *State, reason string, last bool) bool {
 	needed := reason == ReasonWaiting || reason == ReasonMissing
 	if s.mayUnload(v) || (!needed && p.unsettled(v, s)) {
 		return false
@@ -140,8 +138,22 @@
 	if p.count[v] > 1 {
 		return true
 	}
-	known := needed || (reason == ReasonDemand && p.b.Demand.age() >= learnTime)
-	return known && !p.asked(v)
+	return last && !p.asked(v)
+}
+
+// mayEvictLast reports whether the last replica of another model may leave for
+// one of the model: when that is held nowhere, or its replicas are crowded. The
+// latter waits until the models asked for are known.
+func (p *planning) mayEvictLast(model, reason string) bool {
+	switch reason {
+	case ReasonWaiting, ReasonMissing:
+		return true
+	case ReasonDemand:
+		crowded := p.b.Demand.work(model) > crowdedWork*float64(p.count[model])
+		return crowded && p.b.Demand.age() >= learnTime
+	default:
+		return false
+	}
 }
 
 func (p *planning) inZone(model, zone string) int {
--- a/placement/residence/replicas.go
+++ b/placement/residence/replicas.go
@@ -28,6 +28,10 @@
 	// minWork is the work of a server, in tokens a second, below which more
 	// replicas would not be felt.
 	minWork = 5000.0
+	// crowdedWork is the work of a replica, in tokens a second, from which on its
+	// requests wait for each other: a server reads 38,000, and keeps half or more
+	// of the prompts.
+	crowdedWork = 40_000.0
 	// urgentLoads are the loads of a window that are kept for models that no
 	// server holds.
 	urgentLoads = 2
