--- a/entry/direct/orders/fake_test.go
+++ b/entry/direct/orders/fake_test.go
@@ -100,6 +100,7 @@
 
 // fakeServer is a model server.
 type fakeServer struct {
+	OrderSeq int64 // orders accepted
 	fleet.Server
 	models  map[string]map[string]bool
 	loading string        // model
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,9 +84,6 @@
 	IdleTimeout   time.Duration
 }
 
-// OrdersUnknown stands for a number of accepted orders that is not told.
-const OrdersUnknown = -1
-
 // Server is a backend server as its registration describes it.
 type Server struct {
 	ID           string // of this incarnation, except that a server may restart under its ID
@@ -98,7 +95,6 @@
 	Draining     bool
 	Remaining    time.Duration // until it is gone; 0 when not told
 	Cold         time.Duration // how much longer it is slow after its start
-	OrderSeq     int64         // orders accepted since its start, or OrdersUnknown
 	Residents    []Resident
 	Fetching     []string // adapters on their way, as MODEL/NAME@VERSION
 	InMemory     []string // models with a copy of their weights in its memory
--- a/placement/residence/sim_test.go
+++ b/placement/residence/sim_test.go
@@ -65,7 +65,7 @@
 
 func (m *sim) snapshot(s *simServer) {
 	s.version++
-	sv := fleet.Server{ID: s.id, Born: s.born, OrderSeq: fleet.OrdersUnknown, Registration: s.version, InMemory: s.inMemory, OnDisk: s.onDisk}
+	sv := fleet.Server{ID: s.id, Born: s.born, Registration: s.version, InMemory: s.inMemory, OnDisk: s.onDisk}
 	sv.Residents, sv.Fetching = m.residents(s)
 	s.before = append(s.before, sv)
 }
