Tests of the balancer that replay the storms of questions

Tested: with the pause, the way back to the only holder, or the word of a server that lacks a model taken out, the test of each fails.

--- /dev/null
+++ b/entry/direct/balance/balance_test.go
@@ -0,0 +1,147 @@
+package balance
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/fleet"
+)
+
+// model returns a balancer of one model service whose servers hold what is
+// given, by ID. Calls to have something made resident are counted and answered
+// with the given server.
+func model(t *testing.T, holds map[string][]fleet.Resident, answer string) (*Balancer, *atomic.Int64) {
+	t.Helper()
+	calls := &atomic.Int64{}
+	b := New(Options{
+		Zone:    "a",
+		Regions: map[string]string{"a": "r"},
+		Budget:  Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Parts: 1},
+		Ensure: func(context.Context, string, string, string, []string) (string, error) {
+			calls.Add(1)
+			return answer, nil
+		},
+	})
+	engine := &fleet.Engine{Slots: 64, KVTokens: 240_000, WeightsMB: 200_000, AdapterSlots: 8, Models: map[string]fleet.Model{
+		"m": {Name: "m", WeightsMB: 60_000, Adapters: 9, Load: time.Second},
+	}}
+	v := &fleet.View{Config: &fleet.Config{Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: engine}}}}
+	for id, residents := range holds {
+		v.Servers = append(v.Servers, fleet.Server{ID: id, Service: "llm", Address: "10.0.0.1:80", Zone: "a", Slots: 64, Residents: residents})
+	}
+	b.Update(v)
+	return b, calls
+}
+
+func query(adapter string, exclude ...string) Query {
+	now := time.Now()
+	return Query{
+		Service:  "llm",
+		Request:  &fleet.Request{ID: "1", Model: "m", Adapter: adapter, TokensIn: 1000, TokensOut: 20},
+		Route:    &fleet.Route{Name: "r", Objective: time.Minute, Stream: true, MaxAttempts: 2},
+		Arrived:  now,
+		Deadline: now.Add(time.Hour),
+		Exclude:  exclude,
+	}
+}
+
+// admitWhile admits a request until done reports true, and returns its ticket,
+// nil when it still waited.
+func admitWhile(b *Balancer, q Query, done func() bool) *Ticket {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	got := make(chan *Ticket, 1)
+	go func() {
+		t, _ := b.Admit(ctx, q)
+		got <- t
+	}()
+	for !done() {
+		select {
+		case t := <-got:
+			return t
+		default:
+			b.turns()
+		}
+	}
+	cancel()
+	return <-got
+}
+
+// A word that does not help must not be asked for again at once: the asking
+// entry would do nothing else.
+func TestWhatNoUsableServerHoldsIsAskedForWithPauses(t *testing.T) {
+	b, calls := model(t, map[string][]fleet.Resident{"s1": nil}, "gone")
+	looks := 0
+	ticket := admitWhile(b, query(""), func() bool {
+		looks++
+		return looks > 20_000 && calls.Load() > 0
+	})
+	assert.Assert(t, ticket == nil)
+	b.mu.Lock()
+	m := b.pools["llm"].missing[artifact{model: "m"}]
+	b.mu.Unlock()
+	assert.Assert(t, m != nil)
+	assert.Equal(t, int64(m.calls), calls.Load())
+	assert.Assert(t, m.askAt.After(time.Now().Add(-askSeldom)))
+	assert.Assert(t, calls.Load() < 20, "%d calls in %d looks", calls.Load(), looks)
+}
+
+func TestOnlyHolderServesARequestThatItFailed(t *testing.T) {
+	b, calls := model(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}, "s2": nil}, "s1")
+	ticket := admitWhile(b, query("", "s1"), func() bool { return false })
+	assert.Equal(t, ticket.Server.ID, "s1")
+	assert.Equal(t, calls.Load(), int64(0))
+	ticket.End()
+}
+
+func TestAnotherHolderServesARequestThatOneFailed(t *testing.T) {
+	b, _ := model(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}, "s2": {{Model: "m"}}}, "")
+	for range 20 {
+		ticket := admitWhile(b, query("", "s1"), func() bool { return false })
+		assert.Equal(t, ticket.Server.ID, "s2")
+		ticket.End()
+	}
+}
+
+func TestMissingAdapterIsLoadedAndServed(t *testing.T) {
+	b, calls := model(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}}, "s1")
+	ticket := admitWhile(b, query("a1"), func() bool { return false })
+	assert.Equal(t, ticket.Server.ID, "s1")
+	assert.Equal(t, calls.Load(), int64(1))
+	ticket.End()
+}
+
+func TestServerThatLacksTheModelIsNotAskedAgainAtOnce(t *testing.T) {
+	b, _ := model(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}, "s2": {{Model: "m"}}}, "")
+	first := admitWhile(b, query(""), func() bool { return false })
+	first.Declined(true)
+	first.End()
+	for range 20 {
+		ticket := admitWhile(b, query(""), func() bool { return false })
+		assert.Assert(t, ticket.Server.ID != first.Server.ID)
+		ticket.End()
+	}
+}
+
+func TestDrainingServerGetsNothing(t *testing.T) {
+	b, _ := model(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}, "s2": {{Model: "m"}}}, "")
+	b.mu.Lock()
+	p := b.pools["llm"]
+	b.mu.Unlock()
+	v := &fleet.View{Config: &fleet.Config{Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: p.engine}}}}
+	for _, s := range p.order {
+		registered := s.Server
+		registered.Draining = registered.ID == "s1"
+		v.Servers = append(v.Servers, registered)
+	}
+	b.Update(v)
+	for range 20 {
+		ticket := admitWhile(b, query(""), func() bool { return false })
+		assert.Equal(t, ticket.Server.ID, "s2")
+		ticket.End()
+	}
+}
