--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -66,7 +66,7 @@
 	}
 	now := time.Now()
 	w := b.newWaiting(p, q, now)
-	p.note(w, q, now)
+	p.note(w, q)
 	out := p.line.Arrive(w, p.waiter(w, q), now, b.offers(p, now))
 	if out.Action == admission.Reject {
 		r := p.rejection(w, out.Verdict, now)
@@ -203,7 +203,7 @@
 }
 
 // note counts the demand for a model.
-func (p *pool) note(w *waiting, q Query, _ time.Time) {
+func (p *pool) note(w *waiting, q Query) {
 	if p.engine == nil || w.artifact.model == "" {
 		return
 	}
