An entry whose control address is taken does not run on without it

Event 103 was logged and the entry ran on without the mesh, so the two entries were never connected.

Ruled out: load (the wait was 15 s, the listener's error stands in the log).

Change: the control address is bound at the start, as the others are, and the start fails when it is taken. The platform starts the process again; the tests' harness tries other ports, as it did for the three other addresses.

TestOccupiedAddressEndsTheStart failed for "control" before ("expected an error, got nil") and passes for all four addresses now.

--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -112,8 +112,10 @@
 	return c
 }
 
-// start runs the duties between start and stop.
+// start runs the duties between start and stop. An address that is taken ends
+// the start: an entry that others cannot reach would run on with its own view.
 func (c *coordination) start(lc fx.Lifecycle) {
+	lc.Append(fx.StartHook(c.mesh.Listen))
 	daemon.Go(lc, func(ctx context.Context) {
 		if err := c.mesh.Run(ctx); err != nil {
 			event.Log(c.log, event.ListenerFailed, event.Subject("rpc"), event.Err(err))
