A new holder of the orders lease knows what is in progress; unloads that last are not waited for

Ruled out: the weight store's rate (loads were left in its window).

Change: a handover names the model orders in progress and the plan leaves barred servers out; an intent ends when its server carries out something else; a replica leaves only if another one serves; a model that requests wait for is loaded elsewhere too when the unload for it takes longer than 3 s; an unload costs the time that the running answers take, and a second of load three times what it did.

Five tests (placement/residence/handed_test.go) fail without it, each at its assertion.

--- a/entry/direct/orders/handover.go
+++ b/entry/direct/orders/handover.go
@@ -3,6 +3,9 @@
 import (
 	"maps"
 	"time"
+
+	"peridotchute.example/fleet"
+	"peridotchute.example/placement/residence"
 )
 
 // LeaseNote is what an entry tells the others of the lease.
@@ -18,6 +21,41 @@
 type Handover struct {
 	Orders map[string]int64   `json:"orders,omitempty"` // by server: ms since the newest order, within the gap
 	Loads  map[string][]int64 `json:"loads,omitempty"`  // by service: ms since each load from the weight store
+
+	Work map[string]HandedWork `json:"work,omitempty"` // by server: the model order in progress
+}
+
+// HandedWork is a model order that a server carries out.
+type HandedWork struct {
+	Unload bool             `json:"unload,omitempty"`
+	Model  string           `json:"model"`
+	Source residence.Source `json:"source,omitempty"`
+	LeftMS int64            `json:"left_ms"` // until its expected end, which may have passed
+	Seq    int64            `json:"seq"`     // orders that the server has accepted
+}
+
+func handedWork(w residence.Work, seq int64, now time.Duration) HandedWork {
+	return HandedWork{
+		Unload: w.Kind == fleet.OrderUnload,
+		Model:  w.Model,
+		Source: w.Source,
+		LeftMS: (w.Due - now).Milliseconds(),
+		Seq:    seq,
+	}
+}
+
+// work returns the order with times after the given one.
+func (h HandedWork) work(at time.Duration) *residence.Work {
+	kind := fleet.OrderLoad
+	if h.Unload {
+		kind = fleet.OrderUnload
+	}
+	return &residence.Work{
+		Kind:   kind,
+		Model:  h.Model,
+		Source: h.Source,
+		Due:    at + time.Duration(h.LeftMS)*time.Millisecond,
+	}
 }
 
 // barred returns until when the next holder gives each server no order. The
@@ -111,12 +149,17 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.opts.Clock()
-	h := &Handover{Orders: k.given.within(k.opts.LeaseGap, now), Loads: map[string][]int64{}}
+	h := &Handover{Orders: k.given.within(k.opts.LeaseGap, now), Loads: map[string][]int64{}, Work: map[string]HandedWork{}}
 	pass(h.Orders, k.lease.barred(), k.opts.LeaseGap, now)
 	for service, b := range k.books {
 		for _, age := range b.Rate.Ages(now) {
 			h.Loads[service] = append(h.Loads[service], age.Milliseconds())
 		}
+		for id, s := range b.Servers {
+			if w, seq, ok := s.InProgress(); ok {
+				h.Work[id] = handedWork(w, seq, now)
+			}
+		}
 	}
 	return h
 }
--- a/entry/direct/orders/plan.go
+++ b/entry/direct/orders/plan.go
@@ -88,9 +88,19 @@
 	k.changedLocked()
 }
 
-// inherit counts the loads that the holder before began, or may have begun.
+// inherit takes in what the holder before told: the servers that it ordered
+// something lately, what they carry out, and the loads that it began. Of a
+// holder that told nothing all loads are taken as begun.
 func (k *Keeper) inherit(b *residence.Book, service string, engine *fleet.Engine) {
 	at, h, ok := k.lease.lastOrders()
+	for server, until := range k.lease.barred() {
+		b.Inherit(server, residence.Handed{Barred: until})
+	}
+	if h != nil {
+		for server, w := range h.Work {
+			b.Inherit(server, residence.Handed{Barred: k.lease.barred()[server], Work: w.work(at), Seq: w.Seq})
+		}
+	}
 	switch {
 	case !ok:
 	case h == nil:
--- a/placement/residence/adapter.go
+++ b/placement/residence/adapter.go
@@ -148,7 +148,7 @@
 
 func (b *Book) adapterOption(k Key, s *State, now time.Duration) (adapterOption, bool) {
 	o := adapterOption{server: s.Server.ID, lost: s.troubled(now)}
-	if !b.usable(s) || !s.serves(k.Model) || !s.ready() || now < s.blocked || s.leaves(k.Model) {
+	if !b.usable(s) || !s.serves(k.Model) || !s.ready() || now < s.blocked || b.barred(s, now) || s.leaves(k.Model) {
 		return o, false
 	}
 	for _, m := range s.Models {
--- a/placement/residence/book.go
+++ b/placement/residence/book.go
@@ -15,7 +15,8 @@
 	Rate    LoadRate
 	Demand  Demands
 
-	down map[string]outage // servers that cannot be reached
+	down   map[string]outage // servers that cannot be reached
+	handed map[string]Handed // by server, from the holder before
 }
 
 // outage is the time during which a server was not reached.
@@ -30,6 +31,7 @@
 		Servers: map[string]*State{},
 		Rate:    LoadRate{Window: window, Burst: burst},
 		Demand:  newDemands(),
+		handed:  map[string]Handed{},
 	}
 }
 
@@ -104,6 +106,7 @@
 	if !s.Report(r, now) {
 		return false
 	}
+	b.takeWork(s, r, now)
 	for _, o := range lost {
 		if o.Kind == fleet.OrderLoad && o.Adapter == "" && s.seq > o.Seq {
 			b.Rate.Begin(now)
--- /dev/null
+++ b/placement/residence/handed_test.go
@@ -0,0 +1,110 @@
+package residence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/fleet"
+)
+
+// startAll starts the servers with what each holds, and has each report.
+func startAll(m *sim, servers map[string][]string) {
+	for _, id := range sortedKeys(servers) {
+		m.start(id, servers[id]...)
+	}
+	m.update(func() int { return 0 })
+	for _, id := range m.book.ids() {
+		m.report(id)
+	}
+}
+
+// TestBarredServersAreNotWaitedFor has a model waited for right after the lease
+// has changed hands, when the server that costs least gets no order for seconds.
+func TestBarredServersAreNotWaitedFor(t *testing.T) {
+	m := newSim(fourModels(), 5*time.Second)
+	startAll(m, map[string][]string{"a": {"m0"}, "b": {"m0", "m1"}})
+	m.book.Inherit("a", Handed{Barred: m.now + 3*time.Second})
+	m.book.Demand.Observe("entry", waitingFor("m2", []string{"m0", "m1"}, "", nil), m.now)
+	assert.Equal(t, stepFor("m2", m.book.Plan(m.now)), "b unload m0")
+	c := m.book.Choose(Key{Model: "m0", Adapter: "a1"}, []string{"a"}, m.now)
+	assert.Assert(t, c.Outcome != ChoiceOrder || c.Server != "a")
+}
+
+// TestLoadOfTheHolderBeforeIsNotRepeated has the lease change hands during the
+// load of a model that requests wait for.
+func TestLoadOfTheHolderBeforeIsNotRepeated(t *testing.T) {
+	m := newSim(fourModels(), 5*time.Second)
+	startAll(m, map[string][]string{"a": {"m0"}, "b": {"m0", "m1"}})
+	m.order("a", m.book.Servers["a"].order(fleet.OrderLoad, Key{Model: "m2"}), false, false)
+	work, seq, ok := m.book.Servers["a"].InProgress()
+	assert.Assert(t, ok)
+
+	m.book = NewBook(5*time.Second, 1.1)
+	m.book.Inherit("a", Handed{Work: &work, Seq: seq})
+	m.update(func() int { return 0 })
+	for _, report := range []bool{false, true} {
+		if report {
+			m.report("a")
+			m.report("b")
+		}
+		m.book.Demand.Observe("entry", waitingFor("m2", []string{"m0", "m1"}, "", nil), m.now)
+		assert.Equal(t, stepFor("m2", m.book.Plan(m.now)), "", "after reports: %v", report)
+	}
+	m.pass(5 * time.Second)
+	m.report("a")
+	assert.Assert(t, m.book.Servers["a"].serves("m2"))
+}
+
+// TestServerThatTurnsOutBusyIsNotWaitedFor has a load decided on at a server
+// that then reports an order of another holder in progress.
+func TestServerThatTurnsOutBusyIsNotWaitedFor(t *testing.T) {
+	m := newSim(fourModels(), 5*time.Second)
+	startAll(m, map[string][]string{"a": {"m0"}, "b": {"m0", "m1"}})
+	m.book.Demand.Observe("entry", waitingFor("m2", []string{"m0", "m1"}, "", nil), m.now)
+	assert.Equal(t, stepFor("m2", m.book.Plan(m.now)), "a load m2")
+	m.carryOut("a", m.book.Servers["a"].order(fleet.OrderLoad, Key{Model: "m3"}))
+	m.report("a")
+	m.book.Demand.Observe("entry", waitingFor("m2", []string{"m0", "m1"}, "", nil), m.now)
+	assert.Equal(t, stepFor("m2", m.book.Plan(m.now)), "b unload m0")
+}
+
+// TestReplicaInLoadDoesNotReplaceOneThatServes has room needed where one of two
+// replicas is still being loaded.
+func TestReplicaInLoadDoesNotReplaceOneThatServes(t *testing.T) {
+	m := newSim(fourModels(), 5*time.Second)
+	startAll(m, map[string][]string{"a": {"m0", "m1"}, "b": {"m3"}, "c": {"m1", "m3"}})
+	m.order("b", m.book.Servers["b"].order(fleet.OrderLoad, Key{Model: "m0"}), false, false)
+	m.book.Demand.Observe("entry", waitingFor("m2", []string{"m0", "m1", "m3"}, "", nil), m.now)
+	step := stepFor("m2", m.book.Plan(m.now))
+	assert.Assert(t, step != "a unload m0" && step != "", "%q", step)
+}
+
+// TestOverdueUnloadIsNotWaitedFor has a model waited for while the unload that
+// makes room for it waits for an answer that goes on and on.
+func TestOverdueUnloadIsNotWaitedFor(t *testing.T) {
+	m := newSim(fourModels(), 5*time.Second)
+	held := map[string][]string{}
+	for i := range 3 {
+		held[fmt.Sprintf("s%d", i)] = []string{"m0", "m1"}
+	}
+	startAll(m, held)
+	ask := func() string {
+		m.book.Demand.Observe("entry", waitingFor("m2", []string{"m0", "m1"}, "", nil), m.now)
+		steps := m.book.Plan(m.now)
+		for _, s := range steps {
+			m.order(s.Server, s.Order, false, false)
+		}
+		return stepFor("m2", steps)
+	}
+	assert.Equal(t, ask(), "s0 unload m0")
+	m.servers["s0"].busy.Due = m.now + time.Minute
+	for end := m.now + unloadPatience - 200*time.Millisecond; m.now < end; {
+		m.pass(100 * time.Millisecond)
+		assert.Equal(t, ask(), "", "after %v", end-m.now)
+	}
+	m.pass(400 * time.Millisecond)
+	assert.Equal(t, ask(), "s1 unload m1")
+}
--- a/placement/residence/option.go
+++ b/placement/residence/option.go
@@ -1,6 +1,9 @@
 package residence
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // option is one way to load a model at a server.
 type option struct {
@@ -30,7 +33,7 @@
 // option returns how a model could be loaded at a server.
 func (p *planning) option(model string, s *State, reason string) (option, bool) {
 	o := option{server: s}
-	if !p.b.usable(s) || !s.idle() || s.intent != nil || s.Models[model] != nil || !p.mayLoad(model, s, reason) {
+	if !p.b.usable(s) || !p.idle(s) || s.intent != nil || s.Models[model] != nil || !p.mayLoad(model, s, reason) {
 		return o, false
 	}
 	m := p.b.Engine.Models[model]
@@ -115,14 +118,32 @@
 }
 
 func (p *planning) victimCost(model string, s *State) float64 {
+	running := p.running[s.Server.ID][model]
 	cost := unloadCost + lossMargin*p.loss(model)
-	cost += runningCost * float64(p.running[s.Server.ID][model])
+	cost += runningCost*float64(running) + loadSecond*unloadTime(running).Seconds()
 	if p.unsettled(model, s) || (p.count[model] <= 1 && p.b.Demand.age() < learnTime) {
 		cost += unsettledFee
 	}
 	return cost
 }
 
+const (
+	idleUnload = 350 * time.Millisecond // of a model without running requests, with the report of its end
+	// answerTime is how long the last of a few running requests goes on, and
+	// answerMore what each further one adds to that, up to answerMost.
+	answerTime = 2 * time.Second
+	answerMore = 150 * time.Millisecond
+	answerMost = 6 * time.Second
+)
+
+// unloadTime returns how long an unload takes that waits for running requests.
+func unloadTime(running int) time.Duration {
+	if running <= 0 {
+		return idleUnload
+	}
+	return idleUnload + min(answerTime+time.Duration(running)*answerMore, answerMost)
+}
+
 func (p *planning) unsettled(model string, s *State) bool {
 	at, ok := s.loaded[model]
 	return ok && p.now-at < stayTime
@@ -130,17 +151,27 @@
 
 // evictable reports whether a model may leave a server. The last replica of a
 // model stays unless last allows it to leave and nobody has asked for it lately.
+// One that is still being loaded elsewhere does not replace one that serves.
 func (p *planning) evictable(v string, s *State, reason string, last bool) bool {
 	needed := reason == ReasonWaiting || reason == ReasonMissing
 	if s.mayUnload(v) || (!needed && p.unsettled(v, s)) {
 		return false
 	}
-	if p.count[v] > 1 {
+	if p.count[v] > 1 && (p.servedBeside(v, s) || !p.asked(v)) {
 		return true
 	}
 	return last && !p.asked(v)
 }
 
+// servedBeside reports whether a server other than this one serves the model.
+func (p *planning) servedBeside(model string, s *State) bool {
+	n := p.serving[model]
+	if p.held[s.Server.ID][model] && p.servesAt(model, s) {
+		n--
+	}
+	return n > 0
+}
+
 // mayEvictLast reports whether the last replica of another model may leave for
 // one of the model: when that is held nowhere, or its replicas are crowded. The
 // latter waits until the models asked for are known.
@@ -175,6 +206,9 @@
 	held := p.held[s.Server.ID]
 	for _, v := range o.victims {
 		if held[v] {
+			if p.servesAt(v, s) {
+				p.serving[v]--
+			}
 			p.count[v]--
 			delete(held, v)
 		}
--- a/placement/residence/plan.go
+++ b/placement/residence/plan.go
@@ -50,6 +50,9 @@
 	return steps
 }
 
+// idle reports whether a model order can be given to the server now.
+func (p *planning) idle(s *State) bool { return s.idle() && !p.b.barred(s, p.now) }
+
 // dropIntents forgets decisions that have been carried out or overtaken.
 func (b *Book) dropIntents() {
 	for _, s := range b.Servers {
@@ -57,12 +60,19 @@
 			continue
 		}
 		_, declared := b.Engine.Models[s.intent.Load]
-		if !declared || !b.usable(s) || s.Models[s.intent.Load] != nil || s.loading(s.intent.Load) {
+		done := s.Models[s.intent.Load] != nil || s.loading(s.intent.Load)
+		if !declared || !b.usable(s) || done || s.otherwiseBusy() {
 			s.intent = nil
 		}
 	}
 }
 
+// otherwiseBusy reports whether the server carries out a model order that is no
+// part of its intent.
+func (s *State) otherwiseBusy() bool {
+	return s.work != nil && (s.work.Kind != fleet.OrderUnload || !s.leaves(s.work.Model))
+}
+
 // loading reports whether the server is loading the model.
 func (s *State) loading(model string) bool {
 	if s.work != nil && s.work.Kind == fleet.OrderLoad && s.work.Model == model {
@@ -73,15 +83,15 @@
 
 // next returns the next order of the server's intent, if it can be given now.
 func (p *planning) next(s *State) (Step, bool) {
-	if s.intent == nil || !s.idle() {
+	if s.intent == nil || !p.idle(s) {
 		return Step{}, false
 	}
 	for _, victim := range s.intent.Unload {
 		if s.Models[victim] == nil {
 			continue
 		}
-		if p.count[victim] == 0 && p.asked(victim) && !p.waits(s.intent.Load) {
-			s.intent = nil // its other replicas have been lost meanwhile
+		if p.serving[victim] == 0 && p.asked(victim) {
+			s.intent = nil // its other replicas have been lost meanwhile, or it has been asked for since
 			return Step{}, false
 		}
 		return p.step(s, fleet.OrderUnload, victim, ReasonRoom+" for "+s.intent.Load), true
--- a/placement/residence/replicas.go
+++ b/placement/residence/replicas.go
@@ -15,11 +15,11 @@
 	lossMargin   = 1.5  // a replica goes to another model that gains this much more
 	loadCost     = 0.02 // of a load and its orders
 	unaskedGain  = 1.0  // of holding a model that nobody has asked for lately
-	unloadCost   = 0.05 // of an unload and the time that it takes
-	loadSecond   = 0.1  // of each second until the replica serves
+	unloadCost   = 0.05 // of an unload
+	loadSecond   = 0.3  // of each second until the replica serves
 	serverLoad   = 0.3  // of the work that the server has already
 	zoneReplica  = 0.15 // of each replica in the same availability zone
-	runningCost  = 0.1  // of each running request that an unload has to wait for
+	runningCost  = 0.02 // of each running request that an unload has to wait for
 	troubledCost = 0.5  // of a server that has left an order unanswered of late
 	unsettledFee = 1.0  // of a victim that was loaded lately
 	// placedShare is the work that a replica is taken to carry that was placed
@@ -32,6 +32,10 @@
 	// requests wait for each other: a server reads 38,000, and keeps half or more
 	// of the prompts.
 	crowdedWork = 40_000.0
+	// unloadPatience is how long an unload may wait for running requests before
+	// the model that waits for its place is loaded elsewhere as well: most
+	// answers that are running end within it.
+	unloadPatience = 3 * time.Second
 	// urgentLoads are the loads of a window that are kept for models that no
 	// server holds.
 	urgentLoads = 2
@@ -47,6 +51,7 @@
 	ids     []string                   // servers, in order
 	models  []string                   // declared, in order
 	count   map[string]int             // replicas that serve, or will, and stay
+	serving map[string]int             // replicas that serve now and stay
 	share   map[string]float64         // of each model's work
 	peak    map[string]float64         // of each model's highest work of late
 	held    map[string]map[string]bool // models by server that serve, or will, and stay
@@ -60,7 +65,7 @@
 func newPlanning(b *Book, now time.Duration) *planning {
 	p := &planning{
 		b: b, now: now, ids: b.ids(), models: sortedKeys(b.Engine.Models),
-		count: map[string]int{}, share: map[string]float64{}, peak: map[string]float64{},
+		count: map[string]int{}, serving: map[string]int{}, share: map[string]float64{}, peak: map[string]float64{},
 		held: map[string]map[string]bool{}, running: b.Demand.runningModels(),
 	}
 	for _, id := range p.ids {
@@ -68,6 +73,9 @@
 		p.held[id] = p.holds(s)
 		for model := range p.held[id] {
 			p.count[model]++
+			if p.servesAt(model, s) {
+				p.serving[model]++
+			}
 		}
 		p.countLoads(s)
 	}
@@ -117,12 +125,27 @@
 	if s.sent != nil && s.sent.Kind == fleet.OrderLoad && s.sent.Adapter == "" {
 		out[s.sent.Model] = true
 	}
-	if s.intent != nil {
+	if load := p.b.handedLoad(s); load != "" {
+		out[load] = true
+	}
+	if s.intent != nil && !p.overdue(s) {
 		out[s.intent.Load] = true
 	}
 	return out
 }
 
+// servesAt reports whether the server serves the model now.
+func (p *planning) servesAt(model string, s *State) bool {
+	return p.b.usable(s) && s.serves(model) && !s.mayUnload(model)
+}
+
+// overdue reports whether requests wait for the model that the server is to
+// load, while an unload there goes on waiting for its requests to end: another
+// server may be free sooner.
+func (p *planning) overdue(s *State) bool {
+	return s.work != nil && s.work.Kind == fleet.OrderUnload && p.now-s.work.Due > unloadPatience && p.waits(s.intent.Load)
+}
+
 // mayUnload reports whether a lost order may still unload the model.
 func (s *State) mayUnload(model string) bool {
 	for _, o := range s.lost {
