Entries tell a new holder of the orders lease the demand that they saw before

Cause: a new holder knew no demand, so that it held back for up to 15 s (learnTime) what needs a comparison of models.

Ruled out: a copy in the handover. A holder that is killed or frozen hands nothing over.

--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -25,6 +25,7 @@
 const (
 	methodEnsure = "orders.ensure"
 	methodDemand = "orders.demand"
+	methodPast   = "orders.past"
 	methodChange = "orders.change"
 	methodLease  = "orders.lease"
 )
@@ -33,10 +34,6 @@
 	// loadEvery is how often the requests in progress are told and heard: a
 	// fraction of the prefill of one long prompt.
 	loadEvery = 60 * time.Millisecond
-
-	// demandEvery is how often the entry that gives the orders hears of the
-	// demand: well within the time of a load.
-	demandEvery = 250 * time.Millisecond
 )
 
 // coordination is what entries do together: they tell each other what is in
@@ -101,6 +98,9 @@
 		c.keeper.Demand(from, d)
 		return struct{}{}, nil
 	})
+	mesh.Handle(c.mesh, methodPast, func(_ context.Context, _ string, n residence.PastNote) (struct{}, error) {
+		return struct{}{}, c.keeper.Recall(n)
+	})
 	mesh.Handle(c.mesh, methodChange, func(_ context.Context, _ string, n changeNote) (struct{}, error) {
 		c.balancer.Told(n.Server, n.Change)
 		return struct{}{}, nil
@@ -196,20 +196,3 @@
 		})
 	}
 }
-
-// tellDemand tells the entry that gives the orders what was asked for.
-func (c *coordination) tellDemand(ctx context.Context) {
-	for clock.Sleep(ctx, demandEvery) == nil {
-		demand := c.balancer.TakeDemand()
-		holder, mine := c.keeper.Holder()
-		switch {
-		case len(demand) == 0:
-		case mine:
-			c.keeper.Demand(c.name, demand)
-		case holder != "" && holder != c.name:
-			if _, err := mesh.Call[[]residence.ModelDemand, struct{}](ctx, c.mesh, holder, methodDemand, demand); err != nil && ctx.Err() == nil {
-				event.Log(c.log, event.DemandNotTold, event.Peer(holder), event.Err(err))
-			}
-		}
-	}
-}
--- a/entry/direct/orders/ensure.go
+++ b/entry/direct/orders/ensure.go
@@ -37,7 +37,8 @@
 // with KindUnavailable.
 func (k *Keeper) Ensure(ctx context.Context, service, model, adapter string, prefer []string) (string, error) {
 	if _, left := k.lease.held(); left <= 0 {
-		return "", fault.Newf(fault.KindUnavailable, "orders.ensure", k.lease.holder(), "another entry gives the orders")
+		holder, _ := k.lease.holder()
+		return "", fault.Newf(fault.KindUnavailable, "orders.ensure", holder, "another entry gives the orders")
 	}
 	fk := flightKey{service: service, key: residence.Key{Model: model, Adapter: adapter}}
 	f := k.join(ctx, fk, prefer)
--- a/entry/direct/orders/ensure_test.go
+++ b/entry/direct/orders/ensure_test.go
@@ -237,7 +237,7 @@
 	assert.NilError(t, <-closed)
 	caller.Wait()
 	assert.Equal(t, len(r.control.accepted), 1)
-	assert.Equal(t, r.keeper.lease.holder(), "")
-	_, mine := r.keeper.Holder()
+	holder, mine := r.keeper.Holder()
+	assert.Equal(t, holder, "")
 	assert.Assert(t, !mine)
 }
--- a/entry/direct/orders/keeper.go
+++ b/entry/direct/orders/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"peridotchute.example/common/event"
+	"peridotchute.example/common/fault"
 	"peridotchute.example/fleet"
 	"peridotchute.example/placement/residence"
 	"peridotchute.example/store"
@@ -162,9 +163,13 @@
 // known, and whether this entry may give them now.
 func (k *Keeper) Holder() (name string, mine bool) {
 	_, left := k.lease.held()
-	return k.lease.holder(), left > 0
+	name, _ = k.lease.holder()
+	return name, left > 0
 }
 
+// Reign returns the holder's name and the term under which it gives the orders.
+func (k *Keeper) Reign() (holder string, term int64) { return k.lease.holder() }
+
 // Term returns the fencing token of the lease as last read.
 func (k *Keeper) Term() int64 {
 	term, _ := k.lease.held()
@@ -204,6 +209,27 @@
 	}
 }
 
+// Recall takes in what an entry saw before this one held the lease. It fails
+// while this entry does not give the orders.
+func (k *Keeper) Recall(note residence.PastNote) error {
+	term, left := k.lease.held()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if left <= 0 || k.term != term {
+		return fault.Newf(fault.KindUnavailable, "orders.recall", "", "the orders are not given here yet")
+	}
+	byService := map[string][]residence.Past{}
+	for _, p := range note.Models {
+		byService[p.Service] = append(byService[p.Service], p)
+	}
+	for service, seen := range byService {
+		if b := k.books[service]; b != nil {
+			b.Demand.Recall(seen, time.Duration(note.SinceMS)*time.Millisecond, k.opts.Clock())
+		}
+	}
+	return nil
+}
+
 func (k *Keeper) runLease(ctx context.Context) {
 	held := false
 	for {
--- a/entry/direct/orders/lease.go
+++ b/entry/direct/orders/lease.go
@@ -72,17 +72,18 @@
 	return l.value.Term, max(validity-(l.clock()-l.renewed), 0)
 }
 
-// holder returns the holder's name as last read or heard.
-func (l *lease) holder() string {
+// holder returns the holder's name and term as last read or heard; the name is
+// empty when nobody holds the lease.
+func (l *lease) holder() (name string, term int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.heardTerm > l.value.Term:
-		return l.heardHolder
+		return l.heardHolder, l.heardTerm
 	case l.value.Released:
-		return ""
+		return "", l.value.Term
 	default:
-		return l.value.Holder
+		return l.value.Holder, l.value.Term
 	}
 }
 
--- a/entry/direct/orders/lease_test.go
+++ b/entry/direct/orders/lease_test.go
@@ -73,7 +73,8 @@
 	assert.Assert(t, fault.Is(err, fault.KindConflict))
 	step(t, a)
 	assert.Assert(t, !holds(a))
-	assert.Equal(t, a.holder(), "b")
+	holder, _ := a.holder()
+	assert.Equal(t, holder, "b")
 }
 
 func TestLostRenewalIsReadBackAndDoesNotCount(t *testing.T) {
--- a/placement/residence/demand.go
+++ b/placement/residence/demand.go
@@ -76,6 +76,7 @@
 	pending map[string]ModelDemand           // arrivals since the last step
 	wanted  map[string]time.Duration         // when a caller of this process last said that it waits
 	started time.Duration                    // of observing
+	before  time.Duration                    // time that the entries had watched by then
 	first   time.Duration                    // arrival; 0 before
 	stepped time.Duration
 }
@@ -169,8 +170,9 @@
 	}
 }
 
-// age returns how long demand has been observed.
-func (d *Demands) age() time.Duration { return d.stepped - d.started }
+// age returns how long demand has been observed, here or by the entries that
+// told of it.
+func (d *Demands) age() time.Duration { return d.stepped - d.started + d.before }
 
 // settled reports whether arrivals have been seen for long enough to compare
 // models by them.
