No further replicas of models whose replicas have little work

Change: a model gets another replica only if each of its replicas has more than 8,000 tokens a second, a fifth of what a server reads.

--- a/placement/residence/replicas.go
+++ b/placement/residence/replicas.go
@@ -32,6 +32,10 @@
 	// requests wait for each other: a server reads 38,000, and keeps half or more
 	// of the prompts.
 	crowdedWork = 40_000.0
+	// lightWork is the work of a replica, in tokens a second, up to which its
+	// requests hardly meet: a fifth of what a server reads. Another replica would
+	// occupy the weight store and a server's orders, and be in the way of others.
+	lightWork = 8_000.0
 	// unloadPatience is how long an unload may wait for running requests before
 	// the model that waits for its place is loaded elsewhere as well: most
 	// answers that are running end within it.
@@ -227,7 +231,7 @@
 func (p *planning) addReplicas() {
 	var open []string
 	for _, model := range p.models {
-		if p.count[model] > 0 && p.gain(model) > loadCost {
+		if p.count[model] > 0 && p.gain(model) > loadCost && !p.light(model) {
 			open = append(open, model)
 		}
 	}
@@ -238,12 +242,18 @@
 				best = i
 			}
 		}
-		if p.gain(open[best]) <= loadCost || !p.place(open[best], ReasonDemand) {
+		if p.gain(open[best]) <= loadCost || p.light(open[best]) || !p.place(open[best], ReasonDemand) {
 			open = slices.Delete(open, best, best+1)
 		}
 	}
 }
 
+// light reports whether the replicas of a model have so little work that more
+// would not be felt.
+func (p *planning) light(model string) bool {
+	return p.b.Demand.work(model) <= lightWork*float64(p.count[model])
+}
+
 // gain is what one more replica of a model gains.
 func (p *planning) gain(model string) float64 {
 	n := float64(p.count[model])
