A stop that cuts requests names them, and does not call them left by their callers

Change: event 104 names the oldest requests in progress at the end of a stop with their age; their own lines say that the process stopped before their end.

--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -18,6 +18,12 @@
 	InProgress int // requests
 }
 
+// StopCut tells which requests a graceful shutdown could not wait for.
+type StopCut struct {
+	InProgress int
+	Oldest     map[string]time.Duration // age by request ID, of some
+}
+
 // Stopped tells that the graceful shutdown ended.
 type Stopped struct {
 	InProgress int // requests that were still in progress
@@ -100,6 +106,9 @@
 // Event implements Record.
 func (Stopping) Event() event.Event { return event.ProcessStopping }
 
+// Event implements Record.
+func (StopCut) Event() event.Event { return event.StopCut }
+
 // Event implements Record.
 func (Stopped) Event() event.Event { return event.ProcessStopped }
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -10,6 +10,15 @@
 	e.count("in_progress", int64(r.InProgress))
 }
 
+func (r StopCut) encode(e *encoder) {
+	e.count("in_progress", int64(r.InProgress))
+	ages := make(map[string]int64, len(r.Oldest))
+	for id, age := range r.Oldest {
+		ages[id] = age.Milliseconds()
+	}
+	e.counts("requests", ages)
+}
+
 func (r Stopped) encode(e *encoder) {
 	e.count("in_progress", int64(r.InProgress))
 }
--- a/common/event/process.go
+++ b/common/event/process.go
@@ -8,6 +8,7 @@
 	ProcessStopping = define(101, "process stopping", logrus.InfoLevel, "A graceful shutdown began; work in progress is finished first.")
 	ProcessStopped  = define(102, "process stopped", logrus.InfoLevel, "The graceful shutdown ended.")
 	ListenerFailed  = define(103, "listener failed", logrus.ErrorLevel, "A listener ended by itself. Check the address in the settings, then restart the process.")
+	StopCut         = define(104, "requests cut by the stop", logrus.WarnLevel, "The time of a graceful shutdown was over with requests in progress, whose connections are closed now. requests names the oldest with their age; explain them by their ids.")
 	PeerConnected   = define(110, "peer connected", logrus.DebugLevel, "A control connection to a peer was opened and authenticated.")
 	PeerLost        = define(111, "peer lost", logrus.WarnLevel, "A control connection ended. It is opened again by itself; look at the peer when this repeats.")
 	PeerRejected    = define(112, "peer rejected", logrus.WarnLevel, "A peer did not know the deployment key. Check deployment_key_file on both machines.")
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -107,7 +107,7 @@
 		r.record.served(a.Status, r.stream.Bytes)
 		return false
 	case errors.Is(err, relay.ErrClient):
-		r.record.fail(decisionlog.OutcomeCallerLeft, a.Status, "")
+		r.record.fail(r.brokenOff(err), a.Status, string(r.brokenOffReason(ctx, refusal{})))
 		panic(http.ErrAbortHandler)
 	}
 	if ctx.Err() == nil {
--- a/entry/direct/front/note.go
+++ b/entry/direct/front/note.go
@@ -16,6 +16,7 @@
 	failedReason  = "the server failed"
 	unclearReason = "the server does not say that it did not run the request"
 	lateReason    = "no answer in time"
+	stoppedReason = "the process stopped before its end"
 )
 
 // callerLeft reports whether the caller closed its connection.
@@ -57,6 +58,9 @@
 // brokenOffReason prefers the end of the request's time to what it led to. A
 // caller who left needs no reason.
 func (r *run) brokenOffReason(ctx context.Context, why refusal) decisionlog.RefusalReason {
+	if r.f.cutting.Load() {
+		return stoppedReason
+	}
 	if r.callerLeft() {
 		return ""
 	}
@@ -68,7 +72,8 @@
 
 // brokenOff says who broke an answer off.
 func (r *run) brokenOff(err error) decisionlog.Outcome {
-	if errors.Is(err, relay.ErrClient) || r.callerLeft() {
+	left := errors.Is(err, relay.ErrClient) || r.callerLeft()
+	if left && !r.f.cutting.Load() {
 		return decisionlog.OutcomeCallerLeft
 	}
 	return decisionlog.OutcomeCut
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -44,6 +44,8 @@
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline())
 	defer cancel()
 	f.opts.Balancer.Arrived(req.service)
+	f.progress.begin(req)
+	defer f.progress.end(req)
 	run := &run{f: f, w: w, r: r, req: req, record: newRecord(f.opts.Log, req, v)}
 	defer run.record.close()
 	for run.attempt(ctx) {
