The configuration's times for headers and idle connections are applied

Change: each client connection replaces the deadlines that net/http sets for the next header by those of the configuration in force. Deadlines in the past, by which net/http ends a pending read, stay.

TestTimesOfTheConfigurationEndConnections waited in vain without it ("the connection stayed open").

--- a/entry/direct/front/framing.go
+++ b/entry/direct/front/framing.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"peridotchute.example/fleet"
 )
 
 // net/http drops the length of a request that also has chunks, before a handler
@@ -13,8 +15,12 @@
 // again (RFC 9112, section 6.1). So connections count the lengths that were
 // sent, and the requests for which one was seen.
 
-// Listener wraps the accepted connections for that.
-type Listener struct{ net.Listener }
+// Listener wraps the accepted connections for that, and for the times that the
+// configuration gives them.
+type Listener struct {
+	net.Listener
+	Limits func() fleet.Limits // in force now
+}
 
 // Accept returns the next connection.
 func (l Listener) Accept() (net.Conn, error) {
@@ -22,16 +28,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: c}, nil
+	return &clientConn{Conn: c, limits: l.Limits}, nil
 }
 
 // clientConn counts how often its client sent the name of the length header.
 // The name within a body counts too, which costs a connection and no more.
 type clientConn struct {
 	net.Conn
-	sent atomic.Int64
-	seen atomic.Int64 // requests with a length
-	tail []byte       // end of the previous read, in which the name may begin
+	limits func() fleet.Limits
+	idle   atomic.Bool // between two requests
+	sent   atomic.Int64
+	seen   atomic.Int64 // requests with a length
+	tail   []byte       // end of the previous read, in which the name may begin
 }
 
 var lengthName = []byte("content-length")
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -54,14 +54,16 @@
 type Front struct {
 	opts     Options
 	stopping atomic.Int64 // when Stop was called, in nanoseconds since start; 0 before
+	cutting  atomic.Bool  // Cut was called
 	active   atomic.Int64
+	progress *progress
 	waits    context.Context // ends some time after Stop, when requests wait no longer
 	endWaits context.CancelFunc
 }
 
 // New returns a front.
 func New(opts Options) *Front {
-	f := &Front{opts: opts}
+	f := &Front{opts: opts, progress: newProgress()}
 	f.waits, f.endWaits = context.WithCancel(context.Background())
 	return f
 }
@@ -72,6 +74,9 @@
 	time.AfterFunc(LastStart, f.endWaits)
 }
 
+// Cut says that the connections of all requests in progress are closed now.
+func (f *Front) Cut() { f.cutting.Store(true) }
+
 // start is the origin of stopping.
 var start = time.Now()
 
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -13,10 +13,12 @@
 
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/daemon"
+	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/direct/front"
 	"peridotchute.example/entry/direct/view"
+	"peridotchute.example/fleet"
 )
 
 const (
@@ -30,6 +32,7 @@
 
 	stopLook = 20 * time.Millisecond // between two looks at the requests in progress
 
+	// readHeaderTimeout and idleTimeout apply until a configuration is in force.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 90 * time.Second
 	maxHeaderBytes    = 2 << 20 // the configured limit is checked apart
@@ -55,25 +58,35 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func startListeners(lc fx.Lifecycle, s Settings, f *front.Front, ready *readiness, c *coordination, log logrus.FieldLogger) {
+// limits returns what the configuration in force allows clients.
+func (r *readiness) limits() fleet.Limits {
+	if v := r.views.Current(); v.Config != nil {
+		return v.Config.Limits
+	}
+	return fleet.Limits{}
+}
+
+func startListeners(lc fx.Lifecycle, s Settings, f *front.Front, ready *readiness, c *coordination, decisions *decisionlog.Log, log logrus.FieldLogger) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+s.ReadyPath, ready)
 	daemon.Serve(lc, log, daemon.Listener{Name: "ready", Address: s.ReadyAddress, Handler: mux})
 	server := &http.Server{
 		Handler:           f,
 		ConnContext:       front.ConnContext,
+		ConnState:         front.ConnState,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return listen(server, s.CallerAddress, log) },
+		OnStart: func(context.Context) error { return listen(server, s.CallerAddress, ready.limits, log) },
 		OnStop: func(ctx context.Context) error {
 			ctx, cancel := context.WithTimeout(ctx, seconds(s.GraceS)-stopMargin)
 			defer cancel()
 			ready.stopping.Store(true)
 			f.Stop()
 			drain(ctx, f)
+			logCut(decisions, f)
 			c.release()
 			if err := server.Shutdown(ctx); err != nil {
 				return server.Close()
@@ -83,19 +96,37 @@
 	})
 }
 
-func listen(server *http.Server, address string, log logrus.FieldLogger) error {
+func listen(server *http.Server, address string, limits func() fleet.Limits, log logrus.FieldLogger) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return fault.New(fault.KindUnavailable, "listen.caller", address, err)
 	}
 	go func() {
-		if err := server.Serve(front.Listener{Listener: ln}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(front.Listener{Listener: ln, Limits: limits}); !errors.Is(err, http.ErrServerClosed) {
 			event.Log(log, event.ListenerFailed, event.Subject("caller"), event.Err(err))
 		}
 	}()
 	return nil
 }
 
+// cutNamed is how many of the requests that a stop cuts the log names.
+const cutNamed = 8
+
+// logCut tells which requests are still in progress at the end of a stop, whose
+// connections are closed next.
+func logCut(log *decisionlog.Log, f *front.Front) {
+	oldest := f.Oldest(cutNamed)
+	if len(oldest) == 0 {
+		return
+	}
+	f.Cut()
+	cut := decisionlog.StopCut{InProgress: int(f.Active()), Oldest: map[string]time.Duration{}}
+	for _, r := range oldest {
+		cut.Oldest[r.ID] = r.Age
+	}
+	log.Write(cut)
+}
+
 // drain waits until no new connections arrive and the requests in progress have
 // ended, or until ctx ends.
 func drain(ctx context.Context, f *front.Front) {
