--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -98,6 +98,7 @@
 	}
 	s.engine = routing.NewEngineServer(s.ID, p.engine.Slots, p.engine.KVTokens, p.models.prefixes.Server())
 	s.engine.RoundTrip = trip
+	s.engine.Far = trip == crossRegion
 	return s
 }
 
--- a/entry/direct/mesh/pace.go
+++ b/entry/direct/mesh/pace.go
@@ -17,7 +17,7 @@
 	heartbeatsMissed = 3
 	// maxMessagesPerSecond bounds the updates that one process sends, and with
 	// them the processor time that many peers take.
-	maxMessagesPerSecond = 80
+	maxMessagesPerSecond = 240
 	// gossipInterval is between tellings of what most peers know already: the
 	// entries that are connected, and documents that came from a peer.
 	gossipInterval = time.Second
