Loads are told every 60 ms in a region; no cost of other regions

Change: 60 ms between updates in a region and 120 ms to others, 400 messages a second, of which peers of other regions follow a bound of 96. The cost of 60 ms for servers of another region is taken back.

--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -98,7 +98,6 @@
 	}
 	s.engine = routing.NewEngineServer(s.ID, p.engine.Slots, p.engine.KVTokens, p.models.prefixes.Server())
 	s.engine.RoundTrip = trip
-	s.engine.Far = trip == crossRegion
 	return s
 }
 
--- a/entry/direct/mesh/pace.go
+++ b/entry/direct/mesh/pace.go
@@ -5,10 +5,10 @@
 const (
 	// nearInterval is between updates to a peer of the same region; routing
 	// tolerates a load that is this old.
-	nearInterval = 100 * time.Millisecond
+	nearInterval = 60 * time.Millisecond
 	// farInterval is the same for other regions, to which bytes are dear and
 	// a message takes a noticeable part of it.
-	farInterval = 250 * time.Millisecond
+	farInterval = 120 * time.Millisecond
 	// heartbeatInterval is between updates that tell nothing; three fit into silenceLimit.
 	heartbeatInterval = 300 * time.Millisecond
 	// silenceLimit is how long a peer may say nothing before its connection is given up.
@@ -17,7 +17,10 @@
 	heartbeatsMissed = 3
 	// maxMessagesPerSecond bounds the updates that one process sends, and with
 	// them the processor time that many peers take.
-	maxMessagesPerSecond = 240
+	maxMessagesPerSecond = 400
+	// farMessagesPerSecond is the bound that peers of other regions follow: half of
+	// a large mesh is there, and each message is some hundred bytes.
+	farMessagesPerSecond = 96
 	// gossipInterval is between tellings of what most peers know already: the
 	// entries that are connected, and documents that came from a peer.
 	gossipInterval = time.Second
@@ -27,11 +30,10 @@
 
 // updateInterval returns the time between updates to a peer.
 func updateInterval(sameRegion bool, peers int) time.Duration {
-	least := time.Duration(peers) * time.Second / maxMessagesPerSecond
 	if sameRegion {
-		return max(nearInterval, least)
+		return max(nearInterval, time.Duration(peers)*time.Second/maxMessagesPerSecond)
 	}
-	return max(farInterval, least)
+	return max(farInterval, time.Duration(peers)*time.Second/farMessagesPerSecond)
 }
 
 // heartbeat returns the longest time between updates to any peer.
--- a/routing/compare.go
+++ b/routing/compare.go
@@ -12,10 +12,7 @@
 	probeCost    = 4 * time.Second // a second request at a server that is being probed
 	workWeight   = 1.0             // the work that a choice adds delays those who come after
 	finishWeight = 0.1             // long answers go where little is prefilled meanwhile
-	// farCost is what speaks against a server of another region beside its round
-	// trip: what is known of it is older, and all prompts share the link there.
-	farCost    = 60 * time.Millisecond
-	homeWeight = 0.5 // the chance that another entry has sent the shared parts home
+	homeWeight   = 0.5             // the chance that another entry has sent the shared parts home
 )
 
 // Reasons of choices.
@@ -129,9 +126,6 @@
 	cost := s.estimate(&load, s.before(&load, c.p, c.now), c.p, cached, c.now) + r.Load
 	cost += time.Duration(float64(c.p.Work(cached)) * workWeight)
 	cost += time.Duration(finishWeight * float64(c.p.Out) * s.Batch.duty * float64(chunkTokens*c.p.PerToken))
-	if s.Far {
-		cost += farCost
-	}
 	if s.overflows(&load, c.p) {
 		cost += overflowCost
 	}
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -16,8 +16,7 @@
 	Name      string
 	Usable    bool // ready and not leaving
 	RoundTrip time.Duration
-	Far       bool // in another region than this entry
-	Slots     int  // requests in its batch
+	Slots     int // requests in its batch
 	KVTokens  int // memory of prompts and answers
 	Batch     Batch
 	Kept      *Kept // nil when nothing is known of its cache
