--- a/integration/cluster/process.go
+++ b/integration/cluster/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os/exec"
 	"path/filepath"
 	"sync"
@@ -21,6 +22,8 @@
 	Args []string
 	Env  []string // added to the harness's own environment
 
+	Output io.Writer // of all runs, in full; nil keeps the last part only
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{} // closed when the current run has ended
@@ -36,8 +39,8 @@
 	}
 	cmd := exec.Command(p.Path, p.Args...)
 	cmd.Env = append(cmd.Environ(), p.Env...)
-	cmd.Stderr = &p.stderr
-	cmd.Stdout = &p.stderr
+	cmd.Stderr = p.output()
+	cmd.Stdout = cmd.Stderr
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
@@ -51,6 +54,16 @@
 	return nil
 }
 
+func (p *Process) output() io.Writer {
+	if p.Output == nil {
+		return &p.stderr
+	}
+	return io.MultiWriter(&p.stderr, p.Output)
+}
+
+// Reload sends SIGHUP.
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
 // PID returns the process id of the current or last run, 0 before the first.
 func (p *Process) PID() int {
 	p.mu.Lock()
