--- a/entry/direct/reload.go
+++ b/entry/direct/reload.go
@@ -17,11 +17,14 @@
 // startReload reads the settings file again on SIGHUP. The retry budget changes
 // at once; addresses and bounds are those of the start, which a process that is
 // restarted takes in.
+//
+// The signal is taken from the wiring of the process to its end, and never given
+// back: by default it ends the process, and it may come while requests in
+// progress are waited for.
 func startReload(lc fx.Lifecycle, file daemon.SettingsFile, b *balance.Balancer, log *decisionlog.Log) {
 	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
 	daemon.Go(lc, func(ctx context.Context) {
-		signal.Notify(signals, syscall.SIGHUP)
-		defer signal.Stop(signals)
 		for {
 			select {
 			case <-signals:
