The configuration's header time applies to further requests of a connection

Cause: the connection counted as idle until its next header was read, so that only its first header had the header's time and the others the idle time.

TestTimesOfTheConfigurationEndConnections has a case for it, which waited in vain before.

--- a/entry/direct/front/deadline.go
+++ b/entry/direct/front/deadline.go
@@ -21,8 +21,13 @@
 
 // SetReadDeadline replaces a deadline that http.Server sets for the next header
 // by the one of the configuration. Others, which are none or in the past, stay.
+// http.Server takes the deadline of an idle connection away when the next header
+// begins.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	now := time.Now()
+	if t.IsZero() {
+		c.idle.Store(false)
+	}
 	if !t.After(now) {
 		return c.Conn.SetReadDeadline(t)
 	}
