--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -99,7 +99,7 @@
 		return struct{}{}, nil
 	})
 	mesh.Handle(c.mesh, methodPast, func(_ context.Context, _ string, n residence.PastNote) (struct{}, error) {
-		return struct{}{}, c.keeper.Recall(n)
+		return struct{}{}, c.keeper.Backfill(n)
 	})
 	mesh.Handle(c.mesh, methodChange, func(_ context.Context, _ string, n changeNote) (struct{}, error) {
 		c.balancer.Told(n.Server, n.Change)
--- a/entry/direct/demand.go
+++ b/entry/direct/demand.go
@@ -15,8 +15,8 @@
 // demand: well within the time of a load.
 const demandEvery = 250 * time.Millisecond
 
-// reign is one holder's time with the orders lease.
-type reign struct {
+// tenure is one holder's time with the orders lease.
+type tenure struct {
 	holder string
 	term   int64
 }
@@ -25,7 +25,7 @@
 type teller struct {
 	c       *coordination
 	history *residence.History
-	told    reign // that knows the history
+	told    tenure // that knows the history
 }
 
 // tellDemand tells the demand until ctx ends.
@@ -37,8 +37,8 @@
 }
 
 func (t *teller) tell(ctx context.Context, demand []residence.ModelDemand) {
-	var now reign
-	now.holder, now.term = t.c.keeper.Reign()
+	var now tenure
+	now.holder, now.term = t.c.keeper.Lease()
 	if now.holder != "" && now != t.told && t.tellPast(ctx, now.holder) {
 		t.told = now
 	}
@@ -59,7 +59,7 @@
 	note := t.history.Note(orders.Boottime())
 	var err error
 	if holder == t.c.name {
-		err = t.c.keeper.Recall(note)
+		err = t.c.keeper.Backfill(note)
 	} else {
 		_, err = mesh.Call[residence.PastNote, struct{}](ctx, t.c.mesh, holder, methodPast, note)
 	}
--- a/entry/direct/orders/handover.go
+++ b/entry/direct/orders/handover.go
@@ -22,11 +22,11 @@
 	Orders map[string]int64   `json:"orders,omitempty"` // by server: ms since the newest order, within the gap
 	Loads  map[string][]int64 `json:"loads,omitempty"`  // by service: ms since each load from the weight store
 
-	Work map[string]HandedWork `json:"work,omitempty"` // by server: the model order in progress
+	Work map[string]WorkNote `json:"work,omitempty"` // by server: the model order in progress
 }
 
-// HandedWork is a model order that a server carries out.
-type HandedWork struct {
+// WorkNote is a model order that a server carries out.
+type WorkNote struct {
 	Unload bool             `json:"unload,omitempty"`
 	Model  string           `json:"model"`
 	Source residence.Source `json:"source,omitempty"`
@@ -34,8 +34,8 @@
 	Seq    int64            `json:"seq"`     // orders that the server has accepted
 }
 
-func handedWork(w residence.Work, seq int64, now time.Duration) HandedWork {
-	return HandedWork{
+func noteWork(w residence.Work, seq int64, now time.Duration) WorkNote {
+	return WorkNote{
 		Unload: w.Kind == fleet.OrderUnload,
 		Model:  w.Model,
 		Source: w.Source,
@@ -45,7 +45,7 @@
 }
 
 // work returns the order with times after the given one.
-func (h HandedWork) work(at time.Duration) *residence.Work {
+func (h WorkNote) work(at time.Duration) *residence.Work {
 	kind := fleet.OrderLoad
 	if h.Unload {
 		kind = fleet.OrderUnload
@@ -149,7 +149,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.opts.Clock()
-	h := &Handover{Orders: k.given.within(k.opts.LeaseGap, now), Loads: map[string][]int64{}, Work: map[string]HandedWork{}}
+	h := &Handover{Orders: k.given.within(k.opts.LeaseGap, now), Loads: map[string][]int64{}, Work: map[string]WorkNote{}}
 	pass(h.Orders, k.lease.barred(), k.opts.LeaseGap, now)
 	for service, b := range k.books {
 		for _, age := range b.Rate.Ages(now) {
@@ -157,7 +157,7 @@
 		}
 		for id, s := range b.Servers {
 			if w, seq, ok := s.InProgress(); ok {
-				h.Work[id] = handedWork(w, seq, now)
+				h.Work[id] = noteWork(w, seq, now)
 			}
 		}
 	}
--- a/entry/direct/orders/keeper.go
+++ b/entry/direct/orders/keeper.go
@@ -167,8 +167,8 @@
 	return name, left > 0
 }
 
-// Reign returns the holder's name and the term under which it gives the orders.
-func (k *Keeper) Reign() (holder string, term int64) { return k.lease.holder() }
+// Lease returns the holder's name and the term under which it gives the orders.
+func (k *Keeper) Lease() (holder string, term int64) { return k.lease.holder() }
 
 // Term returns the fencing token of the lease as last read.
 func (k *Keeper) Term() int64 {
@@ -209,14 +209,14 @@
 	}
 }
 
-// Recall takes in what an entry saw before this one held the lease. It fails
+// Backfill takes in what an entry saw before this one held the lease. It fails
 // while this entry does not give the orders.
-func (k *Keeper) Recall(note residence.PastNote) error {
+func (k *Keeper) Backfill(note residence.PastNote) error {
 	term, left := k.lease.held()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if left <= 0 || k.term != term {
-		return fault.Newf(fault.KindUnavailable, "orders.recall", "", "the orders are not given here yet")
+		return fault.Newf(fault.KindUnavailable, "orders.backfill", "", "the orders are not given here yet")
 	}
 	byService := map[string][]residence.Past{}
 	for _, p := range note.Models {
@@ -224,7 +224,7 @@
 	}
 	for service, seen := range byService {
 		if b := k.books[service]; b != nil {
-			b.Demand.Recall(seen, time.Duration(note.SinceMS)*time.Millisecond, k.opts.Clock())
+			b.Demand.Backfill(seen, time.Duration(note.SinceMS)*time.Millisecond, k.opts.Clock())
 		}
 	}
 	return nil
--- a/entry/direct/orders/plan.go
+++ b/entry/direct/orders/plan.go
@@ -94,11 +94,11 @@
 func (k *Keeper) inherit(b *residence.Book, service string, engine *fleet.Engine) {
 	at, h, ok := k.lease.lastOrders()
 	for server, until := range k.lease.barred() {
-		b.Inherit(server, residence.Handed{Barred: until})
+		b.Inherit(server, residence.Inherited{Barred: until})
 	}
 	if h != nil {
 		for server, w := range h.Work {
-			b.Inherit(server, residence.Handed{Barred: k.lease.barred()[server], Work: w.work(at), Seq: w.Seq})
+			b.Inherit(server, residence.Inherited{Barred: k.lease.barred()[server], Work: w.work(at), Seq: w.Seq})
 		}
 	}
 	switch {
--- a/placement/residence/book.go
+++ b/placement/residence/book.go
@@ -15,8 +15,8 @@
 	Rate    LoadRate
 	Demand  Demands
 
-	down   map[string]outage // servers that cannot be reached
-	handed map[string]Handed // by server, from the holder before
+	down      map[string]outage    // servers that cannot be reached
+	inherited map[string]Inherited // by server, from the holder before
 }
 
 // outage is the time during which a server was not reached.
@@ -28,10 +28,10 @@
 // weight store counts loads, burst how far one may exceed its rate.
 func NewBook(window time.Duration, burst float64) *Book {
 	return &Book{
-		Servers: map[string]*State{},
-		Rate:    LoadRate{Window: window, Burst: burst},
-		Demand:  newDemands(),
-		handed:  map[string]Handed{},
+		Servers:   map[string]*State{},
+		Rate:      LoadRate{Window: window, Burst: burst},
+		Demand:    newDemands(),
+		inherited: map[string]Inherited{},
 	}
 }
 
--- a/placement/residence/handed.go
+++ b/placement/residence/inherited.go
@@ -9,24 +9,24 @@
 // The lease of the orders changes hands while servers carry out orders: what
 // the holder before knew keeps the next one from ordering the same again.
 
-// Handed is what the holder before knew of one server.
-type Handed struct {
+// Inherited is what the holder before knew of one server.
+type Inherited struct {
 	Barred time.Duration // the server gets no order before
 	Work   *Work         // model order in progress; nil when none is known
 	Seq    int64         // orders accepted, that of Work included
 }
 
 // Inherit takes in what the holder before knew of a server.
-func (b *Book) Inherit(server string, h Handed) { b.handed[server] = h }
+func (b *Book) Inherit(server string, h Inherited) { b.inherited[server] = h }
 
 // barred reports whether the server gets no order yet, since the holder before
 // ordered it something lately.
-func (b *Book) barred(s *State, now time.Duration) bool { return now < b.handed[s.Server.ID].Barred }
+func (b *Book) barred(s *State, now time.Duration) bool { return now < b.inherited[s.Server.ID].Barred }
 
 // takeWork replaces an order in progress that the server's report does not name
 // by the one that the holder before gave, if none was accepted since.
 func (b *Book) takeWork(s *State, r fleet.Report, now time.Duration) {
-	h := b.handed[s.Server.ID]
+	h := b.inherited[s.Server.ID]
 	if h.Work == nil {
 		return
 	}
@@ -36,13 +36,13 @@
 		s.ask = max(w.Due+reportLag, now+reportGap)
 	}
 	h.Work = nil
-	b.handed[s.Server.ID] = h
+	b.inherited[s.Server.ID] = h
 }
 
-// handedLoad returns the model that the server loads by an order of the holder
+// inheritedLoad returns the model that the server loads by an order of the holder
 // before, until the server has reported.
-func (b *Book) handedLoad(s *State) string {
-	h := b.handed[s.Server.ID]
+func (b *Book) inheritedLoad(s *State) string {
+	h := b.inherited[s.Server.ID]
 	if h.Work == nil || h.Work.Kind != fleet.OrderLoad {
 		return ""
 	}
--- a/placement/residence/handed_test.go
+++ b/placement/residence/inherited_test.go
@@ -26,7 +26,7 @@
 func TestBarredServersAreNotWaitedFor(t *testing.T) {
 	m := newSim(fourModels(), 5*time.Second)
 	startAll(m, map[string][]string{"a": {"m0"}, "b": {"m0", "m1"}})
-	m.book.Inherit("a", Handed{Barred: m.now + 3*time.Second})
+	m.book.Inherit("a", Inherited{Barred: m.now + 3*time.Second})
 	m.book.Demand.Observe("entry", waitingFor("m2", []string{"m0", "m1"}, "", nil), m.now)
 	assert.Equal(t, stepFor("m2", m.book.Plan(m.now)), "b unload m0")
 	c := m.book.Choose(Key{Model: "m0", Adapter: "a1"}, []string{"a"}, m.now)
@@ -43,7 +43,7 @@
 	assert.Assert(t, ok)
 
 	m.book = NewBook(5*time.Second, 1.1)
-	m.book.Inherit("a", Handed{Work: &work, Seq: seq})
+	m.book.Inherit("a", Inherited{Work: &work, Seq: seq})
 	m.update(func() int { return 0 })
 	for _, report := range []bool{false, true} {
 		if report {
--- a/placement/residence/past.go
+++ b/placement/residence/past.go
@@ -91,8 +91,8 @@
 	return n
 }
 
-// Recall takes in what an entry saw before this holder was told of demand.
-func (d *Demands) Recall(seen []Past, since, now time.Duration) {
+// Backfill takes in what an entry saw before this holder was told of demand.
+func (d *Demands) Backfill(seen []Past, since, now time.Duration) {
 	if since <= 0 {
 		return
 	}
--- a/placement/residence/past_test.go
+++ b/placement/residence/past_test.go
@@ -32,7 +32,7 @@
 	taken := newDemands()
 	for _, h := range entries {
 		n := h.Note(now)
-		taken.Recall(n.Models, time.Duration(n.SinceMS)*time.Millisecond, now)
+		taken.Backfill(n.Models, time.Duration(n.SinceMS)*time.Millisecond, now)
 	}
 	taken.step(now)
 	for _, model := range []string{"early", "late"} {
--- a/placement/residence/replicas.go
+++ b/placement/residence/replicas.go
@@ -129,7 +129,7 @@
 	if s.sent != nil && s.sent.Kind == fleet.OrderLoad && s.sent.Adapter == "" {
 		out[s.sent.Model] = true
 	}
-	if load := p.b.handedLoad(s); load != "" {
+	if load := p.b.inheritedLoad(s); load != "" {
 		out[load] = true
 	}
 	if s.intent != nil && !p.overdue(s) {
