--- a/entry/direct/mesh/pace.go
+++ b/entry/direct/mesh/pace.go
@@ -17,7 +17,7 @@
 	heartbeatsMissed = 3
 	// maxMessagesPerSecond bounds the updates that one process sends, and with
 	// them the processor time that many peers take.
-	maxMessagesPerSecond = 400
+	maxMessagesPerSecond = 240
 	// farMessagesPerSecond is the bound that peers of other regions follow: half of
 	// a large mesh is there, and each message is some hundred bytes.
 	farMessagesPerSecond = 96
