Log how long a server was silent, and panics of the handler

The three hypotheses of docs/incidents/lost-silent-server.md could not be told apart by the log: 'attempt failed, silent' did not say for how long the server had sent nothing, and a panic of the handler was plain text without the request's id.

Event 611 is written when the silence is found, before anything follows from it, and event 612 for a panic. explain prints 611; attempts_silent_total counts it. No decision changes.

--- a/common/decisionlog/limits.go
+++ b/common/decisionlog/limits.go
@@ -55,7 +55,7 @@
 // signalsProblem reports whether an event shows a problem with its request or with
 // a dependency of the process.
 func signalsProblem(e event.Event) bool {
-	return e.Level <= logrus.WarnLevel || e.ID == event.AttemptFailed.ID || e.ID == event.CallerLeft.ID
+	return e.Level <= logrus.WarnLevel || e.ID == event.AttemptFailed.ID || e.ID == event.ServerSilent.ID || e.ID == event.CallerLeft.ID
 }
 
 // limits decides which lines are written and counts those left out.
--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -63,6 +63,19 @@
 	Err     error
 }
 
+// ServerSilent records that the server of an attempt sent nothing for a while on
+// any connection of this process.
+type ServerSilent struct {
+	Server  string
+	Attempt int
+	Silent  time.Duration // since the server last sent anything
+}
+
+// HandlerPanicked records a panic while a request was handled.
+type HandlerPanicked struct {
+	Reason string // the panic's value and stack
+}
+
 // Retried records that a request is attempted again.
 type Retried struct {
 	Attempt     int
@@ -185,6 +198,12 @@
 // Event implements Record.
 func (AttemptFailed) Event() event.Event { return event.AttemptFailed }
 
+// Event implements Record.
+func (ServerSilent) Event() event.Event { return event.ServerSilent }
+
+// Event implements Record.
+func (HandlerPanicked) Event() event.Event { return event.HandlerPanicked }
+
 // Event implements Record.
 func (Retried) Event() event.Event { return event.RequestRetried }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -37,6 +37,16 @@
 	e.errorIfSet(r.Err)
 }
 
+func (r ServerSilent) encode(e *encoder) {
+	e.text("server", r.Server)
+	e.count("attempt", int64(r.Attempt))
+	e.duration("silent_ms", r.Silent)
+}
+
+func (r HandlerPanicked) encode(e *encoder) {
+	e.text("reason", r.Reason)
+}
+
 func (r Retried) encode(e *encoder) {
 	e.count("attempt", int64(r.Attempt))
 	e.boolean("resumed", r.Resumed)
--- a/common/event/decision.go
+++ b/common/event/decision.go
@@ -14,5 +14,7 @@
 	RequestFailed   = define(608, "request failed", logrus.WarnLevel, "The caller got an error after at least one attempt, or after its deadline. The lines of its attempts say why.")
 	CallerLeft      = define(609, "caller left", logrus.InfoLevel, "The caller closed its connection before the response was complete.")
 	TraceTruncated  = define(610, "decisions not kept", logrus.WarnLevel, "A request made more decisions than its trace stores; count is the number left out.")
+	ServerSilent    = define(611, "server silent", logrus.InfoLevel, "During an attempt of the request its server sent nothing on any connection of this entry for silent_ms. The lines after it say whether the attempt went on or another server took over.")
+	HandlerPanicked = define(612, "request handler panicked", logrus.ErrorLevel, "A defect ended the handling of a request, and its connection was closed without an answer. reason has the panic and its stack.")
 	LogLinesLeftOut = define(699, "log lines left out", logrus.WarnLevel, "Counts, by event, of the log lines left out since the previous such line: the event exceeded its rate, or the writer was too slow.")
 )
--- a/common/metrics/metrics.go
+++ b/common/metrics/metrics.go
@@ -41,6 +41,7 @@
 	duration  *prometheus.HistogramVec
 	wait      *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
+	silences  prometheus.Counter
 	retries   *prometheus.CounterVec
 	withheld  *prometheus.CounterVec
 	events    *prometheus.CounterVec
@@ -58,12 +59,13 @@
 		duration:  newHistogramVec("request_duration_seconds", "Time from a request's arrival to the end of its answer.", latencyBuckets, labelService),
 		wait:      newHistogramVec("request_wait_seconds", "Time that a request waited at the entry.", latencyBuckets, labelService),
 		attempts:  newCounterVec("attempts_failed_total", "Attempts that brought no whole answer.", labelKind, labelNotRun),
+		silences:  newCounter("attempts_silent_total", "Times that the server of an attempt sent nothing for a while on any connection of this entry."),
 		retries:   newCounterVec("retries_total", "Further attempts of requests; resumed streams are one kind.", labelKind),
 		events:    newCounterVec("events_total", "Events of the log that belong to no request, such as orders by their outcome.", labelEvent),
 		withheld:  newCounterVec("retries_withheld_total", "Failed attempts without another one.", labelReason),
 	}
 	m.registry.MustRegister(
-		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.retries, m.withheld,
+		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.silences, m.retries, m.withheld,
 		m.events, collectors.NewGoCollector(),
 	)
 	return m
@@ -87,6 +89,8 @@
 		m.observeRefused(r)
 	case decisionlog.AttemptFailed:
 		m.attempts.WithLabelValues(string(r.Kind), boolLabel(r.NotRun)).Inc()
+	case decisionlog.ServerSilent:
+		m.silences.Inc()
 	case decisionlog.Retried:
 		m.retries.WithLabelValues(retryKind(r)).Inc()
 	case decisionlog.RetryWithheld:
@@ -129,6 +133,10 @@
 	return "false"
 }
 
+func newCounter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
 func newCounterVec(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -154,18 +154,19 @@
 	}
 }
 
-// ServerSilent reports whether an answer has been pending and nothing was
-// received from the server on any connection for at least d. If so, it marks
-// the server as unhealthy.
-func (t *Ticket) ServerSilent(d time.Duration) bool {
+// ServerSilent returns for how long an answer has been pending and nothing was
+// received from the server on any connection, and whether that is at least d. If
+// so, it marks the server as unhealthy.
+func (t *Ticket) ServerSilent(d time.Duration) (silent time.Duration, exceeded bool) {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	now := time.Now()
-	if now.Sub(t.s.lastReceived) < d || now.Sub(t.s.awaitingSince) < d {
-		return false
+	silent = min(now.Sub(t.s.lastReceived), now.Sub(t.s.awaitingSince))
+	if silent < d {
+		return silent, false
 	}
 	t.s.health().Stalled(now)
-	return true
+	return silent, true
 }
 
 // End ends the attempt and dispatches queued requests. Further calls have no
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -109,6 +111,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
+	defer f.logPanic(r)
 	arrived := time.Now()
 	stoppedFor := f.sinceStop()
 	if stoppedFor > 0 {
@@ -143,6 +146,20 @@
 	f.serve(w, r, req, view)
 }
 
+// logPanic logs a panic of the handler other than http.ErrAbortHandler, and
+// closes the client's connection.
+func (f *Front) logPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		parsed, _ := f.opts.Codec.Request(r.Header) // only the ID is used
+		f.opts.Log.Trace(parsed.ID).Add(decisionlog.HandlerPanicked{Reason: fmt.Sprintf("%v\n%s", cause, debug.Stack())})
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // request is a client's request including its complete body.
 type request struct {
 	fleet.Request
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -92,6 +92,15 @@
 	})
 }
 
+// serverSilent returns a function that records that the server of the current
+// attempt has sent nothing for a while. It may be called from any goroutine.
+func (r *record) serverSilent(server string) func(time.Duration) {
+	attempt := r.end.Attempts
+	return func(silent time.Duration) {
+		r.trace.Add(decisionlog.ServerSilent{Server: server, Attempt: attempt, Silent: silent})
+	}
+}
+
 // failureKind classifies the error of an attempt. ctx is the context of the
 // whole request.
 func failureKind(ctx context.Context, err error) decisionlog.FailureKind {
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -100,7 +100,7 @@
 	if r.req.route.RetryPolicy == fleet.RetryNever || r.sent+1 >= r.req.route.MaxAttempts {
 		return nil
 	}
-	return watchStall(ctx, cancel, t)
+	return watchStall(ctx, cancel, t, r.record.serverSilent(t.Server.ID))
 }
 
 // chooseServer waits until the request may be sent to a server and returns the
--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -25,11 +25,12 @@
 	last   time.Time // time of the attempt's latest event, or its start
 	ticket *balance.Ticket
 	cancel context.CancelFunc
+	silent func(time.Duration) // called when the server is found silent, with the time since it sent anything
 	ended  bool
 }
 
-func watchStall(ctx context.Context, cancel context.CancelFunc, t *balance.Ticket) *stallWatch {
-	w := &stallWatch{last: time.Now(), ticket: t, cancel: cancel}
+func watchStall(ctx context.Context, cancel context.CancelFunc, t *balance.Ticket, silent func(time.Duration)) *stallWatch {
+	w := &stallWatch{last: time.Now(), ticket: t, cancel: cancel, silent: silent}
 	w.timer = time.AfterFunc(stallAfter, func() { w.check(ctx) })
 	return w
 }
@@ -59,9 +60,12 @@
 	if w.ended || ctx.Err() != nil {
 		return
 	}
-	if time.Since(w.last) >= stallAfter+w.ticket.Expected && w.ticket.ServerSilent(stallAfter) {
-		w.cancel()
-		return
+	if time.Since(w.last) >= stallAfter+w.ticket.Expected {
+		if silent, exceeded := w.ticket.ServerSilent(stallAfter); exceeded {
+			w.silent(silent)
+			w.cancel()
+			return
+		}
 	}
 	w.timer.Reset(stallCheckInterval)
 }
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -166,6 +166,8 @@
 		switch l.Event {
 		case event.AttemptFailed.ID:
 			sentences = append(sentences, fmt.Sprintf("Attempt %s at %s failed after %v: %s; %s.", l.Text("attempt"), l.Text("server"), l.Duration("after_ms"), failureText(l), executionText(l)))
+		case event.ServerSilent.ID:
+			sentences = append(sentences, fmt.Sprintf("During attempt %s, %s sent nothing for %v on any connection of %s.", l.Text("attempt"), l.Text("server"), l.Duration("silent_ms"), t.Entry.node))
 		case event.RequestRetried.ID:
 			sentences = append(sentences, retryText(l))
 		case event.RetryWithheld.ID:
