Give up an attempt at a silent server only for another server's answer

Cause: a commitment was given up before its replacement was certain. stallWatch canceled the attempt after 1.5 s of silence, and only then the retry budget, the route's attempts, the queue and the other server decided whether the request could go on. Any of them could say no; all streams of one server were canceled at the same moment and spent the budget together. The fallback for excluded servers could also send the request to the silent server a second time.

Change: while the server is silent, another one is sought; budget, queue and the other server's answer come first, and the silent attempt is canceled when that answer has begun. Until then it goes on, and if its server speaks before the request is sent elsewhere, the search ends. Once the request has been sent to the other server, data of the silent one is held back until that server has answered, declined or failed, or for 1 s; so two servers never go on with one stream. A request that no other server takes waits for its own server until its deadline.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -46,6 +46,7 @@
 	FailureMalformed   FailureKind = "malformed"   // not a valid response to this request
 	FailureTimeout     FailureKind = "timeout"     // no response in time
 	FailureSilent      FailureKind = "silent"      // the server stopped sending anything
+	FailureWithdrawn   FailureKind = "withdrawn"   // the entry gave it up because an earlier attempt went on
 	FailureStatus      FailureKind = "status"      // the server responded with an error status
 	FailureRejected    FailureKind = "turned away" // the server rejected the request without running it
 	FailureWrongServer FailureKind = "misdirected" // the address belongs to another server, or the model is not loaded
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -154,19 +154,20 @@
 	}
 }
 
-// ServerSilent returns for how long an answer has been pending and nothing was
-// received from the server on any connection, and whether that is at least d. If
-// so, it marks the server as unhealthy.
-func (t *Ticket) ServerSilent(d time.Duration) (silent time.Duration, exceeded bool) {
+// Silence returns for how long an answer has been pending and nothing was
+// received from the server on any connection.
+func (t *Ticket) Silence() time.Duration {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	now := time.Now()
-	silent = min(now.Sub(t.s.lastReceived), now.Sub(t.s.awaitingSince))
-	if silent < d {
-		return silent, false
-	}
-	t.s.health().Stalled(now)
-	return silent, true
+	return min(now.Sub(t.s.lastReceived), now.Sub(t.s.awaitingSince))
+}
+
+// Stalled records that the server is silent, so that others are preferred.
+func (t *Ticket) Stalled() {
+	t.b.mu.Lock()
+	defer t.b.mu.Unlock()
+	t.s.health().Stalled(time.Now())
 }
 
 // End ends the attempt and dispatches queued requests. Further calls have no
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -6,29 +6,40 @@
 	"net/http"
 
 	"peridotchute.example/common/decisionlog"
-	"peridotchute.example/entry/direct/balance"
-	"peridotchute.example/entry/direct/exchange"
 	"peridotchute.example/entry/direct/relay"
 	"peridotchute.example/fleet"
 )
 
 // handleAnswer forwards an answer to the client unless the answer calls for
 // another attempt. It reports whether to try again.
-func (r *run) handleAnswer(ctx context.Context, t *balance.Ticket, resp *exchange.Response, watch *stallWatch) bool {
+func (r *run) handleAnswer(ctx context.Context, a *attempt) bool {
+	t, resp := a.ticket, a.answer
+	if !r.continues(resp) {
+		r.settle(a) // nothing of it is forwarded in place of another server's answer
+	}
 	switch {
 	case resp.Outcome.NotRun:
-		return r.handleDecline(ctx, t, resp)
-	case resp.Status >= http.StatusInternalServerError || impliesNotRun(resp.Status):
-		return r.handleServerError(ctx, t, resp)
-	case r.stream != nil && resp.Status != http.StatusOK:
-		r.record.attemptFailed(decisionlog.FailureStatus, resp.Status, false, nil)
+		return r.handleDecline(ctx, a)
+	case isServerError(resp.Status):
+		return r.handleServerError(ctx, a)
+	case r.stream != nil && resp.Status != statusResumed:
+		r.record.attemptFailed(a, decisionlog.FailureStatus, resp.Status, false, nil)
 		t.Failed()
 		r.exclude = append(r.exclude, t.Server.ID)
 		return r.mayRetry(ctx) || r.finishWithError(ctx, refusal{status: http.StatusBadGateway})
 	case r.req.route.Stream && resp.Status == http.StatusOK:
-		return r.forwardStream(ctx, t, resp, watch)
+		return r.forwardStream(ctx, a)
 	}
-	return r.forwardWhole(ctx, t, resp)
+	return r.forwardWhole(ctx, a)
+}
+
+// statusResumed is the status with which a server continues a stream.
+const statusResumed = http.StatusOK
+
+// isServerError reports whether another server may do better than the one that
+// answered with the status.
+func isServerError(status int) bool {
+	return status >= http.StatusInternalServerError || impliesNotRun(status)
 }
 
 // impliesNotRun reports whether clients take the status to mean that the
@@ -43,8 +54,9 @@
 
 // handleDecline handles an answer that states that the server did not run the
 // request.
-func (r *run) handleDecline(ctx context.Context, t *balance.Ticket, resp *exchange.Response) bool {
-	r.record.attemptFailed(declineKind(resp.Outcome), resp.Status, true, nil)
+func (r *run) handleDecline(ctx context.Context, a *attempt) bool {
+	t, resp := a.ticket, a.answer
+	r.record.attemptFailed(a, declineKind(resp.Outcome), resp.Status, true, nil)
 	t.Declined(resp.Outcome.Misdirected)
 	r.exclude = append(r.exclude, t.Server.ID)
 	if r.mayRetry(ctx) {
@@ -55,8 +67,9 @@
 
 // handleServerError handles an error answer of the server. The request counts
 // as possibly run.
-func (r *run) handleServerError(ctx context.Context, t *balance.Ticket, resp *exchange.Response) bool {
-	r.record.attemptFailed(decisionlog.FailureStatus, resp.Status, false, nil)
+func (r *run) handleServerError(ctx context.Context, a *attempt) bool {
+	t, resp := a.ticket, a.answer
+	r.record.attemptFailed(a, decisionlog.FailureStatus, resp.Status, false, nil)
 	t.Failed()
 	r.mayHaveRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
@@ -69,14 +82,18 @@
 	if impliesNotRun(resp.Status) {
 		return r.finishWithError(ctx, refusal{status: http.StatusBadGateway, reason: unknownOutcomeReason})
 	}
-	return r.forwardWhole(ctx, t, resp)
+	return r.forwardWhole(ctx, a)
 }
 
-func (r *run) forwardWhole(ctx context.Context, t *balance.Ticket, resp *exchange.Response) bool {
+func (r *run) forwardWhole(ctx context.Context, a *attempt) bool {
+	t, resp := a.ticket, a.answer
+	a.watch.recordEvent()
 	buffered, err := relay.Buffer(resp, t.Server.ID)
+	if err == nil {
+		err = a.watch.claim()
+	}
 	if err != nil {
-		r.sent-- // incremented again by handleFailure
-		return r.handleFailure(ctx, t, err)
+		return r.handleFailure(ctx, a, err)
 	}
 	if resp.Status < http.StatusInternalServerError {
 		t.Succeeded()
@@ -91,18 +108,24 @@
 	return false
 }
 
-func (r *run) forwardStream(ctx context.Context, t *balance.Ticket, resp *exchange.Response, watch *stallWatch) bool {
+func (r *run) forwardStream(ctx context.Context, a *attempt) bool {
+	t, resp := a.ticket, a.answer
 	if r.stream == nil {
 		relay.CopyHeader(r.w, resp)
 		r.f.closeAfterStop(r.w)
 		r.w.WriteHeader(resp.Status)
 		r.stream = relay.NewStream(r.w)
 	}
-	err := r.stream.Copy(resp.Body, func() {
+	a.watch.recordEvent()
+	err := r.stream.Copy(resp.Body, a.watch.claim, func() {
 		t.Event()
-		watch.recordEvent()
+		a.watch.recordEvent()
 		r.record.sentBytes()
 	})
+	if err == nil || errors.Is(err, relay.ErrClient) {
+		a.watch.stop()
+	}
+	successor := r.settle(a)
 	r.record.end.Events, r.record.end.Bytes = r.stream.Events, r.stream.Bytes
 	switch {
 	case err == nil:
@@ -112,11 +135,13 @@
 	case errors.Is(err, relay.ErrClient):
 		r.record.finishFailed(r.abortOutcome(err), resp.Status, string(r.abortReason(ctx, refusal{})))
 		panic(http.ErrAbortHandler)
+	case successor != nil:
+		return r.handOver(ctx, a, successor, err)
 	}
 	if ctx.Err() == nil {
 		t.Failed()
 	}
-	r.recordFailure(ctx, resp.Status, err)
+	r.recordFailure(ctx, a, resp.Status, err)
 	r.mayHaveRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
 	if r.req.route.RetryPolicy != fleet.RetryResume {
--- a/entry/direct/front/outcome.go
+++ b/entry/direct/front/outcome.go
@@ -7,7 +7,6 @@
 
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/fault"
-	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/relay"
 )
 
@@ -23,15 +22,16 @@
 func (r *run) callerDisconnected() bool { return r.r.Context().Err() != nil }
 
 // recordFailure records a failed attempt unless the caller disconnected.
-func (r *run) recordFailure(ctx context.Context, status int, err error) {
+func (r *run) recordFailure(ctx context.Context, a *attempt, status int, err error) {
 	if !r.callerDisconnected() {
-		r.record.attemptFailed(failureKind(ctx, err), status, fault.Is(err, fault.KindUnavailable), err)
+		r.record.attemptFailed(a, failureKind(ctx, err), status, fault.Is(err, fault.KindUnavailable), err)
 	}
 }
 
 // markUnreachable marks the server as unreachable and logs the first of
 // consecutive failures.
-func (r *run) markUnreachable(t *balance.Ticket, err error) {
+func (r *run) markUnreachable(a *attempt, err error) {
+	t := a.ticket
 	if !t.Unreachable() {
 		return
 	}
@@ -42,7 +42,7 @@
 		Address:    t.Server.Address,
 		Zone:       t.Server.Zone,
 		RowVersion: t.Server.Registration,
-		ViewAge:    r.record.end.ViewAge,
+		ViewAge:    a.viewAge,
 		Reason:     err.Error(),
 	})
 }
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -9,7 +9,6 @@
 
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/fault"
-	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
 	"peridotchute.example/entry/direct/relay"
 	"peridotchute.example/fleet"
@@ -25,7 +24,6 @@
 	refused   *decisionlog.Refused // if set, logged instead of the field end
 	firstByte time.Time
 	lastEvent time.Time
-	sentAt    time.Time // start of the current attempt
 }
 
 func newRecord(log *decisionlog.Log, req *request, v *fleet.View) *record {
@@ -44,24 +42,27 @@
 	return r
 }
 
-// serverChosen starts the record of an attempt at the ticket's server.
-func (r *record) serverChosen(t *balance.Ticket, v *fleet.View) {
-	r.sentAt = time.Now()
-	r.end.Attempts++
-	r.end.Server = t.Server.ID
-	r.end.Expected = t.Expected
-	r.end.ViewAge = r.sentAt.Sub(v.ServersRead)
-	r.end.Backlog = t.Backlog
+// serverChanged makes the attempt the current one.
+func (r *record) serverChanged(a *attempt) {
+	r.end.Server = a.ticket.Server.ID
+	r.end.ViewAge = a.viewAge
+	r.end.Expected = a.ticket.Expected
+	r.end.Backlog = a.ticket.Backlog
+}
+
+// chosen records the server of an attempt and the inputs of the choice.
+func (r *record) chosen(a *attempt) {
+	t := a.ticket
 	r.trace.Add(decisionlog.Chosen{
 		Server:   t.Server.ID,
 		Zone:     t.Server.Zone,
-		Attempt:  r.end.Attempts,
+		Attempt:  a.number,
 		Waited:   r.end.Waited,
 		Expected: t.Expected,
 		Backlog:  t.Backlog,
 		Running:  t.Running,
 		Cached:   t.Cached,
-		ViewAge:  r.end.ViewAge,
+		ViewAge:  a.viewAge,
 
 		Candidates: t.Replicas,
 	})
@@ -79,26 +80,22 @@
 }
 
 // attemptFailed records an attempt that gave no complete answer.
-func (r *record) attemptFailed(kind decisionlog.FailureKind, status int, notRun bool, err error) {
+func (r *record) attemptFailed(a *attempt, kind decisionlog.FailureKind, status int, notRun bool, err error) {
 	r.trace.Add(decisionlog.AttemptFailed{
-		Server:  r.end.Server,
-		Attempt: r.end.Attempts,
+		Server:  a.ticket.Server.ID,
+		Attempt: a.number,
 		Kind:    kind,
 		Status:  status,
 		NotRun:  notRun,
-		After:   time.Since(r.sentAt),
+		After:   time.Since(a.begun),
 		Events:  r.end.Events,
 		Err:     err,
 	})
 }
 
-// serverSilent returns a function that records that the server of the current
-// attempt has sent nothing for a while. It may be called from any goroutine.
-func (r *record) serverSilent(server string) func(time.Duration) {
-	attempt := r.end.Attempts
-	return func(silent time.Duration) {
-		r.trace.Add(decisionlog.ServerSilent{Server: server, Attempt: attempt, Silent: silent})
-	}
+// serverSilent records that the server of an attempt has sent nothing for a while.
+func (r *record) serverSilent(a *attempt, silent time.Duration) {
+	r.trace.Add(decisionlog.ServerSilent{Server: a.ticket.Server.ID, Attempt: a.number, Silent: silent})
 }
 
 // failureKind classifies the error of an attempt. ctx is the context of the
@@ -107,7 +104,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return decisionlog.FailureTimeout
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled) || errors.Is(err, errSuperseded):
 		return decisionlog.FailureSilent
 	case fault.Is(err, fault.KindUnavailable):
 		return decisionlog.FailureConnect
@@ -133,11 +130,12 @@
 	r.trace.Add(decisionlog.RetryWithheld{Reason: reason, Attempts: r.end.Attempts, BudgetLeft: budget})
 }
 
-// retried records that another attempt is made. resumeAfter is the ID of the
-// last stream event sent, or empty; budget is the number of retries left.
-func (r *record) retried(resumeAfter string, budget float64) {
+// retried records that another attempt is made, with its number. resumeAfter is
+// the ID of the last stream event sent, or empty; budget is the number of retries
+// left.
+func (r *record) retried(resumeAfter string, attempt int, budget float64) {
 	r.trace.Add(decisionlog.Retried{
-		Attempt:     r.end.Attempts + 1,
+		Attempt:     attempt,
 		Resumed:     resumeAfter != "",
 		ResumeAfter: resumeAfter,
 		BudgetLeft:  budget,
--- a/entry/direct/front/retry.go
+++ b/entry/direct/front/retry.go
@@ -23,11 +23,7 @@
 		r.record.retryWithheld(decisionlog.WithheldBudget, budget)
 		return false
 	}
-	lastID := ""
-	if r.stream != nil {
-		lastID = r.stream.LastID()
-	}
-	r.record.retried(lastID, budget-1)
+	r.record.retried(r.lastEventID(), r.record.end.Attempts+1, budget-1)
 	return true
 }
 
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -33,6 +33,7 @@
 	r          *http.Request
 	req        *request
 	stream     *relay.Stream // nil until a stream begins
+	next       *attempt      // has taken the request over from the current attempt; nil if none has
 	sent       int           // attempts that reached a server
 	unsent     int           // attempts that failed before anything was sent
 	mayHaveRun bool          // some server may have run the request
@@ -66,46 +67,56 @@
 	return q.arrived.Add(wait)
 }
 
-// attempt waits for a server, sends the request once and reports whether to try
-// again. If it returns false, the request has been answered.
+// attempt makes one attempt and reports whether to try again. If it returns
+// false, the request has been answered.
 func (r *run) attempt(ctx context.Context) bool {
-	if ctx.Err() != nil || time.Until(r.req.deadline()) < minTimeLeft {
-		return r.finishWithError(ctx, refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate})
-	}
-	queuedAt := time.Now()
-	ticket, refused := r.chooseServer(ctx)
-	r.record.end.Waited += time.Since(queuedAt)
+	a, refused := r.nextAttempt(ctx)
 	if refused != nil {
 		return r.finishWithError(ctx, *refused)
 	}
-	defer ticket.End()
-	r.record.serverChosen(ticket, r.f.opts.Views.Current())
-	attempt, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watch := r.watch(attempt, cancel, ticket)
-	defer watch.stop()
-	answer, err := r.f.opts.Exchanger.Send(attempt, r.newCall(ticket.Server))
-	if err != nil {
-		return r.handleFailure(ctx, ticket, err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	r.sent++
-	watch.recordEvent()
-	return r.handleAnswer(ctx, ticket, answer, watch)
+	defer a.end()
+	a.watch = r.watch(ctx, a)
+	if a.answer == nil {
+		answer, err := r.f.opts.Exchanger.Send(a.ctx, r.newCall(a.ticket.Server))
+		if err != nil {
+			return r.handleFailure(ctx, a, err)
+		}
+		a.answer = answer
+		r.sent++
+	}
+	if a.watch.claim() != nil {
+		return r.handOver(ctx, a, r.settle(a), errSuperseded)
+	}
+	return r.handleAnswer(ctx, a)
 }
 
-// watch starts a stallWatch for an attempt that may be retried. It returns nil
-// for any other attempt, which runs until the request's deadline.
-func (r *run) watch(ctx context.Context, cancel context.CancelFunc, t *balance.Ticket) *stallWatch {
-	if r.req.route.RetryPolicy == fleet.RetryNever || r.sent+1 >= r.req.route.MaxAttempts {
-		return nil
+// nextAttempt returns the attempt that has taken the request over. If there is
+// none, it waits until the request may be sent to a server.
+func (r *run) nextAttempt(ctx context.Context) (*attempt, *refusal) {
+	if next := r.next; next != nil {
+		r.next = nil
+		r.record.serverChanged(next)
+		return next, nil
+	}
+	if ctx.Err() != nil || time.Until(r.req.deadline()) < minTimeLeft {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate}
 	}
-	return watchStall(ctx, cancel, t, r.record.serverSilent(t.Server.ID))
+	queuedAt := time.Now()
+	ticket, refused := r.admit(ctx, r.exclude, r.stream != nil)
+	r.record.end.Waited += time.Since(queuedAt)
+	if refused != nil {
+		return nil, refused
+	}
+	r.record.end.Attempts++
+	a := newAttempt(ctx, ticket, r.record.end.Attempts, r.f.opts.Views.Current())
+	r.record.serverChanged(a)
+	r.record.chosen(a)
+	return a, nil
 }
 
-// chooseServer waits until the request may be sent to a server and returns the
-// ticket for it, or a refusal.
-func (r *run) chooseServer(ctx context.Context) (*balance.Ticket, *refusal) {
+// admit waits until the request may be sent to a server, preferably none of the
+// excluded ones, and returns the ticket for it, or a refusal.
+func (r *run) admit(ctx context.Context, exclude []string, resumed bool) (*balance.Ticket, *refusal) {
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.f.queueCtx, cancel)()
@@ -115,8 +126,8 @@
 		Route:    r.req.route,
 		Arrived:  r.req.arrived,
 		Deadline: r.req.deadline(),
-		Exclude:  r.exclude,
-		Resumed:  r.stream != nil,
+		Exclude:  exclude,
+		Resumed:  resumed,
 	})
 	if rejected == nil {
 		return ticket, nil
@@ -157,9 +168,7 @@
 		Remaining: time.Until(r.req.deadline()),
 		Urgency:   r.req.route.Priority,
 	}
-	if r.stream != nil {
-		attempt.LastEventID = r.stream.LastID()
-	}
+	attempt.LastEventID = r.lastEventID()
 	return &exchange.Call{
 		ID:      r.req.ID,
 		Method:  r.r.Method,
@@ -172,10 +181,22 @@
 	}
 }
 
+// lastEventID returns the ID of the last event that the client was sent, or "".
+func (r *run) lastEventID() string {
+	if r.stream == nil {
+		return ""
+	}
+	return r.stream.LastID()
+}
+
 // handleFailure handles an attempt without a complete answer and reports whether
 // to try again.
-func (r *run) handleFailure(ctx context.Context, t *balance.Ticket, err error) bool {
-	r.recordFailure(ctx, 0, err)
+func (r *run) handleFailure(ctx context.Context, a *attempt, err error) bool {
+	if successor := r.settle(a); successor != nil {
+		return r.handOver(ctx, a, successor, err)
+	}
+	t := a.ticket
+	r.recordFailure(ctx, a, 0, err)
 	if exchange.IsStale(err) {
 		r.unsent++
 		return r.unsent < maxUnsentAttempts || r.finishWithError(ctx, refusal{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: decisionlog.RefusedUnreachable})
@@ -186,7 +207,7 @@
 	}
 	if fault.Is(err, fault.KindUnavailable) {
 		if ctx.Err() == nil {
-			r.markUnreachable(t, err)
+			r.markUnreachable(a, err)
 		}
 		r.unsent++
 		if r.unsent < maxUnsentAttempts && ctx.Err() == nil {
@@ -194,7 +215,9 @@
 		}
 		return r.finishWithError(ctx, refusal{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: decisionlog.RefusedUnreachable})
 	}
-	r.sent++
+	if a.answer == nil {
+		r.sent++
+	}
 	r.mayHaveRun = true
 	if r.mayRetry(ctx) {
 		return true
--- /dev/null
+++ b/entry/direct/front/successor.go
@@ -0,0 +1,164 @@
+package front
+
+import (
+	"context"
+	"slices"
+
+	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/common/fault"
+	"peridotchute.example/entry/direct/balance"
+	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/fleet"
+)
+
+// seek waits for another server that may get the request and sends it there. It
+// ends without effect when ctx is canceled first.
+func (w *stallWatch) seek(ctx context.Context, resumed bool, exclude []string) {
+	ticket, refused := w.run.admit(ctx, exclude, resumed)
+	if refused == nil && slices.Contains(exclude, ticket.Server.ID) {
+		ticket.End() // the balancer offers excluded servers when there is no other
+		ticket = nil
+	}
+	if ticket == nil {
+		w.giveUp(ctx, decisionlog.WithheldNoServer)
+		return
+	}
+	call, s := w.startSending(ctx, ticket)
+	if s == nil {
+		ticket.End()
+		return
+	}
+	answer, err := w.run.f.opts.Exchanger.Send(s.ctx, call)
+	s.answer = answer
+	w.finishSending(s, err)
+}
+
+// giveUp ends phaseSeeking without another server.
+func (w *stallWatch) giveUp(ctx context.Context, reason decisionlog.WithheldReason) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	w.phase = phaseIdle
+	w.recordWithheld(reason)
+}
+
+// startSending enters phaseSending if the server is still silent and the retry
+// budget allows another attempt. Otherwise it returns nil.
+func (w *stallWatch) startSending(ctx context.Context, t *balance.Ticket) (*exchange.Call, *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, nil
+	}
+	r := w.run
+	if !r.f.opts.Balancer.TakeRetry(r.req.service) {
+		w.phase = phaseIdle
+		w.recordWithheld(decisionlog.WithheldBudget)
+		return nil, nil
+	}
+	w.tried++
+	s := newAttempt(w.ctx, t, w.attempt.number+w.tried, r.f.opts.Views.Current())
+	w.phase, w.cancelPhase = phaseSending, s.cancel
+	r.record.retried(r.lastEventID(), s.number, r.f.opts.Balancer.BudgetLeft(r.req.service))
+	r.record.chosen(s)
+	return r.newCall(t.Server), s
+}
+
+// finishSending leaves phaseSending: the other server has taken the request over,
+// or it failed and the silent attempt goes on.
+func (w *stallWatch) finishSending(s *attempt, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer w.changed.Broadcast()
+	if err == nil && w.run.continues(s.answer) {
+		w.sent++
+		w.successor = s
+		w.phase = phaseSuperseded
+		w.attempt.cancel()
+		return
+	}
+	w.phase = phaseIdle
+	w.failed = append(w.failed, s.ticket.Server.ID)
+	if w.successorFailed(s, err) {
+		w.sent++
+		w.left--
+	}
+	s.end()
+}
+
+// continues reports whether an answer can be forwarded in place of the silent
+// server's.
+func (r *run) continues(resp *exchange.Response) bool {
+	if resp.Outcome.NotRun || isServerError(resp.Status) {
+		return false
+	}
+	return r.stream == nil || resp.Status == statusResumed
+}
+
+// successorFailed records the failure of another server and reports whether the
+// request was sent to it.
+func (w *stallWatch) successorFailed(s *attempt, err error) (sent bool) {
+	r, t := w.run, s.ticket
+	switch {
+	case err == nil && s.answer.Outcome.NotRun:
+		r.record.attemptFailed(s, declineKind(s.answer.Outcome), s.answer.Status, true, nil)
+		t.Declined(s.answer.Outcome.Misdirected)
+		return true
+	case err == nil:
+		r.record.attemptFailed(s, decisionlog.FailureStatus, s.answer.Status, false, nil)
+		t.Failed()
+		w.mayHaveRun = true
+		return true
+	case s.ctx.Err() != nil: // the silent server went on, or the request ended
+		r.record.attemptFailed(s, decisionlog.FailureWithdrawn, 0, false, err)
+		w.mayHaveRun = true
+		return true
+	}
+	unreachable := fault.Is(err, fault.KindUnavailable)
+	r.record.attemptFailed(s, failureKind(w.ctx, err), 0, unreachable, err)
+	switch {
+	case exchange.IsStale(err):
+	case unreachable:
+		r.markUnreachable(s, err)
+	default:
+		t.Failed()
+		w.mayHaveRun = true
+	}
+	return !unreachable
+}
+
+// handOver ends an attempt whose request another server has taken over. err says
+// how the attempt ended. It returns true: the other server's attempt is next.
+func (r *run) handOver(ctx context.Context, a, successor *attempt, err error) bool {
+	if a.answer == nil {
+		r.sent++
+	}
+	r.recordFailure(ctx, a, 0, err)
+	r.exclude = append(r.exclude, a.ticket.Server.ID)
+	a.ticket.Failed()
+	r.mayHaveRun = true
+	r.next = successor
+	return true
+}
+
+// settle ends the search for another server and counts its attempts. It returns
+// the attempt that has taken the request over, or nil.
+func (r *run) settle(a *attempt) *attempt {
+	w := a.watch
+	successor := w.takeSuccessor()
+	if w == nil {
+		return successor
+	}
+	r.sent += w.sent
+	r.record.end.Attempts += w.tried
+	r.exclude = append(r.exclude, w.failed...)
+	r.mayHaveRun = r.mayHaveRun || w.mayHaveRun
+	w.sent, w.tried, w.failed = 0, 0, nil
+	return successor
+}
+
+// retriable reports whether the request may be sent to another server although
+// one may have run it.
+func (r *run) retriable() bool { return r.req.route.RetryPolicy != fleet.RetryNever }
--- a/entry/direct/relay/stream_test.go
+++ b/entry/direct/relay/stream_test.go
@@ -34,7 +34,7 @@
 			client := httptest.NewRecorder()
 			s := NewStream(client)
 			events := 0
-			err := s.Copy(c.source, func() { events++ })
+			err := s.Copy(c.source, func() error { return nil }, func() { events++ })
 			assert.Assert(t, errors.Is(err, c.err), "%v", err)
 			assert.Equal(t, client.Body.String(), c.forwarded)
 			assert.Equal(t, s.LastID(), c.lastID)
