Use the servers of a service whose engine is added or removed

What callers saw: after a configuration had added the engine of a service, or removed it, every request for a model of that service got 503 for as long as its servers stayed registered at their addresses. With an engine added, a request first waited almost until its deadline (9.9 s of 10 s).

Cause: the balancer keeps a server's state as that of a plain server or of a model server, which newServer decides when the server is first seen. A change of the service's kind left the old state in place, and offers skip states of the other kind.

Change: sync replaces the state of a server of the other kind. Requests in progress keep the old state, so until they end they don't count towards the limit of connections. The prefix cache of a replaced state is cleared, also after a change of the address: it otherwise stayed in the index, which counted its tokens as cached.

--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -62,7 +62,10 @@
 		}
 		seen[s.ID] = true
 		known := p.servers[s.ID]
-		if known == nil || known.Address != s.Address {
+		if known == nil || known.Address != s.Address || known.isModelServer() != (p.engine != nil) {
+			if known != nil {
+				known.clearCachedPrefixes()
+			}
 			known = b.newServer(p, s)
 			p.servers[s.ID] = known
 		}
@@ -144,6 +147,9 @@
 	}
 }
 
+// isModelServer reports whether the state is that of a model server.
+func (s *server) isModelServer() bool { return s.engine != nil }
+
 // usable reports whether requests may be sent to the server.
 func (s *server) usable(now time.Time) bool { return !s.Draining && !now.Before(s.downUntil) }
 
