Log the software version of servers, and streams that clients resume

No line of the log named a version or a client that resumes a stream, so the hypotheses of docs/incidents/order-software-versions.md could not be told apart.

Event 613 names the request whose stream a client resumes; streams_resumed_by_client_total counts them.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -19,10 +19,18 @@
 	ConfigVersion int64
 }
 
+// StreamResumed records that a client resumes a stream that an earlier request
+// brought.
+type StreamResumed struct {
+	Resumes     string // the request that brought the first event; empty if the client named none
+	LastEventID string // the stream resumes after this event
+}
+
 // Chosen records the server that a request is sent to and the inputs of the
 // choice.
 type Chosen struct {
 	Server     string
+	Software   string // version of the server's software
 	Zone       string
 	Attempt    int           // 1 for the first
 	Waited     time.Duration // in the queue, over all attempts
@@ -193,6 +201,9 @@
 // Event implements Record.
 func (Routed) Event() event.Event { return event.RequestRouted }
 
+// Event implements Record.
+func (StreamResumed) Event() event.Event { return event.StreamResumed }
+
 // Event implements Record.
 func (Chosen) Event() event.Event { return event.ServerChosen }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -12,8 +12,14 @@
 	e.countIfSet("config_version", r.ConfigVersion)
 }
 
+func (r StreamResumed) encode(e *encoder) {
+	e.textIfSet("resumes", r.Resumes)
+	e.textIfSet("last_event", r.LastEventID)
+}
+
 func (r Chosen) encode(e *encoder) {
 	e.text("server", r.Server)
+	e.textIfSet("software", r.Software)
 	e.textIfSet("zone", r.Zone)
 	e.count("attempt", int64(r.Attempt))
 	e.duration("waited_ms", r.Waited)
--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -61,6 +61,7 @@
 	Change       ServerChange
 	Server       string
 	Service      string
+	Software     string // version of the server's software
 	Address      string
 	Zone         string
 	RowVersion   int64         // version of the registration
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -38,6 +38,7 @@
 func (r ServerChanged) encode(e *encoder) {
 	e.text("server", r.Server)
 	e.textIfSet("service", r.Service)
+	e.textIfSet("software", r.Software)
 	e.textIfSet("address", r.Address)
 	e.textIfSet("zone", r.Zone)
 	e.countIfSet("row_version", r.RowVersion)
--- a/common/event/decision.go
+++ b/common/event/decision.go
@@ -16,5 +16,6 @@
 	TraceTruncated  = define(610, "decisions not kept", logrus.WarnLevel, "A request made more decisions than its trace stores; count is the number left out.")
 	ServerSilent    = define(611, "server silent", logrus.InfoLevel, "During an attempt of the request its server sent nothing on any connection of this entry for silent_ms. The lines after it say whether the attempt went on or another server took over.")
 	HandlerPanicked = define(612, "request handler panicked", logrus.ErrorLevel, "A defect ended the handling of a request, and its connection was closed without an answer. reason has the panic and its stack.")
+	StreamResumed   = define(613, "stream resumed by its client", logrus.InfoLevel, "A client resumes a stream that an earlier request brought, named in resumes.")
 	LogLinesLeftOut = define(699, "log lines left out", logrus.WarnLevel, "Counts, by event, of the log lines left out since the previous such line: the event exceeded its rate, or the writer was too slow.")
 )
--- a/common/metrics/metrics.go
+++ b/common/metrics/metrics.go
@@ -42,6 +42,7 @@
 	wait      *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
 	silences  prometheus.Counter
+	resumed   prometheus.Counter
 	retries   *prometheus.CounterVec
 	withheld  *prometheus.CounterVec
 	events    *prometheus.CounterVec
@@ -60,12 +61,13 @@
 		wait:      newHistogramVec("request_wait_seconds", "Time that a request waited at the entry.", latencyBuckets, labelService),
 		attempts:  newCounterVec("attempts_failed_total", "Attempts that brought no whole answer.", labelKind, labelNotRun),
 		silences:  newCounter("attempts_silent_total", "Times that the server of an attempt sent nothing for a while on any connection of this entry."),
+		resumed:   newCounter("streams_resumed_by_client_total", "Requests that resume a stream of an earlier request."),
 		retries:   newCounterVec("retries_total", "Further attempts of requests; resumed streams are one kind.", labelKind),
 		events:    newCounterVec("events_total", "Events of the log that belong to no request, such as orders by their outcome.", labelEvent),
 		withheld:  newCounterVec("retries_withheld_total", "Failed attempts without another one.", labelReason),
 	}
 	m.registry.MustRegister(
-		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.silences, m.retries, m.withheld,
+		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.silences, m.resumed, m.retries, m.withheld,
 		m.events, collectors.NewGoCollector(),
 	)
 	return m
@@ -95,6 +97,8 @@
 		m.retries.WithLabelValues(retryKind(r)).Inc()
 	case decisionlog.RetryWithheld:
 		m.withheld.WithLabelValues(string(r.Reason)).Inc()
+	case decisionlog.StreamResumed:
+		m.resumed.Inc()
 	case decisionlog.Routed, decisionlog.Chosen:
 		// Counted when the request ends.
 	default:
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -170,6 +170,12 @@
 	service string
 }
 
+// resumesStream reports whether the client resumes a stream of which an earlier
+// request brought events.
+func (q *request) resumesStream() bool {
+	return q.route.RetryPolicy == fleet.RetryResume && (q.Resumes != "" || q.LastEventID != "")
+}
+
 // read checks a request against the limits and reads its body. It returns a
 // refusal for an invalid or too large request.
 func (f *Front) read(w http.ResponseWriter, r *http.Request, limits fleet.Limits) (*request, *refusal) {
--- a/entry/direct/front/outcome.go
+++ b/entry/direct/front/outcome.go
@@ -39,6 +39,7 @@
 		Change:     decisionlog.ServerSuspected,
 		Server:     t.Server.ID,
 		Service:    t.Server.Service,
+		Software:   t.Server.Software,
 		Address:    t.Server.Address,
 		Zone:       t.Server.Zone,
 		RowVersion: t.Server.Registration,
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -39,6 +39,9 @@
 		Deadline:      req.Deadline,
 		ConfigVersion: r.version,
 	})
+	if req.resumesStream() {
+		r.trace.Add(decisionlog.StreamResumed{Resumes: req.Resumes, LastEventID: req.LastEventID})
+	}
 	return r
 }
 
@@ -55,6 +58,7 @@
 	t := a.ticket
 	r.trace.Add(decisionlog.Chosen{
 		Server:   t.Server.ID,
+		Software: t.Server.Software,
 		Zone:     t.Server.Zone,
 		Attempt:  a.number,
 		Waited:   r.end.Waited,
--- a/entry/direct/view/changes.go
+++ b/entry/direct/view/changes.go
@@ -37,6 +37,7 @@
 		Change:       change,
 		Server:       s.ID,
 		Service:      s.Service,
+		Software:     s.Software,
 		Address:      s.Address,
 		Zone:         s.Zone,
 		RowVersion:   s.Registration,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,7 @@
 	ID           string // of this incarnation, although a restarted server may keep its ID
 	Born         int64  // start of this incarnation, in Unix milliseconds; 0 if unknown
 	Service      string
+	Software     string // version of its software; what two versions write in one stream does not fit together
 	Address      string // IP:port
 	Zone         string
 	Slots        int
--- a/fleet/request.go
+++ b/fleet/request.go
@@ -16,6 +16,7 @@
 	LengthHint  int           // client's estimate of the response tokens; 0 if not given
 	Parts       []Part        // parts of the prompt, in order
 	LastEventID string        // the stream resumes after this event
+	Resumes     string        // the client attempt that brought the first event of the resumed stream
 }
 
 // Part is a part of a prompt. Different requests may have parts in common; the
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -166,6 +166,8 @@
 		switch l.Event {
 		case event.AttemptFailed.ID:
 			sentences = append(sentences, fmt.Sprintf("Attempt %s at %s failed after %v: %s; %s.", l.Text("attempt"), l.Text("server"), l.Duration("after_ms"), failureText(l), executionText(l)))
+		case event.StreamResumed.ID:
+			sentences = append(sentences, fmt.Sprintf("The client resumed the stream of request %s after event %s.", l.Text("resumes"), l.Text("last_event")))
 		case event.ServerSilent.ID:
 			sentences = append(sentences, fmt.Sprintf("During attempt %s, %s sent nothing for %v on any connection of %s.", l.Text("attempt"), l.Text("server"), l.Duration("silent_ms"), t.Entry.node))
 		case event.RequestRetried.ID:
