Continue a stream only at the software version that began it

Cause: servers of one service were taken as interchangeable in the middle of a stream. The choice of a server for a stream that goes on knew only model, load and exclusions; a registration's software version was not even decoded. And the entry to which a client came back with a new request had no way to know who had begun the stream.

Change: the first event binds a stream to its server's version, and the balancer offers only servers of that version to it (Query.Software). entry/direct/origins records the version when the request is sent, so before the first event; while several versions of a service were registered within a minute, records are copied to two other entries, chosen by rendezvous hashing over the control connections, and an entry to which a client comes back asks these. While one version is in use nothing is sent. A stream whose version has no usable server with the model, or is not known while several are in use, is refused with 503 at once, or cut if its answer has begun.

Not changed: the lease holder does not load a model at a server of a given version, so a stream of a version whose only replica is gone cannot go on there.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -128,6 +128,8 @@
 	RefusedPreempted        RefusalReason = "gave way to more urgent requests"
 	RefusedByServers        RefusalReason = "servers turned it away"
 	RefusedStopping         RefusalReason = "process is stopping"
+	RefusedVersionUnknown   RefusalReason = "the software version that began the stream is not known"
+	RefusedVersionGone      RefusalReason = "no server of the software version that began the stream"
 	RefusedBadRequest       RefusalReason = "request is malformed"
 	RefusedTooLarge         RefusalReason = "request is too large"
 	RefusedUnreachable      RefusalReason = "no server could be reached"
--- a/common/event/mesh.go
+++ b/common/event/mesh.go
@@ -13,4 +13,5 @@
 	DocumentReceived     = define(216, "document taken from peer", logrus.DebugLevel, "A newer document, such as a configuration or a list of servers, was received from another entry; count is its version.")
 	DocumentFailed       = define(217, "document not received", logrus.WarnLevel, "Another entry announced a newer document but did not deliver it. It is requested again from that entry or another one.")
 	EntryConnectionError = define(218, "entry connection broken", logrus.InfoLevel, "A control connection between entries was reset or carried data that cannot be parsed; peer is the remote address.")
+	OriginNotAsked       = define(219, "origin not asked", logrus.WarnLevel, "An entry did not answer which software version began a stream. If no other one knows, the client's request to resume it is refused.")
 )
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -24,8 +24,8 @@
 }
 
 func (p *pool) offerPlain(w *waiting, planned bool, now time.Time) (admission.Offer, bool) {
-	if p.listPlain(w.exclude, now) == 0 {
-		p.listPlain(nil, now)
+	if p.listPlain(w, w.exclude, now) == 0 {
+		p.listPlain(w, nil, now)
 	}
 	m := &p.models
 	serviceTime := p.serviceTime.Value()
@@ -42,13 +42,13 @@
 	return admission.PlainOffer(&choice, serviceTime), true
 }
 
-// listPlain fills plains and chosen with the usable servers, except the
-// excluded ones, and returns their number.
-func (p *pool) listPlain(exclude []string, now time.Time) int {
+// listPlain fills plains and chosen with the usable servers that fit the request,
+// except the excluded ones, and returns their number.
+func (p *pool) listPlain(w *waiting, exclude []string, now time.Time) int {
 	m := &p.models
 	m.plains, m.chosen = m.plains[:0], m.chosen[:0]
 	for _, s := range p.order {
-		if s.plain == nil || !s.usable(now) || slices.Contains(exclude, s.ID) {
+		if s.plain == nil || !s.usable(now) || slices.Contains(exclude, s.ID) || !w.fits(s) {
 			continue
 		}
 		m.plains = append(m.plains, s.plain)
@@ -75,9 +75,25 @@
 			return p.acceptChoice(w, &choice), true
 		}
 	}
+	if !p.allFit(w) {
+		return admission.Offer{}, false // a load could be placed at a server of another version
+	}
 	return b.offerMissing(p, w, now)
 }
 
+// allFit reports whether all servers that may get requests fit the request.
+func (p *pool) allFit(w *waiting) bool {
+	for _, s := range p.order {
+		if !s.Draining && !w.fits(s) {
+			return false
+		}
+	}
+	return true
+}
+
+// fits reports whether the server has the software version that the request needs.
+func (w *waiting) fits(s *server) bool { return w.software == "" || w.software == s.Software }
+
 func (p *pool) acceptChoice(w *waiting, choice *routing.EngineChoice) admission.Offer {
 	w.server = p.models.chosen[choice.Index]
 	w.cached = choice.Cached
@@ -102,7 +118,7 @@
 	base := artifact{model: w.artifact.model}
 	usable := 0
 	for _, s := range p.order {
-		if s.engine == nil || slices.Contains(w.exclude, s.ID) || !s.usable(now) {
+		if s.engine == nil || slices.Contains(w.exclude, s.ID) || !s.usable(now) || !w.fits(s) {
 			continue
 		}
 		var load time.Duration
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -19,6 +19,7 @@
 	Deadline time.Time
 	Exclude  []string // IDs of servers that failed or declined the request
 	Resumed  bool     // a stream that continues after a failed attempt
+	Software string   // if set, only servers of this software version may get the request
 }
 
 // Rejection describes why a request is not sent to any server.
@@ -37,6 +38,7 @@
 	artifact artifact
 	prompt   routing.Prompt
 	exclude  []string
+	software string // if set, only servers of this software version are offered
 	priority int
 	draw     uint64 // random number for the choice of a plain server
 	decided  chan decision
@@ -86,6 +88,7 @@
 	w := &waiting{
 		artifact: artifact{r.Model, r.Adapter},
 		exclude:  q.Exclude,
+		software: q.Software,
 		priority: q.Route.Priority,
 		draw:     b.rnd.Uint64(),
 		decided:  make(chan decision, 1),
@@ -135,6 +138,9 @@
 	if n := len(r.Parts); n > 1 {
 		out.Flow ^= r.Parts[n-2].ID
 	}
+	if w.software != "" {
+		out.Flow ^= routing.ArtifactKey("software " + w.software)
+	}
 	for _, id := range w.exclude {
 		out.Flow ^= routing.ArtifactKey(id)
 	}
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -15,6 +15,7 @@
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/mesh"
 	"peridotchute.example/entry/direct/orders"
+	"peridotchute.example/entry/direct/origins"
 	"peridotchute.example/entry/direct/view"
 	"peridotchute.example/fleet"
 	"peridotchute.example/placement/loadplan"
@@ -28,6 +29,8 @@
 	methodBackfill = "orders.past"
 	methodChange   = "orders.change"
 	methodLease    = "orders.lease"
+	methodBegan    = "streams.began"
+	methodOrigin   = "streams.origin"
 )
 
 const (
@@ -43,6 +46,7 @@
 	mesh     *mesh.Mesh
 	manager  *orders.Manager
 	balancer *balance.Balancer
+	origins  *origins.Registry
 	log      logrus.FieldLogger
 }
 
@@ -89,6 +93,8 @@
 		OnDocument: func(d mesh.Document) { applyDocument(w, d, log) },
 		PullDelay:  map[string]time.Duration{view.KindConfig: configFetchDelay},
 	})
+	c.origins = origins.New(s.Name, originPeers{mesh: c.mesh, log: log})
+	c.handleOrigins()
 	w.OnRead(func(d view.Document) { c.mesh.Offer(mesh.Document(d)) })
 	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q ensureRequest) (ensureReply, error) {
 		id, err := c.manager.Ensure(ctx, q.Service, q.Model, q.Adapter, q.Prefer)
@@ -123,6 +129,7 @@
 		}
 	})
 	daemon.Go(lc, c.manager.Run)
+	daemon.Go(lc, c.origins.Run)
 	daemon.Go(lc, c.exchangeLoads)
 	daemon.Go(lc, c.reportDemand)
 }
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -119,6 +119,7 @@
 	a.watch.recordEvent()
 	err := r.stream.Copy(resp.Body, a.watch.claim, func() {
 		t.Event()
+		r.bindSoftware(a)
 		a.watch.recordEvent()
 		r.record.sentBytes()
 	})
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -21,6 +21,7 @@
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/origins"
 	"peridotchute.example/fleet"
 )
 
@@ -45,12 +46,19 @@
 	Current() *fleet.View
 }
 
+// Origins knows which software version of a service began each resumable stream.
+type Origins interface {
+	Began(service, id, software string)
+	Find(ctx context.Context, service, id string) (software string, o origins.Origin)
+}
+
 // Options configures a Front.
 type Options struct {
 	Codec     fleet.Codec
 	Views     Views
 	Exchanger *exchange.Exchanger
 	Balancer  *balance.Balancer
+	Origins   Origins
 	Log       *decisionlog.Log
 }
 
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -38,6 +38,8 @@
 	unsent     int           // attempts that failed before anything was sent
 	mayHaveRun bool          // some server may have run the request
 	exclude    []string      // IDs of servers that failed or declined the request
+	software   string        // version that brought the stream's events; empty while there are none
+	recorded   string        // version last recorded as the stream's origin
 	record     *record
 }
 
@@ -50,6 +52,9 @@
 	defer f.activeRequests.end(req)
 	run := &run{f: f, w: w, r: r, req: req, record: newRecord(f.opts.Log, req, v)}
 	defer run.record.close()
+	if req.resumesStream() && !run.findOrigin(ctx) {
+		return
+	}
 	for run.attempt(ctx) {
 	}
 }
@@ -102,7 +107,7 @@
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate}
 	}
 	queuedAt := time.Now()
-	ticket, refused := r.admit(ctx, r.exclude, r.stream != nil)
+	ticket, refused := r.admit(ctx, r.exclude, r.stream != nil, r.software)
 	r.record.end.Waited += time.Since(queuedAt)
 	if refused != nil {
 		return nil, refused
@@ -111,12 +116,14 @@
 	a := newAttempt(ctx, ticket, r.record.end.Attempts, r.f.opts.Views.Current())
 	r.record.serverChanged(a)
 	r.record.chosen(a)
+	r.recordOrigin(a)
 	return a, nil
 }
 
 // admit waits until the request may be sent to a server, preferably none of the
-// excluded ones, and returns the ticket for it, or a refusal.
-func (r *run) admit(ctx context.Context, exclude []string, resumed bool) (*balance.Ticket, *refusal) {
+// excluded ones, and returns the ticket for it, or a refusal. With a software
+// version only servers of that version may get the request.
+func (r *run) admit(ctx context.Context, exclude []string, resumed bool, software string) (*balance.Ticket, *refusal) {
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.f.queueCtx, cancel)()
@@ -128,6 +135,7 @@
 		Deadline: r.req.deadline(),
 		Exclude:  exclude,
 		Resumed:  resumed,
+		Software: software,
 	})
 	if rejected == nil {
 		return ticket, nil
@@ -147,6 +155,8 @@
 		cause.reason, cause.retryAfter = decisionlog.RefusedStopping, stopRetryAfter
 	case rejected.Canceled:
 		cause.reason = decisionlog.RefusedTooLate
+	case rejected.NotLoaded && software != "":
+		cause.reason = decisionlog.RefusedVersionGone
 	case rejected.NotLoaded:
 		cause.reason = r.notLoadedReason()
 	}
--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -195,11 +195,11 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.phase, w.cancelPhase = phaseSeeking, cancel
-	resumed := w.run.stream != nil
+	resumed, software := w.run.stream != nil, w.run.software
 	exclude := slices.Concat(w.run.exclude, []string{w.attempt.ticket.Server.ID}, w.failed)
 	w.goroutines.Go(func() {
 		defer cancel()
-		w.seek(ctx, resumed, exclude)
+		w.seek(ctx, resumed, software, exclude)
 	})
 }
 
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -13,8 +13,8 @@
 
 // seek waits for another server that may get the request and sends it there. It
 // ends without effect when ctx is canceled first.
-func (w *stallWatch) seek(ctx context.Context, resumed bool, exclude []string) {
-	ticket, refused := w.run.admit(ctx, exclude, resumed)
+func (w *stallWatch) seek(ctx context.Context, resumed bool, software string, exclude []string) {
+	ticket, refused := w.run.admit(ctx, exclude, resumed, software)
 	if refused == nil && slices.Contains(exclude, ticket.Server.ID) {
 		ticket.End() // the balancer offers excluded servers when there is no other
 		ticket = nil
@@ -63,6 +63,7 @@
 	w.phase, w.cancelPhase = phaseSending, s.cancel
 	r.record.retried(r.lastEventID(), s.number, r.f.opts.Balancer.BudgetLeft(r.req.service))
 	r.record.chosen(s)
+	r.recordOrigin(s)
 	return r.newCall(t.Server), s
 }
 
--- a/entry/direct/mesh/call.go
+++ b/entry/direct/mesh/call.go
@@ -66,6 +66,18 @@
 	}
 }
 
+// Send queues a message for one peer without waiting for delivery, in the order of
+// the broadcasts. It is lost if the peer is not connected, the connection ends first
+// or the peer's queue overflows.
+func (m *Mesh) Send(peer, method string, message any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.links[peer]; l != nil {
+		l.broadcasts.Offer(broadcast{method: method, params: message})
+		l.wake()
+	}
+}
+
 // Broadcast queues a message for every connected peer without waiting for
 // delivery. Messages are sent in the order of the calls. A message is lost if
 // the connection ends first or the peer's queue overflows.
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -14,6 +14,7 @@
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
 	"peridotchute.example/entry/direct/front"
+	"peridotchute.example/entry/direct/origins"
 	"peridotchute.example/entry/direct/view"
 	"peridotchute.example/fleet"
 	"peridotchute.example/platform"
@@ -33,7 +34,7 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(s.Cores)), 1))
 	return fx.Module("direct",
 		fx.Supply(s),
-		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newFront, newReadiness),
+		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newOrigins, newFront, newReadiness),
 		fx.Decorate(decorateLogger),
 		fx.Invoke(startLog, startMetrics, startLoops, startListeners, startReload, logLifecycle),
 	)
@@ -55,16 +56,19 @@
 
 func newBalancer(c *coordination) *balance.Balancer { return c.balancer }
 
+func newOrigins(c *coordination) *origins.Registry { return c.origins }
+
 func budgetOf(s Settings) balance.Budget {
 	return balance.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindowS), Parts: retrySlackParts}
 }
 
-func newFront(codec fleet.Codec, w *view.Watcher, x *exchange.Exchanger, b *balance.Balancer, log *decisionlog.Log) *front.Front {
-	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Log: log})
+func newFront(codec fleet.Codec, w *view.Watcher, x *exchange.Exchanger, b *balance.Balancer, o *origins.Registry, log *decisionlog.Log) *front.Front {
+	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Origins: o, Log: log})
 }
 
 func startLoops(lc fx.Lifecycle, w *view.Watcher, b *balance.Balancer, c *coordination) {
 	w.OnChange(b.Update)
+	w.OnChange(c.origins.Update)
 	daemon.Go(lc, b.Run)
 	daemon.Go(lc, w.RunConfig)
 	daemon.Go(lc, func(ctx context.Context) { w.RunServers(ctx, c.nextRead) })
--- /dev/null
+++ b/entry/direct/origins/origins_test.go
@@ -0,0 +1,192 @@
+package origins
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/fleet"
+)
+
+const service = "llm"
+
+// network connects the registries of several entries within the test.
+type network struct {
+	mu      sync.Mutex
+	entries map[string]*Registry
+}
+
+// link implements Peers for one entry of a network.
+type link struct {
+	net  *network
+	self string
+}
+
+func (l link) Connected() []string {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	var names []string
+	for name := range l.net.entries {
+		if name != l.self {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (l link) Send(peer string, b Began) { l.net.entry(peer).Receive(b) }
+
+func (l link) Ask(_ context.Context, peer string, q Query) (Answer, error) {
+	entry := l.net.entry(peer)
+	if entry == nil {
+		return Answer{}, fault.Newf(fault.KindUnavailable, "ask", peer, "not connected")
+	}
+	return entry.Lookup(q), nil
+}
+
+func (n *network) entry(name string) *Registry {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.entries[name]
+}
+
+func (n *network) remove(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.entries, name)
+}
+
+func newNetwork(entries int, software ...string) *network {
+	n := &network{entries: map[string]*Registry{}}
+	for i := range entries {
+		name := fmt.Sprintf("entry-%d", i)
+		n.entries[name] = New(name, link{net: n, self: name})
+	}
+	n.update(software...)
+	return n
+}
+
+// update gives every entry a view with one server of each software version.
+func (n *network) update(software ...string) {
+	v := &fleet.View{ServersRead: time.Now()}
+	for i, s := range software {
+		v.Servers = append(v.Servers, fleet.Server{ID: fmt.Sprint(i), Service: service, Software: s})
+	}
+	for _, g := range n.entries {
+		g.Update(v)
+	}
+}
+
+func find(g *Registry, id string) (string, Origin) {
+	return g.Find(context.Background(), service, id)
+}
+
+func TestRecordSurvivesItsEntry(t *testing.T) {
+	for entries := 2; entries <= 8; entries++ {
+		n := newNetwork(entries, "v1", "v2")
+		first := n.entry("entry-0")
+		first.Began(service, "a", "v1")
+		first.copyPending()
+		n.remove("entry-0")
+		for name, g := range n.entries {
+			software, origin := find(g, "a")
+			assert.Equal(t, origin, Known, name)
+			assert.Equal(t, software, "v1", name)
+		}
+	}
+}
+
+func TestRecordSurvivesItsEntryAndOneHolder(t *testing.T) {
+	n := newNetwork(6, "v1", "v2")
+	first := n.entry("entry-0")
+	first.Began(service, "a", "v1")
+	first.copyPending()
+	kept := holders(stream{service: service, id: "a"}, first.peers.Connected(), copies)
+	n.remove("entry-0")
+	n.remove(kept[0])
+	for name, g := range n.entries {
+		_, origin := find(g, "a")
+		assert.Equal(t, origin, Known, name)
+	}
+}
+
+func TestRecordsAreCopiedWhenSecondVersionAppears(t *testing.T) {
+	n := newNetwork(3, "v1")
+	first := n.entry("entry-0")
+	first.Began(service, "a", "v1")
+	assert.Equal(t, len(first.pending), 0)
+	n.update("v1", "v2")
+	first.copyPending()
+	n.remove("entry-0")
+	software, origin := find(n.entry("entry-1"), "a")
+	assert.Equal(t, origin, Known)
+	assert.Equal(t, software, "v1")
+}
+
+func TestUnknownStream(t *testing.T) {
+	n := newNetwork(3, "v1")
+	_, origin := find(n.entry("entry-1"), "a")
+	assert.Equal(t, origin, AnyVersion)
+	n.update("v1", "v2")
+	_, origin = find(n.entry("entry-1"), "a")
+	assert.Equal(t, origin, Unknown)
+	n.update("v2")
+	_, origin = find(n.entry("entry-1"), "a")
+	assert.Equal(t, origin, Unknown, "streams of the version that has left may be resumed for a while")
+}
+
+func TestEntryThatIsCutOffDoesNotAssumeOneVersion(t *testing.T) {
+	n := newNetwork(1)
+	g := n.entry("entry-0")
+	v := &fleet.View{Servers: []fleet.Server{{ID: "1", Service: service, Software: "v1"}}, ServersRead: time.Now().Add(-2 * staleAfter)}
+	g.Update(v)
+	_, origin := find(g, "a")
+	assert.Equal(t, origin, Unknown)
+}
+
+func TestLaterRecordReplacesEarlierOne(t *testing.T) {
+	n := newNetwork(2, "v1", "v2")
+	g := n.entry("entry-0")
+	g.Began(service, "a", "v1")
+	g.Began(service, "a", "v2")
+	g.copyPending()
+	for name, g := range n.entries {
+		software, origin := find(g, "a")
+		assert.Equal(t, origin, Known, name)
+		assert.Equal(t, software, "v2", name)
+	}
+}
+
+func TestTableExpires(t *testing.T) {
+	now := time.Now()
+	table := newTable()
+	a, b := stream{service, "a"}, stream{service, "b"}
+	table.put(a, "v1", now)
+	table.put(b, "v1", now.Add(recordTTL/2))
+	table.put(a, "v2", now.Add(recordTTL/2))
+	table.expire(now.Add(recordTTL))
+	software, found := table.get(a, now.Add(recordTTL))
+	assert.Assert(t, found)
+	assert.Equal(t, software, "v2")
+	table.expire(now.Add(2 * recordTTL))
+	assert.Equal(t, len(table.records), 0)
+	assert.Equal(t, len(table.order), 0)
+}
+
+func TestTableIsBounded(t *testing.T) {
+	now := time.Now()
+	table := newTable()
+	for i := range maxRecords + 10 {
+		table.put(stream{service, fmt.Sprint(i)}, "v1", now)
+	}
+	assert.Equal(t, len(table.records), maxRecords)
+	_, found := table.get(stream{service, "0"}, now)
+	assert.Assert(t, !found)
+}
--- /dev/null
+++ b/entry/direct/origins/registry.go
@@ -0,0 +1,261 @@
+package origins
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"peridotchute.example/common/clock"
+	"peridotchute.example/fleet"
+)
+
+const (
+	// gatherTime is how long records are gathered before they are copied: shorter
+	// than the time to the first event of a stream.
+	gatherTime = 20 * time.Millisecond
+
+	// findTimeout bounds the search for a record: a few round trips between regions.
+	findTimeout = 300 * time.Millisecond
+
+	// staleAfter is the age of the registrations from which an entry without
+	// connected peers cannot know which versions are in use.
+	staleAfter = 4 * time.Second
+)
+
+// Peers are the other entries. Implementations are safe for concurrent use.
+type Peers interface {
+	// Connected returns the names of the connected entries.
+	Connected() []string
+	// Send sends records to an entry without waiting for delivery.
+	Send(peer string, began Began)
+	// Ask asks an entry for a record.
+	Ask(ctx context.Context, peer string, q Query) (Answer, error)
+}
+
+// Began contains records: by service and software version, the streams begun.
+type Began map[string]map[string][]string
+
+// Query asks for the record of a stream.
+type Query struct {
+	Service string `json:"service"`
+	ID      string `json:"id"`
+}
+
+// Answer is the answer to a Query.
+type Answer struct {
+	Software string `json:"software,omitempty"`
+	Found    bool   `json:"found,omitempty"`
+}
+
+// Origin is what is known of the software version that began a stream.
+type Origin int
+
+// The values of Origin.
+const (
+	Unknown    Origin = iota // several versions are in use, and no record was found
+	Known                    // the record was found
+	AnyVersion               // one version is in use, so any server may go on
+)
+
+// Registry records and finds the software versions that began streams. It is safe
+// for concurrent use.
+type Registry struct {
+	self  string
+	peers Peers
+	wake  chan struct{} // has one element when Run must copy records
+
+	mu          sync.Mutex
+	table       *table
+	versions    versions
+	pending     map[stream]string // records to copy
+	serversRead time.Time         // when the newest registrations were read
+}
+
+// New returns an empty registry of the entry with the name self.
+func New(self string, peers Peers) *Registry {
+	return &Registry{
+		self:     self,
+		peers:    peers,
+		wake:     make(chan struct{}, 1),
+		table:    newTable(),
+		versions: newVersions(),
+		pending:  map[stream]string{},
+	}
+}
+
+// Update applies a new view of the deployment. When a second version of a service
+// appears, the records of its streams are copied. Update does not block.
+func (g *Registry) Update(v *fleet.View) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.serversRead = v.ServersRead
+	for _, service := range g.versions.observe(v.Servers, now) {
+		for s, software := range g.table.ofService(service, now) {
+			g.copyLater(s, software)
+		}
+	}
+}
+
+// Began records that the stream of the request id is sent to a server of the given
+// software version. A later call replaces the record.
+func (g *Registry) Began(service, id, software string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	s := stream{service: service, id: id}
+	g.table.put(s, software, now)
+	if g.versions.several(service, now) {
+		g.copyLater(s, software)
+	}
+}
+
+// copyLater makes Run copy a record. The caller holds mu.
+func (g *Registry) copyLater(s stream, software string) {
+	g.pending[s] = software
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run copies records to other entries until ctx is done.
+func (g *Registry) Run(ctx context.Context) {
+	for {
+		select {
+		case <-g.wake:
+		case <-ctx.Done():
+			return
+		}
+		_ = clock.Sleep(ctx, gatherTime) // if ctx is done, the last records are still sent
+		g.copyPending()
+	}
+}
+
+func (g *Registry) copyPending() {
+	g.mu.Lock()
+	pending := g.pending
+	g.pending = map[stream]string{}
+	g.mu.Unlock()
+	names := g.peers.Connected()
+	messages := map[string]Began{}
+	for s, software := range pending {
+		for _, peer := range holders(s, names, copies) {
+			if messages[peer] == nil {
+				messages[peer] = Began{}
+			}
+			messages[peer].add(s, software)
+		}
+	}
+	for peer, m := range messages {
+		g.peers.Send(peer, m)
+	}
+}
+
+func (b Began) add(s stream, software string) {
+	if b[s.service] == nil {
+		b[s.service] = map[string][]string{}
+	}
+	b[s.service][software] = append(b[s.service][software], s.id)
+}
+
+// Receive stores records of another entry.
+func (g *Registry) Receive(b Began) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for service, bySoftware := range b {
+		for software, ids := range bySoftware {
+			for _, id := range ids {
+				g.table.put(stream{service: service, id: id}, software, now)
+			}
+		}
+	}
+}
+
+// Lookup answers another entry's query from this entry's records.
+func (g *Registry) Lookup(q Query) Answer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	software, found := g.table.get(stream{service: q.Service, id: q.ID}, time.Now())
+	return Answer{Software: software, Found: found}
+}
+
+// State is the registry's part of the state dump.
+type State struct {
+	Records  int                 `json:"records"`
+	Pending  int                 `json:"pending"`  // records to copy to other entries
+	Versions map[string][]string `json:"versions"` // software versions in use lately, by service
+}
+
+// State returns the current state.
+func (g *Registry) State() State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	s := State{Records: len(g.table.records), Pending: len(g.pending), Versions: map[string][]string{}}
+	for service := range g.versions.seen {
+		s.Versions[service] = g.versions.recent(service, now)
+	}
+	return s
+}
+
+// Find returns which software version began the stream of the request id. It asks
+// other entries if this one does not know and several versions are in use.
+func (g *Registry) Find(ctx context.Context, service, id string) (software string, o Origin) {
+	q := Query{Service: service, ID: id}
+	if a := g.Lookup(q); a.Found {
+		return a.Software, Known
+	}
+	names := g.peers.Connected()
+	if g.oneVersion(service, len(names)) {
+		return "", AnyVersion
+	}
+	if id == "" {
+		return "", Unknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	if software, found := g.ask(ctx, q, names); found {
+		return software, Known
+	}
+	return "", Unknown
+}
+
+// oneVersion reports whether certainly one version of the service is in use. An
+// entry that has no peers and old registrations may be cut off and cannot know.
+func (g *Registry) oneVersion(service string, peers int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	cutOff := peers == 0 && now.Sub(g.serversRead) > staleAfter
+	return !cutOff && !g.versions.several(service, now)
+}
+
+// ask asks the entries that hold copies of the record. The entry that made the
+// record may be among names; it made copies at copies other entries.
+func (g *Registry) ask(ctx context.Context, q Query, names []string) (software string, found bool) {
+	candidates := holders(stream{service: q.Service, id: q.ID}, append(slices.Clone(names), g.self), copies+1)
+	answers := make(chan Answer, len(candidates))
+	asked := 0
+	for _, peer := range candidates {
+		if peer == g.self {
+			continue
+		}
+		asked++
+		go func() {
+			a, err := g.peers.Ask(ctx, peer, q)
+			if err != nil {
+				a = Answer{} // an entry that does not answer has no record for this purpose
+			}
+			answers <- a
+		}()
+	}
+	for range asked {
+		if a := <-answers; a.Found {
+			return a.Software, true
+		}
+	}
+	return "", false
+}
