--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -21,6 +21,7 @@
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/origins"
 	"peridotchute.example/fleet"
 )
 
@@ -45,12 +46,19 @@
 	Current() *fleet.View
 }
 
+// Origins knows which software version of a service began each resumable stream.
+type Origins interface {
+	Began(service, id, software string)
+	Find(ctx context.Context, service, id string) (software string, o origins.Origin)
+}
+
 // Options configures a Front.
 type Options struct {
 	Codec     fleet.Codec
 	Views     Views
 	Exchanger *exchange.Exchanger
 	Balancer  *balance.Balancer
+	Origins   Origins
 	Log       *decisionlog.Log
 }
 
@@ -170,6 +178,12 @@
 	service string
 }
 
+// resumesStream reports whether the client resumes a stream of which an earlier
+// request brought events.
+func (q *request) resumesStream() bool {
+	return q.route.RetryPolicy == fleet.RetryResume && (q.Resumes != "" || q.LastEventID != "")
+}
+
 // read checks a request against the limits and reads its body. It returns a
 // refusal for an invalid or too large request.
 func (f *Front) read(w http.ResponseWriter, r *http.Request, limits fleet.Limits) (*request, *refusal) {
