Wait for the other server when a silent one fails the request

Cause: attempt() claimed the answer before it looked at its status. claim prefers the first server and withdraws the other after successorPatience; the failure then found no attempt left.

Change: an answer that calls for another attempt goes through settle, like a broken connection, which waits for the answer of a server that has the request, up to the deadline.

--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -14,9 +14,6 @@
 // another attempt. It reports whether to try again.
 func (r *run) handleAnswer(ctx context.Context, a *attempt) bool {
 	t, resp := a.ticket, a.answer
-	if !r.continues(resp) {
-		r.settle(a) // nothing of it is forwarded in place of another server's answer
-	}
 	switch {
 	case resp.Outcome.NotRun:
 		return r.handleDecline(ctx, a)
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -84,8 +84,8 @@
 		a.answer = answer
 		r.sent++
 	}
-	if a.watch.claim() != nil {
-		return r.handOver(ctx, a, r.settle(a), errSuperseded)
+	if successor := r.successorOf(a); successor != nil {
+		return r.handOver(ctx, a, successor, errSuperseded)
 	}
 	return r.handleAnswer(ctx, a)
 }
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -143,6 +143,16 @@
 	return true
 }
 
+// successorOf returns the attempt that has taken the request over from an answered
+// one, or nil. An answer that calls for another attempt waits for that of a server
+// that has been sent the request; any other is preferred to it.
+func (r *run) successorOf(a *attempt) *attempt {
+	if r.continues(a.answer) && a.watch.claim() == nil {
+		return nil
+	}
+	return r.settle(a)
+}
+
 // settle ends the search for another server and counts its attempts. It returns
 // the attempt that has taken the request over, or nil.
 func (r *run) settle(a *attempt) *attempt {
