Withdraw the attempt at another server only before its answer

Cause: the timer of successorPatience canceled the other attempt without the mutex. If that server's answer had just arrived, finishSending still let it take the request over: with a canceled context. stop() has the same race; there both attempts end anyway.

Change: the timer cancels only in phaseSending, with the mutex held, and an attempt that has been withdrawn takes nothing over.

--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -113,13 +113,22 @@
 	if w.phase != phaseSending {
 		return
 	}
-	impatient := time.AfterFunc(patience, w.cancelPhase)
+	impatient := time.AfterFunc(patience, w.withdraw)
 	defer impatient.Stop()
 	for w.phase == phaseSending {
 		w.changed.Wait()
 	}
 }
 
+// withdraw cancels the other server's attempt unless that server has answered.
+func (w *stallWatch) withdraw() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.phase == phaseSending {
+		w.cancelPhase()
+	}
+}
+
 // stopSeeking ends phaseSeeking. The caller holds mu.
 func (w *stallWatch) stopSeeking() {
 	if w.phase == phaseSeeking {
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -72,7 +72,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.changed.Broadcast()
-	if err == nil && w.run.continues(s.answer) {
+	if err == nil && s.ctx.Err() == nil && w.run.continues(s.answer) {
 		w.sent++
 		w.successor = s
 		w.phase = phaseSuperseded
@@ -106,15 +106,15 @@
 		r.record.attemptFailed(s, declineKind(s.answer.Outcome), s.answer.Status, true, nil)
 		t.Declined(s.answer.Outcome.Misdirected)
 		return true
+	case s.ctx.Err() != nil: // the silent server went on, or the request ended
+		r.record.attemptFailed(s, decisionlog.FailureWithdrawn, 0, false, err)
+		w.mayHaveRun = true
+		return true
 	case err == nil:
 		r.record.attemptFailed(s, decisionlog.FailureStatus, s.answer.Status, false, nil)
 		t.Failed()
 		w.mayHaveRun = true
 		return true
-	case s.ctx.Err() != nil: // the silent server went on, or the request ended
-		r.record.attemptFailed(s, decisionlog.FailureWithdrawn, 0, false, err)
-		w.mayHaveRun = true
-		return true
 	}
 	unreachable := fault.Is(err, fault.KindUnavailable)
 	r.record.attemptFailed(s, failureKind(w.ctx, err), 0, unreachable, err)
