--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -73,7 +73,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.changed.Broadcast()
-	if err == nil && w.run.continues(s.answer) {
+	if err == nil && s.ctx.Err() == nil && w.run.continues(s.answer) {
 		w.sent++
 		w.successor = s
 		w.phase = phaseSuperseded
@@ -107,15 +107,15 @@
 		r.record.attemptFailed(s, declineKind(s.answer.Outcome), s.answer.Status, true, nil)
 		t.Declined(s.answer.Outcome.Misdirected)
 		return true
+	case s.ctx.Err() != nil: // the silent server went on, or the request ended
+		r.record.attemptFailed(s, decisionlog.FailureWithdrawn, 0, false, err)
+		w.mayHaveRun = true
+		return true
 	case err == nil:
 		r.record.attemptFailed(s, decisionlog.FailureStatus, s.answer.Status, false, nil)
 		t.Failed()
 		w.mayHaveRun = true
 		return true
-	case s.ctx.Err() != nil: // the silent server went on, or the request ended
-		r.record.attemptFailed(s, decisionlog.FailureWithdrawn, 0, false, err)
-		w.mayHaveRun = true
-		return true
 	}
 	unreachable := fault.Is(err, fault.KindUnavailable)
 	r.record.attemptFailed(s, failureKind(w.ctx, err), 0, unreachable, err)
@@ -144,6 +144,16 @@
 	return true
 }
 
+// successorOf returns the attempt that has taken the request over from an answered
+// one, or nil. An answer that calls for another attempt waits for that of a server
+// that has been sent the request; any other is preferred to it.
+func (r *run) successorOf(a *attempt) *attempt {
+	if r.continues(a.answer) && a.watch.claim() == nil {
+		return nil
+	}
+	return r.settle(a)
+}
+
 // settle ends the search for another server and counts its attempts. It returns
 // the attempt that has taken the request over, or nil.
 func (r *run) settle(a *attempt) *attempt {
