Give up the silent attempt for another answer's first event, not for its head

The head of the other server's answer ended the silent attempt; then that server broke off, the route's attempts were used up, and the sound server's stream was gone.

Evidence: TestSilenceAndSecondServerCutsOff failed in every run before, and passes.

Change: the silent attempt is canceled when the first whole event of the other answer is there (relay.Begin), or the buffered part of an answer that is no stream. A server begins to run with its first token, so the time in which both run does not grow beyond the tokens of one event.

--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -31,8 +31,8 @@
 const (
 	phaseIdle       stallPhase = iota // no search
 	phaseSeeking                      // waiting for another server that may get the request
-	phaseSending                      // the other server has been sent the request and has not answered
-	phaseSuperseded                   // the other server has answered; the silent attempt is over
+	phaseSending                      // the other server has been sent the request and its answer has not begun
+	phaseSuperseded                   // the other server's answer has begun; the silent attempt is over
 )
 
 // stallWatch finds another server for an attempt whose server is silent on all
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -8,6 +8,7 @@
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/relay"
 	"peridotchute.example/fleet"
 )
 
@@ -30,6 +31,9 @@
 	}
 	answer, err := w.run.f.opts.Exchanger.Send(s.ctx, call)
 	s.answer = answer
+	if err == nil && w.run.continues(answer) {
+		err = relay.Begin(answer, w.run.req.route.Stream)
+	}
 	w.finishSending(s, err)
 }
 
@@ -103,7 +107,7 @@
 func (w *stallWatch) successorFailed(s *attempt, err error) (sent bool) {
 	r, t := w.run, s.ticket
 	switch {
-	case err == nil && s.answer.Outcome.NotRun:
+	case s.answer != nil && s.answer.Outcome.NotRun:
 		r.record.attemptFailed(s, declineKind(s.answer.Outcome), s.answer.Status, true, nil)
 		t.Declined(s.answer.Outcome.Misdirected)
 		return true
