A dial that fails gives its retry back

When an availability zone is lost, every stream pays for each dead server that it tries.

Cause: since the search takes a retry from the budget before it dials, and did not return it when nothing was sent; an ordinary retry dials further servers for free.

Change: RetryBudget.Return gives the retry back to the span of time in which it was taken, so the bound still holds in every window; carried forward it would not.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -54,6 +54,16 @@
 	return true
 }
 
+// Return gives back a retry that Take counted at the given time and that was not
+// made. It counts for the window of that time, not of now.
+func (b *RetryBudget) Return(taken, now time.Time) {
+	b.advance(now)
+	number := b.number(taken)
+	if b.newest-number <= budgetSpans && b.at(number).retries > 0 {
+		b.at(number).retries--
+	}
+}
+
 // Remaining returns how many retries the budget allows now.
 func (b *RetryBudget) Remaining(now time.Time) int {
 	b.advance(now)
@@ -78,7 +88,7 @@
 	if b.epoch.IsZero() {
 		b.epoch = now
 	}
-	number := int64(now.Sub(b.epoch) / max(b.Window/budgetSpans, 1))
+	number := b.number(now)
 	for b.newest < number {
 		b.newest++
 		*b.at(b.newest) = budgetSpan{}
@@ -87,3 +97,8 @@
 		}
 	}
 }
+
+// number returns the number of the span that contains a time.
+func (b *RetryBudget) number(t time.Time) int64 {
+	return int64(t.Sub(b.epoch) / max(b.Window/budgetSpans, 1))
+}
--- a/admission/budget_test.go
+++ b/admission/budget_test.go
@@ -54,3 +54,17 @@
 	assert.Equal(t, b.Remaining(start.Add(11*time.Second)), 2)
 	assert.Equal(t, b.Remaining(start.Add(time.Hour)), 2)
 }
+
+func TestReturnedRetryCountsAtItsOwnTime(t *testing.T) {
+	const window = 10 * time.Second
+	b := RetryBudget{Slack: 2, Parts: 1, Window: window}
+	assert.Assert(t, b.Take(start))
+	assert.Assert(t, b.Take(start.Add(window/2)))
+	assert.Assert(t, !b.Take(start.Add(window/2)))
+	b.Return(start, start.Add(window/2))
+	assert.Equal(t, b.Remaining(start.Add(window/2)), 1)
+	assert.Assert(t, b.Take(start.Add(window/2)))
+	later := start.Add(window + window/budgetSpans)
+	b.Return(start, later) // has left the window
+	assert.Equal(t, b.Remaining(later), 0)
+}
--- a/entry/direct/balance/budget.go
+++ b/entry/direct/balance/budget.go
@@ -32,11 +32,21 @@
 
 // TakeRetry takes one attempt from the service's retry budget. It returns false if
 // the budget is used up or the service is unknown.
-func (b *Balancer) TakeRetry(service string) bool {
+func (b *Balancer) TakeRetry(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pools[service]
-	return p != nil && p.budget.Take(time.Now())
+	return p != nil && p.budget.Take(now)
+}
+
+// ReturnRetry gives back an attempt that TakeRetry took at the given time, because
+// nothing was sent.
+func (b *Balancer) ReturnRetry(service string, taken time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.pools[service]; p != nil {
+		p.budget.Return(taken, time.Now())
+	}
 }
 
 // BudgetLeft returns the number of retries that the service's budget allows
--- a/entry/direct/front/retry.go
+++ b/entry/direct/front/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/fleet"
@@ -19,7 +20,7 @@
 		r.record.retryWithheld(reason, budget)
 		return false
 	}
-	if !r.f.opts.Balancer.TakeRetry(r.req.service) {
+	if !r.f.opts.Balancer.TakeRetry(r.req.service, time.Now()) {
 		r.record.retryWithheld(decisionlog.WithheldBudget, budget)
 		return false
 	}
--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -61,12 +61,13 @@
 	silence     bool      // the current silence has been recorded
 	withheld    bool      // a reason against another server has been recorded for the current silence
 	cancelPhase context.CancelFunc
-	successor   *attempt // set in phaseSuperseded
-	left        int      // further servers that the request may be sent to
-	sent        int      // other servers that the request was sent to
-	tried       int      // other servers chosen, including those that could not be reached
-	failed      []string // IDs of other servers that failed or declined the request
-	mayHaveRun  bool     // one of these may have run the request
+	retryTaken  time.Time // when the retry of phaseSending was taken from the budget
+	successor   *attempt  // set in phaseSuperseded
+	left        int       // further servers that the request may be sent to
+	sent        int       // other servers that the request was sent to
+	tried       int       // other servers chosen, including those that could not be reached
+	failed      []string  // IDs of other servers that failed or declined the request
+	mayHaveRun  bool      // one of these may have run the request
 	ended       bool
 }
 
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/fault"
@@ -57,14 +58,15 @@
 		return nil, nil
 	}
 	r := w.run
-	if !r.f.opts.Balancer.TakeRetry(r.req.service) {
+	taken := time.Now()
+	if !r.f.opts.Balancer.TakeRetry(r.req.service, taken) {
 		w.phase = phaseIdle
 		w.recordWithheld(decisionlog.WithheldBudget)
 		return nil, nil
 	}
 	w.tried++
 	s := newAttempt(w.ctx, t, w.attempt.number+w.tried, r.f.opts.Views.Current())
-	w.phase, w.cancelPhase = phaseSending, s.cancel
+	w.phase, w.cancelPhase, w.retryTaken = phaseSending, s.cancel, taken
 	r.record.retried(r.lastEventID(), s.number, r.f.opts.Balancer.BudgetLeft(r.req.service))
 	r.record.chosen(s)
 	r.recordOrigin(s)
@@ -122,6 +124,9 @@
 		return true
 	}
 	unreachable := fault.Is(err, fault.KindUnavailable)
+	if unreachable {
+		r.f.opts.Balancer.ReturnRetry(r.req.service, w.retryTaken)
+	}
 	r.record.attemptFailed(s, failureKind(w.ctx, err), 0, unreachable, err)
 	switch {
 	case exchange.IsStale(err):
