--- a/entry/direct/balance/balance_test.go
+++ b/entry/direct/balance/balance_test.go
@@ -141,3 +141,26 @@
 		ticket.End()
 	}
 }
+
+// A search for another server that finds none must leave no trace: it is repeated
+// several times a second for each request of a silent server.
+func TestVainSearchForSuccessorIsNoDemand(t *testing.T) {
+	b, calls := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}, "s2": nil}, "s2")
+	first := admitWhile(b, query(""), func() bool { return false })
+	defer first.End()
+	q := query("", "s1")
+	q.Successor = true
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go b.Run(ctx)
+	for range 5 {
+		ticket, rejected := b.Admit(ctx, q)
+		assert.Assert(t, ticket == nil)
+		assert.Assert(t, !rejected.Canceled)
+	}
+	demand := b.TakeDemand()
+	assert.Equal(t, len(demand), 1)
+	assert.Equal(t, demand[0].Arrivals, 1)
+	assert.Equal(t, demand[0].Refused, 0)
+	assert.Equal(t, calls.Load(), int64(0))
+}
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -24,7 +24,7 @@
 }
 
 func (p *pool) offerPlain(w *waiting, planned bool, now time.Time) (admission.Offer, bool) {
-	if p.listPlain(w, w.exclude, now) == 0 {
+	if p.listPlain(w, w.exclude, now) == 0 && !w.strict {
 		p.listPlain(w, nil, now)
 	}
 	m := &p.models
@@ -75,7 +75,7 @@
 			return p.acceptChoice(w, &choice), true
 		}
 	}
-	if !p.allFit(w) {
+	if w.strict || !p.allFit(w) {
 		return admission.Offer{}, false // a load could be placed at a server of another version
 	}
 	return b.offerMissing(p, w, now)
@@ -101,9 +101,12 @@
 }
 
 // withoutExclusions returns a copy of the request that may also go to servers
-// that failed it. It applies when no other server has loaded its model or
-// adapter.
+// that failed it, unless it is strict. It applies when no other server has loaded
+// its model or adapter.
 func (w *waiting) withoutExclusions() *waiting {
+	if w.strict {
+		return w
+	}
 	copied := *w
 	copied.exclude = nil
 	return &copied
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -20,6 +20,10 @@
 	Exclude  []string // IDs of servers that failed or declined the request
 	Resumed  bool     // a stream that continues after a failed attempt
 	Software string   // if set, only servers of this software version may get the request
+
+	// Successor seeks a server to replace that of an attempt in progress: no excluded
+	// server is offered, no model is loaded and no demand is counted.
+	Successor bool
 }
 
 // Rejection describes why a request is not sent to any server.
@@ -38,6 +42,7 @@
 	artifact artifact
 	prompt   routing.Prompt
 	exclude  []string
+	strict   bool   // no excluded server is offered, and no model is loaded
 	software string // if set, only servers of this software version are offered
 	priority int
 	draw     uint64 // random number for the choice of a plain server
@@ -69,7 +74,9 @@
 	}
 	now := time.Now()
 	w := b.newWaiting(p, q, now)
-	p.countDemand(w, q)
+	if !q.Successor {
+		p.countDemand(w, q)
+	}
 	out := p.queue.Enqueue(w, p.waiter(w, q), now, b.offers(p, now))
 	if out.Action == admission.Reject {
 		r := p.rejection(w, out.Verdict, now)
@@ -88,6 +95,7 @@
 	w := &waiting{
 		artifact: artifact{r.Model, r.Adapter},
 		exclude:  q.Exclude,
+		strict:   q.Successor,
 		software: q.Software,
 		priority: q.Route.Priority,
 		draw:     b.rnd.Uint64(),
@@ -141,6 +149,9 @@
 	if w.software != "" {
 		out.Flow ^= routing.ArtifactKey("software " + w.software)
 	}
+	if w.strict {
+		out.Flow ^= routing.ArtifactKey("successor")
+	}
 	for _, id := range w.exclude {
 		out.Flow ^= routing.ArtifactKey(id)
 	}
@@ -204,7 +215,7 @@
 		r.Replicas = p.replicas(w, now, false)
 		r.NotLoaded = r.Replicas == 0
 	}
-	if d := p.demand[w.artifact.model]; r.NotLoaded && d != nil {
+	if d := p.demand[w.artifact.model]; r.NotLoaded && !w.strict && d != nil {
 		d.Refused++
 	}
 	return r
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -107,7 +107,7 @@
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate}
 	}
 	queuedAt := time.Now()
-	ticket, refused := r.admit(ctx, r.exclude, r.stream != nil, r.software)
+	ticket, refused := r.admit(ctx)
 	r.record.end.Waited += time.Since(queuedAt)
 	if refused != nil {
 		return nil, refused
@@ -120,23 +120,13 @@
 	return a, nil
 }
 
-// admit waits until the request may be sent to a server, preferably none of the
-// excluded ones, and returns the ticket for it, or a refusal. With a software
-// version only servers of that version may get the request.
-func (r *run) admit(ctx context.Context, exclude []string, resumed bool, software string) (*balance.Ticket, *refusal) {
+// admit waits until the request may be sent to a server and returns the ticket for
+// it, or a refusal.
+func (r *run) admit(ctx context.Context) (*balance.Ticket, *refusal) {
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.f.queueCtx, cancel)()
-	ticket, rejected := r.f.opts.Balancer.Admit(wait, balance.Query{
-		Service:  r.req.service,
-		Request:  &r.req.Request,
-		Route:    r.req.route,
-		Arrived:  r.req.arrived,
-		Deadline: r.req.deadline(),
-		Exclude:  exclude,
-		Resumed:  resumed,
-		Software: software,
-	})
+	ticket, rejected := r.f.opts.Balancer.Admit(wait, r.query())
 	if rejected == nil {
 		return ticket, nil
 	}
@@ -155,7 +145,7 @@
 		cause.reason, cause.retryAfter = decisionlog.RefusedStopping, stopRetryAfter
 	case rejected.Canceled:
 		cause.reason = decisionlog.RefusedTooLate
-	case rejected.NotLoaded && software != "":
+	case rejected.NotLoaded && r.software != "":
 		cause.reason = decisionlog.RefusedVersionGone
 	case rejected.NotLoaded:
 		cause.reason = r.notLoadedReason()
@@ -163,6 +153,20 @@
 	return nil, cause
 }
 
+// query returns the query for a server that may get the request now.
+func (r *run) query() balance.Query {
+	return balance.Query{
+		Service:  r.req.service,
+		Request:  &r.req.Request,
+		Route:    r.req.route,
+		Arrived:  r.req.arrived,
+		Deadline: r.req.deadline(),
+		Exclude:  r.exclude,
+		Resumed:  r.stream != nil,
+		Software: r.software,
+	}
+}
+
 // notLoadedReason returns the refusal reason for an adapter or model that no
 // server has loaded.
 func (r *run) notLoadedReason() decisionlog.RefusalReason {
--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -205,11 +205,12 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.phase, w.cancelPhase = phaseSeeking, cancel
-	resumed, software := w.run.stream != nil, w.run.software
-	exclude := slices.Concat(w.run.exclude, []string{w.attempt.ticket.Server.ID}, w.failed)
+	q := w.run.query()
+	q.Exclude = slices.Concat(q.Exclude, []string{w.attempt.ticket.Server.ID}, w.failed)
+	q.Successor = true
 	w.goroutines.Go(func() {
 		defer cancel()
-		w.seek(ctx, resumed, software, exclude)
+		w.seek(ctx, q)
 	})
 }
 
--- a/entry/direct/front/stall_test.go
+++ b/entry/direct/front/stall_test.go
@@ -49,8 +49,10 @@
 // newTestAttempt returns an attempt of the run at a server other than the excluded ones.
 func newTestAttempt(t *testing.T, r *run, exclude ...string) *attempt {
 	t.Helper()
-	ticket, refused := r.admit(t.Context(), exclude, false, "")
-	assert.Assert(t, refused == nil)
+	q := r.query()
+	q.Exclude = exclude
+	ticket, rejected := r.f.opts.Balancer.Admit(t.Context(), q)
+	assert.Assert(t, rejected == nil)
 	return newAttempt(t.Context(), ticket, 1, &fleet.View{})
 }
 
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"peridotchute.example/common/decisionlog"
@@ -15,13 +14,9 @@
 
 // seek waits for another server that may get the request and sends it there. It
 // ends without effect when ctx is canceled first.
-func (w *stallWatch) seek(ctx context.Context, resumed bool, software string, exclude []string) {
-	ticket, refused := w.run.admit(ctx, exclude, resumed, software)
-	if refused == nil && slices.Contains(exclude, ticket.Server.ID) {
-		ticket.End() // the balancer offers excluded servers when there is no other
-		ticket = nil
-	}
-	if ticket == nil {
+func (w *stallWatch) seek(ctx context.Context, q balance.Query) {
+	ticket, rejected := w.run.f.opts.Balancer.Admit(ctx, q)
+	if rejected != nil {
 		w.giveUp(ctx, decisionlog.WithheldNoServer)
 		return
 	}
