Limit the head of a server's response to 64 KB

The request was retried or got 502, but only after the entry had read 10 MB of it, for each request in progress at that server.

Cause: http.Transport.MaxResponseHeaderBytes was left at its default of 10 MB.

Change: exchange.MaxHeaderBytes. The limit includes informational responses.

--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -31,6 +31,10 @@
 	sendStep = "exchange"
 )
 
+// MaxHeaderBytes limits the status line and headers of a response, together with the
+// informational responses before it.
+const MaxHeaderBytes = 64 << 10
+
 // Call is one attempt of a request.
 type Call struct {
 	ID      string // of the client attempt
@@ -65,6 +69,8 @@
 		MaxIdleConnsPerHost: maxIdlePerServer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}}
 }
 
