Limit an event of a stream by its size, not that of its lines

An event of short lines without end was buffered until the deadline, so the memory of the entry had no bound. A stream that may not be resumed ended at its deadline only.

The relay of entry/serving had the same fault.

In entry/direct/relay the case of one line failed only for the error's type.

Change: the size is checked after each read. ErrEventTooLong counts as a fault of the server: the stream is continued at another one, or cut. An event whose last line ends beyond 1 MB is now rejected too; before, it passed if its lines were short.

--- a/entry/direct/relay/stream.go
+++ b/entry/direct/relay/stream.go
@@ -15,7 +15,11 @@
 // ErrClient means that writing to the client failed.
 var ErrClient = errors.New("writing to the client failed")
 
-const maxEventBytes = 1 << 20
+// ErrEventTooLong means that a server sent an event of more than MaxEventBytes.
+var ErrEventTooLong = errors.New("the event is too long")
+
+// MaxEventBytes limits an event. A longer one counts as a fault of its server.
+const MaxEventBytes = 1 << 20
 
 // Stream forwards a stream of events to one client, possibly from several
 // servers in turn.
@@ -44,7 +48,7 @@
 
 // Copy forwards events until the source ends. It returns nil if the source
 // ended after a whole event, io.ErrUnexpectedEOF if it ended within one,
-// ErrClient if writing to the client failed, and the source's error otherwise.
+// ErrEventTooLong if an event is too long, ErrClient if writing to the client failed, and the source's error otherwise.
 // It calls claim before it writes an event, and ends with its error if there is
 // one, and progress after each event.
 func (s *Stream) Copy(source io.Reader, claim func() error, progress func()) error {
@@ -82,7 +86,10 @@
 	for {
 		part, err := in.ReadSlice('\n')
 		s.event = append(s.event, part...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(s.event) <= maxEventBytes {
+		if len(s.event) > MaxEventBytes {
+			return ErrEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
--- a/entry/direct/relay/stream_test.go
+++ b/entry/direct/relay/stream_test.go
@@ -42,3 +42,47 @@
 		})
 	}
 }
+
+// endlessEvent is a source of lines of one event, without end up to a number of bytes.
+type endlessEvent struct {
+	line string
+	left int
+	read int
+}
+
+func (e *endlessEvent) Read(p []byte) (int, error) {
+	if e.left <= 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, e.line)
+	e.left -= n
+	e.read += n
+	return n, nil
+}
+
+// TestEventOfShortLinesIsBuffered has a source send an event without end. Its size was
+// once checked only within long lines.
+func TestEventOfShortLinesIsBuffered(t *testing.T) {
+	const bufferBytes = 4096 // of the reader
+	for name, line := range map[string]string{"short lines": "data: a\n", "one line": "data: a "} {
+		t.Run(name, func(t *testing.T) {
+			client := httptest.NewRecorder()
+			source := &endlessEvent{line: line, left: 4 * MaxEventBytes}
+			err := NewStream(client).Copy(source, func() error { return nil }, func() {})
+			assert.Assert(t, errors.Is(err, ErrEventTooLong), "%v after %d bytes", err, source.read)
+			assert.Assert(t, source.read <= MaxEventBytes+2*bufferBytes, "%d bytes", source.read)
+			assert.Equal(t, client.Body.Len(), 0)
+		})
+	}
+}
+
+// TestLongestEventIsForwarded sends an event of MaxEventBytes.
+func TestLongestEventIsForwarded(t *testing.T) {
+	const line, end = "data: a\n", "data:bc\n\n"
+	event := strings.Repeat(line, MaxEventBytes/len(line)-2) + "data:\n" + end
+	event = strings.Repeat(":", MaxEventBytes-len(event)-1) + "\n" + event
+	assert.Equal(t, len(event), MaxEventBytes)
+	client := httptest.NewRecorder()
+	assert.NilError(t, NewStream(client).Copy(strings.NewReader(event), func() error { return nil }, func() {}))
+	assert.Equal(t, client.Body.Len(), MaxEventBytes)
+}
--- a/entry/serving/forward/stream.go
+++ b/entry/serving/forward/stream.go
@@ -19,6 +19,9 @@
 // errCallerDisconnected means that a write to the caller failed.
 var errCallerDisconnected = errors.New("caller disconnected")
 
+// errEventTooLong means that a source sent an event of more than maxEventBytes.
+var errEventTooLong = errors.New("the event is too long")
+
 const (
 	maxEventBytes = 1 << 20
 	drainTimeout  = 100 * time.Millisecond
@@ -138,7 +141,10 @@
 	for {
 		part, err := in.ReadSlice('\n')
 		r.event = append(r.event, part...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(r.event) <= maxEventBytes {
+		if len(r.event) > maxEventBytes {
+			return errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
--- a/entry/serving/forward/stream_test.go
+++ b/entry/serving/forward/stream_test.go
@@ -49,6 +49,16 @@
 	assert.Equal(t, relay.LastID(), "7")
 }
 
+// TestEventOfShortLinesIsBuffered has a source send an event of short lines that is longer
+// than maxEventBytes. Its size was once checked only within long lines.
+func TestEventOfShortLinesIsBuffered(t *testing.T) {
+	text := strings.Repeat("data: a\n", maxEventBytes/8+1) + "\n" + wholeStream
+	w := httptest.NewRecorder()
+	err := NewRelay(w).Copy(io.NopCloser(strings.NewReader(text)))
+	assert.Assert(t, errors.Is(err, ErrTruncated), "%v", err)
+	assert.Equal(t, w.Body.Len(), 0)
+}
+
 // TestConnectionIsReusedAfterAStream checks that consecutive streams share one
 // connection.
 func TestConnectionIsReusedAfterAStream(t *testing.T) {
