Reject a server's 101, which no request asks for

What callers saw: a server that answers 101 made the entry send the caller a 101 and then whatever the server wrote, bytes that are no answer; none of the four cases of the test got a status. The caller's connection then ended.

Cause: the entry removes Upgrade from requests, but took a 101 for an answer as any other. net/http hands the raw connection over as the body of a 101; by reading its code, the deadline of the request then no longer ends reads (no test shows this).

Evidence: TestUnrequestedUpgradeIsForwarded failed before in 4 of 4 cases ("unexpected EOF") and passes now.

Change: a 101 does not belong to the request (KindInvalid), unless it says that the request was not run. Its connection is closed; the request is retried if it may be, or gets 502.

--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -134,6 +134,8 @@
 		return "the response is for request " + r.Outcome.ID
 	case r.Outcome.NotRun:
 		return ""
+	case r.Status == http.StatusSwitchingProtocols:
+		return "unrequested switch of protocols"
 	case r.Status < 300 && (!r.Outcome.FromServer || r.Outcome.ID == ""):
 		return "successful response without a signature"
 	case r.Header.Get("Content-Encoding") != "":
