Forward only events with an ID in a stream

Cause: any lines up to a blank one counted as an event, though an event of a stream has an increasing ID, and a stream can only be continued after one.

Change: ErrNoEventID counts as a fault of the server: the stream is continued at another one, or cut. IDs that do not increase are not checked.

Not known: whether every event of the users' servers has an ID.

--- a/entry/direct/relay/stream.go
+++ b/entry/direct/relay/stream.go
@@ -18,6 +18,9 @@
 // ErrEventTooLong means that a server sent an event of more than MaxEventBytes.
 var ErrEventTooLong = errors.New("the event is too long")
 
+// ErrNoEventID means that a server sent lines and a blank line without an event ID.
+var ErrNoEventID = errors.New("the event has no ID")
+
 // MaxEventBytes limits an event. A longer one counts as a fault of its server.
 const MaxEventBytes = 1 << 20
 
@@ -41,14 +44,14 @@
 	return &Stream{w: w, control: http.NewResponseController(w)}
 }
 
-// LastID returns the ID of the last event written, or "" if no event had one.
+// LastID returns the ID of the last event written, or "" if there is none.
 func (s *Stream) LastID() string { return s.lastID }
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4096) }}
 
 // Copy forwards events until the source ends. It returns nil if the source
 // ended after a whole event, io.ErrUnexpectedEOF if it ended within one,
-// ErrEventTooLong if an event is too long, ErrClient if writing to the client failed, and the source's error otherwise.
+// ErrEventTooLong or ErrNoEventID if an event is invalid, ErrClient if writing to the client failed, and the source's error otherwise.
 // It calls claim before it writes an event, and ends with its error if there is
 // one, and progress after each event.
 func (s *Stream) Copy(source io.Reader, claim func() error, progress func()) error {
@@ -69,9 +72,15 @@
 		if err != nil {
 			return err
 		}
+		id := eventID(s.event)
+		if id == "" {
+			_ = s.control.Flush() // write may have left this to the event; an error shows in the next write
+			return ErrNoEventID
+		}
 		if err := claim(); err != nil {
 			return err
 		}
+		s.lastID = id
 		if err := s.write(in); err != nil {
 			return ErrClient
 		}
@@ -107,14 +116,20 @@
 	eventEnd = []byte("\n\n")
 )
 
-// write forwards the event. It flushes unless another whole event is already
-// buffered.
-func (s *Stream) write(in *bufio.Reader) error {
-	for line := range bytes.Lines(s.event) {
+// eventID returns the ID of an event, or "" if it has none.
+func eventID(event []byte) string {
+	id := ""
+	for line := range bytes.Lines(event) {
 		if value, ok := bytes.CutPrefix(line, fieldID); ok {
-			s.lastID = string(bytes.TrimSpace(value))
+			id = string(bytes.TrimSpace(value))
 		}
 	}
+	return id
+}
+
+// write forwards the event. It flushes unless another whole event is already
+// buffered.
+func (s *Stream) write(in *bufio.Reader) error {
 	n, err := s.w.Write(s.event)
 	s.Bytes += int64(n)
 	if err != nil {
--- a/entry/direct/relay/stream_test.go
+++ b/entry/direct/relay/stream_test.go
@@ -28,6 +28,9 @@
 		"breaks between events":    {io.MultiReader(strings.NewReader(two), iotest.ErrReader(broken)), two, "2", broken},
 		"breaks within an event":   {io.MultiReader(strings.NewReader(two+"id: 3\n"), iotest.ErrReader(broken)), two, "2", broken},
 		"nothing":                  {strings.NewReader(""), "", "", nil},
+		"no id":                    {strings.NewReader(two + "garbage\r\n\r\n" + two), two, "2", ErrNoEventID},
+		"no id at the start":       {strings.NewReader("garbage\n\n" + two), "", "", ErrNoEventID},
+		"blank lines":              {strings.NewReader(two + "\n\n"), two, "2", ErrNoEventID},
 		"lines end with CR LF":     {strings.NewReader("id: 1\r\ndata: a\r\n\r\n"), "id: 1\r\ndata: a\r\n\r\n", "1", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -79,7 +82,7 @@
 // TestLongestEventIsForwarded sends an event of MaxEventBytes.
 func TestLongestEventIsForwarded(t *testing.T) {
 	const line, end = "data: a\n", "data:bc\n\n"
-	event := strings.Repeat(line, MaxEventBytes/len(line)-2) + "data:\n" + end
+	event := "id: 1\n" + strings.Repeat(line, MaxEventBytes/len(line)-4) + end
 	event = strings.Repeat(":", MaxEventBytes-len(event)-1) + "\n" + event
 	assert.Equal(t, len(event), MaxEventBytes)
 	client := httptest.NewRecorder()
