Failing tests: streams at another version after a restart, a partition, an outage

An entry that resumes a stream of which it has no record takes the only version that it sees for the one that began it.

--- a/entry/direct/origins/origins_test.go
+++ b/entry/direct/origins/origins_test.go
@@ -75,13 +75,17 @@
 
 // update gives every entry a view with one server of each software version.
 func (n *network) update(software ...string) {
+	for _, g := range n.entries {
+		g.Update(viewOf(software...))
+	}
+}
+
+func viewOf(software ...string) *fleet.View {
 	v := &fleet.View{ServersRead: time.Now()}
 	for i, s := range software {
 		v.Servers = append(v.Servers, fleet.Server{ID: fmt.Sprint(i), Service: service, Software: s})
 	}
-	for _, g := range n.entries {
-		g.Update(v)
-	}
+	return v
 }
 
 func find(g *Registry, id string) (string, Origin) {
@@ -190,3 +194,72 @@
 	_, found := table.get(stream{service, "0"}, now)
 	assert.Assert(t, !found)
 }
+
+// restart replaces an entry by a new process that has read the registrations of one
+// server of each software version.
+func (n *network) restart(name string, software ...string) *Registry {
+	g := New(name, link{net: n, self: name})
+	g.Update(viewOf(software...))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.entries[name] = g
+	return g
+}
+
+// TestRestartedEntryAssumesOneVersion restarts an entry after the version of a stream
+// has left.
+func TestRestartedEntryAssumesOneVersion(t *testing.T) {
+	n := newNetwork(3, "v1", "v2")
+	first := n.entry("entry-0")
+	first.Began(service, "a", "v1")
+	first.copyPending()
+	n.update("v2")
+	restarted := n.restart("entry-1", "v2")
+	software, origin := find(restarted, "a")
+	assert.Equal(t, origin, Known)
+	assert.Equal(t, software, "v1")
+	_, origin = find(restarted, "b")
+	assert.Equal(t, origin, Unknown, "streams of the version that has left may be resumed for a while")
+}
+
+// TestRestartedEntryRefusesStreamsOfOnlyVersion restarts an entry while one version
+// has been in use all along.
+func TestRestartedEntryRefusesStreamsOfOnlyVersion(t *testing.T) {
+	n := newNetwork(3, "v1")
+	n.entry("entry-0").Began(service, "a", "v1")
+	_, origin := find(n.restart("entry-1", "v1"), "a")
+	assert.Equal(t, origin, AnyVersion)
+}
+
+// TestVersionsAreForgottenWhileStoreIsDown has no registrations read for longer than
+// recordTTL. The servers of the last view still serve.
+func TestVersionsAreForgottenWhileStoreIsDown(t *testing.T) {
+	now := time.Now()
+	v := newVersions()
+	v.observe(viewOf("v1", "v2").Servers, now)
+	assert.Assert(t, v.several(service, now.Add(2*recordTTL)), "both are registered")
+	v.observe(viewOf("v2").Servers, now.Add(2*recordTTL))
+	assert.Assert(t, v.several(service, now.Add(3*recordTTL-time.Second)), "v1 left just before the view")
+	assert.Assert(t, !v.several(service, now.Add(3*recordTTL)))
+}
+
+// TestStreamOfOnlyVersionIsNotBound resumes a stream while one version is in use; another
+// one may appear before the request is sent to a server.
+func TestStreamOfOnlyVersionIsNotBound(t *testing.T) {
+	software, origin := find(newNetwork(2, "v1").entry("entry-1"), "a")
+	assert.Equal(t, origin, AnyVersion)
+	assert.Equal(t, software, "v1")
+}
+
+// TestCutOffEntriesAssumeOneVersion cuts two entries off together, before a second
+// version appears for the others.
+func TestCutOffEntriesAssumeOneVersion(t *testing.T) {
+	n := newNetwork(2)
+	v := viewOf("v1")
+	v.ServersRead = time.Now().Add(-2 * staleAfter)
+	for _, g := range n.entries {
+		g.Update(v)
+	}
+	_, origin := find(n.entry("entry-0"), "a")
+	assert.Equal(t, origin, Unknown)
+}
