Bind a resumed stream to the only version in use

Cause: the entry concluded that any version fits and kept that for the whole request, with its time in the queue and its retries. It also recorded the later version as the origin.

Change: Find returns the version in use, and the request goes to no other.

--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -55,7 +55,7 @@
 const (
 	Unknown    Origin = iota // several versions are in use, and no record was found
 	Known                    // the record was found
-	AnyVersion               // one version is in use, so any server may go on
+	AnyVersion               // no record is needed, as one version is in use
 )
 
 // Registry records and finds the software versions that began streams. It is safe
@@ -202,15 +202,17 @@
 }
 
 // Find returns which software version began the stream of the request id. It asks
-// other entries if this one does not know and several versions are in use.
+// other entries if this one does not know and several versions are in use. With
+// AnyVersion it returns the one in use, or "" if none is: another one may appear
+// before the stream goes on.
 func (g *Registry) Find(ctx context.Context, service, id string) (software string, o Origin) {
 	q := Query{Service: service, ID: id}
 	if a := g.Lookup(q); a.Found {
 		return a.Software, Known
 	}
 	names := g.peers.Connected()
-	if g.oneVersion(service, len(names)) {
-		return "", AnyVersion
+	if only, certain := g.onlyVersion(service, len(names)); certain {
+		return only, AnyVersion
 	}
 	if id == "" {
 		return "", Unknown
@@ -223,14 +225,21 @@
 	return "", Unknown
 }
 
-// oneVersion reports whether certainly one version of the service is in use. An
-// entry that has no peers and old registrations may be cut off and cannot know.
-func (g *Registry) oneVersion(service string, peers int) bool {
+// onlyVersion returns the version of the service that is in use, or "" if none is.
+// certain is false if others are or may be in use: an entry that has no peers and old
+// registrations may be cut off and cannot know.
+func (g *Registry) onlyVersion(service string, peers int) (only string, certain bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	cutOff := peers == 0 && now.Sub(g.serversRead) > staleAfter
-	return !cutOff && !g.versions.several(service, now)
+	if peers == 0 && now.Sub(g.serversRead) > staleAfter {
+		return "", false
+	}
+	recent := g.versions.recent(service, now)
+	if len(recent) == 1 {
+		return recent[0], true
+	}
+	return "", len(recent) == 0
 }
 
 // ask asks the entries that hold copies of the record. The entry that made the
