Ask the other entries which version began a stream after a start

Cause: a new process sees only the versions that are registered now, concluded that no other was in use lately and asked nobody.

Change: for recordTTL after its start an entry asks also when it sees one version. An answer says whether several are in use, so that a stream without record is refused then, and still served when one version has been in use all along.

TestRestartedEntryRefusesStreamsOfOnlyVersion expected no record; the restarted entry now finds the one of the entry that began the stream, which says more. It checks the version in addition, and streams of which nobody has a record.

Remains: if all entries start anew at once, or before the new one is connected, nobody can tell.

--- a/entry/direct/origins/origins_test.go
+++ b/entry/direct/origins/origins_test.go
@@ -227,8 +227,15 @@
 func TestRestartedEntryRefusesStreamsOfOnlyVersion(t *testing.T) {
 	n := newNetwork(3, "v1")
 	n.entry("entry-0").Began(service, "a", "v1")
-	_, origin := find(n.restart("entry-1", "v1"), "a")
-	assert.Equal(t, origin, AnyVersion)
+	restarted := n.restart("entry-1", "v1")
+	software, origin := find(restarted, "a")
+	assert.Equal(t, origin, Known)
+	assert.Equal(t, software, "v1")
+	for _, unknown := range []string{"b", ""} {
+		software, origin = find(restarted, unknown)
+		assert.Equal(t, origin, AnyVersion)
+		assert.Equal(t, software, "v1")
+	}
 }
 
 // TestVersionsAreForgottenWhileStoreIsDown has no registrations read for longer than
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -46,6 +46,7 @@
 type Answer struct {
 	Software string `json:"software,omitempty"`
 	Found    bool   `json:"found,omitempty"`
+	Several  bool   `json:"several,omitempty"` // several versions of the service are in use
 }
 
 // Origin is what is known of the software version that began a stream.
@@ -61,9 +62,10 @@
 // Registry records and finds the software versions that began streams. It is safe
 // for concurrent use.
 type Registry struct {
-	self  string
-	peers Peers
-	wake  chan struct{} // has one element when Run must copy records
+	self    string
+	peers   Peers
+	started time.Time
+	wake    chan struct{} // has one element when Run must copy records
 
 	mu          sync.Mutex
 	table       *table
@@ -77,6 +79,7 @@
 	return &Registry{
 		self:     self,
 		peers:    peers,
+		started:  time.Now(),
 		wake:     make(chan struct{}, 1),
 		table:    newTable(),
 		versions: newVersions(),
@@ -178,8 +181,9 @@
 func (g *Registry) Lookup(q Query) Answer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	software, found := g.table.get(stream{service: q.Service, id: q.ID}, time.Now())
-	return Answer{Software: software, Found: found}
+	now := time.Now()
+	software, found := g.table.get(stream{service: q.Service, id: q.ID}, now)
+	return Answer{Software: software, Found: found, Several: g.versions.several(q.Service, now)}
 }
 
 // State is the registry's part of the state dump.
@@ -202,8 +206,8 @@
 }
 
 // Find returns which software version began the stream of the request id. It asks
-// other entries if this one does not know and several versions are in use. With
-// AnyVersion it returns the one in use, or "" if none is: another one may appear
+// other entries if this one does not know and several versions are in use, or may be.
+// With AnyVersion it returns the one in use, or "" if none is: another one may appear
 // before the stream goes on.
 func (g *Registry) Find(ctx context.Context, service, id string) (software string, o Origin) {
 	q := Query{Service: service, ID: id}
@@ -211,20 +215,28 @@
 		return a.Software, Known
 	}
 	names := g.peers.Connected()
-	if only, certain := g.onlyVersion(service, len(names)); certain {
+	only, one := g.onlyVersion(service, len(names))
+	if one && !g.startedLately() {
 		return only, AnyVersion
 	}
-	if id == "" {
+	if id == "" && !one {
 		return "", Unknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	if software, found := g.ask(ctx, q, names); found {
-		return software, Known
+	switch a := g.ask(ctx, q, names); {
+	case a.Found:
+		return a.Software, Known
+	case a.Several || !one:
+		return "", Unknown
 	}
-	return "", Unknown
+	return only, AnyVersion
 }
 
+// startedLately reports whether streams may be resumed of versions that left before
+// this entry started.
+func (g *Registry) startedLately() bool { return time.Since(g.started) < recordTTL }
+
 // onlyVersion returns the version of the service that is in use, or "" if none is.
 // certain is false if others are or may be in use: an entry that has no peers and old
 // registrations may be cut off and cannot know.
@@ -243,8 +255,9 @@
 }
 
 // ask asks the entries that hold copies of the record. The entry that made the
-// record may be among names; it made copies at copies other entries.
-func (g *Registry) ask(ctx context.Context, q Query, names []string) (software string, found bool) {
+// record may be among names; it made copies at copies other entries. Without a record,
+// the answer has Several set if any entry's has.
+func (g *Registry) ask(ctx context.Context, q Query, names []string) Answer {
 	candidates := holders(stream{service: q.Service, id: q.ID}, append(slices.Clone(names), g.self), copies+1)
 	answers := make(chan Answer, len(candidates))
 	asked := 0
@@ -261,10 +274,13 @@
 			answers <- a
 		}()
 	}
+	var none Answer
 	for range asked {
-		if a := <-answers; a.Found {
-			return a.Software, true
+		a := <-answers
+		if a.Found {
+			return a
 		}
+		none.Several = none.Several || a.Several
 	}
-	return "", false
+	return none
 }
