Choose the holders of a record in one pass

The choice sorted all names and hashed two of them for each comparison. The choice is the same (TestHoldersAreTheHighestScores passes with both).

--- a/entry/direct/origins/holders.go
+++ b/entry/direct/origins/holders.go
@@ -14,10 +14,30 @@
 // rendezvous hashing: removing one entry from names changes the result only by
 // that entry.
 func holders(s stream, names []string, n int) []string {
-	ranked := slices.Clone(names)
-	score := func(name string) uint64 { return xxhash.Sum64String(s.service + "\x00" + s.id + "\x00" + name) }
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a, b))
-	})
-	return ranked[:min(n, len(ranked))]
+	best := make([]candidate, 0, n+1)
+	key := []byte(s.service + "\x00" + s.id + "\x00")
+	prefix := len(key)
+	for _, name := range names {
+		key = append(key[:prefix], name...)
+		c := candidate{name: name, score: xxhash.Sum64(key)}
+		i, _ := slices.BinarySearchFunc(best, c, candidate.compare)
+		best = slices.Insert(best, i, c)
+		best = best[:min(n, len(best))]
+	}
+	out := make([]string, len(best))
+	for i := range best {
+		out[i] = best[i].name
+	}
+	return out
+}
+
+// candidate is an entry that may hold the copy of a record.
+type candidate struct {
+	name  string
+	score uint64
+}
+
+// compare orders candidates by descending score.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(other.score, c.score), cmp.Compare(c.name, other.name))
 }
--- a/entry/direct/origins/origins_test.go
+++ b/entry/direct/origins/origins_test.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/common/fault"
@@ -270,3 +272,33 @@
 	_, origin := find(n.entry("entry-0"), "a")
 	assert.Equal(t, origin, Unknown)
 }
+
+// TestHoldersAreTheHighestScores compares the choice with a sort of all entries.
+func TestHoldersAreTheHighestScores(t *testing.T) {
+	var names []string
+	for i := range 40 {
+		names = append(names, fmt.Sprintf("entry-%d", i))
+	}
+	for i := range 200 {
+		s := stream{service: service, id: fmt.Sprint(i)}
+		score := func(name string) uint64 { return xxhash.Sum64String(s.service + "\x00" + s.id + "\x00" + name) }
+		sorted := slices.Clone(names)
+		slices.SortFunc(sorted, func(a, b string) int { return cmp.Compare(score(b), score(a)) })
+		for n := range 4 {
+			assert.DeepEqual(t, holders(s, names, n), sorted[:n])
+			assert.DeepEqual(t, holders(s, names[:2], n), holders(s, names[:2], min(n, 2)))
+		}
+	}
+}
+
+func BenchmarkHolders(b *testing.B) {
+	var names []string
+	for i := range 380 {
+		names = append(names, fmt.Sprintf("edge-pamp-a-%d", i))
+	}
+	s := stream{service: "brief-writer", id: "f49bdb1f2606aee8"}
+	b.ReportAllocs()
+	for b.Loop() {
+		holders(s, names, copies)
+	}
+}
