Load an adapter at the software version that its stream needs

What callers saw: a stream of which servers of its version had the model without the adapter was held until its deadline and refused, 20 of 20, while a server of another version had the adapter and 20 of 20 new streams began.

Cause: Ensure takes all servers of a service as interchangeable. The lease holder answered with the other version's server, which has the adapter, and ordered nothing; the request waited for that server and could not go there.

Change: Ensure has the software version, in the call, the shared flights and the pending loads of the balancer, and the choice is among servers of that version. Signatures in tests follow; no check is changed.

--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -17,8 +17,9 @@
 )
 
 // EnsureFunc makes a model or adapter resident at some server, preferably one of
-// prefer, and returns that server's ID when the load has finished.
-type EnsureFunc func(ctx context.Context, service, model, adapter string, prefer []string) (string, error)
+// prefer, and returns that server's ID when the load has finished. With a software
+// version, only servers of that version count for an adapter.
+type EnsureFunc func(ctx context.Context, service, model, adapter, software string, prefer []string) (string, error)
 
 // Options configures a Balancer.
 type Options struct {
@@ -82,7 +83,7 @@
 	waiting     map[*waiting]struct{}
 	budget      admission.RetryBudget
 	models      models
-	loading     map[artifact]*pendingLoad
+	loading     map[loadKey]*pendingLoad
 	demand      map[string]*loadplan.ModelDemand // by model, since the last TakeDemand
 	serviceTime routing.ServiceTime              // usual service time; plain services only
 }
@@ -117,7 +118,7 @@
 		waiting: map[*waiting]struct{}{},
 		budget:  b.opts.Budget.retryBudget(),
 		models:  newModels(),
-		loading: map[artifact]*pendingLoad{},
+		loading: map[loadKey]*pendingLoad{},
 		demand:  map[string]*loadplan.ModelDemand{},
 	}
 }
--- a/entry/direct/balance/balance_test.go
+++ b/entry/direct/balance/balance_test.go
@@ -21,7 +21,7 @@
 		Zone:    "a",
 		Regions: map[string]string{"a": "r"},
 		Budget:  Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Parts: 1},
-		Ensure: func(context.Context, string, string, string, []string) (string, error) {
+		Ensure: func(context.Context, string, string, string, string, []string) (string, error) {
 			calls.Add(1)
 			return answer, nil
 		},
--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -30,6 +30,12 @@
 	return p
 }
 
+// loadKey identifies a pending load.
+type loadKey struct {
+	artifact
+	software string // of the adapter's server, if only that version counts
+}
+
 // pendingLoad is the load of an artifact that queued requests need.
 type pendingLoad struct {
 	since    time.Time             // first request for the artifact
@@ -57,10 +63,10 @@
 
 // startLoad returns the pending load of an artifact. It calls Ensure in the
 // background unless a call is in progress or was made too recently.
-func (b *Balancer) startLoad(p *pool, a artifact, prefer []string, now time.Time) *pendingLoad {
+func (b *Balancer) startLoad(p *pool, a loadKey, prefer []string, now time.Time) *pendingLoad {
 	m := p.loading[a]
 	if m == nil {
-		m = &pendingLoad{since: now, expected: p.loadTime(a), virtual: routing.NewEngineServer("", p.engine.Slots, p.engine.KVTokens, nil)}
+		m = &pendingLoad{since: now, expected: p.loadTime(a.artifact), virtual: routing.NewEngineServer("", p.engine.Slots, p.engine.KVTokens, nil)}
 		p.loading[a] = m
 	}
 	if !m.calling && !now.Before(m.nextCall) {
@@ -79,10 +85,10 @@
 
 // ensure calls Ensure for the artifact and dispatches the requests that can be
 // sent once it is loaded.
-func (b *Balancer) ensure(p *pool, a artifact, m *pendingLoad, prefer []string) {
+func (b *Balancer) ensure(p *pool, a loadKey, m *pendingLoad, prefer []string) {
 	ctx, cancel := context.WithTimeout(b.ctx, ensureTimeout)
 	defer cancel()
-	id, err := b.opts.Ensure(ctx, p.name, a.model, a.adapter, prefer)
+	id, err := b.opts.Ensure(ctx, p.name, a.model, a.adapter, a.software, prefer)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -93,7 +99,7 @@
 		return
 	}
 	if s := p.servers[id]; s != nil {
-		s.ensuredAt[a] = now
+		s.ensuredAt[a.artifact] = now
 	}
 	p.queue.ServerChanged("")
 	b.dispatch(p)
@@ -101,7 +107,7 @@
 
 // clearLoading removes the pending load of an artifact that some server has
 // loaded.
-func (p *pool) clearLoading(a artifact) {
+func (p *pool) clearLoading(a loadKey) {
 	if m := p.loading[a]; m != nil && !m.calling {
 		delete(p.loading, a)
 	}
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -60,7 +60,7 @@
 func (b *Balancer) offerEngine(p *pool, w *waiting, planned bool, now time.Time) (admission.Offer, bool) {
 	w.prompt.Planned = planned
 	if p.replicas(w, now, false) > 0 || p.replicas(w.withoutExclusions(), now, false) > 0 {
-		p.clearLoading(w.artifact)
+		p.clearLoading(loadKey{w.artifact, w.software})
 		choice, err := routing.ChooseEngine(p.models.replicas, p.models.prefixes, &w.prompt, now)
 		if err == nil {
 			return p.acceptChoice(w, &choice), true
@@ -70,7 +70,7 @@
 		choice, err := routing.ChooseEngine(p.models.replicas, p.models.prefixes, &w.prompt, now)
 		if err == nil {
 			if choice.Load > 0 {
-				b.startLoad(p, w.artifact, []string{choice.Server.Name}, now)
+				b.startLoad(p, loadKey{w.artifact, w.software}, []string{choice.Server.Name}, now)
 			}
 			return p.acceptChoice(w, &choice), true
 		}
@@ -142,7 +142,7 @@
 	if _, declared := p.engine.Models[w.artifact.model]; !declared {
 		return admission.Offer{}, false
 	}
-	m := b.startLoad(p, artifact{model: w.artifact.model}, nil, now)
+	m := b.startLoad(p, loadKey{artifact: artifact{model: w.artifact.model}}, nil, now)
 	load := m.remaining(now)
 	w.server = nil
 	work := w.prompt.Work(0)
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -52,10 +52,11 @@
 
 // ensureRequest asks the lease holder to make a model or adapter resident.
 type ensureRequest struct {
-	Service string   `json:"service"`
-	Model   string   `json:"model"`
-	Adapter string   `json:"adapter,omitempty"`
-	Prefer  []string `json:"prefer,omitempty"` // server IDs, most preferred first
+	Service  string   `json:"service"`
+	Model    string   `json:"model"`
+	Adapter  string   `json:"adapter,omitempty"`
+	Software string   `json:"software,omitempty"` // if set, only servers of this software version count
+	Prefer   []string `json:"prefer,omitempty"`   // server IDs, most preferred first
 }
 
 type ensureReply struct {
@@ -97,7 +98,7 @@
 	c.handleOrigins()
 	w.OnRead(func(d view.Document) { c.mesh.Offer(mesh.Document(d)) })
 	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q ensureRequest) (ensureReply, error) {
-		id, err := c.manager.Ensure(ctx, q.Service, q.Model, q.Adapter, q.Prefer)
+		id, err := c.manager.Ensure(ctx, q.Service, q.Model, q.Adapter, q.Software, q.Prefer)
 		return ensureReply{Server: id}, err
 	})
 	mesh.Handle(c.mesh, methodDemand, func(_ context.Context, from string, d []loadplan.ModelDemand) (struct{}, error) {
@@ -167,9 +168,9 @@
 
 // ensure asks the lease holder to make a model or adapter resident, and logs a
 // failure.
-func (c *coordination) ensure(ctx context.Context, service, model, adapter string, prefer []string) (string, error) {
+func (c *coordination) ensure(ctx context.Context, service, model, adapter, software string, prefer []string) (string, error) {
 	holder, mine := c.manager.LeaseHolder()
-	id, err := c.requestEnsure(ctx, holder, mine, service, model, adapter, prefer)
+	id, err := c.requestEnsure(ctx, holder, mine, service, model, adapter, software, prefer)
 	if err != nil {
 		artifact := strings.TrimSuffix(model+"/"+adapter, "/")
 		event.Log(c.log, event.NotMadeResident, event.Peer(holder), event.Subject("load "+artifact), event.Err(err))
@@ -177,14 +178,14 @@
 	return id, err
 }
 
-func (c *coordination) requestEnsure(ctx context.Context, holder string, mine bool, service, model, adapter string, prefer []string) (string, error) {
+func (c *coordination) requestEnsure(ctx context.Context, holder string, mine bool, service, model, adapter, software string, prefer []string) (string, error) {
 	if mine {
-		return c.manager.Ensure(ctx, service, model, adapter, prefer)
+		return c.manager.Ensure(ctx, service, model, adapter, software, prefer)
 	}
 	if holder == "" || holder == c.name {
 		return "", fault.Newf(fault.KindUnavailable, methodEnsure, holder, "no lease holder is known")
 	}
-	q := ensureRequest{Service: service, Model: model, Adapter: adapter, Prefer: prefer}
+	q := ensureRequest{Service: service, Model: model, Adapter: adapter, Software: software, Prefer: prefer}
 	reply, err := mesh.Call[ensureRequest, ensureReply](ctx, c.mesh, holder, methodEnsure, q)
 	return reply.Server, err
 }
--- a/entry/direct/orders/ensure.go
+++ b/entry/direct/orders/ensure.go
@@ -18,8 +18,9 @@
 
 // flightKey identifies the model or adapter that a flight loads.
 type flightKey struct {
-	service string
-	key     loadplan.Key
+	software string // if set, only servers of this software version count
+	service  string
+	key      loadplan.Key
 }
 
 // flight is a load shared by all callers of Ensure that need the same artifact.
@@ -32,15 +33,16 @@
 }
 
 // Ensure makes a model, or one of its adapters, resident on a server and returns
-// the ID of that server. prefer lists servers, most preferred first. On an entry
+// the ID of that server. prefer lists servers, most preferred first. With a software
+// version, an adapter is made resident on a server of that version. On an entry
 // that does not hold the lease, Ensure fails at once with KindUnavailable. It fails
 // with KindNotFound if the model is not declared, and with KindCanceled when ctx ends.
-func (m *Manager) Ensure(ctx context.Context, service, model, adapter string, prefer []string) (string, error) {
+func (m *Manager) Ensure(ctx context.Context, service, model, adapter, software string, prefer []string) (string, error) {
 	if _, left := m.lease.held(); left <= 0 {
 		holder, _ := m.lease.holder()
 		return "", fault.Newf(fault.KindUnavailable, "orders.ensure", holder, "another entry holds the orders lease")
 	}
-	fk := flightKey{service: service, key: loadplan.Key{Model: model, Adapter: adapter}}
+	fk := flightKey{service: service, software: software, key: loadplan.Key{Model: model, Adapter: adapter}}
 	f := m.joinFlight(ctx, fk, prefer)
 	defer m.leaveFlight(fk, f)
 	select {
@@ -125,7 +127,7 @@
 		return loadplan.Choice{Outcome: loadplan.ChoiceWait}, m.changed
 	}
 	now := m.opts.Clock()
-	c := b.Choose(fk.key, prefer, now)
+	c := b.Choose(fk.key, fk.software, prefer, now)
 	switch c.Outcome {
 	case loadplan.ChoiceOrder:
 		return c, m.beginOrderLocked(ctx, fk.service, c.Server, c.Order, "on demand")
--- a/placement/loadplan/adapter.go
+++ b/placement/loadplan/adapter.go
@@ -32,32 +32,33 @@
 }
 
 // Choose selects a server for requests for the key, or the order that makes one
-// available. prefer lists server IDs, most preferred first. Each call counts as
-// a use of the returned model or adapter.
-func (ps *PlacementState) Choose(k Key, prefer []string, now time.Duration) Choice {
+// available. prefer lists server IDs, most preferred first. With a software version,
+// only servers of that version are chosen. Each call counts as a use of the returned
+// model or adapter.
+func (ps *PlacementState) Choose(k Key, software string, prefer []string, now time.Duration) Choice {
 	if ps.Engine == nil {
 		return Choice{Outcome: ChoiceUnknown}
 	}
 	if _, ok := ps.Engine.Models[k.Model]; !ok {
 		return Choice{Outcome: ChoiceUnknown}
 	}
-	if c, ok := ps.loadedOn(k, prefer); ok {
+	if c, ok := ps.loadedOn(k, software, prefer); ok {
 		ps.Servers[c.Server].lastUsed[k] = now
 		return c
 	}
-	if k.Adapter == "" || !ps.anyServes(k.Model) {
+	if k.Adapter == "" || !ps.anyServes(k.Model, software) {
 		return Choice{Outcome: ChoiceNoModel}
 	}
-	return ps.loadAdapter(k, prefer, now)
+	return ps.loadAdapter(k, software, prefer, now)
 }
 
 // loadedOn returns the most preferred server that has loaded the key or is
 // loading it.
-func (ps *PlacementState) loadedOn(k Key, prefer []string) (Choice, bool) {
+func (ps *PlacementState) loadedOn(k Key, software string, prefer []string) (Choice, bool) {
 	best, bestRank := Choice{}, 0
 	for _, id := range ps.ids() {
 		s := ps.Servers[id]
-		if !ps.usable(s) || !s.serves(k.Model) {
+		if !ps.usable(s) || !s.serves(k.Model) || !s.hasSoftware(software) {
 			continue
 		}
 		ready := time.Duration(0)
@@ -101,15 +102,20 @@
 	return len(prefer)
 }
 
-func (ps *PlacementState) anyServes(model string) bool {
+func (ps *PlacementState) anyServes(model, software string) bool {
 	for _, s := range ps.Servers {
-		if ps.usable(s) && s.serves(model) {
+		if ps.usable(s) && s.serves(model) && s.hasSoftware(software) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasSoftware reports whether the server has the software version; any has "".
+func (s *ServerState) hasSoftware(software string) bool {
+	return software == "" || s.Server.Software == software
+}
+
 // adapterOption is a server on which an adapter could be loaded.
 type adapterOption struct {
 	server       string
@@ -123,11 +129,11 @@
 // loadAdapter returns the order that loads the adapter on a server with its
 // model: one with a free slot, else the one with the least recently used idle
 // adapter, which is unloaded first.
-func (ps *PlacementState) loadAdapter(k Key, prefer []string, now time.Duration) Choice {
+func (ps *PlacementState) loadAdapter(k Key, software string, prefer []string, now time.Duration) Choice {
 	var best *adapterOption
 	for _, id := range ps.ids() {
 		o, ok := ps.adapterOption(k, ps.Servers[id], now)
-		if !ok {
+		if !ok || !ps.Servers[id].hasSoftware(software) {
 			continue
 		}
 		o.rank = preferenceRank(prefer, id)
--- a/placement/loadplan/inherited_test.go
+++ b/placement/loadplan/inherited_test.go
@@ -31,7 +31,7 @@
 	m.placement.SetInherited("a", Inherited{FencedUntil: m.now + 3*time.Second})
 	m.placement.Demand.Observe("entry", waitingFor("m2", []string{"m0", "m1"}, "", nil), m.now)
 	assert.Equal(t, stepFor("m2", m.placement.Plan(m.now)), "b unload m0")
-	c := m.placement.Choose(Key{Model: "m0", Adapter: "a1"}, []string{"a"}, m.now)
+	c := m.placement.Choose(Key{Model: "m0", Adapter: "a1"}, "", []string{"a"}, m.now)
 	assert.Assert(t, c.Outcome != ChoiceOrder || c.Server != "a")
 }
 
--- a/placement/loadplan/property_test.go
+++ b/placement/loadplan/property_test.go
@@ -54,7 +54,7 @@
 	model := fmt.Sprintf("m%d", rapid.IntRange(0, 4).Draw(t, "model"))
 	adapter := fmt.Sprintf("a%d", rapid.IntRange(1, 5).Draw(t, "adapter"))
 	for range 3 {
-		c := m.placement.Choose(Key{Model: model, Adapter: adapter}, nil, m.now)
+		c := m.placement.Choose(Key{Model: model, Adapter: adapter}, "", nil, m.now)
 		if c.Outcome == ChoiceOrder {
 			sendOrder(t, m, c.Server, c.Order)
 		}
