--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -31,6 +31,10 @@
 	sendStep = "exchange"
 )
 
+// MaxHeaderBytes limits the status line and headers of a response, together with the
+// informational responses before it.
+const MaxHeaderBytes = 64 << 10
+
 // Call is one attempt of a request.
 type Call struct {
 	ID      string // of the client attempt
@@ -65,6 +69,8 @@
 		MaxIdleConnsPerHost: maxIdlePerServer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}}
 }
 
@@ -128,6 +134,8 @@
 		return "the response is for request " + r.Outcome.ID
 	case r.Outcome.NotRun:
 		return ""
+	case r.Status == http.StatusSwitchingProtocols:
+		return "unrequested switch of protocols"
 	case r.Status < 300 && (!r.Outcome.FromServer || r.Outcome.ID == ""):
 		return "successful response without a signature"
 	case r.Header.Get("Content-Encoding") != "":
