--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -54,6 +54,16 @@
 	Length  int64 // of the body; -1 when unknown
 	Body    io.ReadCloser
 	Outcome fleet.Outcome
+	conn    *conn // nil if unknown
+}
+
+// LastReceived returns when data was last received on the response's connection, or
+// the zero time if that is unknown.
+func (r *Response) LastReceived() time.Time {
+	if r.conn == nil {
+		return time.Time{}
+	}
+	return processStart.Add(time.Duration(r.conn.lastUsed.Load()))
 }
 
 // Exchanger sends attempts to backend servers over shared connections.
@@ -106,7 +116,7 @@
 	}
 	if used != nil {
 		used.setMaxIdle(keepAliveTimeout(resp.Header))
-		response.Body = &body{ReadCloser: resp.Body, conn: used}
+		response.Body, response.conn = &body{ReadCloser: resp.Body, conn: used}, used
 	}
 	if reason := mismatch(call, response); reason != "" {
 		_ = resp.Body.Close()
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -87,6 +87,7 @@
 			return r.handleFailure(ctx, a, err)
 		}
 		a.answer = answer
+		a.watch.answered(answer)
 		r.sent++
 	}
 	if successor := r.successorOf(a); successor != nil {
--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/entry/direct/exchange"
 )
 
 const (
@@ -56,10 +57,11 @@
 	changed     *sync.Cond // signals the end of phaseSending
 	timer       *time.Timer
 	phase       stallPhase
-	forwarding  bool      // between claim and recordEvent
-	last        time.Time // time of the attempt's latest event, or its start
-	silence     bool      // the current silence has been recorded
-	withheld    bool      // a reason against another server has been recorded for the current silence
+	forwarding  bool             // between claim and recordEvent
+	last        time.Time        // time of the attempt's latest event, or its start
+	received    func() time.Time // when data of the answer was last received; nil before the answer
+	silence     bool             // the current silence has been recorded
+	withheld    bool             // a reason against another server has been recorded for the current silence
 	cancelPhase context.CancelFunc
 	retryTaken  time.Time // when the retry of phaseSending was taken from the budget
 	successor   *attempt  // set in phaseSuperseded
@@ -82,6 +84,9 @@
 		return nil
 	}
 	w := &stallWatch{run: r, attempt: a, ctx: ctx, last: time.Now(), left: left}
+	if a.answer != nil {
+		w.received = a.answer.LastReceived
+	}
 	w.changed = sync.NewCond(&w.mu)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -89,6 +94,17 @@
 	return w
 }
 
+// answered records the head of the server's answer. A server that sends an event or a
+// body slowly is not silent.
+func (w *stallWatch) answered(resp *exchange.Response) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.received = resp.LastReceived
+}
+
 // claim must be called before anything that the server sent is forwarded. It
 // ends the search for another server. If the other server has been sent the
 // request, claim waits for its answer; errSuperseded means that the other server
@@ -221,6 +237,9 @@
 	if w.forwarding || time.Since(w.last) < stallAfter+ticket.Expected {
 		return false
 	}
+	if w.received != nil && time.Since(w.received()) < stallAfter {
+		return false
+	}
 	silent := ticket.Silence()
 	if silent < stallAfter {
 		return false
--- a/entry/direct/front/stall_test.go
+++ b/entry/direct/front/stall_test.go
@@ -91,3 +91,23 @@
 	assert.NilError(t, other.ctx.Err())
 	assert.ErrorIs(t, a.watch.claim(), errSuperseded)
 }
+
+// TestSlowAnswerIsNotSilence has a server send an answer slowly, without a whole event.
+func TestSlowAnswerIsNotSilence(t *testing.T) {
+	r := newTestRun(newTestFront(t))
+	a := newTestAttempt(t, r)
+	defer a.end()
+	w := r.watch(t.Context(), a)
+	a.watch = w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left = 0 // the timer seeks no other server
+	for a.ticket.Silence() < stallAfter {
+		time.Sleep(time.Millisecond)
+	}
+	w.last = time.Now().Add(-time.Hour)
+	w.received = time.Now
+	assert.Assert(t, !w.isSilent())
+	w.received = func() time.Time { return w.last }
+	assert.Assert(t, w.isSilent())
+}
