--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/entry/direct/exchange"
 )
 
 const (
@@ -31,8 +32,8 @@
 const (
 	phaseIdle       stallPhase = iota // no search
 	phaseSeeking                      // waiting for another server that may get the request
-	phaseSending                      // the other server has been sent the request and has not answered
-	phaseSuperseded                   // the other server has answered; the silent attempt is over
+	phaseSending                      // the other server has been sent the request and its answer has not begun
+	phaseSuperseded                   // the other server's answer has begun; the silent attempt is over
 )
 
 // stallWatch finds another server for an attempt whose server is silent on all
@@ -56,17 +57,19 @@
 	changed     *sync.Cond // signals the end of phaseSending
 	timer       *time.Timer
 	phase       stallPhase
-	forwarding  bool      // between claim and recordEvent
-	last        time.Time // time of the attempt's latest event, or its start
-	silence     bool      // the current silence has been recorded
-	withheld    bool      // a reason against another server has been recorded for the current silence
+	forwarding  bool             // between claim and recordEvent
+	last        time.Time        // time of the attempt's latest event, or its start
+	received    func() time.Time // when data of the answer was last received; nil before the answer
+	silence     bool             // the current silence has been recorded
+	withheld    bool             // a reason against another server has been recorded for the current silence
 	cancelPhase context.CancelFunc
-	successor   *attempt // set in phaseSuperseded
-	left        int      // further servers that the request may be sent to
-	sent        int      // other servers that the request was sent to
-	tried       int      // other servers chosen, including those that could not be reached
-	failed      []string // IDs of other servers that failed or declined the request
-	mayHaveRun  bool     // one of these may have run the request
+	retryTaken  time.Time // when the retry of phaseSending was taken from the budget
+	successor   *attempt  // set in phaseSuperseded
+	left        int       // further servers that the request may be sent to
+	sent        int       // other servers that the request was sent to
+	tried       int       // other servers chosen, including those that could not be reached
+	failed      []string  // IDs of other servers that failed or declined the request
+	mayHaveRun  bool      // one of these may have run the request
 	ended       bool
 }
 
@@ -81,6 +84,9 @@
 		return nil
 	}
 	w := &stallWatch{run: r, attempt: a, ctx: ctx, last: time.Now(), left: left}
+	if a.answer != nil {
+		w.received = a.answer.LastReceived
+	}
 	w.changed = sync.NewCond(&w.mu)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -88,6 +94,17 @@
 	return w
 }
 
+// answered records the head of the server's answer. A server that sends an event or a
+// body slowly is not silent.
+func (w *stallWatch) answered(resp *exchange.Response) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.received = resp.LastReceived
+}
+
 // claim must be called before anything that the server sent is forwarded. It
 // ends the search for another server. If the other server has been sent the
 // request, claim waits for its answer; errSuperseded means that the other server
@@ -204,11 +221,12 @@
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.phase, w.cancelPhase = phaseSeeking, cancel
-	resumed, software := w.run.stream != nil, w.run.software
-	exclude := slices.Concat(w.run.exclude, []string{w.attempt.ticket.Server.ID}, w.failed)
+	q := w.run.query()
+	q.Exclude = slices.Concat(q.Exclude, []string{w.attempt.ticket.Server.ID}, w.failed)
+	q.Successor = true
 	w.goroutines.Go(func() {
 		defer cancel()
-		w.seek(ctx, resumed, software, exclude)
+		w.seek(ctx, q)
 	})
 }
 
@@ -219,6 +237,9 @@
 	if w.forwarding || time.Since(w.last) < stallAfter+ticket.Expected {
 		return false
 	}
+	if w.received != nil && time.Since(w.received()) < stallAfter {
+		return false
+	}
 	silent := ticket.Silence()
 	if silent < stallAfter {
 		return false
--- a/entry/direct/front/stall_test.go
+++ b/entry/direct/front/stall_test.go
@@ -49,8 +49,10 @@
 // newTestAttempt returns an attempt of the run at a server other than the excluded ones.
 func newTestAttempt(t *testing.T, r *run, exclude ...string) *attempt {
 	t.Helper()
-	ticket, refused := r.admit(t.Context(), exclude, false, "")
-	assert.Assert(t, refused == nil)
+	q := r.query()
+	q.Exclude = exclude
+	ticket, rejected := r.f.opts.Balancer.Admit(t.Context(), q)
+	assert.Assert(t, rejected == nil)
 	return newAttempt(t.Context(), ticket, 1, &fleet.View{})
 }
 
@@ -89,3 +91,23 @@
 	assert.NilError(t, other.ctx.Err())
 	assert.ErrorIs(t, a.watch.claim(), errSuperseded)
 }
+
+// TestSlowAnswerIsNotSilence has a server send an answer slowly, without a whole event.
+func TestSlowAnswerIsNotSilence(t *testing.T) {
+	r := newTestRun(newTestFront(t))
+	a := newTestAttempt(t, r)
+	defer a.end()
+	w := r.watch(t.Context(), a)
+	a.watch = w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left = 0 // the timer seeks no other server
+	for a.ticket.Silence() < stallAfter {
+		time.Sleep(time.Millisecond)
+	}
+	w.last = time.Now().Add(-time.Hour)
+	w.received = time.Now
+	assert.Assert(t, !w.isSilent())
+	w.received = func() time.Time { return w.last }
+	assert.Assert(t, w.isSilent())
+}
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -2,24 +2,21 @@
 
 import (
 	"context"
-	"slices"
+	"time"
 
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/relay"
 	"peridotchute.example/fleet"
 )
 
 // seek waits for another server that may get the request and sends it there. It
 // ends without effect when ctx is canceled first.
-func (w *stallWatch) seek(ctx context.Context, resumed bool, software string, exclude []string) {
-	ticket, refused := w.run.admit(ctx, exclude, resumed, software)
-	if refused == nil && slices.Contains(exclude, ticket.Server.ID) {
-		ticket.End() // the balancer offers excluded servers when there is no other
-		ticket = nil
-	}
-	if ticket == nil {
+func (w *stallWatch) seek(ctx context.Context, q balance.Query) {
+	ticket, rejected := w.run.f.opts.Balancer.Admit(ctx, q)
+	if rejected != nil {
 		w.giveUp(ctx, decisionlog.WithheldNoServer)
 		return
 	}
@@ -30,6 +27,9 @@
 	}
 	answer, err := w.run.f.opts.Exchanger.Send(s.ctx, call)
 	s.answer = answer
+	if err == nil && w.run.continues(answer) {
+		err = relay.Begin(answer, w.run.req.route.Stream)
+	}
 	w.finishSending(s, err)
 }
 
@@ -53,14 +53,15 @@
 		return nil, nil
 	}
 	r := w.run
-	if !r.f.opts.Balancer.TakeRetry(r.req.service) {
+	taken := time.Now()
+	if !r.f.opts.Balancer.TakeRetry(r.req.service, taken) {
 		w.phase = phaseIdle
 		w.recordWithheld(decisionlog.WithheldBudget)
 		return nil, nil
 	}
 	w.tried++
 	s := newAttempt(w.ctx, t, w.attempt.number+w.tried, r.f.opts.Views.Current())
-	w.phase, w.cancelPhase = phaseSending, s.cancel
+	w.phase, w.cancelPhase, w.retryTaken = phaseSending, s.cancel, taken
 	r.record.retried(r.lastEventID(), s.number, r.f.opts.Balancer.BudgetLeft(r.req.service))
 	r.record.chosen(s)
 	r.recordOrigin(s)
@@ -103,7 +104,7 @@
 func (w *stallWatch) successorFailed(s *attempt, err error) (sent bool) {
 	r, t := w.run, s.ticket
 	switch {
-	case err == nil && s.answer.Outcome.NotRun:
+	case s.answer != nil && s.answer.Outcome.NotRun:
 		r.record.attemptFailed(s, declineKind(s.answer.Outcome), s.answer.Status, true, nil)
 		t.Declined(s.answer.Outcome.Misdirected)
 		return true
@@ -118,6 +119,9 @@
 		return true
 	}
 	unreachable := fault.Is(err, fault.KindUnavailable)
+	if unreachable {
+		r.f.opts.Balancer.ReturnRetry(r.req.service, w.retryTaken)
+	}
 	r.record.attemptFailed(s, failureKind(w.ctx, err), 0, unreachable, err)
 	switch {
 	case exchange.IsStale(err):
