Ignore a peer's list of servers from an outage during which the store answered others

Cause, suspected: an entry that was cut off alone counts the time as an outage of the store and keeps servers without a registration for 2.3 s. It sends that list, and the end of the outage, to the others, which kept a server that had left meanwhile although they had read the store all along.

Change: the list carries the length of the outage. An entry that knows a read of the registrations from after its start ignores the list, and reads for itself when it receives no other.

--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -78,26 +78,32 @@
 		w.log.Write(decisionlog.StoreRecovered{Call: "servers", Down: now.Sub(w.failingSince)})
 	}
 	if !w.unreadSince.IsZero() {
-		w.outageEnd = now
+		w.outageStart, w.outageEnd = w.unreadSince, now
 	}
 	w.failingSince, w.unreadSince = time.Time{}, time.Time{}
 }
 
 // recordPeerRead records that a peer read the registrations at the given time.
-// outageEnd is the end of the last store outage known to the peer, or zero.
-func (w *Watcher) recordPeerRead(read, outageEnd time.Time) {
+// outageStart and outageEnd are those of the last store outage known to the peer, or
+// zero. It returns false if the peer's list must not be applied: the store answered
+// others during that outage, and the list has servers that left meanwhile.
+func (w *Watcher) recordPeerRead(read, outageStart, outageEnd time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !outageStart.IsZero() && w.current.Load().ServersRead.After(outageStart) && w.outageEnd.Before(outageStart) {
+		return false
+	}
 	if outageEnd.After(w.outageEnd) {
-		w.outageEnd = outageEnd
+		w.outageStart, w.outageEnd = outageStart, outageEnd
 	}
 	if w.unreadSince.IsZero() || !read.After(w.unreadSince) {
-		return
+		return true
 	}
 	if read.Sub(w.current.Load().ServersRead) > minExpiryGap && read.After(w.outageEnd) {
-		w.outageEnd = read // without reads for so long, the peer may not have noticed the outage
+		w.outageStart, w.outageEnd = w.unreadSince, read // without reads for so long, the peer may not have noticed the outage
 	}
 	w.unreadSince = time.Time{}
+	return true
 }
 
 // ApplyServers applies registrations that were requested at the given time. It
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -42,6 +42,7 @@
 	Servers     []fleet.Server // as in the sender's view, including servers kept after an outage
 	Unreadable  []string       `json:",omitempty"`
 	OutageEnded *time.Duration `json:",omitempty"` // time between the end of the last store outage and the read of Servers; nil if more than outageGrace
+	Outage      time.Duration  `json:",omitempty"` // length of that outage; 0 if unknown
 }
 
 // OnRead sets the function that is called with each newer document read from
@@ -79,11 +80,16 @@
 		return err
 	}
 	read := time.Now().Add(-d.Age)
-	var outageEnd time.Time
+	var outageStart, outageEnd time.Time
 	if list.OutageEnded != nil {
 		outageEnd = read.Add(-*list.OutageEnded)
 	}
-	w.recordPeerRead(read, outageEnd)
+	if list.Outage > 0 {
+		outageStart = outageEnd.Add(-list.Outage)
+	}
+	if !w.recordPeerRead(read, outageStart, outageEnd) {
+		return nil
+	}
 	w.ApplyServers(fleet.Registry{Servers: subtractAge(list.Servers, d.Age), Unreadable: list.Unreadable, Position: d.Version}, read)
 	return nil
 }
@@ -107,7 +113,7 @@
 	w.mu.Lock()
 	if w.inGrace() {
 		ended := v.ServersRead.Sub(w.outageEnd)
-		list.OutageEnded = &ended
+		list.OutageEnded, list.Outage = &ended, w.outageEnd.Sub(w.outageStart)
 	}
 	w.mu.Unlock()
 	body, err := encodeServers(list)
--- a/entry/direct/view/share_test.go
+++ b/entry/direct/view/share_test.go
@@ -129,6 +129,19 @@
 		b.refresh(t, 3)
 		b.assertServers(t)
 	})
+	t.Run("not when the store answered this entry during the peer's outage", func(t *testing.T) {
+		a, b := newTestWatcher(), newTestWatcher()
+		b.apply(t, a.refresh(t, 1, "a", "b"))
+		a.failRefresh()
+		b.refresh(t, 2, "a", "b")
+		began := time.Now()
+		after := a.refresh(t, 3, "a")
+		after.Age += time.Since(began) // ages are never underestimated
+		b.apply(t, after)
+		a.assertServers(t, "a", "b")
+		b.refresh(t, 4, "a")
+		b.assertServers(t, "a")
+	})
 	t.Run("when the peer had not read either", func(t *testing.T) {
 		a, b := newTestWatcher(), newTestWatcher()
 		old := a.refresh(t, 1, "a")
