--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -19,7 +19,7 @@
 	stallCheckInterval = 250 * time.Millisecond // interval between checks
 
 	// successorPatience is how long data of a server that was silent is held back
-	// while the other server has not answered.
+	// while the other server's answer has not begun.
 	successorPatience = time.Second
 )
 
@@ -137,7 +137,7 @@
 	}
 }
 
-// withdraw cancels the other server's attempt unless that server has answered.
+// withdraw cancels the other server's attempt unless its answer has begun.
 func (w *stallWatch) withdraw() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/entry/direct/relay/stream.go
+++ b/entry/direct/relay/stream.go
@@ -51,9 +51,10 @@
 
 // Copy forwards events until the source ends. It returns nil if the source
 // ended after a whole event, io.ErrUnexpectedEOF if it ended within one,
-// ErrEventTooLong or ErrNoEventID if an event is invalid, ErrClient if writing to the client failed, and the source's error otherwise.
-// It calls claim before it writes an event, and ends with its error if there is
-// one, and progress after each event.
+// ErrEventTooLong or ErrNoEventID if an event is invalid, ErrClient if writing to
+// the client failed, and the source's error otherwise. It calls claim before it
+// writes an event, and ends with its error if there is one, and progress after each
+// event.
 func (s *Stream) Copy(source io.Reader, claim func() error, progress func()) error {
 	in := readers.Get().(*bufio.Reader)
 	in.Reset(source)
