--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -11,15 +11,15 @@
 	"time"
 
 	"peridotchute.example/admission"
+	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/fleet"
 	"peridotchute.example/placement/loadplan"
 	"peridotchute.example/routing"
 )
 
-// EnsureFunc makes a model or adapter resident at some server, preferably one of
-// prefer, and returns that server's ID when the load has finished. With a software
-// version, only servers of that version count for an adapter.
-type EnsureFunc func(ctx context.Context, service, model, adapter, software string, prefer []string) (string, error)
+// EnsureFunc makes a model or adapter resident at some server, and returns that
+// server's ID when the load has finished.
+type EnsureFunc func(ctx context.Context, q orders.EnsureRequest) (string, error)
 
 // Options configures a Balancer.
 type Options struct {
--- a/entry/direct/balance/balance_test.go
+++ b/entry/direct/balance/balance_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/fleet"
 )
 
@@ -21,7 +22,7 @@
 		Zone:    "a",
 		Regions: map[string]string{"a": "r"},
 		Budget:  Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Parts: 1},
-		Ensure: func(context.Context, string, string, string, string, []string) (string, error) {
+		Ensure: func(context.Context, orders.EnsureRequest) (string, error) {
 			calls.Add(1)
 			return answer, nil
 		},
--- a/entry/direct/balance/bench_test.go
+++ b/entry/direct/balance/bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/fleet"
 )
 
@@ -18,7 +19,7 @@
 		Zone:    "a",
 		Regions: map[string]string{"a": "r"},
 		Budget:  Budget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Parts: 8},
-		Ensure: func(ctx context.Context, _, _, _, _ string, _ []string) (string, error) {
+		Ensure: func(ctx context.Context, _ orders.EnsureRequest) (string, error) {
 			<-ctx.Done()
 			return "", ctx.Err()
 		},
--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/routing"
 )
 
@@ -88,7 +89,7 @@
 func (b *Balancer) ensure(p *pool, a loadKey, m *pendingLoad, prefer []string) {
 	ctx, cancel := context.WithTimeout(b.ctx, ensureTimeout)
 	defer cancel()
-	id, err := b.opts.Ensure(ctx, p.name, a.model, a.adapter, a.software, prefer)
+	id, err := b.opts.Ensure(ctx, orders.EnsureRequest{Service: p.name, Model: a.model, Adapter: a.adapter, Software: a.software, Prefer: prefer})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -50,15 +50,6 @@
 	log      logrus.FieldLogger
 }
 
-// ensureRequest asks the lease holder to make a model or adapter resident.
-type ensureRequest struct {
-	Service  string   `json:"service"`
-	Model    string   `json:"model"`
-	Adapter  string   `json:"adapter,omitempty"`
-	Software string   `json:"software,omitempty"` // if set, only servers of this software version count
-	Prefer   []string `json:"prefer,omitempty"`   // server IDs, most preferred first
-}
-
 type ensureReply struct {
 	Server string `json:"server"` // ID
 }
@@ -97,8 +88,8 @@
 	c.origins = origins.New(s.Name, originPeers{mesh: c.mesh, log: log})
 	c.handleOrigins()
 	w.OnRead(func(d view.Document) { c.mesh.Offer(mesh.Document(d)) })
-	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q ensureRequest) (ensureReply, error) {
-		id, err := c.manager.Ensure(ctx, q.Service, q.Model, q.Adapter, q.Software, q.Prefer)
+	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q orders.EnsureRequest) (ensureReply, error) {
+		id, err := c.manager.Ensure(ctx, q)
 		return ensureReply{Server: id}, err
 	})
 	mesh.Handle(c.mesh, methodDemand, func(_ context.Context, from string, d []loadplan.ModelDemand) (struct{}, error) {
@@ -168,25 +159,24 @@
 
 // ensure asks the lease holder to make a model or adapter resident, and logs a
 // failure.
-func (c *coordination) ensure(ctx context.Context, service, model, adapter, software string, prefer []string) (string, error) {
+func (c *coordination) ensure(ctx context.Context, q orders.EnsureRequest) (string, error) {
 	holder, mine := c.manager.LeaseHolder()
-	id, err := c.requestEnsure(ctx, holder, mine, service, model, adapter, software, prefer)
+	id, err := c.requestEnsure(ctx, holder, mine, q)
 	if err != nil {
-		artifact := strings.TrimSuffix(model+"/"+adapter, "/")
+		artifact := strings.TrimSuffix(q.Model+"/"+q.Adapter, "/")
 		event.Log(c.log, event.NotMadeResident, event.Peer(holder), event.Subject("load "+artifact), event.Err(err))
 	}
 	return id, err
 }
 
-func (c *coordination) requestEnsure(ctx context.Context, holder string, mine bool, service, model, adapter, software string, prefer []string) (string, error) {
+func (c *coordination) requestEnsure(ctx context.Context, holder string, mine bool, q orders.EnsureRequest) (string, error) {
 	if mine {
-		return c.manager.Ensure(ctx, service, model, adapter, software, prefer)
+		return c.manager.Ensure(ctx, q)
 	}
 	if holder == "" || holder == c.name {
 		return "", fault.Newf(fault.KindUnavailable, methodEnsure, holder, "no lease holder is known")
 	}
-	q := ensureRequest{Service: service, Model: model, Adapter: adapter, Software: software, Prefer: prefer}
-	reply, err := mesh.Call[ensureRequest, ensureReply](ctx, c.mesh, holder, methodEnsure, q)
+	reply, err := mesh.Call[orders.EnsureRequest, ensureReply](ctx, c.mesh, holder, methodEnsure, q)
 	return reply.Server, err
 }
 
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -13,16 +13,15 @@
 // handleAnswer forwards an answer to the client unless the answer calls for
 // another attempt. It reports whether to try again.
 func (r *run) handleAnswer(ctx context.Context, a *attempt) bool {
-	t, resp := a.ticket, a.answer
+	resp := a.answer
 	switch {
 	case resp.Outcome.NotRun:
 		return r.handleDecline(ctx, a)
 	case isServerError(resp.Status):
 		return r.handleServerError(ctx, a)
 	case r.stream != nil && resp.Status != statusResumed:
-		r.record.attemptFailed(a, decisionlog.FailureStatus, resp.Status, false, nil)
-		t.Failed()
-		r.exclude = append(r.exclude, t.Server.ID)
+		r.recordErrorStatus(a)
+		r.exclude = append(r.exclude, a.ticket.Server.ID)
 		return r.mayRetry(ctx) || r.finishWithError(ctx, refusal{status: http.StatusBadGateway})
 	case r.req.route.Stream && resp.Status == http.StatusOK:
 		return r.forwardStream(ctx, a)
@@ -52,10 +51,8 @@
 // handleDecline handles an answer that states that the server did not run the
 // request.
 func (r *run) handleDecline(ctx context.Context, a *attempt) bool {
-	t, resp := a.ticket, a.answer
-	r.record.attemptFailed(a, declineKind(resp.Outcome), resp.Status, true, nil)
-	t.Declined(resp.Outcome.Misdirected)
-	r.exclude = append(r.exclude, t.Server.ID)
+	r.recordDecline(a)
+	r.exclude = append(r.exclude, a.ticket.Server.ID)
 	if r.mayRetry(ctx) {
 		return true
 	}
@@ -65,11 +62,10 @@
 // handleServerError handles an error answer of the server. The request counts
 // as possibly run.
 func (r *run) handleServerError(ctx context.Context, a *attempt) bool {
-	t, resp := a.ticket, a.answer
-	r.record.attemptFailed(a, decisionlog.FailureStatus, resp.Status, false, nil)
-	t.Failed()
+	resp := a.answer
+	r.recordErrorStatus(a)
 	r.mayHaveRun = true
-	r.exclude = append(r.exclude, t.Server.ID)
+	r.exclude = append(r.exclude, a.ticket.Server.ID)
 	if r.mayRetry(ctx) {
 		return true
 	}
--- a/entry/direct/front/outcome.go
+++ b/entry/direct/front/outcome.go
@@ -28,6 +28,19 @@
 	}
 }
 
+// recordDecline records an answer that states that the server did not run the
+// request.
+func (r *run) recordDecline(a *attempt) {
+	r.record.attemptFailed(a, declineKind(a.answer.Outcome), a.answer.Status, true, nil)
+	a.ticket.Declined(a.answer.Outcome.Misdirected)
+}
+
+// recordErrorStatus records an answer whose status says that the server failed.
+func (r *run) recordErrorStatus(a *attempt) {
+	r.record.attemptFailed(a, decisionlog.FailureStatus, a.answer.Status, false, nil)
+	a.ticket.Failed()
+}
+
 // markUnreachable marks the server as unreachable and logs the first of
 // consecutive failures.
 func (r *run) markUnreachable(a *attempt, err error) {
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -102,19 +102,17 @@
 // successorFailed records the failure of another server and reports whether the
 // request was sent to it.
 func (w *stallWatch) successorFailed(s *attempt, err error) (sent bool) {
-	r, t := w.run, s.ticket
+	r := w.run
 	switch {
 	case s.answer != nil && s.answer.Outcome.NotRun:
-		r.record.attemptFailed(s, declineKind(s.answer.Outcome), s.answer.Status, true, nil)
-		t.Declined(s.answer.Outcome.Misdirected)
+		r.recordDecline(s)
 		return true
 	case s.ctx.Err() != nil: // the silent server went on, or the request ended
 		r.record.attemptFailed(s, decisionlog.FailureWithdrawn, 0, false, err)
 		w.mayHaveRun = true
 		return true
 	case err == nil:
-		r.record.attemptFailed(s, decisionlog.FailureStatus, s.answer.Status, false, nil)
-		t.Failed()
+		r.recordErrorStatus(s)
 		w.mayHaveRun = true
 		return true
 	}
@@ -128,7 +126,7 @@
 	case unreachable:
 		r.markUnreachable(s, err)
 	default:
-		t.Failed()
+		s.ticket.Failed()
 		w.mayHaveRun = true
 	}
 	return !unreachable
--- a/entry/direct/orders/ensure.go
+++ b/entry/direct/orders/ensure.go
@@ -32,24 +32,32 @@
 	err     error
 }
 
+// EnsureRequest names the model or adapter that Ensure makes resident.
+type EnsureRequest struct {
+	Service  string   `json:"service"`
+	Model    string   `json:"model"`
+	Adapter  string   `json:"adapter,omitempty"`  // empty for the model itself
+	Software string   `json:"software,omitempty"` // if set, an adapter must be on a server of this software version
+	Prefer   []string `json:"prefer,omitempty"`   // server IDs, most preferred first
+}
+
 // Ensure makes a model, or one of its adapters, resident on a server and returns
-// the ID of that server. prefer lists servers, most preferred first. With a software
-// version, an adapter is made resident on a server of that version. On an entry
+// the ID of that server. On an entry
 // that does not hold the lease, Ensure fails at once with KindUnavailable. It fails
 // with KindNotFound if the model is not declared, and with KindCanceled when ctx ends.
-func (m *Manager) Ensure(ctx context.Context, service, model, adapter, software string, prefer []string) (string, error) {
+func (m *Manager) Ensure(ctx context.Context, q EnsureRequest) (string, error) {
 	if _, left := m.lease.held(); left <= 0 {
 		holder, _ := m.lease.holder()
 		return "", fault.Newf(fault.KindUnavailable, "orders.ensure", holder, "another entry holds the orders lease")
 	}
-	fk := flightKey{service: service, software: software, key: loadplan.Key{Model: model, Adapter: adapter}}
-	f := m.joinFlight(ctx, fk, prefer)
+	fk := flightKey{service: q.Service, software: q.Software, key: loadplan.Key{Model: q.Model, Adapter: q.Adapter}}
+	f := m.joinFlight(ctx, fk, q.Prefer)
 	defer m.leaveFlight(fk, f)
 	select {
 	case <-f.done:
 		return f.server, f.err
 	case <-ctx.Done():
-		return "", fault.New(fault.KindCanceled, "orders.ensure", model, ctx.Err())
+		return "", fault.New(fault.KindCanceled, "orders.ensure", q.Model, ctx.Err())
 	}
 }
 
--- a/entry/direct/orders/ensure_test.go
+++ b/entry/direct/orders/ensure_test.go
@@ -88,7 +88,7 @@
 	}
 	done := make(chan answer, 1)
 	go func() {
-		server, err := r.manager.Ensure(context.Background(), "chat", model, adapter, "", nil)
+		server, err := r.manager.Ensure(context.Background(), EnsureRequest{Service: "chat", Model: model, Adapter: adapter})
 		done <- answer{server, err}
 	}()
 	var got answer
@@ -134,10 +134,10 @@
 	r.start()
 	other := r.newManager("b")
 	step(t, other.lease)
-	_, err := other.Ensure(context.Background(), "chat", "m1", "a1", "", nil)
+	_, err := other.Ensure(context.Background(), EnsureRequest{Service: "chat", Model: "m1", Adapter: "a1"})
 	assert.Assert(t, fault.Is(err, fault.KindUnavailable))
 	r.clock.add(leaseDuration) // the lease expires without a renewal
-	_, err = r.manager.Ensure(context.Background(), "chat", "m1", "a1", "", nil)
+	_, err = r.manager.Ensure(context.Background(), EnsureRequest{Service: "chat", Model: "m1", Adapter: "a1"})
 	assert.Assert(t, fault.Is(err, fault.KindUnavailable))
 	assert.Equal(t, len(r.control.accepted), 0)
 }
@@ -148,7 +148,7 @@
 	r.control.lose = true
 	var caller sync.WaitGroup
 	caller.Go(func() {
-		_, err := r.manager.Ensure(context.Background(), "chat", "m1", "a1", "", nil)
+		_, err := r.manager.Ensure(context.Background(), EnsureRequest{Service: "chat", Model: "m1", Adapter: "a1"})
 		assert.Check(t, err)
 	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -227,7 +227,7 @@
 	r.control.block, r.control.arrived = make(chan struct{}), make(chan struct{})
 	var caller sync.WaitGroup
 	caller.Go(func() {
-		if _, err := r.manager.Ensure(context.Background(), "chat", "m1", "a1", "", nil); err != nil {
+		if _, err := r.manager.Ensure(context.Background(), EnsureRequest{Service: "chat", Model: "m1", Adapter: "a1"}); err != nil {
 			assert.Check(t, fault.Is(err, fault.KindUnavailable))
 		}
 	})
--- a/entry/direct/origins/holders.go
+++ b/entry/direct/origins/holders.go
@@ -13,9 +13,9 @@
 // holders returns the n entries that hold the copies of a stream's record, by
 // rendezvous hashing: removing one entry from names changes the result only by
 // that entry.
-func holders(s stream, names []string, n int) []string {
+func holders(s Stream, names []string, n int) []string {
 	best := make([]candidate, 0, n+1)
-	key := []byte(s.service + "\x00" + s.id + "\x00")
+	key := []byte(s.Service + "\x00" + s.ID + "\x00")
 	prefix := len(key)
 	for _, name := range names {
 		key = append(key[:prefix], name...)
--- a/entry/direct/origins/origins_test.go
+++ b/entry/direct/origins/origins_test.go
@@ -45,12 +45,12 @@
 
 func (l link) Send(peer string, b Began) { l.net.entry(peer).Receive(b) }
 
-func (l link) Ask(_ context.Context, peer string, q Query) (Answer, error) {
+func (l link) Ask(_ context.Context, peer string, s Stream) (Answer, error) {
 	entry := l.net.entry(peer)
 	if entry == nil {
 		return Answer{}, fault.Newf(fault.KindUnavailable, "ask", peer, "not connected")
 	}
-	return entry.Lookup(q), nil
+	return entry.Lookup(s), nil
 }
 
 func (n *network) entry(name string) *Registry {
@@ -114,7 +114,7 @@
 	first := n.entry("entry-0")
 	first.Began(service, "a", "v1")
 	first.copyPending()
-	kept := holders(stream{service: service, id: "a"}, first.peers.Connected(), copies)
+	kept := holders(Stream{Service: service, ID: "a"}, first.peers.Connected(), copies)
 	n.remove("entry-0")
 	n.remove(kept[0])
 	for name, g := range n.entries {
@@ -173,7 +173,7 @@
 func TestTableExpires(t *testing.T) {
 	now := time.Now()
 	table := newTable()
-	a, b := stream{service, "a"}, stream{service, "b"}
+	a, b := Stream{service, "a"}, Stream{service, "b"}
 	table.put(a, "v1", now)
 	table.put(b, "v1", now.Add(recordTTL/2))
 	table.put(a, "v2", now.Add(recordTTL/2))
@@ -190,10 +190,10 @@
 	now := time.Now()
 	table := newTable()
 	for i := range maxRecords + 10 {
-		table.put(stream{service, fmt.Sprint(i)}, "v1", now)
+		table.put(Stream{service, fmt.Sprint(i)}, "v1", now)
 	}
 	assert.Equal(t, len(table.records), maxRecords)
-	_, found := table.get(stream{service, "0"}, now)
+	_, found := table.get(Stream{service, "0"}, now)
 	assert.Assert(t, !found)
 }
 
@@ -280,8 +280,8 @@
 		names = append(names, fmt.Sprintf("entry-%d", i))
 	}
 	for i := range 200 {
-		s := stream{service: service, id: fmt.Sprint(i)}
-		score := func(name string) uint64 { return xxhash.Sum64String(s.service + "\x00" + s.id + "\x00" + name) }
+		s := Stream{Service: service, ID: fmt.Sprint(i)}
+		score := func(name string) uint64 { return xxhash.Sum64String(s.Service + "\x00" + s.ID + "\x00" + name) }
 		sorted := slices.Clone(names)
 		slices.SortFunc(sorted, func(a, b string) int { return cmp.Compare(score(b), score(a)) })
 		for n := range 4 {
@@ -296,7 +296,7 @@
 	for i := range 380 {
 		names = append(names, fmt.Sprintf("edge-pamp-a-%d", i))
 	}
-	s := stream{service: "brief-writer", id: "f49bdb1f2606aee8"}
+	s := Stream{Service: "brief-writer", ID: "f49bdb1f2606aee8"}
 	b.ReportAllocs()
 	for b.Loop() {
 		holders(s, names, copies)
@@ -310,7 +310,7 @@
 	first := n.entry("entry-0")
 	first.Began(service, "a", "v1")
 	first.copyPending()
-	holder := holders(stream{service: service, id: "a"}, first.peers.Connected(), copies)[0]
+	holder := holders(Stream{Service: service, ID: "a"}, first.peers.Connected(), copies)[0]
 	kept := n.entry(holder)
 	n.remove(holder)
 	first.Began(service, "a", "v2")
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -30,19 +30,13 @@
 	// Send sends records to an entry without waiting for delivery.
 	Send(peer string, began Began)
 	// Ask asks an entry for a record.
-	Ask(ctx context.Context, peer string, q Query) (Answer, error)
+	Ask(ctx context.Context, peer string, s Stream) (Answer, error)
 }
 
 // Began contains records: by service and software version, the streams begun.
 type Began map[string]map[string][]string
 
-// Query asks for the record of a stream.
-type Query struct {
-	Service string `json:"service"`
-	ID      string `json:"id"`
-}
-
-// Answer is the answer to a Query.
+// Answer says which software version began a stream.
 type Answer struct {
 	Software string `json:"software,omitempty"`
 	Found    bool   `json:"found,omitempty"`
@@ -70,7 +64,7 @@
 	mu          sync.Mutex
 	table       *table
 	versions    versions
-	pending     map[stream]string // records to copy
+	pending     map[Stream]string // records to copy
 	serversRead time.Time         // when the newest registrations were read
 }
 
@@ -83,12 +77,12 @@
 		wake:     make(chan struct{}, 1),
 		table:    newTable(),
 		versions: newVersions(),
-		pending:  map[stream]string{},
+		pending:  map[Stream]string{},
 	}
 }
 
 // Update applies a new view of the deployment. When a second version of a service
-// appears, the records of its streams are copied. Update does not block.
+// appears, the records of its Streams are copied. Update does not block.
 func (g *Registry) Update(v *fleet.View) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -107,7 +101,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	s := stream{service: service, id: id}
+	s := Stream{Service: service, ID: id}
 	g.table.put(s, software, now)
 	if g.versions.several(service, now) {
 		g.copyLater(s, software)
@@ -115,7 +109,7 @@
 }
 
 // copyLater makes Run copy a record. The caller holds mu.
-func (g *Registry) copyLater(s stream, software string) {
+func (g *Registry) copyLater(s Stream, software string) {
 	g.pending[s] = software
 	select {
 	case g.wake <- struct{}{}:
@@ -139,7 +133,7 @@
 func (g *Registry) copyPending() {
 	g.mu.Lock()
 	pending := g.pending
-	g.pending = map[stream]string{}
+	g.pending = map[Stream]string{}
 	g.mu.Unlock()
 	names := g.peers.Connected()
 	messages := map[string]Began{}
@@ -156,11 +150,11 @@
 	}
 }
 
-func (b Began) add(s stream, software string) {
-	if b[s.service] == nil {
-		b[s.service] = map[string][]string{}
+func (b Began) add(s Stream, software string) {
+	if b[s.Service] == nil {
+		b[s.Service] = map[string][]string{}
 	}
-	b[s.service][software] = append(b[s.service][software], s.id)
+	b[s.Service][software] = append(b[s.Service][software], s.ID)
 }
 
 // Receive stores records of another entry.
@@ -171,19 +165,19 @@
 	for service, bySoftware := range b {
 		for software, ids := range bySoftware {
 			for _, id := range ids {
-				g.table.put(stream{service: service, id: id}, software, now)
+				g.table.put(Stream{Service: service, ID: id}, software, now)
 			}
 		}
 	}
 }
 
-// Lookup answers another entry's query from this entry's records.
-func (g *Registry) Lookup(q Query) Answer {
+// Lookup answers from this entry's records.
+func (g *Registry) Lookup(s Stream) Answer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	software, found := g.table.get(stream{service: q.Service, id: q.ID}, now)
-	return Answer{Software: software, Found: found, Several: g.versions.several(q.Service, now)}
+	software, found := g.table.get(s, now)
+	return Answer{Software: software, Found: found, Several: g.versions.several(s.Service, now)}
 }
 
 // State is the registry's part of the state dump.
@@ -210,8 +204,8 @@
 // With AnyVersion it returns the one in use, or "" if none is: another one may appear
 // before the stream goes on.
 func (g *Registry) Find(ctx context.Context, service, id string) (software string, o Origin) {
-	q := Query{Service: service, ID: id}
-	if a := g.Lookup(q); a.Found {
+	s := Stream{Service: service, ID: id}
+	if a := g.Lookup(s); a.Found {
 		return a.Software, Known
 	}
 	names := g.peers.Connected()
@@ -224,7 +218,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	switch a := g.ask(ctx, q, names); {
+	switch a := g.ask(ctx, s, names); {
 	case a.Found:
 		return a.Software, Known
 	case a.Several || !one:
@@ -257,8 +251,8 @@
 // ask asks the entries that hold copies of the record. The entry that made the
 // record may be among names; it made copies at copies other entries. Without a record,
 // the answer has Several set if any entry's has.
-func (g *Registry) ask(ctx context.Context, q Query, names []string) Answer {
-	candidates := holders(stream{service: q.Service, id: q.ID}, append(slices.Clone(names), g.self), copies+1)
+func (g *Registry) ask(ctx context.Context, s Stream, names []string) Answer {
+	candidates := holders(s, append(slices.Clone(names), g.self), copies+1)
 	answers := make(chan Answer, len(candidates))
 	asked := 0
 	for _, peer := range candidates {
@@ -267,7 +261,7 @@
 		}
 		asked++
 		go func() {
-			a, err := g.peers.Ask(ctx, peer, q)
+			a, err := g.peers.Ask(ctx, peer, s)
 			if err != nil {
 				a = Answer{} // an entry that does not answer has no record for this purpose
 			}
--- a/entry/direct/origins/table.go
+++ b/entry/direct/origins/table.go
@@ -9,11 +9,10 @@
 	maxRecords = 1 << 16 // of one entry; the oldest are dropped
 )
 
-// stream identifies a stream by its service and the request that brought its first
-// event.
-type stream struct {
-	service string
-	id      string
+// Stream identifies a stream.
+type Stream struct {
+	Service string `json:"service"`
+	ID      string `json:"id"` // of the request that brought its first event
 }
 
 // record is the software version that began a stream.
@@ -25,20 +24,20 @@
 // table holds the records of the last recordTTL. It is not safe for concurrent
 // use.
 type table struct {
-	records map[stream]record
+	records map[Stream]record
 	order   []written // the oldest first
 }
 
 // written is one write of a record, which a later one may have replaced.
 type written struct {
-	stream stream
+	stream Stream
 	at     time.Time
 }
 
-func newTable() *table { return &table{records: map[stream]record{}} }
+func newTable() *table { return &table{records: map[Stream]record{}} }
 
 // put writes a record and drops those that have expired.
-func (t *table) put(s stream, software string, now time.Time) {
+func (t *table) put(s Stream, software string, now time.Time) {
 	t.records[s] = record{software: software, at: now}
 	t.order = append(t.order, written{stream: s, at: now})
 	t.expire(now)
@@ -57,7 +56,7 @@
 }
 
 // get returns the software version that began the stream.
-func (t *table) get(s stream, now time.Time) (software string, found bool) {
+func (t *table) get(s Stream, now time.Time) (software string, found bool) {
 	r, ok := t.records[s]
 	if !ok || now.Sub(r.at) >= recordTTL {
 		return "", false
@@ -66,10 +65,10 @@
 }
 
 // ofService returns the records of a service.
-func (t *table) ofService(service string, now time.Time) map[stream]string {
-	out := map[stream]string{}
+func (t *table) ofService(service string, now time.Time) map[Stream]string {
+	out := map[Stream]string{}
 	for s, r := range t.records {
-		if s.service == service && now.Sub(r.at) < recordTTL {
+		if s.Service == service && now.Sub(r.at) < recordTTL {
 			out[s] = r.software
 		}
 	}
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -78,29 +78,36 @@
 		w.log.Write(decisionlog.StoreRecovered{Call: "servers", Down: now.Sub(w.failingSince)})
 	}
 	if !w.unreadSince.IsZero() {
-		w.outageStart, w.outageEnd = w.unreadSince, now
+		w.outage = outage{start: w.unreadSince, end: now}
 	}
 	w.failingSince, w.unreadSince = time.Time{}, time.Time{}
 }
 
-// recordPeerRead records that a peer read the registrations at the given time.
-// outageStart and outageEnd are those of the last store outage known to the peer, or
-// zero. It returns false if the peer's list must not be applied: the store answered
-// others during that outage, and the list has servers that left meanwhile.
-func (w *Watcher) recordPeerRead(read, outageStart, outageEnd time.Time) bool {
+// outage is a time in which the store did not answer.
+type outage struct {
+	start time.Time // zero if unknown
+	end   time.Time
+}
+
+// recordPeerRead records that a peer read the registrations at the given time. last
+// is the last store outage known to the peer, or zero. It returns false if the
+// peer's list must not be applied: the store answered others during that outage, and
+// the list has servers that left meanwhile.
+func (w *Watcher) recordPeerRead(read time.Time, last outage) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !outageStart.IsZero() && w.current.Load().ServersRead.After(outageStart) && w.outageEnd.Before(outageStart) {
+	known := w.current.Load().ServersRead
+	if !last.start.IsZero() && known.After(last.start) && w.outage.end.Before(last.start) {
 		return false
 	}
-	if outageEnd.After(w.outageEnd) {
-		w.outageStart, w.outageEnd = outageStart, outageEnd
+	if last.end.After(w.outage.end) {
+		w.outage = last
 	}
 	if w.unreadSince.IsZero() || !read.After(w.unreadSince) {
 		return true
 	}
-	if read.Sub(w.current.Load().ServersRead) > minExpiryGap && read.After(w.outageEnd) {
-		w.outageStart, w.outageEnd = w.unreadSince, read // without reads for so long, the peer may not have noticed the outage
+	if read.Sub(known) > minExpiryGap && read.After(w.outage.end) {
+		w.outage = outage{start: w.unreadSince, end: read} // without reads for so long, the peer may not have noticed it
 	}
 	w.unreadSince = time.Time{}
 	return true
@@ -130,7 +137,7 @@
 // inGrace reports whether live servers may still lack a registration after a
 // store outage. The caller holds mu.
 func (w *Watcher) inGrace() bool {
-	return !w.outageEnd.IsZero() && time.Since(w.outageEnd) < outageGrace
+	return !w.outage.end.IsZero() && time.Since(w.outage.end) < outageGrace
 }
 
 // logUnreadable logs each undecodable registration when it is first seen.
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -80,20 +80,26 @@
 		return err
 	}
 	read := time.Now().Add(-d.Age)
-	var outageStart, outageEnd time.Time
-	if list.OutageEnded != nil {
-		outageEnd = read.Add(-*list.OutageEnded)
-	}
-	if list.Outage > 0 {
-		outageStart = outageEnd.Add(-list.Outage)
-	}
-	if !w.recordPeerRead(read, outageStart, outageEnd) {
+	if !w.recordPeerRead(read, list.outage(read)) {
 		return nil
 	}
 	w.ApplyServers(fleet.Registry{Servers: subtractAge(list.Servers, d.Age), Unreadable: list.Unreadable, Position: d.Version}, read)
 	return nil
 }
 
+// outage returns the last store outage known to the sender of a list that it read at the
+// given time, or zero.
+func (list *sharedServers) outage(read time.Time) outage {
+	if list.OutageEnded == nil {
+		return outage{}
+	}
+	last := outage{end: read.Add(-*list.OutageEnded)}
+	if list.Outage > 0 {
+		last.start = last.end.Add(-list.Outage)
+	}
+	return last
+}
+
 // subtractAge subtracts the age of the list from the remaining times of the
 // servers. It changes and returns the given slice.
 func subtractAge(servers []fleet.Server, age time.Duration) []fleet.Server {
@@ -112,8 +118,8 @@
 	list := sharedServers{Servers: v.Servers, Unreadable: reg.Unreadable}
 	w.mu.Lock()
 	if w.inGrace() {
-		ended := v.ServersRead.Sub(w.outageEnd)
-		list.OutageEnded, list.Outage = &ended, w.outageEnd.Sub(w.outageStart)
+		ended := v.ServersRead.Sub(w.outage.end)
+		list.OutageEnded, list.Outage = &ended, w.outage.end.Sub(w.outage.start)
 	}
 	w.mu.Unlock()
 	body, err := encodeServers(list)
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -41,8 +41,7 @@
 	position     int64     // store position of the newest registrations
 	failingSince time.Time // start of the store outage for this entry; zero while the store answers
 	unreadSince  time.Time // start of the time without reads by any entry; zero once this entry or a peer has read
-	outageStart  time.Time // start of the last store outage
-	outageEnd    time.Time // its end; zero if there was none
+	outage       outage    // the last store outage; zero if there was none
 	unreadable   map[string]bool
 	listeners    []func(*fleet.View)
 	share        func(Document)
