Log the prompt's parts of requests that had a problem

Callers lost their requests when servers crashed one after the other, and the log could not tell whether the lost requests had anything in common: no line named the parts of a prompt. Line 600 (request routed), which is written only for requests with a problem, has them now. Nothing else changes.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -15,6 +15,7 @@
 	Priority      int    // 0 is the most urgent
 	PromptTokens  int
 	OutputTokens  int           // maximum that the request may generate
+	PromptParts   []uint64      // IDs of the prompt's parts, in order
 	Deadline      time.Duration // how long the caller waits
 	ConfigVersion int64
 }
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -1,5 +1,25 @@
 package decisionlog
 
+import (
+	"strconv"
+	"strings"
+)
+
+// maxLoggedParts bounds the parts of one prompt in a line.
+const maxLoggedParts = 16
+
+// FormatPart returns the ID of a prompt part as logs show it and clients send it.
+func FormatPart(id uint64) string { return strconv.FormatUint(id, 16) }
+
+// formatParts returns the IDs of the first maxLoggedParts parts, joined by commas.
+func formatParts(ids []uint64) string {
+	texts := make([]string, min(len(ids), maxLoggedParts))
+	for i := range texts {
+		texts[i] = FormatPart(ids[i])
+	}
+	return strings.Join(texts, ",")
+}
+
 func (r Routed) encode(e *encoder) {
 	e.textIfSet("route", r.Route)
 	e.textIfSet("service", r.Service)
@@ -8,6 +28,7 @@
 	e.count("priority", int64(r.Priority))
 	e.countIfSet("prompt_tokens", int64(r.PromptTokens))
 	e.countIfSet("output_tokens", int64(r.OutputTokens))
+	e.textIfSet("prompt_parts", formatParts(r.PromptParts))
 	e.durationIfSet("deadline_ms", r.Deadline)
 	e.countIfSet("config_version", r.ConfigVersion)
 }
--- a/fleet/request.go
+++ b/fleet/request.go
@@ -19,6 +19,15 @@
 	Resumes     string        // the client attempt that brought the first event of the resumed stream
 }
 
+// PartIDs returns the IDs of the prompt's parts, in order.
+func (r *Request) PartIDs() []uint64 {
+	ids := make([]uint64, len(r.Parts))
+	for i := range r.Parts {
+		ids[i] = r.Parts[i].ID
+	}
+	return ids
+}
+
 // Part is a part of a prompt. Different requests may have parts in common; the
 // last part is specific to the request or its session.
 type Part struct {
