Keep requests away from servers that crash on a part of their prompt

Cause: each request was judged alone, by excluded servers, attempts and retry budget. No entry related the crash of a server to what the lost requests held, and what one entry lost the others never learned. Class of fault: a poison request in a pool with retries.

Change: an entry that loses a request dials its server; if that refuses, it reports the lost requests to all entries (crashguard). A part that three crashes in sequence lost, of several requests, and that no answered request had since, is quarantined (admission/quarantine): its requests are refused at once, queued and unbegun ones end, none is retried. Servers that end together count once; a crash explained by a quarantined part blames no other; parts that were answered come last. Entries merge what they know when they connect, and find it in the store when they start. It is bounded and forgotten ten minutes after the last crash. A request with the part that is answered releases it.

--- /dev/null
+++ b/admission/quarantine/evidence.go
@@ -0,0 +1,109 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	evidenceTTL = 10 * time.Minute // how long a crash counts
+	crashSpan   = time.Second      // reports about one server within it are about one crash
+	maxCrashes  = 128              // crashes remembered; the oldest are dropped
+	maxLost     = 256              // requests remembered of one crash
+	maxParts    = 16               // parts remembered of one request
+)
+
+// Lost is a request that was lost in the crash of its server.
+type Lost struct {
+	ID    string
+	Parts []uint64  // of its prompt, in order
+	Sent  time.Time // to the server that crashed
+	Begun bool      // the server had sent an event of its answer
+}
+
+// crash is the end of one incarnation of a server.
+type crash struct {
+	server   string
+	at       time.Time // when its requests were lost, by the earliest report
+	reported time.Time // when the latest report was added
+	lost     []Lost
+}
+
+// share is what the requests with one part have in a crash.
+type share struct {
+	part     uint64
+	sent     time.Time // when the latest of the requests was sent
+	requests []string
+	depth    int  // greatest position of the part
+	inner    bool // some prompt goes on after the part
+	trigger  bool // some answer had not begun
+}
+
+// shares returns the shares of all parts in the crash.
+func (c *crash) shares() map[uint64]*share {
+	out := map[uint64]*share{}
+	for i := range c.lost {
+		l := &c.lost[i]
+		for depth, part := range l.Parts {
+			s := out[part]
+			if s == nil {
+				s = &share{part: part}
+				out[part] = s
+			}
+			if l.Sent.After(s.sent) {
+				s.sent = l.Sent
+			}
+			s.requests = append(s.requests, l.ID)
+			s.depth = max(s.depth, depth)
+			s.inner = s.inner || depth < len(l.Parts)-1
+			s.trigger = s.trigger || !l.Begun
+		}
+	}
+	return out
+}
+
+// has reports whether a lost request has a part that meets the condition.
+func (c *crash) has(condition func(part uint64) bool) bool {
+	return slices.ContainsFunc(c.lost, func(l Lost) bool { return slices.ContainsFunc(l.Parts, condition) })
+}
+
+// evidence holds the crashes of the last evidenceTTL, the oldest first.
+type evidence struct {
+	crashes []*crash
+}
+
+// add adds a report about a crash. Reports of several entries about the same server
+// make one crash.
+func (e *evidence) add(server string, at time.Time, lost []Lost, now time.Time) {
+	e.expire(now)
+	c := e.find(server, at)
+	if c == nil {
+		c = &crash{server: server, at: at}
+		e.crashes = append(e.crashes, c)
+	}
+	if at.Before(c.at) {
+		c.at = at
+	}
+	c.reported = now
+	for _, l := range lost[:min(len(lost), maxLost-len(c.lost))] {
+		l.Parts = l.Parts[:min(len(l.Parts), maxParts)]
+		c.lost = append(c.lost, l)
+	}
+	slices.SortStableFunc(e.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	if n := len(e.crashes) - maxCrashes; n > 0 {
+		e.crashes = slices.Delete(e.crashes, 0, n)
+	}
+}
+
+func (e *evidence) find(server string, at time.Time) *crash {
+	for _, c := range e.crashes {
+		if c.server == server && at.Sub(c.at).Abs() < crashSpan {
+			return c
+		}
+	}
+	return nil
+}
+
+func (e *evidence) expire(now time.Time) {
+	e.crashes = slices.DeleteFunc(e.crashes, func(c *crash) bool { return now.Sub(c.at) >= evidenceTTL })
+}
--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -56,6 +56,7 @@
 	FailureTimeout     FailureKind = "timeout"     // no response in time
 	FailureSilent      FailureKind = "silent"      // the server stopped sending anything
 	FailureWithdrawn   FailureKind = "withdrawn"   // the entry gave it up because an earlier attempt went on
+	FailureQuarantined FailureKind = "quarantined" // the entry gave it up because of a part of its prompt
 	FailureStatus      FailureKind = "status"      // the server responded with an error status
 	FailureRejected    FailureKind = "turned away" // the server rejected the request without running it
 	FailureWrongServer FailureKind = "misdirected" // the address belongs to another server, or the model is not loaded
@@ -111,6 +112,7 @@
 	WithheldBudget          WithheldReason = "retry budget spent"
 	WithheldTime            WithheldReason = "no time left"
 	WithheldNoServer        WithheldReason = "no other server"
+	WithheldQuarantined     WithheldReason = "servers crash on a part of the prompt"
 	WithheldResponseStarted WithheldReason = "answer already begun"
 )
 
@@ -131,6 +133,7 @@
 	RefusedStopping         RefusalReason = "process is stopping"
 	RefusedVersionUnknown   RefusalReason = "the software version that began the stream is not known"
 	RefusedVersionGone      RefusalReason = "no server of the software version that began the stream"
+	RefusedQuarantined      RefusalReason = "servers crash on a part of the prompt"
 	RefusedBadRequest       RefusalReason = "request is malformed"
 	RefusedTooLarge         RefusalReason = "request is too large"
 	RefusedUnreachable      RefusalReason = "no server could be reached"
--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -80,6 +80,29 @@
 	ViewAge    time.Duration // since the request that read the registrations
 }
 
+// ServerCrashed records the crash of a server that had requests of this process.
+type ServerCrashed struct {
+	Server  string
+	Service string
+	Address string
+	Lost    int // requests of this process
+}
+
+// PartQuarantined records that requests with a prompt part are refused from now on.
+type PartQuarantined struct {
+	Part      uint64
+	Source    string        // how the process knows
+	Crashes   int           // that led to it; 0 if another process found the part
+	Requests  []string      // some of the requests lost with the part
+	Remaining time.Duration // until the quarantine ends
+}
+
+// PartReleased records that requests with a prompt part are sent again.
+type PartReleased struct {
+	Part   uint64
+	Source string // how the process knows
+}
+
 // StoreLost records that the platform's store does not answer.
 type StoreLost struct {
 	Call string // the call that failed
@@ -141,6 +164,15 @@
 	return event.ModelUnloaded
 }
 
+// Event implements Record.
+func (ServerCrashed) Event() event.Event { return event.ServerCrashed }
+
+// Event implements Record.
+func (PartQuarantined) Event() event.Event { return event.PartQuarantined }
+
+// Event implements Record.
+func (PartReleased) Event() event.Event { return event.PartReleased }
+
 // Event implements Record.
 func (StoreLost) Event() event.Event { return event.StoreLost }
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -1,5 +1,7 @@
 package decisionlog
 
+import "strings"
+
 func (r Started) encode(e *encoder) {
 	e.textIfSet("role", r.Role)
 	e.textIfSet("address", r.Address)
@@ -55,6 +57,26 @@
 	e.duration("view_age_ms", r.ViewAge)
 }
 
+func (r ServerCrashed) encode(e *encoder) {
+	e.text("server", r.Server)
+	e.textIfSet("service", r.Service)
+	e.textIfSet("address", r.Address)
+	e.count("lost", int64(r.Lost))
+}
+
+func (r PartQuarantined) encode(e *encoder) {
+	e.text("part", FormatPart(r.Part))
+	e.text("source", r.Source)
+	e.countIfSet("crashes", int64(r.Crashes))
+	e.textIfSet("requests", strings.Join(r.Requests, ","))
+	e.duration("remaining_ms", r.Remaining)
+}
+
+func (r PartReleased) encode(e *encoder) {
+	e.text("part", FormatPart(r.Part))
+	e.text("source", r.Source)
+}
+
 func (r StoreLost) encode(e *encoder) {
 	e.text("subject", r.Call)
 	e.errorIfSet(r.Err)
--- a/common/metrics/sources.go
+++ b/common/metrics/sources.go
@@ -27,6 +27,7 @@
 	ConfigAge     func() time.Duration
 	ServersAge    func() time.Duration
 	LeaseHeld     func() bool
+	Quarantined   func() int              // prompt parts whose requests are refused
 	ServerCalls   func() map[string]int64 // orders to and reports of model servers, by kind and outcome
 }
 
@@ -48,6 +49,7 @@
 	descConfigAge     = newDesc("config_age_seconds", "Time since the store was last asked for the configuration with success.")
 	descServersAge    = newDesc("servers_age_seconds", "Time since the store was last asked for the backend servers with success.")
 	descServerCalls   = newDesc("server_calls_total", "Orders given to model servers and reports asked of them.", labelOutcome)
+	descQuarantined   = newDesc("quarantined_prompt_parts", "Prompt parts whose requests are refused because servers crash on them.")
 	descLeaseHeld     = newDesc("lease_held", "1 when this process gives orders to the backend servers.")
 )
 
@@ -56,6 +58,7 @@
 	for _, d := range []*prometheus.Desc{
 		descWritten, descLeftOut, descWaiting, descInProgress, descBudget,
 		descServers, descConfigVersion, descConfigAge, descServersAge, descLeaseHeld, descServerCalls,
+		descQuarantined,
 	} {
 		out <- d
 	}
@@ -66,6 +69,7 @@
 	s.collectLog(out)
 	sendGauge(out, descWaiting, s.Waiting)
 	sendGauge(out, descInProgress, s.InProgress)
+	sendGauge(out, descQuarantined, s.Quarantined)
 	sendGauge(out, descConfigVersion, s.ConfigVersion)
 	sendAge(out, descConfigAge, s.ConfigAge)
 	sendAge(out, descServersAge, s.ServersAge)
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -10,9 +10,11 @@
 
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/daemon"
+	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/direct/balance"
+	"peridotchute.example/entry/direct/crashguard"
 	"peridotchute.example/entry/direct/mesh"
 	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/entry/direct/origins"
@@ -31,6 +33,9 @@
 	methodLease    = "orders.lease"
 	methodBegan    = "streams.began"
 	methodOrigin   = "streams.origin"
+	methodCrash    = "crashes.report"
+	methodCleared  = "crashes.cleared"
+	methodParts    = "crashes.parts"
 )
 
 const (
@@ -47,6 +52,7 @@
 	manager  *orders.Manager
 	balancer *balance.Balancer
 	origins  *origins.Registry
+	guard    *crashguard.Guard
 	log      logrus.FieldLogger
 }
 
@@ -60,7 +66,7 @@
 	Change orders.ServerUpdate `json:"change"`
 }
 
-func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, log logrus.FieldLogger) *coordination {
+func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, decisions *decisionlog.Log, log logrus.FieldLogger) *coordination {
 	c := &coordination{name: s.Name, log: log}
 	c.balancer = balance.New(balance.Options{Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Ensure: c.ensure})
 	c.manager = orders.New(orders.Options{
@@ -83,10 +89,13 @@
 		Log:   log,
 
 		OnDocument: func(d mesh.Document) { applyDocument(w, d, log) },
+		OnConnect:  func(peer string) { c.guard.PeerConnected(peer) },
 		PullDelay:  map[string]time.Duration{view.KindConfig: configFetchDelay},
 	})
 	c.origins = origins.New(s.Name, originPeers{mesh: c.mesh, log: log})
 	c.handleOrigins()
+	c.guard = crashguard.New(crashguard.Options{Self: s.Name, Peers: guardPeers{c.mesh}, Table: table, Log: decisions, Events: log})
+	c.handleCrashes()
 	w.OnRead(func(d view.Document) { c.mesh.Offer(mesh.Document(d)) })
 	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q orders.EnsureRequest) (ensureReply, error) {
 		id, err := c.manager.Ensure(ctx, q)
@@ -122,6 +131,9 @@
 	})
 	daemon.Go(lc, c.manager.Run)
 	daemon.Go(lc, c.origins.Run)
+	daemon.Go(lc, c.guard.Run)
+	daemon.Go(lc, c.guard.RunChecks)
+	daemon.Go(lc, c.guard.RunRows)
 	daemon.Go(lc, c.exchangeLoads)
 	daemon.Go(lc, c.reportDemand)
 }
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -90,6 +90,8 @@
 	}
 	if resp.Status < http.StatusInternalServerError {
 		t.Succeeded()
+		a.brought.Store(true)
+		r.answered(a)
 	}
 	r.f.closeAfterStop(r.w)
 	if err := relay.Forward(r.w, r.r.Method, resp, buffered); err != nil {
@@ -112,6 +114,8 @@
 	a.watch.recordEvent()
 	err := r.stream.Copy(resp.Body, a.watch.claim, func() {
 		t.Event()
+		a.brought.Store(true)
+		r.begun.Store(true)
 		r.bindSoftware(a)
 		a.watch.recordEvent()
 		r.record.sentBytes()
@@ -124,6 +128,7 @@
 	switch {
 	case err == nil:
 		t.Succeeded()
+		r.answered(a)
 		r.record.finishServed(resp.Status, r.stream.Bytes)
 		return false
 	case errors.Is(err, relay.ErrClient):
@@ -136,6 +141,7 @@
 		t.Failed()
 	}
 	r.recordFailure(ctx, a, resp.Status, err)
+	r.reportLost(ctx, a, err)
 	r.mayHaveRun = true
 	r.exclude = append(r.exclude, t.Server.ID)
 	if r.req.route.RetryPolicy != fleet.RetryResume {
--- a/entry/direct/front/attempt.go
+++ b/entry/direct/front/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"peridotchute.example/entry/direct/balance"
@@ -19,6 +20,7 @@
 	cancel  context.CancelFunc
 	answer  *exchange.Response // nil until the server has answered
 	watch   *stallWatch        // nil if no other server may take the request over
+	brought atomic.Bool        // the server has sent an event, or a whole answer
 }
 
 // newAttempt returns an attempt that ends with ctx. v is the view that the
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -59,6 +59,7 @@
 	Exchanger *exchange.Exchanger
 	Balancer  *balance.Balancer
 	Origins   Origins
+	Guard     Guard
 	Log       *decisionlog.Log
 }
 
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -107,6 +107,8 @@
 // whole request.
 func failureKind(ctx context.Context, err error) decisionlog.FailureKind {
 	switch {
+	case quarantinedCause(ctx) != nil:
+		return decisionlog.FailureQuarantined
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return decisionlog.FailureTimeout
 	case errors.Is(err, context.Canceled) || errors.Is(err, errSuperseded):
--- a/entry/direct/front/retry.go
+++ b/entry/direct/front/retry.go
@@ -32,6 +32,8 @@
 // It does not consider the budget.
 func (r *run) withheldReason(ctx context.Context) decisionlog.WithheldReason {
 	switch {
+	case r.quarantined(ctx) != nil:
+		return decisionlog.WithheldQuarantined
 	case ctx.Err() != nil:
 		return decisionlog.WithheldTime
 	case r.mayHaveRun && r.req.route.RetryPolicy == fleet.RetryNever:
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"peridotchute.example/common/decisionlog"
@@ -32,6 +33,7 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	req        *request
+	parts      []uint64      // of the request's prompt
 	stream     *relay.Stream // nil until a stream begins
 	next       *attempt      // has taken the request over from the current attempt; nil if none has
 	sent       int           // attempts that reached a server
@@ -40,6 +42,7 @@
 	exclude    []string      // IDs of servers that failed or declined the request
 	software   string        // version that brought the stream's events; empty while there are none
 	recorded   string        // version last recorded as the stream's origin
+	begun      atomic.Bool   // the client has been sent an event
 	record     *record
 }
 
@@ -50,8 +53,14 @@
 	f.opts.Balancer.CountRequest(req.service)
 	f.activeRequests.begin(req)
 	defer f.activeRequests.end(req)
-	run := &run{f: f, w: w, r: r, req: req, record: newRecord(f.opts.Log, req, v)}
+	run := &run{f: f, w: w, r: r, req: req, parts: req.PartIDs(), record: newRecord(f.opts.Log, req, v)}
 	defer run.record.close()
+	ctx, stopWatch := f.opts.Guard.Watch(ctx, run.parts, run.begun.Load)
+	defer stopWatch()
+	if quarantined := quarantinedCause(ctx); quarantined != nil {
+		run.finishWithError(ctx, refusalOf(quarantined))
+		return
+	}
 	if req.resumesStream() && !run.findOrigin(ctx) {
 		return
 	}
@@ -113,6 +122,11 @@
 	if refused != nil {
 		return nil, refused
 	}
+	if quarantined := r.quarantined(ctx); quarantined != nil { // also of a stream that has begun, which the watch does not cancel
+		ticket.End()
+		cause := refusalOf(quarantined)
+		return nil, &cause
+	}
 	r.record.end.Attempts++
 	a := newAttempt(ctx, ticket, r.record.end.Attempts, r.f.opts.Views.Current())
 	r.record.serverChanged(a)
@@ -234,6 +248,7 @@
 		r.sent++
 	}
 	r.mayHaveRun = true
+	r.reportLost(ctx, a, err)
 	if r.mayRetry(ctx) {
 		return true
 	}
@@ -244,6 +259,9 @@
 // aborted so that it does not look complete. A request that may have run gets
 // 502 or 504, because 503 would mean that it has not run. It returns false.
 func (r *run) finishWithError(ctx context.Context, cause refusal) bool {
+	if quarantined := quarantinedCause(ctx); quarantined != nil {
+		cause = refusalOf(quarantined)
+	}
 	if r.stream != nil || r.callerDisconnected() {
 		r.record.finishFailed(r.abortOutcome(ctx.Err()), 0, string(r.abortReason(ctx, cause)))
 		panic(http.ErrAbortHandler)
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -53,6 +53,11 @@
 		return nil, nil
 	}
 	r := w.run
+	if r.quarantined(ctx) != nil {
+		w.phase = phaseIdle
+		w.recordWithheld(decisionlog.WithheldQuarantined)
+		return nil, nil
+	}
 	taken := time.Now()
 	if !r.f.opts.Balancer.TakeRetry(r.req.service, taken) {
 		w.phase = phaseIdle
@@ -127,6 +132,7 @@
 		r.markUnreachable(s, err)
 	default:
 		s.ticket.Failed()
+		r.reportLost(w.ctx, s, err)
 		w.mayHaveRun = true
 	}
 	return !unreachable
--- a/entry/direct/mesh/link.go
+++ b/entry/direct/mesh/link.go
@@ -99,6 +99,9 @@
 		m.requestRowRead()
 	}
 	event.Log(m.log, event.EntryConnected, event.Peer(l.id.Name), event.Subject(l.id.Incarnation))
+	if m.opts.OnConnect != nil {
+		m.opts.OnConnect(l.id.Name)
+	}
 }
 
 // acceptable reports whether a new connection should be used.
--- a/entry/direct/mesh/mesh.go
+++ b/entry/direct/mesh/mesh.go
@@ -41,6 +41,9 @@
 	// OnDocument is called with each newer document received from a peer. Calls
 	// for the same kind do not overlap. It may call Offer.
 	OnDocument func(Document)
+	// OnConnect is called with the name of each entry to which a connection was opened,
+	// after the entry can be sent messages. It must not block. It may be nil.
+	OnConnect func(peer string)
 	// PullDelay is, by kind, the delay between a peer's announcement of a newer
 	// document and the request for it. It avoids transfers between entries that
 	// usually get the document from its source at about the same time.
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -12,6 +12,7 @@
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/metrics"
 	"peridotchute.example/entry/direct/balance"
+	"peridotchute.example/entry/direct/crashguard"
 	"peridotchute.example/entry/direct/exchange"
 	"peridotchute.example/entry/direct/front"
 	"peridotchute.example/entry/direct/origins"
@@ -34,7 +35,7 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(s.Cores)), 1))
 	return fx.Module("direct",
 		fx.Supply(s),
-		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newOrigins, newFront, newReadiness),
+		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newOrigins, newGuard, newFront, newReadiness),
 		fx.Decorate(decorateLogger),
 		fx.Invoke(startLog, startMetrics, startLoops, startListeners, startReload, logLifecycle),
 	)
@@ -58,12 +59,14 @@
 
 func newOrigins(c *coordination) *origins.Registry { return c.origins }
 
+func newGuard(c *coordination) *crashguard.Guard { return c.guard }
+
 func budgetOf(s Settings) balance.Budget {
 	return balance.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindowS), Parts: retrySlackParts}
 }
 
-func newFront(codec fleet.Codec, w *view.Watcher, x *exchange.Exchanger, b *balance.Balancer, o *origins.Registry, log *decisionlog.Log) *front.Front {
-	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Origins: o, Log: log})
+func newFront(codec fleet.Codec, w *view.Watcher, x *exchange.Exchanger, b *balance.Balancer, o *origins.Registry, g *crashguard.Guard, log *decisionlog.Log) *front.Front {
+	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Origins: o, Guard: g, Log: log})
 }
 
 func startLoops(lc fx.Lifecycle, w *view.Watcher, b *balance.Balancer, c *coordination) {
--- a/entry/direct/state.go
+++ b/entry/direct/state.go
@@ -49,6 +49,7 @@
 	server.AddSection("requests", b)
 	server.AddSection("retry_budget_left", admin.DumpFunc(func() any { return b.BudgetsLeft() }))
 	server.AddSection("stream_origins", admin.DumpFunc(func() any { return c.origins.State() }))
+	server.AddSection("quarantine", admin.DumpFunc(func() any { return c.guard.State() }))
 	server.AddSection("mesh", c.mesh)
 }
 
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -88,6 +88,7 @@
 		ConfigVersion: func() int64 { return configVersion(w.Current()) },
 		ConfigAge:     w.ConfigAge,
 		LeaseHeld:     c.holdsLease,
+		Quarantined:   c.guard.Quarantined,
 		ServersAge:    func() time.Duration { return serversAge(w.Current()) },
 		ServerCalls:   func() map[string]int64 { return serverCalls(c.manager.Counts()) },
 	})
