explain: why a request with a quarantined prompt part was refused

A caller that asks about such a refusal got a reason without a history: the finding is minutes old and another entry's. The refusal names its part in a field of its own, and explain shows which entry found it, when, by how many crashes and which lost requests, and crashes of the servers of a failed request. TestQuarantinedRequestIsExplained fails without it.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -143,6 +143,7 @@
 type Refused struct {
 	Reason        RefusalReason
 	Detail        string // more detail, such as an error text
+	Part          uint64 // prompt part that is the reason; 0 if none is
 	Status        int
 	RetryAfter    time.Duration // 0 if the response has no Retry-After
 	Expected      time.Duration // expected wait, if it was the reason for the refusal
--- a/entry/direct/front/quarantine.go
+++ b/entry/direct/front/quarantine.go
@@ -44,7 +44,7 @@
 		status:     http.StatusServiceUnavailable,
 		retryAfter: q.Remaining,
 		reason:     decisionlog.RefusedQuarantined,
-		detail:     "part " + decisionlog.FormatPart(q.Part),
+		part:       q.Part,
 	}
 }
 
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -57,6 +57,8 @@
 	switch decisionlog.RefusalReason(e.Text("reason")) {
 	case decisionlog.RefusedModelNotLoaded, decisionlog.RefusedAdapterNotLoaded:
 		return append(sentences, t.modelHistory()...)
+	case decisionlog.RefusedQuarantined:
+		return append(sentences, t.quarantineHistory()...)
 	case decisionlog.RefusedTooLate, decisionlog.RefusedQueueFull, decisionlog.RefusedPreempted:
 		return append(sentences, t.recentOutcomes())
 	}
@@ -87,6 +89,25 @@
 	return sentences
 }
 
+// quarantineHistory describes how the entries learned that servers crash on a part of the
+// request's prompt.
+func (t *Timeline) quarantineHistory() []string {
+	var sentences []string
+	for _, item := range t.Items {
+		l := item.Line
+		switch {
+		case isFinding(l):
+			sentences = append(sentences, fmt.Sprintf("%s: %s found that servers crash on prompt part %s, by %s crashes that lost the requests %s.",
+				relativeTime(item.At), l.Node, l.Text("part"), l.Text("crashes"), l.Text("requests")))
+		case l.Event == event.PartQuarantined.ID:
+			sentences = append(sentences, fmt.Sprintf("%s: %s learned of prompt part %s from %s.", relativeTime(item.At), l.Node, l.Text("part"), l.Text("source")))
+		case l.Event == event.PartReleased.ID:
+			sentences = append(sentences, fmt.Sprintf("%s: %s released prompt part %s.", relativeTime(item.At), l.Node, l.Text("part")))
+		}
+	}
+	return sentences
+}
+
 func (t *Timeline) lateCause() []string {
 	e := t.end
 	first, objective := e.Duration("first_byte_ms"), e.Duration("objective_ms")
@@ -148,7 +169,7 @@
 	sentences = append(sentences, t.attempts()...)
 	for _, item := range t.Items {
 		switch item.Line.Event {
-		case event.ServerLeft.ID, event.ServerDraining.ID, event.ServerSuspected.ID:
+		case event.ServerLeft.ID, event.ServerDraining.ID, event.ServerSuspected.ID, event.ServerCrashed.ID:
 			sentences = append(sentences, fmt.Sprintf("%s: %s %s, logged by %s%s.", relativeTime(item.At), item.Line.Name, item.Line.Text("server"), item.Line.Node, reasonSuffix(item.Line)))
 		}
 	}
@@ -214,6 +235,9 @@
 	if detail := l.Text("detail"); detail != "" {
 		parts = append(parts, detail)
 	}
+	if part := l.Text("part"); part != "" {
+		parts = append(parts, "prompt part "+part)
+	}
 	if len(parts) == 0 {
 		return ""
 	}
--- a/operator/explain/timeline.go
+++ b/operator/explain/timeline.go
@@ -121,7 +121,7 @@
 	for _, l := range t.relevantLines(p, subj, w.After+last, shift) {
 		at := l.Offset + shift
 		own := l.Request != ""
-		if !own && at < -w.Before && !t.activeAtArrival(p, l) {
+		if !own && at < -w.Before && !t.activeAtArrival(p, l) && !isFinding(l) {
 			continue
 		}
 		t.Items = append(t.Items, Item{Line: l, At: at, Own: own})
@@ -132,6 +132,12 @@
 	}
 }
 
+// isFinding reports whether a line records the finding of a crashing prompt part, by any
+// entry: its quarantine lasts longer than a window.
+func isFinding(l *Line) bool {
+	return l.Event == event.PartQuarantined.ID && l.Text("crashes") != ""
+}
+
 // withoutDuplicates removes lines of other processes about a change that another
 // line already shows; lines of the entry that handled the request take precedence.
 // Lines about departing or draining servers stay, since it may matter when each
@@ -210,16 +216,21 @@
 	})
 }
 
-// subject is the set of servers and artifacts that a request involved.
+// subject is the set of servers, artifacts and prompt parts that a request involved.
 type subject struct {
+	parts     map[string]bool
 	servers   map[string]bool // named in lines about the request
 	models    map[string]bool
 	artifacts map[string]bool // models and MODEL/ADAPTER
 }
 
 func subjectOf(own []*Line) subject {
-	subj := subject{servers: map[string]bool{}, models: map[string]bool{}, artifacts: map[string]bool{}}
+	subj := subject{parts: map[string]bool{}, servers: map[string]bool{}, models: map[string]bool{}, artifacts: map[string]bool{}}
 	for _, l := range own {
+		for part := range strings.SplitSeq(l.Text("prompt_parts"), ",") {
+			subj.parts[part] = true
+		}
+		subj.parts[l.Text("part")] = true
 		if server := l.Text("server"); server != "" {
 			subj.servers[server] = true
 		}
@@ -236,6 +247,10 @@
 // if the line is from the node that handled the request.
 func (a subject) concerns(l *Line, sameNode bool) bool {
 	switch l.Event {
+	case event.PartQuarantined.ID, event.PartReleased.ID:
+		return a.parts[l.Text("part")]
+	case event.ServerCrashed.ID:
+		return a.servers[l.Text("server")]
 	case event.ServerAppeared.ID, event.ServerLeft.ID, event.ServerDraining.ID,
 		event.ServerSuspected.ID, event.ModelLoaded.ID, event.ModelUnloaded.ID:
 		return a.servers[l.Text("server")] || a.models[l.Text("model")] || a.anyLoaded(l)
