--- a/entry/direct/crashguard/guard.go
+++ b/entry/direct/crashguard/guard.go
@@ -20,6 +20,8 @@
 	// takes less.
 	rankDelay = 100 * time.Millisecond
 	maxRank   = 10 // entries after this many wait no longer
+
+	maxUnsaved = 256 // entries whose rows wait to be written
 )
 
 // Sources of what is quarantined or released, in the log. Another source is the name of
@@ -65,8 +67,8 @@
 	detector *quarantine.Detector
 	list     *quarantine.List
 	watches  map[*watch]struct{}
-	unsaved  map[uint64]struct{} // parts whose rows must be written
-	actAt    time.Time           // when this entry may announce a finding; zero without one
+	unsaved  map[uint64]quarantine.Entry // entries of this process whose rows must be written, by part
+	actAt    time.Time                   // when this entry may announce a finding; zero without one
 }
 
 // New returns a Guard that knows of no crash.
@@ -81,7 +83,7 @@
 		detector: quarantine.NewDetector(),
 		list:     quarantine.NewList(),
 		watches:  map[*watch]struct{}{},
-		unsaved:  map[uint64]struct{}{},
+		unsaved:  map[uint64]quarantine.Entry{},
 	}
 }
 
@@ -160,7 +162,7 @@
 		if e, ok := g.list.Release(p, now); ok {
 			g.opts.Log.Write(decisionlog.PartReleased{Part: p, Source: sourceAnswer})
 			released = append(released, stateOf(e, now))
-			g.saveLater(p)
+			g.saveLater(e)
 		}
 	}
 	if len(released) > 0 {
@@ -296,7 +298,7 @@
 		})
 		states = append(states, stateOf(e, now))
 		g.cancelWatched(e, now)
-		g.saveLater(f.Part)
+		g.saveLater(e)
 	}
 	g.opts.Peers.BroadcastEntries(states)
 }
@@ -312,9 +314,12 @@
 	return min(n, maxRank)
 }
 
-// saveLater makes RunRows write the row of a part. The caller holds mu.
-func (g *Guard) saveLater(part uint64) {
-	g.unsaved[part] = struct{}{}
+// saveLater makes RunRows write the row of an entry. The caller holds mu.
+func (g *Guard) saveLater(e quarantine.Entry) {
+	if len(g.unsaved) >= maxUnsaved {
+		clear(g.unsaved) // running entries still know the parts
+	}
+	g.unsaved[e.Part] = e
 	signal(g.save)
 }
 
--- a/entry/direct/crashguard/rows.go
+++ b/entry/direct/crashguard/rows.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -119,7 +121,7 @@
 			return err
 		}
 		g.mu.Lock()
-		if g.list.Get(e.Part, time.Now()).Changes == e.Changes {
+		if g.unsaved[e.Part] == e {
 			delete(g.unsaved, e.Part)
 		}
 		g.mu.Unlock()
@@ -130,21 +132,21 @@
 func (g *Guard) unsavedEntries() []quarantine.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
-	var out []quarantine.Entry
-	for part := range g.unsaved {
-		e := g.list.Get(part, now)
-		if e.Changes == 0 { // expired meanwhile
-			delete(g.unsaved, part)
-			continue
+	return slices.Collect(maps.Values(g.unsaved))
+}
+
+// writeRow writes the row of an entry, unless the row has as many changes already. It reads
+// the row again if another entry changes it meanwhile.
+func (g *Guard) writeRow(ctx context.Context, e quarantine.Entry) error {
+	for {
+		err := g.tryWriteRow(ctx, e)
+		if !fault.Is(err, fault.KindConflict) || ctx.Err() != nil {
+			return err
 		}
-		out = append(out, e)
 	}
-	return out
 }
 
-// writeRow writes the row of an entry, unless the row has as many changes already.
-func (g *Guard) writeRow(ctx context.Context, e quarantine.Entry) error {
+func (g *Guard) tryWriteRow(ctx context.Context, e quarantine.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	key := rowPrefix + decisionlog.FormatPart(e.Part)
