Keep to the rate that a server in need takes from all entries together

Cause: nothing read Server-Limit, and the choice of a server knew no rate. Class of fault: a limit of the sum over all entries that no entry knows of.

Change: every answer may name, change or lift the limit of its server; entries tell each other at once and when they connect, without the store. A limit is shared by as many entries as it has requests a second, one at least, chosen by a hash among those in the server's region; each sends its part, one request at a time and none in the first moment, and the others send nothing there. A server with less than two a second counts as unavailable for the placement of models, so that they are loaded elsewhere. An answer lifts a limit only if its request was sent after the limit was last named. A new process under the server's ID begins without one.

Why it works: the parts add up to the rate whatever the entries' number, and the bursts of all that share it to at most one second of it. A property test changes sharers and rates; in the sum over all entries the rule holds.

Event 657, metric limited_servers.

--- /dev/null
+++ b/admission/server_limit.go
@@ -0,0 +1,78 @@
+package admission
+
+import "time"
+
+const (
+	// serverLimitBurst is how many requests an entry may send at once after a pause.
+	serverLimitBurst = 1
+
+	// minServerRate, in requests per second, lets an entry learn that a server which
+	// named a lower limit has lifted it.
+	minServerRate = 0.2
+)
+
+// ServerLimit keeps to one entry's part of the rate of requests that a server takes from
+// all entries together. The zero value is no limit.
+//
+// Invariant: if the parts of all entries add up to at most 1, and no more than
+// LimitSharers have one, they send at most serverLimitBurst x LimitSharers more than the
+// rate allows in any period.
+type ServerLimit struct {
+	limited   bool
+	perSecond float64 // of all entries
+	part      float64 // of this entry, between 0 and 1
+	tokens    float64
+	at        time.Time // when tokens was computed
+}
+
+// LimitSharers returns how many of the entries share a limit: with few requests a second,
+// a part for each entry would allow a burst from each.
+func LimitSharers(perSecond float64, entries int) int {
+	return min(max(int(min(perSecond, float64(entries))), 1), max(entries, 1))
+}
+
+// Set sets the rate of all entries and the part of this one.
+func (l *ServerLimit) Set(perSecond, part float64, now time.Time) {
+	l.refill(now)
+	if !l.limited || l.part == 0 {
+		l.tokens = 0 // others may just have used the part that this entry takes over
+	}
+	l.limited, l.perSecond, l.part = true, perSecond, part
+}
+
+// Lift removes the limit.
+func (l *ServerLimit) Lift() { *l = ServerLimit{} }
+
+// Limited reports whether there is a limit.
+func (l *ServerLimit) Limited() bool { return l.limited }
+
+// PerSecond returns the rate of all entries. It is meaningless without a limit.
+func (l *ServerLimit) PerSecond() float64 { return l.perSecond }
+
+// Part returns this entry's part of the rate.
+func (l *ServerLimit) Part() float64 { return l.part }
+
+// Allows reports whether a request may be sent now.
+func (l *ServerLimit) Allows(now time.Time) bool {
+	if !l.limited {
+		return true
+	}
+	l.refill(now)
+	return l.part > 0 && l.tokens >= 1
+}
+
+// Take counts a request that is sent now.
+func (l *ServerLimit) Take(now time.Time) {
+	if l.limited {
+		l.refill(now)
+		l.tokens--
+	}
+}
+
+func (l *ServerLimit) refill(now time.Time) {
+	if elapsed := now.Sub(l.at); !l.at.IsZero() && elapsed > 0 {
+		rate := max(l.perSecond, minServerRate) * l.part
+		l.tokens = min(l.tokens+elapsed.Seconds()*rate, serverLimitBurst)
+	}
+	l.at = now
+}
--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -88,6 +88,15 @@
 	Lost    int // requests of this process
 }
 
+// ServerLimited records a change of the rate of requests that a server takes from all
+// entries together.
+type ServerLimited struct {
+	Server    string
+	Limited   bool
+	PerSecond float64
+	Source    string // the request whose answer said so, or the entry that told this one
+}
+
 // PartQuarantined records that requests with a prompt part are refused from now on.
 type PartQuarantined struct {
 	Part      uint64
@@ -167,6 +176,9 @@
 // Event implements Record.
 func (ServerCrashed) Event() event.Event { return event.ServerCrashed }
 
+// Event implements Record.
+func (ServerLimited) Event() event.Event { return event.ServerLimited }
+
 // Event implements Record.
 func (PartQuarantined) Event() event.Event { return event.PartQuarantined }
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -64,6 +64,15 @@
 	e.count("lost", int64(r.Lost))
 }
 
+func (r ServerLimited) encode(e *encoder) {
+	e.text("server", r.Server)
+	e.boolean("limited", r.Limited)
+	if r.Limited {
+		e.number("per_second", r.PerSecond)
+	}
+	e.text("source", r.Source)
+}
+
 func (r PartQuarantined) encode(e *encoder) {
 	e.text("part", FormatPart(r.Part))
 	e.text("source", r.Source)
--- a/common/event/state.go
+++ b/common/event/state.go
@@ -21,6 +21,7 @@
 	PartReleased        = define(654, "prompt part released", logrus.WarnLevel, "The quarantine of a prompt part ended early, since a request with it was answered; source is the entry that told it, or answer.")
 	QuarantineNotStored = define(655, "quarantine not stored", logrus.WarnLevel, "A quarantined prompt part could not be written to the store, which is tried again. Meanwhile only running entries know it.")
 	QuarantineNotRead   = define(656, "quarantine not read", logrus.WarnLevel, "The quarantined prompt parts could not be read from the store, which is tried again; running entries tell them as well.")
+	ServerLimited       = define(657, "server limit changed", logrus.WarnLevel, "A backend server in need named the rate of requests that it takes from all entries together, another one, or, if limited is false, none any more. source is the request whose answer said so, or the entry that told this one.")
 	SettingsReloaded    = define(670, "settings reloaded", logrus.InfoLevel, "The settings file was read again; reason says what changed, or that nothing did.")
 	SettingsNotReloaded = define(671, "settings not reloaded", logrus.ErrorLevel, "The settings file cannot be used; the current settings stay active. Correct the file named in the error.")
 )
--- a/common/metrics/sources.go
+++ b/common/metrics/sources.go
@@ -28,6 +28,7 @@
 	ServersAge    func() time.Duration
 	LeaseHeld     func() bool
 	Quarantined   func() int              // prompt parts whose requests are refused
+	Limited       func() int              // servers that limit the rate of requests
 	ServerCalls   func() map[string]int64 // orders to and reports of model servers, by kind and outcome
 }
 
@@ -50,6 +51,7 @@
 	descServersAge    = newDesc("servers_age_seconds", "Time since the store was last asked for the backend servers with success.")
 	descServerCalls   = newDesc("server_calls_total", "Orders given to model servers and reports asked of them.", labelOutcome)
 	descQuarantined   = newDesc("quarantined_prompt_parts", "Prompt parts whose requests are refused because servers crash on them.")
+	descLimited       = newDesc("limited_servers", "Backend servers that limit the rate of requests that they take.")
 	descLeaseHeld     = newDesc("lease_held", "1 when this process gives orders to the backend servers.")
 )
 
@@ -58,7 +60,7 @@
 	for _, d := range []*prometheus.Desc{
 		descWritten, descLeftOut, descWaiting, descInProgress, descBudget,
 		descServers, descConfigVersion, descConfigAge, descServersAge, descLeaseHeld, descServerCalls,
-		descQuarantined,
+		descQuarantined, descLimited,
 	} {
 		out <- d
 	}
@@ -70,6 +72,7 @@
 	sendGauge(out, descWaiting, s.Waiting)
 	sendGauge(out, descInProgress, s.InProgress)
 	sendGauge(out, descQuarantined, s.Quarantined)
+	sendGauge(out, descLimited, s.Limited)
 	sendGauge(out, descConfigVersion, s.ConfigVersion)
 	sendAge(out, descConfigAge, s.ConfigAge)
 	sendAge(out, descServersAge, s.ServersAge)
--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -23,6 +23,7 @@
 
 // Options configures a Balancer.
 type Options struct {
+	Name    string // of this entry
 	Zone    string
 	Regions map[string]string // region of each availability zone
 	Budget  Budget
@@ -48,7 +49,8 @@
 	rnd   *rand.Rand
 	pools map[string]*pool // by service
 
-	entries int // number of entries that share the servers, including this one
+	peers       []Entry                // the other entries
+	earlyLimits map[string]ServerLimit // by server; of servers that are not known yet
 }
 
 // New returns a balancer without servers.
@@ -60,18 +62,10 @@
 		rnd:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		pools: map[string]*pool{},
 
-		entries: 1,
+		earlyLimits: map[string]ServerLimit{},
 	}
 }
 
-// SetEntries sets the number of entries that share the servers' connections,
-// including this one.
-func (b *Balancer) SetEntries(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.entries = max(n, 1)
-}
-
 // pool has the servers of one service and the requests queued for them.
 type pool struct {
 	name        string
--- /dev/null
+++ b/entry/direct/balance/limit_test.go
@@ -0,0 +1,107 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/fleet"
+)
+
+var oneASecond = fleet.Outcome{NamesLimit: true, RateLimit: 1}
+
+// sendTo admits a request, whose answer begins at once, and returns its ticket.
+func sendTo(t *testing.T, b *Balancer) *Ticket {
+	t.Helper()
+	started := time.Now()
+	ticket := admitWhile(b, query(""), func() bool { return time.Since(started) > 10*time.Second })
+	assert.Assert(t, ticket != nil)
+	ticket.Event()
+	t.Cleanup(ticket.End)
+	return ticket
+}
+
+// TestOvertakenAnswerLiftsNoLimit receives an answer without a limit whose request was sent
+// before the limit was named.
+func TestOvertakenAnswerLiftsNoLimit(t *testing.T) {
+	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}}, "")
+	early, named := sendTo(t, b), sendTo(t, b)
+	_, changed := named.Named(oneASecond)
+	assert.Assert(t, changed)
+	_, changed = early.Named(fleet.Outcome{})
+	assert.Assert(t, !changed)
+	assert.Equal(t, b.LimitedServers(), 1)
+	time.Sleep(1100 * time.Millisecond) // until the limit allows a request
+	l, changed := sendTo(t, b).Named(fleet.Outcome{})
+	assert.Assert(t, changed && !l.Limited)
+	assert.Equal(t, b.LimitedServers(), 0)
+	assert.Equal(t, len(b.TakeLimitChanges()), 1)
+	assert.Equal(t, len(b.TakeLimitChanges()), 0)
+}
+
+func TestAnswerOfOtherServerSetsNoLimit(t *testing.T) {
+	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}}, "")
+	_, changed := sendTo(t, b).Named(fleet.Outcome{NotRun: true, Misdirected: true, NamesLimit: true, RateLimit: 1})
+	assert.Assert(t, !changed)
+}
+
+// TestLimitIsForgottenWithItsProcess restarts a limited server under its ID.
+func TestLimitIsForgottenWithItsProcess(t *testing.T) {
+	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}}, "")
+	_, changed := sendTo(t, b).Named(oneASecond)
+	assert.Assert(t, changed)
+	v := viewOf(b)
+	v.Servers = []fleet.Server{{ID: "s1", Born: 7, Service: "llm", Address: "10.0.0.1:80", Zone: "a", Slots: 64}}
+	b.Update(v)
+	assert.Equal(t, b.LimitedServers(), 0)
+	assert.Equal(t, len(b.ApplyLimits([]ServerLimit{{Server: "s1", Limited: true, PerSecond: 1}})), 0) // of the process before
+	assert.Equal(t, b.LimitedServers(), 0)
+}
+
+// TestLimitIsKnownBeforeItsServer receives a limit before the server's registration.
+func TestLimitIsKnownBeforeItsServer(t *testing.T) {
+	b, _ := newTestBalancer(t, nil, "")
+	b.ApplyLimits([]ServerLimit{{Server: "s1", Born: 7, Limited: true, PerSecond: 1}})
+	v := viewOf(b)
+	v.Servers = []fleet.Server{{ID: "s1", Born: 7, Service: "llm", Address: "10.0.0.1:80", Zone: "a", Slots: 64}}
+	b.Update(v)
+	assert.Equal(t, b.LimitedServers(), 1)
+}
+
+func viewOf(b *Balancer) *fleet.View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	engine := b.pools["llm"].engine
+	return &fleet.View{Config: &fleet.Config{Services: map[string]*fleet.Service{"llm": {Name: "llm", Engine: engine}}}}
+}
+
+// TestOneEntryHasTheWholeOfALowLimit compares the parts of several entries, some of them in
+// another region.
+func TestOneEntryHasTheWholeOfALowLimit(t *testing.T) {
+	names := []string{"e1", "e2", "e3", "f1", "f2"}
+	regions := map[string]string{"a": "r", "b": "q"}
+	for perSecond, want := range map[float64]int{0.5: 1, 1: 1, 2.9: 2, 3: 3, 50: 3} {
+		total, sharers := 0.0, 0
+		for _, self := range names {
+			zone := "a"
+			if self[0] == 'f' {
+				zone = "b"
+			}
+			b := New(Options{Name: self, Zone: zone, Regions: regions})
+			for _, other := range names {
+				if other != self {
+					b.peers = append(b.peers, Entry{Name: other, Region: map[byte]string{'e': "r", 'f': "q"}[other[0]]})
+				}
+			}
+			part := b.part(&server{Server: fleet.Server{ID: "s1", Zone: "a"}}, perSecond)
+			total += part
+			if part > 0 {
+				sharers++
+				assert.Equal(t, zone, "a")
+			}
+		}
+		assert.Equal(t, sharers, want)
+		assert.Assert(t, total > 0.999 && total < 1.001)
+	}
+}
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -16,7 +16,7 @@
 		} else {
 			o, found = b.offerEngine(p, w, planned, now)
 		}
-		if found && w.server != nil && p.maxConns > 0 && w.server.inFlight >= max(p.maxConns/b.entries, 1) {
+		if found && w.server != nil && p.maxConns > 0 && w.server.inFlight >= max(p.maxConns/(1+len(b.peers)), 1) {
 			o.Full = true
 		}
 		return o, found
--- a/entry/direct/balance/peers.go
+++ b/entry/direct/balance/peers.go
@@ -56,6 +56,7 @@
 		for _, s := range p.order {
 			changed = s.setPeerLoad(loadOf(s.ID), now) || changed
 		}
+		changed = p.wakeLimited(now) || changed
 		if changed && p.queue.Len() > 0 {
 			p.queue.ServerChanged("")
 			b.dispatch(p)
--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"peridotchute.example/admission"
 	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/fleet"
 	"peridotchute.example/routing"
@@ -34,6 +35,11 @@
 	downUntil     time.Time // gets no requests until then
 	failedDials   int       // consecutive
 	peers         peerLoad
+
+	limit        admission.ServerLimit // this entry's part of the rate that the server takes
+	limitNamed   time.Time             // when an answer or another entry last named the limit
+	limitChanged bool                  // an answer to this entry has changed the limit since TakeLimitChanges
+	limitSpent   bool                  // the limit allowed no request at the last wakeLimited
 }
 
 const (
@@ -70,6 +76,7 @@
 			p.servers[s.ID] = known
 		}
 		lost = known.applyRegistration(s, p.engine) || lost
+		b.applyEarly(known)
 	}
 	for id, s := range p.servers {
 		if !seen[id] {
@@ -134,6 +141,7 @@
 // reset discards the loaded artifacts and batches of an earlier incarnation.
 func (s *server) reset() {
 	s.change = nil
+	s.limit.Lift()
 	clear(s.ensuredAt)
 	clear(s.notLoadedUntil)
 	if s.engine != nil {
@@ -151,7 +159,9 @@
 func (s *server) isModelServer() bool { return s.engine != nil }
 
 // usable reports whether requests may be sent to the server.
-func (s *server) usable(now time.Time) bool { return !s.Draining && !now.Before(s.downUntil) }
+func (s *server) usable(now time.Time) bool {
+	return !s.Draining && !now.Before(s.downUntil) && s.limit.Allows(now)
+}
 
 // residents returns the loaded models and adapters of the server from the
 // latest source: an announced change or its registration.
@@ -212,13 +222,13 @@
 }
 
 // Down reports whether the server gets no requests for now because it could not
-// be reached or its address belongs to another server.
+// be reached or its address belongs to another server, or few because of its limit.
 func (b *Balancer) Down(id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.pools {
 		if s := p.servers[id]; s != nil {
-			return time.Now().Before(s.downUntil)
+			return time.Now().Before(s.downUntil) || s.limitsTooLow()
 		}
 	}
 	return false
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -56,6 +56,7 @@
 		s.awaitingSince = now
 	}
 	s.inFlight++
+	s.limit.Take(now)
 	s.running[w.artifact]++
 	s.batch().Sent(t.sent, now)
 	if s.engine != nil && w.artifact.model != "" {
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -36,6 +36,7 @@
 	methodCrash    = "crashes.report"
 	methodCleared  = "crashes.cleared"
 	methodParts    = "crashes.parts"
+	methodLimits   = "servers.limits"
 )
 
 const (
@@ -68,7 +69,7 @@
 
 func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, decisions *decisionlog.Log, log logrus.FieldLogger) *coordination {
 	c := &coordination{name: s.Name, log: log}
-	c.balancer = balance.New(balance.Options{Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Ensure: c.ensure})
+	c.balancer = balance.New(balance.Options{Name: s.Name, Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Ensure: c.ensure})
 	c.manager = orders.New(orders.Options{
 		Table:      table,
 		Control:    control,
@@ -89,13 +90,17 @@
 		Log:   log,
 
 		OnDocument: func(d mesh.Document) { applyDocument(w, d, log) },
-		OnConnect:  func(peer string) { c.guard.PeerConnected(peer) },
-		PullDelay:  map[string]time.Duration{view.KindConfig: configFetchDelay},
+		OnConnect: func(peer string) {
+			c.guard.PeerConnected(peer)
+			c.sendLimits(peer)
+		},
+		PullDelay: map[string]time.Duration{view.KindConfig: configFetchDelay},
 	})
 	c.origins = origins.New(s.Name, originPeers{mesh: c.mesh, log: log})
 	c.handleOrigins()
 	c.guard = crashguard.New(crashguard.Options{Self: s.Name, Peers: guardPeers{c.mesh}, Table: table, Log: decisions, Events: log})
 	c.handleCrashes()
+	c.handleLimits(decisions)
 	w.OnRead(func(d view.Document) { c.mesh.Offer(mesh.Document(d)) })
 	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q orders.EnsureRequest) (ensureReply, error) {
 		id, err := c.manager.Ensure(ctx, q)
@@ -196,7 +201,10 @@
 // ends.
 func (c *coordination) exchangeLoads(ctx context.Context) {
 	for clock.Sleep(ctx, loadInterval) == nil {
-		c.balancer.SetEntries(1 + len(c.mesh.Connected()))
+		c.balancer.SetPeers(c.connectedEntries())
+		if changed := c.balancer.TakeLimitChanges(); len(changed) > 0 {
+			c.mesh.Broadcast(methodLimits, changed)
+		}
 		own := c.balancer.Loads()
 		loads := make([]mesh.ServerLoad, len(own))
 		for i, l := range own {
--- a/entry/direct/front/outcome.go
+++ b/entry/direct/front/outcome.go
@@ -41,6 +41,16 @@
 	a.ticket.Failed()
 }
 
+// named passes on what the attempt's answer says of the rate of requests that its server
+// takes, and logs a change.
+func (r *run) named(a *attempt) {
+	l, changed := a.ticket.Named(a.answer.Outcome)
+	if !changed {
+		return
+	}
+	r.f.opts.Log.Write(decisionlog.ServerLimited{Server: l.Server, Limited: l.Limited, PerSecond: l.PerSecond, Source: "request " + r.req.ID})
+}
+
 // markUnreachable marks the server as unreachable and logs the first of
 // consecutive failures.
 func (r *run) markUnreachable(a *attempt, err error) {
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -27,6 +27,9 @@
 	}
 	answer, err := w.run.f.opts.Exchanger.Send(s.ctx, call)
 	s.answer = answer
+	if err == nil {
+		w.run.named(s)
+	}
 	if err == nil && w.run.continues(answer) {
 		err = relay.Begin(answer, w.run.req.route.Stream)
 	}
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -89,6 +89,7 @@
 		ConfigAge:     w.ConfigAge,
 		LeaseHeld:     c.holdsLease,
 		Quarantined:   c.guard.Quarantined,
+		Limited:       b.LimitedServers,
 		ServersAge:    func() time.Duration { return serversAge(w.Current()) },
 		ServerCalls:   func() map[string]int64 { return serverCalls(c.manager.Counts()) },
 	})
--- a/fleet/request.go
+++ b/fleet/request.go
@@ -46,10 +46,12 @@
 
 // Outcome holds what the headers of a server's response report about the attempt.
 type Outcome struct {
-	ID          string // the client attempt that the response belongs to
-	FromServer  bool   // the response comes from a backend server
-	NotRun      bool   // the server did not execute the request and never will
-	Misdirected bool   // the address belongs to another server, or the server has not loaded the model
+	ID          string  // the client attempt that the response belongs to
+	FromServer  bool    // the response comes from a backend server
+	NotRun      bool    // the server did not execute the request and never will
+	NamesLimit  bool    // the server limits the rate of requests that it takes
+	RateLimit   float64 // requests per second from all entries together, if NamesLimit
+	Misdirected bool    // the address belongs to another server, or the server has not loaded the model
 }
 
 // Codec reads and writes the headers that clients, entries and backend servers
