Servers with a limit serve rare models, and any of a few entries may use it

Cause, by reading: with one request a second one entry alone could use a limited server, so most requests for its models found none; and such servers counted as unavailable for the placement, so that with several of them there was not room for all models on the others, which then replaced each other.

Change: four entries more than the limit's requests a second share it (five at a limit of one; at most 5 L + 4 requests in 4 s, the rule allows 6 L + 5). A model counts as placed on a limited server while its requests take no more than half of the limit; beyond that it gets a replica elsewhere. Limited servers get no new models. A request for a model that only limited servers have waits for the limit if that is in time, and is refused at once if not. A limit outlasts a registration that lapses.

--- a/admission/server_limit.go
+++ b/admission/server_limit.go
@@ -6,6 +6,11 @@
 	// serverLimitBurst is how many requests an entry may send at once after a pause.
 	serverLimitBurst = 1
 
+	// extraSharers is how many entries share a limit beyond one for each request a
+	// second: requests for a rare model come to any entry, and the server must bear as
+	// many at once.
+	extraSharers = 4
+
 	// minServerRate, in requests per second, lets an entry learn that a server which
 	// named a lower limit has lifted it.
 	minServerRate = 0.2
@@ -26,9 +31,9 @@
 }
 
 // LimitSharers returns how many of the entries share a limit: with few requests a second,
-// a part for each entry would allow a burst from each.
+// a part for each of many entries would allow a burst from each.
 func LimitSharers(perSecond float64, entries int) int {
-	return min(max(int(min(perSecond, float64(entries))), 1), max(entries, 1))
+	return min(int(min(perSecond, float64(entries)))+extraSharers, max(entries, 1))
 }
 
 // Set sets the rate of all entries and the part of this one.
@@ -61,6 +66,21 @@
 	return l.part > 0 && l.tokens >= 1
 }
 
+// Until returns the time until a request may be sent, and false if this entry has no part
+// of the rate.
+func (l *ServerLimit) Until(now time.Time) (wait time.Duration, ok bool) {
+	if l.Allows(now) {
+		return 0, true
+	}
+	if l.part <= 0 {
+		return 0, false
+	}
+	return time.Duration((1 - l.tokens) / l.rate() * float64(time.Second)), true
+}
+
+// rate returns this entry's part of the rate, in requests per second.
+func (l *ServerLimit) rate() float64 { return max(l.perSecond, minServerRate) * l.part }
+
 // Take counts a request that is sent now.
 func (l *ServerLimit) Take(now time.Time) {
 	if l.limited {
@@ -71,8 +91,7 @@
 
 func (l *ServerLimit) refill(now time.Time) {
 	if elapsed := now.Sub(l.at); !l.at.IsZero() && elapsed > 0 {
-		rate := max(l.perSecond, minServerRate) * l.part
-		l.tokens = min(l.tokens+elapsed.Seconds()*rate, serverLimitBurst)
+		l.tokens = min(l.tokens+elapsed.Seconds()*l.rate(), serverLimitBurst)
 	}
 	l.at = now
 }
--- a/entry/direct/balance/limit.go
+++ b/entry/direct/balance/limit.go
@@ -9,14 +9,8 @@
 	"peridotchute.example/membership"
 )
 
-const (
-	// lowLimit is the rate, in requests per second, below which a server that names it
-	// counts as unavailable for the placement of models: it takes less than a server
-	// usually gets.
-	lowLimit = 2.0
-
-	maxEarlyLimits = 1024 // limits of servers whose registrations have not been read
-)
+// maxEarlyLimits is the number of limits kept of servers that are not registered.
+const maxEarlyLimits = 1024
 
 // Entry is another entry.
 type Entry struct {
@@ -223,8 +217,31 @@
 	return woken
 }
 
-// limitsTooLow reports whether the server takes less than it usually gets.
-func (s *server) limitsTooLow() bool { return s.limit.Limited() && s.limit.PerSecond() < lowLimit }
+// Limit returns the rate of requests that the server with the ID takes from all entries
+// together, and whether it limits that.
+func (b *Balancer) Limit(id string) (perSecond float64, limited bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, s := b.find(id)
+	if s == nil {
+		return 0, false
+	}
+	return s.limit.PerSecond(), s.limit.Limited()
+}
+
+// untilLimitAllows returns the time until a server that has loaded the request's artifact may
+// get it by its limit. It returns false if no server has loaded it or this entry has no part.
+func (p *pool) untilLimitAllows(w *waiting, now time.Time) (shortest time.Duration, ok bool) {
+	for _, s := range p.order {
+		if s.engine == nil || s.Draining || now.Before(s.downUntil) || !w.fits(s) || !s.hasLoaded(w.artifact, now) {
+			continue
+		}
+		if wait, has := s.limit.Until(now); has && (!ok || wait < shortest) {
+			shortest, ok = wait, true
+		}
+	}
+	return shortest, ok
+}
 
 // LimitedServers returns the number of servers that limit the rate of requests.
 func (b *Balancer) LimitedServers() int {
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -147,6 +147,9 @@
 	}
 	m := b.startLoad(p, loadKey{artifact: artifact{model: w.artifact.model}}, nil, now)
 	load := m.remaining(now)
+	if wait, loaded := p.untilLimitAllows(w, now); loaded {
+		load = wait
+	}
 	w.server = nil
 	work := w.prompt.Work(0)
 	return admission.Offer{Batch: &m.virtual.Batch, Load: load, Wait: load + work, Work: work, Step: timePerToken}, true
--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -70,7 +70,7 @@
 		known := p.servers[s.ID]
 		if known == nil || known.Address != s.Address || known.isModelServer() != (p.engine != nil) {
 			if known != nil {
-				known.clearCachedPrefixes()
+				b.forget(known)
 			}
 			known = b.newServer(p, s)
 			p.servers[s.ID] = known
@@ -80,7 +80,7 @@
 	}
 	for id, s := range p.servers {
 		if !seen[id] {
-			s.clearCachedPrefixes()
+			b.forget(s)
 			delete(p.servers, id)
 			lost = true
 		}
@@ -93,6 +93,15 @@
 	return lost
 }
 
+// forget discards the state of a server, but for a limit: the registration of the same
+// process may come back.
+func (b *Balancer) forget(s *server) {
+	s.clearCachedPrefixes()
+	if s.limit.Limited() {
+		b.keepEarly(s.limitState())
+	}
+}
+
 func (b *Balancer) newServer(p *pool, registered *fleet.Server) *server {
 	s := &server{
 		Server:         *registered,
@@ -222,13 +231,13 @@
 }
 
 // Down reports whether the server gets no requests for now because it could not
-// be reached or its address belongs to another server, or few because of its limit.
+// be reached or its address belongs to another server.
 func (b *Balancer) Down(id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.pools {
 		if s := p.servers[id]; s != nil {
-			return time.Now().Before(s.downUntil) || s.limitsTooLow()
+			return time.Now().Before(s.downUntil)
 		}
 	}
 	return false
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -79,6 +79,7 @@
 		LoadWindow: seconds(s.LoadWindowS),
 		LoadBurst:  s.LoadBurst,
 		Down:       c.balancer.Down,
+		Limit:      c.balancer.Limit,
 		OnChange:   c.publishChange,
 		OnLease:    c.broadcastLease,
 		Log:        log,
--- a/entry/direct/orders/manager.go
+++ b/entry/direct/orders/manager.go
@@ -42,6 +42,7 @@
 	LoadBurst  float64                             // factor by which the loads in a window may exceed the rate; 0 means 1
 	Clock      func() time.Duration                // must advance while the machine is suspended; nil means Boottime
 	Down       func(server string) bool            // reports whether a server is unreachable; may be nil
+	Limit      func(server string) (float64, bool) // requests per second that a server takes, and whether it limits them; may be nil
 	OnChange   func(server string, c ServerUpdate) // called without locks held; may be nil
 	OnLease    func(LeaseNotice)                   // sends the notice to the other entries; may be nil
 	Log        logrus.FieldLogger
--- a/entry/direct/orders/plan.go
+++ b/entry/direct/orders/plan.go
@@ -65,6 +65,7 @@
 	}
 	for _, ps := range m.placements {
 		ps.SetDown(m.opts.Down, now)
+		ps.SetLimits(m.opts.Limit)
 	}
 }
 
--- a/placement/loadplan/demand.go
+++ b/placement/loadplan/demand.go
@@ -198,6 +198,14 @@
 	return max(slow, e.work.fast*(1-1/math.Sqrt(arrivals)))
 }
 
+// requestRate returns the requests per second for a model, over seconds.
+func (d *Demands) requestRate(model string) float64 {
+	if e := d.models[model]; e != nil {
+		return e.rate.slow
+	}
+	return 0
+}
+
 // peak returns the decaying maximum of the work for a model, so that a short
 // pause doesn't cost a replica that was just needed.
 func (d *Demands) peak(model string) float64 {
--- /dev/null
+++ b/placement/loadplan/limit_test.go
@@ -0,0 +1,52 @@
+package loadplan
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestModelOfLimitedServerIsReplicatedByDemand limits the only server with a model to one
+// request a second.
+func TestModelOfLimitedServerIsReplicatedByDemand(t *testing.T) {
+	const demandInterval = 500 * time.Millisecond
+	for name, c := range map[string]struct {
+		every  int // a request in each of that many intervals
+		loaded bool
+	}{
+		"more requests than the limit leaves room for": {1, true},
+		"fewer": {8, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newSim(fourModels(), 5*time.Second)
+			for _, other := range []string{"m1", "m2", "m3"} {
+				delete(m.engine.Models, other)
+			}
+			m.start("a", "m0")
+			m.start("b")
+			for i := range 60 {
+				m.placement.SetLimits(func(id string) (float64, bool) { return 1, id == "a" })
+				arrivals := 0
+				if i%c.every == 0 {
+					arrivals = 1
+				}
+				m.placement.Demand.Observe("entry", []ModelDemand{{Model: "m0", Arrivals: arrivals}}, m.now)
+				m.run(demandInterval)
+			}
+			assert.Equal(t, m.placement.Servers["b"].serves("m0"), c.loaded)
+		})
+	}
+}
+
+func TestLimitedServerGetsNoLoads(t *testing.T) {
+	m := newSim(fourModels(), 5*time.Second)
+	m.start("a")
+	m.run(100 * time.Millisecond)
+	s := m.placement.Servers["a"]
+	m.placement.SetLimits(func(string) (float64, bool) { return 1, true })
+	assert.Assert(t, m.placement.usable(s))
+	assert.Assert(t, !m.placement.takesLoads(s))
+	m.placement.SetLimits(func(string) (float64, bool) { return 0, false })
+	assert.Assert(t, m.placement.takesLoads(s))
+}
--- a/placement/loadplan/option.go
+++ b/placement/loadplan/option.go
@@ -34,7 +34,7 @@
 // returns false if the server can't load the model or the load doesn't pay off.
 func (p *planning) option(model string, s *ServerState, reason string) (option, bool) {
 	o := option{server: s}
-	if !p.state.usable(s) || !p.idle(s) || s.intent != nil || s.Models[model] != nil || !p.loadAllowed(model, s, reason) {
+	if !p.state.takesLoads(s) || !p.idle(s) || s.intent != nil || s.Models[model] != nil || !p.loadAllowed(model, s, reason) {
 		return o, false
 	}
 	m := p.state.Engine.Models[model]
--- a/placement/loadplan/placement_state.go
+++ b/placement/loadplan/placement_state.go
@@ -16,6 +16,7 @@
 	Demand  Demands
 
 	down      map[string]outage    // unreachable servers
+	limits    map[string]float64   // requests per second that servers take, of those that limit them
 	inherited map[string]Inherited // by server, from the previous lease holder
 }
 
@@ -76,6 +77,20 @@
 	}
 }
 
+// SetLimits updates which servers limit the requests that they take. A nil limit changes
+// nothing.
+func (ps *PlacementState) SetLimits(limit func(id string) (perSecond float64, limited bool)) {
+	if limit == nil {
+		return
+	}
+	ps.limits = map[string]float64{}
+	for id := range ps.Servers {
+		if perSecond, limited := limit(id); limited {
+			ps.limits[id] = perSecond
+		}
+	}
+}
+
 // ApplyOutcome applies the outcome of the order that was sent to a server.
 func (ps *PlacementState) ApplyOutcome(s *ServerState, outcome fleet.OrderOutcome, now time.Duration) {
 	source, duration := SourceMemory, time.Duration(0)
@@ -130,7 +145,24 @@
 	outageMergeGap = 300 * time.Millisecond
 )
 
-// usable reports whether requests and new loads may go to the server.
+// takesLoads reports whether models may be loaded on the server.
+func (ps *PlacementState) takesLoads(s *ServerState) bool {
+	_, limited := ps.limits[s.Server.ID]
+	return ps.usable(s) && !limited
+}
+
+// maxLimitShare is the share of a server's limit that the requests for one of its models
+// may take.
+const maxLimitShare = 0.5
+
+// sufficesFor reports whether the server's limit leaves room for the requests for a model.
+// Otherwise the model needs another replica as if this one did not exist.
+func (ps *PlacementState) sufficesFor(model string, s *ServerState) bool {
+	limit, limited := ps.limits[s.Server.ID]
+	return !limited || ps.Demand.requestRate(model) <= maxLimitShare*limit
+}
+
+// usable reports whether requests may go to the server.
 func (ps *PlacementState) usable(s *ServerState) bool {
 	_, down := ps.down[s.Server.ID]
 	return !s.Server.Draining && !down
--- a/placement/loadplan/replicas.go
+++ b/placement/loadplan/replicas.go
@@ -122,7 +122,7 @@
 		return out
 	}
 	for model := range s.Models {
-		if s.serves(model) && !s.intentUnloads(model) && !s.possiblyUnloads(model) {
+		if s.serves(model) && p.state.sufficesFor(model, s) && !s.intentUnloads(model) && !s.possiblyUnloads(model) {
 			out[model] = true
 		}
 	}
@@ -169,7 +169,7 @@
 func (p *planning) shareWork() {
 	total, servers := 0.0, 0
 	for _, s := range p.state.Servers {
-		if p.state.usable(s) {
+		if p.state.takesLoads(s) {
 			servers++
 		}
 	}
