loadplan: adapters of limited servers are loaded elsewhere

Cause, by reading: a request for an adapter that a limited server has loaded was sent to that server only, though another one had the model and could have loaded the adapter; without a token it waited in vain. Servers that limit their requests are left out of the choice if others serve the model. TestAdapterOfLimitedServerIsLoadedElsewhere failed before.

Also: TestRequestThatLimitDelaysTooLongIsRejected hung instead of failing when the wait was taken out; it has a timeout now.

--- a/entry/direct/balance/limit_test.go
+++ b/entry/direct/balance/limit_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -127,8 +128,9 @@
 	assert.Assert(t, changed)
 	q := query("")
 	q.Deadline = q.Arrived.Add(3 * time.Second)
-	_, rejected := b.Admit(t.Context(), q)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second) // before the request's deadline
+	defer cancel()
+	_, rejected := b.Admit(ctx, q)
 	assert.Assert(t, rejected != nil)
-	assert.Assert(t, !rejected.Canceled)
-	assert.Assert(t, time.Since(q.Arrived) < 2*time.Second) // at once, and not at the deadline
+	assert.Assert(t, !rejected.Canceled) // rejected at once
 }
--- a/placement/loadplan/adapter.go
+++ b/placement/loadplan/adapter.go
@@ -46,7 +46,7 @@
 		ps.Servers[c.Server].lastUsed[k] = now
 		return c
 	}
-	if k.Adapter == "" || !ps.anyServes(k.Model, software) {
+	if k.Adapter == "" || len(ps.hosts(k.Model, software)) == 0 {
 		return Choice{Outcome: ChoiceNoModel}
 	}
 	return ps.loadAdapter(k, software, prefer, now)
@@ -56,11 +56,8 @@
 // loading it.
 func (ps *PlacementState) loadedOn(k Key, software string, prefer []string) (Choice, bool) {
 	best, bestRank := Choice{}, 0
-	for _, id := range ps.ids() {
-		s := ps.Servers[id]
-		if !ps.usable(s) || !s.serves(k.Model) || !s.hasSoftware(software) {
-			continue
-		}
+	for _, s := range ps.hosts(k.Model, software) {
+		id := s.Server.ID
 		ready := time.Duration(0)
 		if k.Adapter != "" {
 			a := s.adapter(k.Model, k.Adapter)
@@ -102,13 +99,24 @@
 	return len(prefer)
 }
 
-func (ps *PlacementState) anyServes(model, software string) bool {
-	for _, s := range ps.Servers {
-		if ps.usable(s) && s.serves(model) && s.hasSoftware(software) {
-			return true
+// hosts returns the usable servers that serve the model, in order of their IDs. Those that
+// limit their requests are left out if there are others.
+func (ps *PlacementState) hosts(model, software string) []*ServerState {
+	var limited, unlimited []*ServerState
+	for _, id := range ps.ids() {
+		s := ps.Servers[id]
+		switch {
+		case !ps.usable(s) || !s.serves(model) || !s.hasSoftware(software):
+		case ps.takesLoads(s):
+			unlimited = append(unlimited, s)
+		default:
+			limited = append(limited, s)
 		}
 	}
-	return false
+	if len(unlimited) > 0 {
+		return unlimited
+	}
+	return limited
 }
 
 // hasSoftware reports whether the server has the software version; any has "".
@@ -131,12 +139,12 @@
 // adapter, which is unloaded first.
 func (ps *PlacementState) loadAdapter(k Key, software string, prefer []string, now time.Duration) Choice {
 	var best *adapterOption
-	for _, id := range ps.ids() {
-		o, ok := ps.adapterOption(k, ps.Servers[id], now)
-		if !ok || !ps.Servers[id].hasSoftware(software) {
+	for _, s := range ps.hosts(k.Model, software) {
+		o, ok := ps.adapterOption(k, s, now)
+		if !ok {
 			continue
 		}
-		o.rank = preferenceRank(prefer, id)
+		o.rank = preferenceRank(prefer, s.Server.ID)
 		if best == nil || o.preferredTo(best) {
 			best = &o
 		}
@@ -156,7 +164,7 @@
 
 func (ps *PlacementState) adapterOption(k Key, s *ServerState, now time.Duration) (adapterOption, bool) {
 	o := adapterOption{server: s.Server.ID, unresponsive: s.recentlyUnresponsive(now)}
-	if !ps.usable(s) || !s.serves(k.Model) || !s.ready() || now < s.adaptersBlockedUntil || ps.fenced(s, now) || s.intentUnloads(k.Model) {
+	if !s.ready() || now < s.adaptersBlockedUntil || ps.fenced(s, now) || s.intentUnloads(k.Model) {
 		return o, false
 	}
 	for _, m := range s.Models {
--- a/placement/loadplan/limit_test.go
+++ b/placement/loadplan/limit_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"peridotchute.example/fleet"
 )
 
 // TestModelOfLimitedServerIsReplicatedByDemand limits the only server with a model to one
@@ -50,3 +52,28 @@
 	m.placement.SetLimits(func(string) (float64, bool) { return 0, false })
 	assert.Assert(t, m.placement.takesLoads(s))
 }
+
+// TestAdapterOfLimitedServerIsLoadedElsewhere asks for an adapter that a limited server has loaded.
+func TestAdapterOfLimitedServerIsLoadedElsewhere(t *testing.T) {
+	registration := func(id string, adapters ...string) fleet.Server {
+		return fleet.Server{ID: id, Born: 1, Residents: []fleet.Resident{{Model: "m0", Version: 1, Adapters: adapters}}}
+	}
+	e := fourModels()
+	e.AdapterSlots = 4
+	m0 := e.Models["m0"]
+	m0.Adapters = 3
+	e.Models["m0"] = m0
+	ps := NewPlacementState(5*time.Second, 1.1)
+	ps.Update(e, []fleet.Server{registration("a", "a1"), registration("b")}, 0)
+	for _, s := range ps.Servers {
+		s.Report(fleet.Report{Born: 1, Residents: s.Server.Residents}, 0)
+	}
+	key := Key{Model: "m0", Adapter: "a1"}
+	assert.Equal(t, ps.Choose(key, "", nil, time.Second).Server, "a")
+	ps.SetLimits(func(id string) (float64, bool) { return 1, id == "a" })
+	c := ps.Choose(key, "", []string{"a"}, time.Second)
+	assert.Equal(t, c.Outcome, ChoiceOrder)
+	assert.Equal(t, c.Server, "b")
+	ps.SetLimits(func(string) (float64, bool) { return 1, true }) // no other server is better
+	assert.Equal(t, ps.Choose(key, "", nil, time.Second).Server, "a")
+}
