quarantine: a late report of a crash is no second crash

A report more than a second later counted as another crash of the same process, and three of them could find a part. An incarnation crashes once, so all reports about it are one.

--- a/admission/quarantine/evidence.go
+++ b/admission/quarantine/evidence.go
@@ -7,7 +7,6 @@
 
 const (
 	evidenceTTL = 10 * time.Minute // how long a crash counts
-	crashSpan   = time.Second      // reports about one server within it are about one crash
 	maxCrashes  = 128              // crashes remembered; the oldest are dropped
 	maxLost     = 256              // requests remembered of one crash
 	maxParts    = 16               // parts remembered of one request
@@ -72,11 +71,11 @@
 	crashes []*crash
 }
 
-// add adds a report about a crash. Reports of several entries about the same server
-// make one crash.
+// add adds a report about a crash. An incarnation crashes once, so all reports about it
+// make one crash, whatever times the entries give.
 func (e *evidence) add(server string, at time.Time, lost []Lost, now time.Time) {
 	e.expire(now)
-	c := e.find(server, at)
+	c := e.find(server)
 	if c == nil {
 		c = &crash{server: server, at: at}
 		e.crashes = append(e.crashes, c)
@@ -95,13 +94,12 @@
 	}
 }
 
-func (e *evidence) find(server string, at time.Time) *crash {
-	for _, c := range e.crashes {
-		if c.server == server && at.Sub(c.at).Abs() < crashSpan {
-			return c
-		}
+func (e *evidence) find(server string) *crash {
+	i := slices.IndexFunc(e.crashes, func(c *crash) bool { return c.server == server })
+	if i < 0 {
+		return nil
 	}
-	return nil
+	return e.crashes[i]
 }
 
 func (e *evidence) expire(now time.Time) {
--- a/entry/direct/crashguard/check.go
+++ b/entry/direct/crashguard/check.go
@@ -53,7 +53,8 @@
 	}
 }
 
-// incarnation identifies the process of a server.
+// incarnation identifies the process of a server. Without the time of its start, a process
+// that starts under the ID of one that crashed is not told from it.
 func incarnation(s *fleet.Server) string { return fmt.Sprintf("%s@%d", s.ID, s.Born) }
 
 // RunChecks checks whether servers that lost requests have crashed, until ctx is done.
