front: a stream without length that ends before its first event is broken off

Callers of a stream whose server crashed before its first event got an empty answer that looked complete, if the answer had neither a length nor chunks: its end is that of the connection. Such a request also counted as neither lost nor answered, so a part on which servers crash in this way was not found. It is retried or cut now, and its server is checked, unless the client has events of the stream already, after the last of which nothing may follow.

--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -52,6 +52,7 @@
 	Status  int
 	Header  http.Header
 	Length  int64 // of the body; -1 when unknown
+	Chunked bool  // the body shows its end; if neither this nor Length does, the connection's end does
 	Body    io.ReadCloser
 	Outcome fleet.Outcome
 	conn    *conn // nil if unknown
@@ -111,6 +112,7 @@
 		Status:  resp.StatusCode,
 		Header:  resp.Header,
 		Length:  resp.ContentLength,
+		Chunked: len(resp.TransferEncoding) > 0,
 		Body:    resp.Body,
 		Outcome: x.codec.Outcome(resp.StatusCode, resp.Header),
 	}
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 
 	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/entry/direct/exchange"
 	"peridotchute.example/entry/direct/relay"
 	"peridotchute.example/fleet"
 )
@@ -103,6 +105,14 @@
 	return false
 }
 
+// awaitsFirstEvent reports whether the client has no event of the stream. A stream resumed
+// after its last event brings none.
+func (r *run) awaitsFirstEvent() bool { return r.lastEventID() == "" && r.req.LastEventID == "" }
+
+// endsWithConnection reports whether nothing but the end of its connection shows the end of
+// the response.
+func endsWithConnection(resp *exchange.Response) bool { return resp.Length < 0 && !resp.Chunked }
+
 func (r *run) forwardStream(ctx context.Context, a *attempt) bool {
 	t, resp := a.ticket, a.answer
 	if r.stream == nil {
@@ -120,6 +130,9 @@
 		a.watch.recordEvent()
 		r.record.sentBytes()
 	})
+	if err == nil && !a.brought.Load() && endsWithConnection(resp) && r.awaitsFirstEvent() {
+		err = io.ErrUnexpectedEOF // a server that crashes closes its connections as well
+	}
 	if err == nil || errors.Is(err, relay.ErrClient) {
 		a.watch.stop()
 	}
