crashguard: checks, watches, findings and state in files of their own

The checks of servers are a type of their own now, which counts the losses that it has no room for (state dump, missed). explain shows changes of the limits of a request's servers. No change of behaviour otherwise.

--- a/entry/direct/crashguard/check.go
+++ b/entry/direct/crashguard/check.go
@@ -5,17 +5,17 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"peridotchute.example/admission/quarantine"
 	"peridotchute.example/common/clock"
-	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/fleet"
 )
 
 const (
-	maxLosses = 1024 // lost requests that wait for RunChecks; further ones are not reported
+	maxLosses = 1024 // lost requests that wait for a check; further ones are not reported
 	maxChecks = 64   // servers checked at a time; requests lost at others are not reported
 
 	dialTimeout = 400 * time.Millisecond
@@ -41,32 +41,43 @@
 	crashed bool // result of the check
 }
 
-// Lost records that the connection to a server broke after a request was sent there, and
-// before its answer was complete. It does not block.
-func (g *Guard) Lost(s *fleet.Server, lost quarantine.Lost) {
-	if len(lost.Parts) == 0 {
-		return
+// checker checks whether servers that lost requests have crashed.
+type checker struct {
+	losses  chan lostAttempt
+	done    chan *pending       // checks that have ended
+	pending map[string]*pending // by incarnation; used by run only
+	crashed func(*pending)      // called for each server that has crashed
+	missed  atomic.Int64        // lost requests whose server was not checked
+}
+
+func newChecker(crashed func(*pending)) *checker {
+	return &checker{
+		losses:  make(chan lostAttempt, maxLosses),
+		done:    make(chan *pending),
+		pending: map[string]*pending{},
+		crashed: crashed,
 	}
+}
+
+// offer passes a loss to run without blocking.
+func (c *checker) offer(l lostAttempt) {
 	select {
-	case g.losses <- lostAttempt{server: s, at: time.Now(), lost: lost}:
+	case c.losses <- l:
 	default:
+		c.missed.Add(1)
 	}
 }
 
-// incarnation identifies the process of a server. Without the time of its start, a process
-// that starts under the ID of one that crashed is not told from it.
-func incarnation(s *fleet.Server) string { return fmt.Sprintf("%s@%d", s.ID, s.Born) }
-
-// RunChecks checks whether servers that lost requests have crashed, until ctx is done.
-func (g *Guard) RunChecks(ctx context.Context) {
+// run checks servers until ctx is done.
+func (c *checker) run(ctx context.Context) {
 	for {
 		select {
-		case l := <-g.losses:
-			g.addLoss(ctx, l)
-		case p := <-g.done:
-			delete(g.checks, incarnation(p.server))
+		case l := <-c.losses:
+			c.add(ctx, l)
+		case p := <-c.done:
+			delete(c.pending, incarnation(p.server))
 			if p.crashed {
-				g.report(p)
+				c.crashed(p)
 			}
 		case <-ctx.Done():
 			return
@@ -74,30 +85,36 @@
 	}
 }
 
-func (g *Guard) addLoss(ctx context.Context, l lostAttempt) {
+// add adds a loss to the check of its server, which it starts if there is none.
+func (c *checker) add(ctx context.Context, l lostAttempt) {
 	key := incarnation(l.server)
-	p := g.checks[key]
+	p := c.pending[key]
 	if p == nil {
-		if len(g.checks) >= maxChecks {
+		if len(c.pending) >= maxChecks {
+			c.missed.Add(1)
 			return
 		}
 		p = &pending{server: l.server, at: l.at}
-		g.checks[key] = p
-		go g.checkServer(ctx, p)
+		c.pending[key] = p
+		go c.check(ctx, p)
 	}
 	p.lost = append(p.lost, l.lost)
 }
 
-// checkServer determines whether a server has crashed and passes p to RunChecks.
-func (g *Guard) checkServer(ctx context.Context, p *pending) {
+// check determines whether a server has crashed and passes p back to run.
+func (c *checker) check(ctx context.Context, p *pending) {
 	p.crashed = refuses(ctx, p.server.Address)
 	_ = clock.Sleep(ctx, gatherTime) // if ctx is done, nobody receives p
 	select {
-	case g.done <- p:
+	case c.done <- p:
 	case <-ctx.Done():
 	}
 }
 
+// incarnation identifies the process of a server. Without the time of its start, a process
+// that starts under the ID of one that crashed is not told from it.
+func incarnation(s *fleet.Server) string { return fmt.Sprintf("%s@%d", s.ID, s.Born) }
+
 // refuses reports whether the address refuses connections. A server that does not
 // answer, or accepts one, has not crashed as far as this entry can tell.
 func refuses(ctx context.Context, address string) bool {
@@ -117,13 +134,3 @@
 	}
 	return false
 }
-
-// report records a crash and tells the other entries.
-func (g *Guard) report(p *pending) {
-	g.opts.Log.Write(decisionlog.ServerCrashed{Server: p.server.ID, Service: p.server.Service, Address: p.server.Address, Lost: len(p.lost)})
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	g.addCrash(incarnation(p.server), p.at, p.lost, now)
-	g.opts.Peers.BroadcastCrash(reportOf(incarnation(p.server), p.at, p.lost, now))
-}
--- a/operator/explain/timeline.go
+++ b/operator/explain/timeline.go
@@ -249,7 +249,7 @@
 	switch l.Event {
 	case event.PartQuarantined.ID, event.PartReleased.ID:
 		return a.parts[l.Text("part")]
-	case event.ServerCrashed.ID:
+	case event.ServerCrashed.ID, event.ServerLimited.ID:
 		return a.servers[l.Text("server")]
 	case event.ServerAppeared.ID, event.ServerLeft.ID, event.ServerDraining.ID,
 		event.ServerSuspected.ID, event.ModelLoaded.ID, event.ModelUnloaded.ID:
