balance: any entry may share the limit of a server, in whichever region

Found by reading: the entries that share a server's limit were those of its region, so a request for a model that only a limited server of the other region has found no server at the other entries. The hash chooses among all entries now. Same bounds; TestPartsAddUpToTheLimit compares all parts.

--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -49,7 +49,7 @@
 	rnd   *rand.Rand
 	pools map[string]*pool // by service
 
-	peers       []Entry                // the other entries
+	peers       []string               // names of the other entries
 	earlyLimits map[string]ServerLimit // by server; of servers that are not known yet
 }
 
--- a/entry/direct/balance/limit.go
+++ b/entry/direct/balance/limit.go
@@ -12,12 +12,6 @@
 // maxEarlyLimits is the number of limits kept of servers that are not registered.
 const maxEarlyLimits = 1024
 
-// Entry is another entry.
-type Entry struct {
-	Name   string
-	Region string
-}
-
 // ServerLimit is what is known of the rate of requests that one incarnation of a server
 // takes from all entries together, as entries exchange it.
 type ServerLimit struct {
@@ -27,9 +21,9 @@
 	PerSecond float64 `json:"per_second"`
 }
 
-// SetPeers sets the other entries that share the servers. They share the servers'
+// SetPeers sets the names of the other entries. All entries share the servers'
 // connections, and the rates of servers that limit theirs.
-func (b *Balancer) SetPeers(peers []Entry) {
+func (b *Balancer) SetPeers(peers []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if slices.Equal(peers, b.peers) {
@@ -56,24 +50,11 @@
 }
 
 // part returns this entry's part of the rate of a limited server. The entries that share it
-// are chosen by a hash, in the server's region if any are there. The caller holds mu.
+// are chosen by a hash. The caller holds mu.
 func (b *Balancer) part(s *server, perSecond float64) float64 {
-	region := b.opts.Regions[s.Zone]
-	all, near := []string{b.opts.Name}, []string{}
-	if b.opts.Regions[b.opts.Zone] == region {
-		near = append(near, b.opts.Name)
-	}
-	for _, e := range b.peers {
-		all = append(all, e.Name)
-		if e.Region == region {
-			near = append(near, e.Name)
-		}
-	}
-	if len(near) == 0 {
-		near = all
-	}
-	sharers := admission.LimitSharers(perSecond, len(near))
-	if !slices.Contains(membership.Rendezvous(s.ID, near, sharers), b.opts.Name) {
+	entries := append([]string{b.opts.Name}, b.peers...)
+	sharers := admission.LimitSharers(perSecond, len(entries))
+	if !slices.Contains(membership.Rendezvous(s.ID, entries, sharers), b.opts.Name) {
 		return 0
 	}
 	return 1 / float64(sharers)
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -202,7 +202,7 @@
 // ends.
 func (c *coordination) exchangeLoads(ctx context.Context) {
 	for clock.Sleep(ctx, loadInterval) == nil {
-		c.balancer.SetPeers(c.connectedEntries())
+		c.balancer.SetPeers(c.mesh.Connected())
 		if changed := c.balancer.TakeLimitChanges(); len(changed) > 0 {
 			c.mesh.Broadcast(methodLimits, changed)
 		}
--- a/entry/direct/limits.go
+++ b/entry/direct/limits.go
@@ -6,17 +6,6 @@
 	"peridotchute.example/entry/direct/mesh"
 )
 
-// connectedEntries returns the connected entries in order of their names.
-func (c *coordination) connectedEntries() []balance.Entry {
-	var out []balance.Entry
-	for _, p := range c.mesh.Peers() {
-		if p.Connected {
-			out = append(out, balance.Entry{Name: p.Name, Region: p.Region})
-		}
-	}
-	return out
-}
-
 // sendLimits tells an entry that has connected which servers limit their rate.
 func (c *coordination) sendLimits(peer string) {
 	if limits := c.balancer.Limits(); len(limits) > 0 {
