balance: a request that a server's limit cannot serve in time is refused at once

The wait of a new request counts those that wait for the same model already. TestRequestBehindTooManyOthersForLimitIsRejected fails without it.

--- a/admission/server_limit.go
+++ b/admission/server_limit.go
@@ -75,11 +75,11 @@
 	if l.part <= 0 {
 		return 0, false
 	}
-	return time.Duration((1 - l.tokens) / l.rate() * float64(time.Second)), true
+	return time.Duration((1 - l.tokens) / l.Rate() * float64(time.Second)), true
 }
 
-// rate returns this entry's part of the rate, in requests per second.
-func (l *ServerLimit) rate() float64 { return max(l.perSecond, minServerRate) * l.part }
+// Rate returns this entry's part of the rate, in requests per second.
+func (l *ServerLimit) Rate() float64 { return max(l.perSecond, minServerRate) * l.part }
 
 // Take counts a request that is sent now.
 func (l *ServerLimit) Take(now time.Time) {
@@ -91,7 +91,7 @@
 
 func (l *ServerLimit) refill(now time.Time) {
 	if elapsed := now.Sub(l.at); !l.at.IsZero() && elapsed > 0 {
-		l.tokens = min(l.tokens+elapsed.Seconds()*l.rate(), serverLimitBurst)
+		l.tokens = min(l.tokens+elapsed.Seconds()*l.Rate(), serverLimitBurst)
 	}
 	l.at = now
 }
--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -75,6 +75,7 @@
 	order       []*server // sorted by ID
 	queue       *admission.PriorityQueue[*waiting]
 	waiting     map[*waiting]struct{}
+	queued      map[artifact]int // number of requests in waiting
 	budget      admission.RetryBudget
 	models      models
 	loading     map[loadKey]*pendingLoad
@@ -110,6 +111,7 @@
 		servers: map[string]*server{},
 		queue:   admission.NewPriorityQueue[*waiting](),
 		waiting: map[*waiting]struct{}{},
+		queued:  map[artifact]int{},
 		budget:  b.opts.Budget.retryBudget(),
 		models:  newModels(),
 		loading: map[loadKey]*pendingLoad{},
--- a/entry/direct/balance/limit.go
+++ b/entry/direct/balance/limit.go
@@ -210,18 +210,26 @@
 	return s.limit.PerSecond(), s.limit.Limited()
 }
 
-// untilLimitAllows returns the time until a server that has loaded the request's artifact may
-// get it by its limit. It returns false if no server has loaded it or this entry has no part.
-func (p *pool) untilLimitAllows(w *waiting, now time.Time) (shortest time.Duration, ok bool) {
+// limitWait returns the time until the limits of the servers that have loaded the request's
+// artifact allow it, after the requests that wait for the artifact already if it is new. It
+// returns false if no server has loaded it or this entry has no part of their limits.
+func (p *pool) limitWait(w *waiting, now time.Time) (wait time.Duration, ok bool) {
+	rate := 0.0
 	for _, s := range p.order {
 		if s.engine == nil || s.Draining || now.Before(s.downUntil) || !w.fits(s) || !s.hasLoaded(w.artifact, now) {
 			continue
 		}
-		if wait, has := s.limit.Until(now); has && (!ok || wait < shortest) {
-			shortest, ok = wait, true
+		if until, has := s.limit.Until(now); has {
+			rate += s.limit.Rate()
+			if !ok || until < wait {
+				wait, ok = until, true
+			}
 		}
 	}
-	return shortest, ok
+	if _, queued := p.waiting[w]; ok && !queued && rate > 0 {
+		wait += time.Duration(float64(p.queued[w.artifact]) / rate * float64(time.Second))
+	}
+	return wait, ok
 }
 
 // LimitedServers returns the number of servers that limit the rate of requests.
--- a/entry/direct/balance/limit_test.go
+++ b/entry/direct/balance/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -124,3 +125,34 @@
 	assert.Assert(t, rejected != nil)
 	assert.Assert(t, !rejected.Canceled) // rejected at once
 }
+
+// TestRequestBehindTooManyOthersForLimitIsRejected queues as many requests for a limited server as
+// it takes until their deadline.
+func TestRequestBehindTooManyOthersForLimitIsRejected(t *testing.T) {
+	const perSecond, deadline, tries = 0.2, time.Minute, 100
+	const fit = 12 // of perSecond until the deadline
+	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}}, "")
+	_, changed := sendTo(t, b).Named(fleet.Outcome{NamesLimit: true, RateLimit: perSecond})
+	assert.Assert(t, changed)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second) // long before the deadline
+	rejections := make(chan *Rejection, tries)
+	var admitted sync.WaitGroup
+	for range tries {
+		admitted.Go(func() {
+			q := query("")
+			q.Deadline = q.Arrived.Add(deadline)
+			ticket, rejected := b.Admit(ctx, q)
+			if ticket != nil {
+				ticket.End()
+			}
+			rejections <- rejected
+		})
+	}
+	for range tries - fit - 1 {
+		rejected := <-rejections
+		assert.Assert(t, rejected != nil && !rejected.Canceled)
+		assert.Assert(t, rejected.RetryAfter > 0)
+	}
+	cancel()
+	admitted.Wait()
+}
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -147,7 +147,7 @@
 	}
 	m := b.startLoad(p, loadKey{artifact: artifact{model: w.artifact.model}}, nil, now)
 	load := m.remaining(now)
-	if wait, loaded := p.untilLimitAllows(w, now); loaded {
+	if wait, loaded := p.limitWait(w, now); loaded {
 		load = wait
 	}
 	w.server = nil
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -83,7 +83,7 @@
 		b.mu.Unlock()
 		return nil, r
 	}
-	p.waiting[w] = struct{}{}
+	p.addWaiting(w)
 	b.dispatch(p)
 	b.signal()
 	b.mu.Unlock()
@@ -167,6 +167,21 @@
 	return r.TokensOut / 2
 }
 
+func (p *pool) addWaiting(w *waiting) {
+	p.waiting[w] = struct{}{}
+	p.queued[w.artifact]++
+}
+
+func (p *pool) removeWaiting(w *waiting) {
+	if _, ok := p.waiting[w]; !ok {
+		return
+	}
+	delete(p.waiting, w)
+	if p.queued[w.artifact]--; p.queued[w.artifact] == 0 {
+		delete(p.queued, w.artifact)
+	}
+}
+
 // await blocks until the queued request is dispatched, rejected or canceled.
 func (b *Balancer) await(ctx context.Context, p *pool, w *waiting) (*Ticket, *Rejection) {
 	select {
@@ -176,7 +191,7 @@
 	}
 	b.mu.Lock()
 	p.queue.Remove(func(other *waiting) bool { return other == w })
-	delete(p.waiting, w)
+	p.removeWaiting(w)
 	b.mu.Unlock()
 	select {
 	case t := <-w.decided:
@@ -199,7 +214,7 @@
 			break
 		}
 		w := out.Item
-		delete(p.waiting, w)
+		p.removeWaiting(w)
 		if out.Action == admission.Reject {
 			w.decided <- decision{rejection: p.rejection(w, out.Verdict, now)}
 			continue
