Read-through: the parts of a request stand in the request

The IDs of a prompt's parts were made twice for each request. Only an answer with a status below 300 counts as one that a request's parts were answered with: an error of the server may come before it reads the prompt. An accessor without a user is gone.

--- a/admission/server_limit.go
+++ b/admission/server_limit.go
@@ -54,9 +54,6 @@
 // PerSecond returns the rate of all entries. It is meaningless without a limit.
 func (l *ServerLimit) PerSecond() float64 { return l.perSecond }
 
-// Part returns this entry's part of the rate.
-func (l *ServerLimit) Part() float64 { return l.part }
-
 // Allows reports whether a request may be sent now.
 func (l *ServerLimit) Allows(now time.Time) bool {
 	if !l.limited {
--- a/entry/direct/balance/limit.go
+++ b/entry/direct/balance/limit.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -37,7 +38,7 @@
 }
 
 // limitedServers returns the servers that limit their rate. The caller holds mu.
-func (b *Balancer) limitedServers() func(yield func(*server) bool) {
+func (b *Balancer) limitedServers() iter.Seq[*server] {
 	return func(yield func(*server) bool) {
 		for _, p := range b.pools {
 			for _, s := range p.order {
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -92,6 +92,8 @@
 	}
 	if resp.Status < http.StatusInternalServerError {
 		t.Succeeded()
+	}
+	if resp.Status < http.StatusMultipleChoices {
 		a.brought.Store(true)
 		r.answered(a)
 	}
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -172,6 +172,7 @@
 // request is a client's request including its complete body.
 type request struct {
 	fleet.Request
+	parts   []uint64 // IDs of the prompt's parts
 	body    []byte
 	target  string // path and query as sent by the client
 	arrived time.Time
@@ -206,7 +207,7 @@
 	if err != nil {
 		return nil, &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: "body: " + err.Error()}
 	}
-	return &request{Request: parsed, body: body, target: originForm(r.RequestURI)}, nil
+	return &request{Request: parsed, parts: parsed.PartIDs(), body: body, target: originForm(r.RequestURI)}, nil
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
--- a/entry/direct/front/quarantine.go
+++ b/entry/direct/front/quarantine.go
@@ -34,7 +34,7 @@
 	if cause := quarantinedCause(ctx); cause != nil {
 		return cause
 	}
-	return r.f.opts.Guard.Check(r.parts)
+	return r.f.opts.Guard.Check(r.req.parts)
 }
 
 // refusalOf returns the refusal of a request with a quarantined part. Before the end of the
@@ -54,7 +54,7 @@
 	if ctx.Err() != nil || isInvalid(err) {
 		return
 	}
-	r.f.opts.Guard.Lost(a.ticket.Server, quarantine.Lost{ID: r.req.ID, Parts: r.parts, Sent: a.begun, Begun: a.brought.Load()})
+	r.f.opts.Guard.Lost(a.ticket.Server, quarantine.Lost{ID: r.req.ID, Parts: r.req.parts, Sent: a.begun, Begun: a.brought.Load()})
 }
 
 // isInvalid reports whether the server sent something that is no answer, so that it is
@@ -67,6 +67,6 @@
 // A stream without an event does not count: its server may have ended before.
 func (r *run) answered(a *attempt) {
 	if a.brought.Load() {
-		r.f.opts.Guard.Answered(r.parts)
+		r.f.opts.Guard.Answered(r.req.parts)
 	}
 }
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -36,7 +36,7 @@
 		Priority:      req.route.Priority,
 		PromptTokens:  req.TokensIn,
 		OutputTokens:  req.TokensOut,
-		PromptParts:   req.PartIDs(),
+		PromptParts:   req.parts,
 		Deadline:      req.Deadline,
 		ConfigVersion: r.version,
 	})
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -33,7 +33,6 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	req        *request
-	parts      []uint64      // of the request's prompt
 	stream     *relay.Stream // nil until a stream begins
 	next       *attempt      // has taken the request over from the current attempt; nil if none has
 	sent       int           // attempts that reached a server
@@ -53,9 +52,9 @@
 	f.opts.Balancer.CountRequest(req.service)
 	f.activeRequests.begin(req)
 	defer f.activeRequests.end(req)
-	run := &run{f: f, w: w, r: r, req: req, parts: req.PartIDs(), record: newRecord(f.opts.Log, req, v)}
+	run := &run{f: f, w: w, r: r, req: req, record: newRecord(f.opts.Log, req, v)}
 	defer run.record.close()
-	ctx, stopWatch := f.opts.Guard.Watch(ctx, run.parts, run.begun.Load)
+	ctx, stopWatch := f.opts.Guard.Watch(ctx, req.parts, run.begun.Load)
 	defer stopWatch()
 	if quarantined := quarantinedCause(ctx); quarantined != nil {
 		run.finishWithError(ctx, refusalOf(quarantined))
