loadplan: the models of a limited server share its limit

The less requested models of a server count now, while their requests together take no more than 0.3 of the limit; the others get a replica elsewhere. TestModelsOfOneLimitedServerShareItsLimit failed before.

--- a/placement/loadplan/limit_test.go
+++ b/placement/loadplan/limit_test.go
@@ -77,3 +77,20 @@
 	ps.SetLimits(func(string) (float64, bool) { return 1, true }) // no other server is better
 	assert.Equal(t, ps.Choose(key, "", nil, time.Second).Server, "a")
 }
+
+// TestModelsOfOneLimitedServerShareItsLimit gives a limited server two models of which each alone
+// would leave room.
+func TestModelsOfOneLimitedServerShareItsLimit(t *testing.T) {
+	ps := NewPlacementState(5*time.Second, 1.1)
+	ps.Update(fourModels(), []fleet.Server{{ID: "a", Born: 1, Residents: []fleet.Resident{{Model: "m0"}, {Model: "m1"}}}}, 0)
+	for model, rate := range map[string]float64{"m0": 0.2, "m1": 0.25} {
+		ps.Demand.estimate(model).rate.slow = rate
+	}
+	s := ps.Servers["a"]
+	assert.Assert(t, ps.sufficesFor("m0", s) && ps.sufficesFor("m1", s))
+	ps.SetLimits(func(string) (float64, bool) { return 1, true })
+	assert.Assert(t, ps.sufficesFor("m0", s))
+	assert.Assert(t, !ps.sufficesFor("m1", s))
+	ps.SetLimits(func(string) (float64, bool) { return 2, true })
+	assert.Assert(t, ps.sufficesFor("m1", s))
+}
--- a/placement/loadplan/placement_state.go
+++ b/placement/loadplan/placement_state.go
@@ -151,15 +151,27 @@
 	return ps.usable(s) && !limited
 }
 
-// maxLimitShare is the share of a server's limit that the requests for one of its models
-// may take.
-const maxLimitShare = 0.5
+// maxLimitShare is the share of a server's limit that the requests for its models may take.
+// Each entry has a part of the limit, so requests wait long for it at a greater share.
+const maxLimitShare = 0.3
 
-// sufficesFor reports whether the server's limit leaves room for the requests for a model.
-// Otherwise the model needs another replica as if this one did not exist.
+// sufficesFor reports whether the server's limit leaves room for the requests for a model,
+// after those for its less requested ones. Otherwise the model needs another replica as if
+// this one did not exist.
 func (ps *PlacementState) sufficesFor(model string, s *ServerState) bool {
 	limit, limited := ps.limits[s.Server.ID]
-	return !limited || ps.Demand.requestRate(model) <= maxLimitShare*limit
+	if !limited {
+		return true
+	}
+	rate := ps.Demand.requestRate(model)
+	total := rate
+	for other := range s.Models {
+		r := ps.Demand.requestRate(other)
+		if other != model && (r < rate || r == rate && other < model) {
+			total += r
+		}
+	}
+	return total <= maxLimitShare*limit
 }
 
 // usable reports whether requests may go to the server.
