Requests queued for a service that left the configuration avoid servers that leave

Cause: balance.Update read the registrations only for services that the configuration names.

Change: Update reads the registrations for all services that have been named.

--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -84,7 +84,8 @@
 	serviceTime routing.ServiceTime              // usual service time; plain services only
 }
 
-// Update applies a new view of the deployment. It does not block.
+// Update applies a new view of the deployment, also to services that the configuration no
+// longer names and whose requests are still queued. It does not block.
 func (b *Balancer) Update(v *fleet.View) {
 	if v.Config == nil {
 		return
@@ -98,6 +99,8 @@
 			b.pools[name] = p
 		}
 		p.engine, p.maxConns = service.Engine, service.MaxConnections
+	}
+	for _, p := range b.pools {
 		if b.sync(p, v) {
 			p.queue.ServersLost()
 		}
--- a/entry/direct/balance/leaving_test.go
+++ b/entry/direct/balance/leaving_test.go
@@ -50,7 +50,11 @@
 	for name, change := range map[string]func(v *fleet.View){
 		"registration": func(v *fleet.View) { v.Servers[0].Draining = true },
 		"answer":       func(v *fleet.View) { v.Servers[0].Draining, v.Servers[0].Leaving = true, true },
-		"gone":         func(v *fleet.View) { v.Servers = v.Servers[1:] },
+		"service left the configuration": func(v *fleet.View) {
+			v.Servers[0].Draining = true
+			v.Config = &fleet.Config{}
+		},
+		"gone": func(v *fleet.View) { v.Servers = v.Servers[1:] },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
