--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -71,6 +71,7 @@
 	NotRun  bool          // the server is known not to have run the request
 	After   time.Duration // time since the attempt was sent
 	Events  int           // complete stream events that the caller had received
+	Digest  uint64        // of the request, if its connection broke; 0 if not
 	Err     error
 }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -1,6 +1,7 @@
 package decisionlog
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 )
@@ -11,6 +12,9 @@
 // FormatPart returns the ID of a prompt part as logs show it and clients send it.
 func FormatPart(id uint64) string { return strconv.FormatUint(id, 16) }
 
+// FormatDigest returns the digest of a request as logs show it.
+func FormatDigest(digest uint64) string { return fmt.Sprintf("%016x", digest) }
+
 // formatParts returns the IDs of the first maxLoggedParts parts, joined by commas.
 func formatParts(ids []uint64) string {
 	texts := make([]string, min(len(ids), maxLoggedParts))
@@ -61,6 +65,9 @@
 	e.boolean("not_run", r.NotRun)
 	e.duration("after_ms", r.After)
 	e.countIfSet("events", int64(r.Events))
+	if r.Digest != 0 {
+		e.text("digest", FormatDigest(r.Digest))
+	}
 	e.errorIfSet(r.Err)
 }
 
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -176,11 +177,16 @@
 type request struct {
 	fleet.Request
 	parts   []uint64 // IDs of the prompt's parts
-	body    []byte
+	method  string
+	host    string
 	target  string // path and query as sent by the client
+	body    []byte
 	arrived time.Time
 	route   *fleet.Route
 	service string
+
+	digestOnce  sync.Once
+	digestValue uint64
 }
 
 // resumesStream reports whether the client resumes a stream of which an earlier
@@ -210,7 +216,14 @@
 	if err != nil {
 		return nil, &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: "body: " + err.Error()}
 	}
-	return &request{Request: parsed, parts: parsed.PartIDs(), body: body, target: originForm(r.RequestURI)}, nil
+	return &request{
+		Request: parsed,
+		parts:   parsed.PartIDs(),
+		method:  r.Method,
+		host:    r.Host,
+		target:  originForm(r.RequestURI),
+		body:    body,
+	}, nil
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -94,10 +94,21 @@
 		NotRun:  notRun,
 		After:   time.Since(a.begun),
 		Events:  r.end.Events,
+		Digest:  r.lostDigest(kind),
 		Err:     err,
 	})
 }
 
+// lostDigest returns the request's digest if the attempt's connection broke, so that the log
+// shows which requests came again that were lost before. Others have none: a digest could
+// confirm a guess of a body.
+func (r *record) lostDigest(kind decisionlog.FailureKind) uint64 {
+	if kind == decisionlog.FailureReset || kind == decisionlog.FailureTruncated {
+		return r.req.digest()
+	}
+	return 0
+}
+
 // serverSilent records that the server of an attempt has sent nothing for a while.
 func (r *record) serverSilent(a *attempt, silent time.Duration) {
 	r.trace.Add(decisionlog.ServerSilent{Server: a.ticket.Server.ID, Attempt: a.number, Silent: silent})
--- a/fleet/request.go
+++ b/fleet/request.go
@@ -8,6 +8,7 @@
 // Request holds the values of a client's request headers.
 type Request struct {
 	ID          string        // identifies the client attempt; unique per attempt
+	Caller      string        // credentials that name the client account; empty if there are none
 	Deadline    time.Duration // how long the client waits; 0 if not given
 	Model       string        // empty for plain services
 	Adapter     string        // empty for the base model
