--- a/admission/quarantine/answers.go
+++ b/admission/quarantine/answers.go
@@ -3,32 +3,42 @@
 import "time"
 
 const (
-	answeredTTL = 5 * time.Minute // for how long at least an answered part is remembered
-	maxAnswered = 1 << 14         // parts in each of the two generations of answers
+	answeredTTL = 5 * time.Minute // for how long at least an answered cause is remembered
+	maxAnswered = 1 << 14         // causes of each kind in each of the two generations of answers
 )
 
-// answers records when parts were last in an answered request. It forgets in two
-// generations.
+// answers records when causes were last in an answered request.
 type answers struct {
+	byKind [WholeRequest + 1]generations
+	latest time.Time // of any answer
+}
+
+// generations forgets in two generations.
+type generations struct {
 	current, previous map[uint64]time.Time
 	rotated           time.Time
-	latest            time.Time // of any answer
 }
 
-func (a *answers) add(parts []uint64, now time.Time) {
-	if a.current == nil || len(a.current) >= maxAnswered || now.Sub(a.rotated) >= answeredTTL {
-		a.previous, a.current, a.rotated = a.current, map[uint64]time.Time{}, now
-	}
+func (a *answers) add(causes []Cause, now time.Time) {
 	a.latest = now
-	for _, p := range parts {
-		a.current[p] = now
+	for _, c := range causes {
+		a.byKind[c.Kind].add(c.ID, now)
+	}
+}
+
+// of returns when a cause was last in an answered request, or zero.
+func (a *answers) of(c Cause) time.Time { return a.byKind[c.Kind].of(c.ID) }
+
+func (g *generations) add(id uint64, now time.Time) {
+	if g.current == nil || len(g.current) >= maxAnswered || now.Sub(g.rotated) >= answeredTTL {
+		g.previous, g.current, g.rotated = g.current, map[uint64]time.Time{}, now
 	}
+	g.current[id] = now
 }
 
-// of returns when a part was last in an answered request, or zero.
-func (a *answers) of(part uint64) time.Time {
-	if at, ok := a.current[part]; ok {
+func (g *generations) of(id uint64) time.Time {
+	if at, ok := g.current[id]; ok {
 		return at
 	}
-	return a.previous[part]
+	return g.previous[id]
 }
--- a/admission/quarantine/detector_test.go
+++ b/admission/quarantine/detector_test.go
@@ -32,7 +32,7 @@
 // lost returns a request that is sent now, with a last part of its own.
 func (s *scene) lost(parts ...uint64) Lost {
 	s.next++
-	return Lost{ID: fmt.Sprint("r", s.next), Parts: append(parts, uint64(1000+s.next)), Sent: s.now}
+	return Lost{ID: fmt.Sprint("r", s.next), Digest: uint64(s.next), Parts: append(parts, uint64(1000+s.next)), Sent: s.now}
 }
 
 // crash lets a server crash 100 ms after it was sent the requests.
@@ -43,35 +43,48 @@
 	s.pass(time.Millisecond)
 }
 
-func (s *scene) answer(parts ...uint64) []uint64 {
+// answer answers a request with the parts that did not come before.
+func (s *scene) answer(parts ...uint64) []Cause {
+	s.next++
+	return s.answerRequest(uint64(s.next), parts...)
+}
+
+func (s *scene) answerRequest(digest uint64, parts ...uint64) []Cause {
 	s.pass(time.Millisecond)
-	return s.Answered(parts, s.now)
+	return s.Answered(contents(digest, parts...), s.now)
 }
 
-func none(uint64) bool { return false }
+func contents(digest uint64, parts ...uint64) Contents {
+	return Contents{Parts: parts, Digest: func() uint64 { return digest }}
+}
+
+func none(Cause) bool { return false }
 
-// found returns the parts found, each quarantined at once, after the settle time.
-func (s *scene) found() []uint64 {
+// found returns the causes found, each quarantined at once, after the settle time.
+func (s *scene) found() []Cause {
 	s.pass(SettleTime)
-	parts := []uint64{}
+	causes := []Cause{}
 	for {
-		findings, _ := s.Find(s.now, func(p uint64) bool { return slices.Contains(parts, p) })
+		findings, _ := s.Find(s.now, func(c Cause) bool { return slices.Contains(causes, c) })
 		if len(findings) == 0 {
-			return parts
+			return causes
 		}
 		for _, f := range findings {
-			parts = append(parts, f.Part)
+			causes = append(causes, f.Cause)
 		}
 	}
 }
 
+// causes returns the causes of parts.
+func causes(parts ...uint64) []Cause { return partCauses(parts) }
+
 func TestPartOfSeveralCrashesIsFound(t *testing.T) {
 	s := newScene()
 	for i := range uint64(minCrashes) {
 		s.crash(s.lost(first, bad), s.lost(first, 100+i))
 		s.answer(first, 7)
 	}
-	assert.DeepEqual(t, s.found(), []uint64{bad})
+	assert.DeepEqual(t, s.found(), causes(bad))
 }
 
 // TestPartWithoutBegunAnswersIsBlamed loses two parts in each crash; only answers with one of
@@ -84,7 +97,7 @@
 		s.crash(s.lost(first, bad), begun)
 		s.answer(first, 7)
 	}
-	assert.DeepEqual(t, s.found(), []uint64{bad})
+	assert.DeepEqual(t, s.found(), causes(bad))
 }
 
 func TestPartsThatCrashesDoNotTellApartAreFound(t *testing.T) {
@@ -93,7 +106,7 @@
 		s.crash(s.lost(first, bad), s.lost(first, subject))
 		s.answer(first, 7)
 	}
-	assert.DeepEqual(t, s.found(), []uint64{subject, bad})
+	assert.DeepEqual(t, s.found(), causes(subject, bad))
 }
 
 // TestServersThatEndTogetherBlameNobody loses requests with a common part at many servers at
@@ -110,7 +123,7 @@
 	}
 	s.pass(time.Second)
 	s.answer(7, 8)
-	assert.DeepEqual(t, s.found(), []uint64{})
+	assert.DeepEqual(t, s.found(), causes())
 }
 
 func TestAnsweredPartIsNotBlamed(t *testing.T) {
@@ -119,7 +132,7 @@
 		s.crash(s.lost(first, subject))
 		s.answer(first, subject)
 	}
-	assert.DeepEqual(t, s.found(), []uint64{})
+	assert.DeepEqual(t, s.found(), causes())
 }
 
 // TestCompanionOfCrashingPartIsNotBlamed loses a rarely used part beside the crashing one in
@@ -131,7 +144,7 @@
 		s.crash(s.lost(first, bad), s.lost(first, subject))
 		s.answer(first)
 	}
-	assert.DeepEqual(t, s.found(), []uint64{bad})
+	assert.DeepEqual(t, s.found(), causes(bad))
 }
 
 // TestSharedPartAnsweredBeforeIsNotBlamed stops all answers with the first part while servers
@@ -143,7 +156,7 @@
 		s.crash(s.lost(first, bad))
 		s.answer(7)
 	}
-	assert.DeepEqual(t, s.found(), []uint64{bad})
+	assert.DeepEqual(t, s.found(), causes(bad))
 }
 
 func TestTwoCrashingPartsAreFound(t *testing.T) {
@@ -155,7 +168,7 @@
 	}
 	found := s.found()
 	assert.Equal(t, len(found), 2)
-	assert.Equal(t, found[0]+found[1], uint64(bad+subject))
+	assert.Equal(t, found[0].ID+found[1].ID, uint64(bad+subject))
 }
 
 // TestPartIsFoundWithoutOtherTraffic crashes servers while no other requests come.
@@ -165,7 +178,7 @@
 	for range minCrashes {
 		s.crash(s.lost(first, bad))
 	}
-	assert.DeepEqual(t, s.found(), []uint64{bad})
+	assert.DeepEqual(t, s.found(), causes(bad))
 }
 
 // TestServersThatCrashFromTheStartBlameNobody crashes a server with each request, before any
@@ -175,7 +188,7 @@
 	for range minCrashes {
 		s.crash(s.lost(first, subject))
 	}
-	assert.DeepEqual(t, s.found(), []uint64{})
+	assert.DeepEqual(t, s.found(), causes())
 }
 
 // TestServersThatCrashOnEverythingBlameNobody crashes a server with each request.
@@ -185,7 +198,7 @@
 	for range 3 * minCrashes {
 		s.crash(s.lost(first, subject))
 	}
-	assert.DeepEqual(t, s.found(), []uint64{})
+	assert.DeepEqual(t, s.found(), causes())
 	_, again := s.Find(s.now, none)
 	assert.Assert(t, again.After(s.now))
 }
@@ -199,7 +212,7 @@
 		s.crash(l)
 		s.answer(first, 7)
 	}
-	assert.DeepEqual(t, s.found(), []uint64{})
+	assert.DeepEqual(t, s.found(), causes())
 }
 
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
@@ -209,7 +222,7 @@
 	}
 	s.answer(first, 7)
 	assert.Equal(t, s.Crashes(), 1)
-	assert.DeepEqual(t, s.found(), []uint64{})
+	assert.DeepEqual(t, s.found(), causes())
 }
 
 // TestLateReportOfCrashCountsOnce receives the report of an entry that was frozen, which takes the
@@ -230,7 +243,7 @@
 		s.answer(first, 7)
 		s.pass(evidenceTTL / 2)
 	}
-	assert.DeepEqual(t, s.found(), []uint64{})
+	assert.DeepEqual(t, s.found(), causes())
 }
 
 func TestEvidenceIsBounded(t *testing.T) {
@@ -244,7 +257,7 @@
 	}
 	assert.Equal(t, len(s.evidence.crashes), maxCrashes)
 	assert.Equal(t, len(s.evidence.crashes[0].lost), maxLost)
-	assert.Assert(t, len(s.suspects) <= maxSuspects+2*maxLost+2)
+	assert.Assert(t, len(s.suspects) <= maxSuspects+2*2*maxLost+2)
 }
 
 // TestClearedPartsAreToldOnce checks which answers the other entries must learn.
@@ -252,6 +265,6 @@
 	s := newScene()
 	assert.Equal(t, len(s.answer(first, subject)), 0)
 	s.crash(s.lost(first, subject))
-	assert.DeepEqual(t, s.answer(first, 7), []uint64{first})
+	assert.DeepEqual(t, s.answer(first, 7), causes(first))
 	assert.Equal(t, len(s.answer(first, 7)), 0)
 }
--- a/admission/quarantine/evidence.go
+++ b/admission/quarantine/evidence.go
@@ -14,10 +14,34 @@
 
 // Lost is a request that was lost in the crash of its server.
 type Lost struct {
-	ID    string
-	Parts []uint64  // of its prompt, in order
-	Sent  time.Time // to the server that crashed
-	Begun bool      // the server had sent an event of its answer
+	ID     string    // of the client attempt
+	Digest uint64    // of the request; 0 if unknown
+	Parts  []uint64  // of its prompt, in order
+	Sent   time.Time // to the server that crashed
+	Begun  bool      // the server had sent an event of its answer
+}
+
+// Causes returns all that the request holds.
+func (l *Lost) Causes() []Cause {
+	if l.Digest == 0 {
+		return partCauses(l.Parts)
+	}
+	return append(partCauses(l.Parts), Request(l.Digest))
+}
+
+// variant tells requests apart: a client may send the same for several prompts, if these are
+// not in the body.
+type variant struct {
+	digest   uint64
+	lastPart uint64 // 0 without a prompt
+}
+
+func (l *Lost) variant() variant {
+	v := variant{digest: l.Digest}
+	if n := len(l.Parts); n > 0 {
+		v.lastPart = l.Parts[n-1]
+	}
+	return v
 }
 
 // crash is the end of one incarnation of a server.
@@ -28,42 +52,60 @@
 	lost     []Lost
 }
 
-// share is what the requests with one part have in a crash.
+// share is what the requests with one cause have in a crash.
 type share struct {
-	part     uint64
 	sent     time.Time // when the latest of the requests was sent
-	requests []string
-	depth    int  // greatest position of the part
-	inner    bool // some prompt goes on after the part
-	trigger  bool // some answer had not begun
+	requests []string  // client attempts
+	variants []variant // distinct
+	depth    int       // greatest position of a part
+	inner    bool      // some prompt goes on after the part
+	trigger  bool      // some answer had not begun
 }
 
-// shares returns the shares of all parts in the crash.
-func (c *crash) shares() map[uint64]*share {
-	out := map[uint64]*share{}
+// shares returns the shares of all causes in the crash.
+func (c *crash) shares() map[Cause]*share {
+	out := map[Cause]*share{}
 	for i := range c.lost {
 		l := &c.lost[i]
-		for depth, part := range l.Parts {
-			s := out[part]
+		for depth, cause := range l.Causes() {
+			s := out[cause]
 			if s == nil {
-				s = &share{part: part}
-				out[part] = s
+				s = &share{}
+				out[cause] = s
 			}
-			if l.Sent.After(s.sent) {
-				s.sent = l.Sent
+			s.add(l)
+			if cause.Kind == PromptPart {
+				s.depth = max(s.depth, depth)
+				s.inner = s.inner || depth < len(l.Parts)-1
 			}
-			s.requests = append(s.requests, l.ID)
-			s.depth = max(s.depth, depth)
-			s.inner = s.inner || depth < len(l.Parts)-1
-			s.trigger = s.trigger || !l.Begun
 		}
 	}
 	return out
 }
 
-// has reports whether a lost request has a part that meets the condition.
-func (c *crash) has(condition func(part uint64) bool) bool {
-	return slices.ContainsFunc(c.lost, func(l Lost) bool { return slices.ContainsFunc(l.Parts, condition) })
+func (s *share) add(l *Lost) {
+	if l.Sent.After(s.sent) {
+		s.sent = l.Sent
+	}
+	s.requests = append(s.requests, l.ID)
+	s.variants = addDistinct(s.variants, l.variant())
+	s.trigger = s.trigger || !l.Begun
+}
+
+func addDistinct[T comparable](all []T, add ...T) []T {
+	for _, x := range add {
+		if !slices.Contains(all, x) {
+			all = append(all, x)
+		}
+	}
+	return all
+}
+
+// has reports whether a lost request holds a cause of a kind that meets the condition.
+func (c *crash) has(kind Kind, condition func(Cause) bool) bool {
+	return slices.ContainsFunc(c.lost, func(l Lost) bool {
+		return slices.ContainsFunc(l.Causes(), func(cause Cause) bool { return cause.Kind == kind && condition(cause) })
+	})
 }
 
 // evidence holds the crashes of the last evidenceTTL, the oldest first.
--- a/admission/quarantine/list_test.go
+++ b/admission/quarantine/list_test.go
@@ -12,18 +12,18 @@
 // random order; all must agree on what is quarantined.
 func TestListsConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const lists, parts = 3, 3
+		const lists, ids = 3, 3
 		now := time.Unix(1000, 0)
 		all := [lists]*List{NewList(), NewList(), NewList()}
 		for range rapid.IntRange(0, 20).Draw(t, "steps") {
 			l := all[rapid.IntRange(0, lists-1).Draw(t, "list")]
-			part := rapid.Uint64Range(1, parts).Draw(t, "part")
+			cause := Cause{Kind: Kind(rapid.IntRange(0, 1).Draw(t, "kind")), ID: rapid.Uint64Range(1, ids).Draw(t, "id")}
 			now = now.Add(time.Second)
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
-				l.Quarantine(part, now)
+				l.Quarantine(cause, now)
 			case 1:
-				l.Release(part, now)
+				l.Release(cause, now)
 			case 2:
 				merge(all[rapid.IntRange(0, lists-1).Draw(t, "from")], l, now)
 			}
@@ -50,9 +50,9 @@
 func TestQuarantineExpires(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := NewList()
-	l.Quarantine(7, now)
-	assert.Assert(t, l.Quarantined(7, now.Add(TTL-1)))
-	assert.Assert(t, !l.Quarantined(7, now.Add(TTL)))
+	l.Quarantine(Part(7), now)
+	assert.Assert(t, l.Quarantined(Part(7), now.Add(TTL-1)))
+	assert.Assert(t, !l.Quarantined(Part(7), now.Add(TTL)))
 	assert.Equal(t, len(l.Entries(now.Add(TTL))), 0)
 }
 
@@ -60,27 +60,29 @@
 func TestReleaseOutlastsOlderQuarantine(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := NewList()
-	old := l.Quarantine(7, now)
-	_, ok := l.Release(7, now)
+	old := l.Quarantine(Part(7), now)
+	_, ok := l.Release(Part(7), now)
 	assert.Assert(t, ok)
 	assert.Assert(t, !l.Merge(old, now))
-	assert.Assert(t, !l.Quarantined(7, now))
+	assert.Assert(t, !l.Quarantined(Part(7), now))
 }
 
 func TestListIsBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := NewList()
+	l.Quarantine(Request(1), now)
 	for p := range uint64(2 * maxEntries) {
-		l.Quarantine(p, now.Add(time.Duration(p)))
+		l.Quarantine(Part(p), now.Add(time.Duration(p)))
 	}
-	assert.Equal(t, len(l.Entries(now)), maxEntries)
-	assert.Assert(t, l.Quarantined(2*maxEntries-1, now))
+	assert.Equal(t, len(l.Entries(now)), maxEntries+1)
+	assert.Assert(t, l.Quarantined(Part(2*maxEntries-1), now))
+	assert.Assert(t, l.Quarantined(Request(1), now))
 }
 
 // TestRemoteExpiryIsLimited merges an entry whose sender's clock is ahead.
 func TestRemoteExpiryIsLimited(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := NewList()
-	l.Merge(Entry{Part: 7, Changes: 1, Until: now.Add(24 * time.Hour)}, now)
-	assert.Assert(t, !l.Quarantined(7, now.Add(TTL)))
+	l.Merge(Entry{Cause: Part(7), Changes: 1, Until: now.Add(24 * time.Hour)}, now)
+	assert.Assert(t, !l.Quarantined(Part(7), now.Add(TTL)))
 }
--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -113,7 +113,8 @@
 	WithheldBudget          WithheldReason = "retry budget spent"
 	WithheldTime            WithheldReason = "no time left"
 	WithheldNoServer        WithheldReason = "no other server"
-	WithheldQuarantined     WithheldReason = "servers crash on a part of the prompt"
+	WithheldPart            WithheldReason = "servers crash on a part of the prompt"
+	WithheldRequest         WithheldReason = "servers crash on the request"
 	WithheldResponseStarted WithheldReason = "answer already begun"
 )
 
@@ -134,7 +135,8 @@
 	RefusedStopping         RefusalReason = "process is stopping"
 	RefusedVersionUnknown   RefusalReason = "the software version that began the stream is not known"
 	RefusedVersionGone      RefusalReason = "no server of the software version that began the stream"
-	RefusedQuarantined      RefusalReason = "servers crash on a part of the prompt"
+	RefusedPart             RefusalReason = "servers crash on a part of the prompt"
+	RefusedRequest          RefusalReason = "servers crash on the request"
 	RefusedBadRequest       RefusalReason = "request is malformed"
 	RefusedTooLarge         RefusalReason = "request is too large"
 	RefusedUnreachable      RefusalReason = "no server could be reached"
@@ -144,7 +146,7 @@
 type Refused struct {
 	Reason        RefusalReason
 	Detail        string // more detail, such as an error text
-	Part          uint64 // prompt part that is the reason; 0 if none is
+	Cause         Cause  // on which servers crash, if that is the reason
 	Status        int
 	RetryAfter    time.Duration // 0 if the response has no Retry-After
 	Expected      time.Duration // expected wait, if it was the reason for the refusal
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -97,8 +97,8 @@
 func (r Refused) encode(e *encoder) {
 	e.text("reason", string(r.Reason))
 	e.textIfSet("detail", r.Detail)
-	if r.Part != 0 {
-		e.text("part", FormatPart(r.Part))
+	if r.Cause != (Cause{}) {
+		r.Cause.encode(e)
 	}
 	e.count("status", int64(r.Status))
 	e.durationIfSet("retry_after_ms", r.RetryAfter)
--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -97,18 +97,33 @@
 	Source    string // the request whose answer said so, or the entry that told this one
 }
 
-// PartQuarantined records that requests with a prompt part are refused from now on.
-type PartQuarantined struct {
-	Part      uint64
+// Cause is what requests have in common on which servers crash: a part of their prompts, or
+// the digest of one request that is sent again. One field is set.
+type Cause struct {
+	Part   uint64
+	Digest uint64
+}
+
+// String names the cause.
+func (c Cause) String() string {
+	if c.Digest != 0 {
+		return "request " + FormatDigest(c.Digest)
+	}
+	return "prompt part " + FormatPart(c.Part)
+}
+
+// CauseQuarantined records that requests with a cause are refused from now on.
+type CauseQuarantined struct {
+	Cause
 	Source    string        // how the process knows
-	Crashes   int           // that led to it; 0 if another process found the part
-	Requests  []string      // some of the requests lost with the part
+	Crashes   int           // that led to it; 0 if another process found the cause
+	Requests  []string      // some of the requests lost with the cause
 	Remaining time.Duration // until the quarantine ends
 }
 
-// PartReleased records that requests with a prompt part are sent again.
-type PartReleased struct {
-	Part   uint64
+// CauseReleased records that requests with a cause are sent again.
+type CauseReleased struct {
+	Cause
 	Source string // how the process knows
 }
 
@@ -180,10 +195,20 @@
 func (ServerLimited) Event() event.Event { return event.ServerLimited }
 
 // Event implements Record.
-func (PartQuarantined) Event() event.Event { return event.PartQuarantined }
+func (r CauseQuarantined) Event() event.Event {
+	if r.Digest != 0 {
+		return event.RequestQuarantined
+	}
+	return event.PartQuarantined
+}
 
 // Event implements Record.
-func (PartReleased) Event() event.Event { return event.PartReleased }
+func (r CauseReleased) Event() event.Event {
+	if r.Digest != 0 {
+		return event.RequestReleased
+	}
+	return event.PartReleased
+}
 
 // Event implements Record.
 func (StoreLost) Event() event.Event { return event.StoreLost }
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -73,16 +73,24 @@
 	e.text("source", r.Source)
 }
 
-func (r PartQuarantined) encode(e *encoder) {
-	e.text("part", FormatPart(r.Part))
+func (c Cause) encode(e *encoder) {
+	if c.Digest != 0 {
+		e.text("digest", FormatDigest(c.Digest))
+		return
+	}
+	e.text("part", FormatPart(c.Part))
+}
+
+func (r CauseQuarantined) encode(e *encoder) {
+	r.Cause.encode(e)
 	e.text("source", r.Source)
 	e.countIfSet("crashes", int64(r.Crashes))
 	e.textIfSet("requests", strings.Join(r.Requests, ","))
 	e.duration("remaining_ms", r.Remaining)
 }
 
-func (r PartReleased) encode(e *encoder) {
-	e.text("part", FormatPart(r.Part))
+func (r CauseReleased) encode(e *encoder) {
+	r.Cause.encode(e)
 	e.text("source", r.Source)
 }
 
--- a/common/metrics/sources.go
+++ b/common/metrics/sources.go
@@ -18,18 +18,19 @@
 // is nil are omitted. ConfigAge and ServersAge return the time since the last
 // successful read of the store.
 type Sources struct {
-	Log           func() decisionlog.Counts
-	Waiting       func() int                // requests in the queue
-	InProgress    func() int                // requests that have arrived and not ended
-	BudgetLeft    func() map[string]float64 // retries that this entry may still make, by service
-	Servers       func() map[ServerState]int
-	ConfigVersion func() int64
-	ConfigAge     func() time.Duration
-	ServersAge    func() time.Duration
-	LeaseHeld     func() bool
-	Quarantined   func() int              // prompt parts whose requests are refused
-	Limited       func() int              // servers that limit the rate of requests
-	ServerCalls   func() map[string]int64 // orders to and reports of model servers, by kind and outcome
+	Log                 func() decisionlog.Counts
+	Waiting             func() int                // requests in the queue
+	InProgress          func() int                // requests that have arrived and not ended
+	BudgetLeft          func() map[string]float64 // retries that this entry may still make, by service
+	Servers             func() map[ServerState]int
+	ConfigVersion       func() int64
+	ConfigAge           func() time.Duration
+	ServersAge          func() time.Duration
+	LeaseHeld           func() bool
+	QuarantinedParts    func() int              // prompt parts whose requests are refused
+	QuarantinedRequests func() int              // requests that are refused whenever they are sent again
+	Limited             func() int              // servers that limit the rate of requests
+	ServerCalls         func() map[string]int64 // orders to and reports of model servers, by kind and outcome
 }
 
 // sourceCollector exports Sources as metrics.
@@ -40,19 +41,20 @@
 }
 
 var (
-	descWritten       = newDesc("log_lines_written_total", "Lines of the decision log that were written.")
-	descLeftOut       = newDesc("log_lines_left_out_total", "Lines of the decision log that were left out.")
-	descWaiting       = newDesc("requests_waiting", "Requests that wait at the entry.")
-	descInProgress    = newDesc("requests_in_progress", "Requests that have arrived and not ended.")
-	descBudget        = newDesc("retry_budget_left", "Further attempts that the retry budget allows this entry now.", labelService)
-	descServers       = newDesc("servers", "Backend servers by state.", labelService, labelState)
-	descConfigVersion = newDesc("config_version", "Version of the configuration in force.")
-	descConfigAge     = newDesc("config_age_seconds", "Time since the store was last asked for the configuration with success.")
-	descServersAge    = newDesc("servers_age_seconds", "Time since the store was last asked for the backend servers with success.")
-	descServerCalls   = newDesc("server_calls_total", "Orders given to model servers and reports asked of them.", labelOutcome)
-	descQuarantined   = newDesc("quarantined_prompt_parts", "Prompt parts whose requests are refused because servers crash on them.")
-	descLimited       = newDesc("limited_servers", "Backend servers that limit the rate of requests that they take.")
-	descLeaseHeld     = newDesc("lease_held", "1 when this process gives orders to the backend servers.")
+	descWritten             = newDesc("log_lines_written_total", "Lines of the decision log that were written.")
+	descLeftOut             = newDesc("log_lines_left_out_total", "Lines of the decision log that were left out.")
+	descWaiting             = newDesc("requests_waiting", "Requests that wait at the entry.")
+	descInProgress          = newDesc("requests_in_progress", "Requests that have arrived and not ended.")
+	descBudget              = newDesc("retry_budget_left", "Further attempts that the retry budget allows this entry now.", labelService)
+	descServers             = newDesc("servers", "Backend servers by state.", labelService, labelState)
+	descConfigVersion       = newDesc("config_version", "Version of the configuration in force.")
+	descConfigAge           = newDesc("config_age_seconds", "Time since the store was last asked for the configuration with success.")
+	descServersAge          = newDesc("servers_age_seconds", "Time since the store was last asked for the backend servers with success.")
+	descServerCalls         = newDesc("server_calls_total", "Orders given to model servers and reports asked of them.", labelOutcome)
+	descQuarantinedParts    = newDesc("quarantined_prompt_parts", "Prompt parts whose requests are refused because servers crash on them.")
+	descQuarantinedRequests = newDesc("quarantined_requests", "Requests that are refused whenever they are sent again, because servers crash on them.")
+	descLimited             = newDesc("limited_servers", "Backend servers that limit the rate of requests that they take.")
+	descLeaseHeld           = newDesc("lease_held", "1 when this process gives orders to the backend servers.")
 )
 
 // Describe implements prometheus.Collector.
@@ -60,7 +62,7 @@
 	for _, d := range []*prometheus.Desc{
 		descWritten, descLeftOut, descWaiting, descInProgress, descBudget,
 		descServers, descConfigVersion, descConfigAge, descServersAge, descLeaseHeld, descServerCalls,
-		descQuarantined, descLimited,
+		descQuarantinedParts, descQuarantinedRequests, descLimited,
 	} {
 		out <- d
 	}
@@ -71,7 +73,8 @@
 	s.collectLog(out)
 	sendGauge(out, descWaiting, s.Waiting)
 	sendGauge(out, descInProgress, s.InProgress)
-	sendGauge(out, descQuarantined, s.Quarantined)
+	sendGauge(out, descQuarantinedParts, s.QuarantinedParts)
+	sendGauge(out, descQuarantinedRequests, s.QuarantinedRequests)
 	sendGauge(out, descLimited, s.Limited)
 	sendGauge(out, descConfigVersion, s.ConfigVersion)
 	sendAge(out, descConfigAge, s.ConfigAge)
--- a/entry/direct/crashguard/detect.go
+++ b/entry/direct/crashguard/detect.go
@@ -16,7 +16,7 @@
 	maxRank   = 10 // entries after this many wait no longer
 )
 
-// Run looks for parts on which servers crash until ctx is done.
+// Run looks for causes on which servers crash until ctx is done.
 func (g *Guard) Run(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -33,12 +33,12 @@
 	}
 }
 
-// detect quarantines the parts found, and returns when to look again, or zero.
+// detect quarantines the causes found, and returns when to look again, or zero.
 func (g *Guard) detect(now time.Time) (again time.Time) {
 	connected := g.opts.Peers.Connected()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	findings, again := g.detector.Find(now, func(p uint64) bool { return g.list.Quarantined(p, now) })
+	findings, again := g.detector.Find(now, func(c quarantine.Cause) bool { return g.list.Quarantined(c, now) })
 	if len(findings) == 0 {
 		g.actAt = time.Time{}
 		return again
@@ -54,13 +54,13 @@
 	return now // the crashes that these do not explain may have another cause
 }
 
-// quarantine quarantines the parts and tells the other entries. The caller holds mu.
+// quarantine quarantines the causes and tells the other entries. The caller holds mu.
 func (g *Guard) quarantine(findings []quarantine.Finding, now time.Time) {
 	var states Entries
 	for _, f := range findings {
-		e := g.list.Quarantine(f.Part, now)
-		g.opts.Log.Write(decisionlog.PartQuarantined{
-			Part:      f.Part,
+		e := g.list.Quarantine(f.Cause, now)
+		g.opts.Log.Write(decisionlog.CauseQuarantined{
+			Cause:     loggedCause(f.Cause),
 			Source:    sourceCrashes,
 			Crashes:   f.Crashes,
 			Requests:  f.Requests,
--- a/entry/direct/crashguard/guard.go
+++ b/entry/direct/crashguard/guard.go
@@ -32,7 +32,7 @@
 	// Complete reports whether all known entries are connected.
 	Complete() bool
 	BroadcastCrash(r CrashReport)
-	BroadcastCleared(parts ClearedParts)
+	BroadcastCleared(causes ClearedCauses)
 	BroadcastEntries(e Entries)
 	SendEntries(peer string, e Entries)
 }
@@ -57,8 +57,8 @@
 	detector *quarantine.Detector
 	list     *quarantine.List
 	watches  map[*watch]struct{}
-	unsaved  map[uint64]quarantine.Entry // entries of this process whose rows must be written, by part
-	actAt    time.Time                   // when this entry may announce a finding; zero without one
+	unsaved  map[quarantine.Cause]quarantine.Entry // entries of this process whose rows must be written
+	actAt    time.Time                             // when this entry may announce a finding; zero without one
 }
 
 // New returns a Guard that knows of no crash.
@@ -70,7 +70,7 @@
 		detector: quarantine.NewDetector(),
 		list:     quarantine.NewList(),
 		watches:  map[*watch]struct{}{},
-		unsaved:  map[uint64]quarantine.Entry{},
+		unsaved:  map[quarantine.Cause]quarantine.Entry{},
 	}
 	g.checker = newChecker(g.report)
 	return g
@@ -79,9 +79,7 @@
 // Lost records that the connection to a server broke after a request was sent there, and
 // before its answer was complete. It does not block.
 func (g *Guard) Lost(s *fleet.Server, lost quarantine.Lost) {
-	if len(lost.Parts) > 0 {
-		g.checker.offer(lostAttempt{server: s, at: time.Now(), lost: lost})
-	}
+	g.checker.offer(lostAttempt{server: s, at: time.Now(), lost: lost})
 }
 
 // RunChecks checks whether servers that lost requests have crashed, until ctx is done.
@@ -97,25 +95,34 @@
 	g.opts.Peers.BroadcastCrash(reportOf(incarnation(p.server), p.at, p.lost, now))
 }
 
-// Answered records that a request with the parts was answered completely.
-func (g *Guard) Answered(parts []uint64) {
-	if len(parts) == 0 {
-		return
-	}
+// Answered records that a request was answered completely.
+func (g *Guard) Answered(c quarantine.Contents) {
+	c.Digest() // not under the lock: it may hash a long body
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	cleared := g.detector.Answered(parts, now)
+	var cleared ClearedCauses
+	for _, cause := range g.detector.Answered(c, now) {
+		cleared = append(cleared, causeState(cause))
+	}
 	if len(cleared) > 0 {
 		g.opts.Peers.BroadcastCleared(cleared)
 	}
+	g.release(c, now)
+}
+
+// release ends the quarantine of what an answered request holds. The caller holds mu.
+func (g *Guard) release(c quarantine.Contents, now time.Time) {
 	var released Entries
-	for _, p := range parts {
-		if e, ok := g.list.Release(p, now); ok {
-			g.opts.Log.Write(decisionlog.PartReleased{Part: p, Source: sourceAnswer})
-			released = append(released, stateOf(e, now))
-			g.saveLater(e)
+	for {
+		held, ok := g.list.Find(c, now)
+		if !ok {
+			break
 		}
+		e, _ := g.list.Release(held.Cause, now)
+		g.opts.Log.Write(decisionlog.CauseReleased{Cause: loggedCause(e.Cause), Source: sourceAnswer})
+		released = append(released, stateOf(e, now))
+		g.saveLater(e)
 	}
 	if len(released) > 0 {
 		g.opts.Peers.BroadcastEntries(released)
@@ -131,10 +138,14 @@
 }
 
 // ReceiveCleared adds the answers of another entry.
-func (g *Guard) ReceiveCleared(parts ClearedParts) {
+func (g *Guard) ReceiveCleared(cleared ClearedCauses) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.detector.Answered(parts, time.Now())
+	causes := make([]quarantine.Cause, len(cleared))
+	for i, c := range cleared {
+		causes[i] = c.cause()
+	}
+	g.detector.AnsweredWith(causes, time.Now())
 }
 
 // ReceiveEntries adds what another entry knows.
@@ -161,14 +172,14 @@
 	}
 }
 
-// addCrash adds a report about a crash. A crash on a quarantined part renews the
+// addCrash adds a report about a crash. A crash on a quarantined cause renews the
 // quarantine. The caller holds mu.
 func (g *Guard) addCrash(server string, at time.Time, lost []quarantine.Lost, now time.Time) {
 	g.detector.Crashed(server, at, lost, now)
 	for i := range lost {
-		for _, p := range lost[i].Parts {
-			if g.list.Quarantined(p, now) {
-				g.list.Quarantine(p, now)
+		for _, c := range lost[i].Causes() {
+			if g.list.Quarantined(c, now) {
+				g.list.Quarantine(c, now)
 			}
 		}
 	}
@@ -181,19 +192,19 @@
 		return
 	}
 	if !e.Quarantined() {
-		g.opts.Log.Write(decisionlog.PartReleased{Part: e.Part, Source: source})
+		g.opts.Log.Write(decisionlog.CauseReleased{Cause: loggedCause(e.Cause), Source: source})
 		return
 	}
-	g.opts.Log.Write(decisionlog.PartQuarantined{Part: e.Part, Source: source, Remaining: e.Until.Sub(now)})
+	g.opts.Log.Write(decisionlog.CauseQuarantined{Cause: loggedCause(e.Cause), Source: source, Remaining: e.Until.Sub(now)})
 	g.cancelWatched(e, now)
 }
 
 // saveLater makes RunRows write the row of an entry. The caller holds mu.
 func (g *Guard) saveLater(e quarantine.Entry) {
 	if len(g.unsaved) >= maxUnsaved {
-		clear(g.unsaved) // running entries still know the parts
+		clear(g.unsaved) // running entries still know the causes
 	}
-	g.unsaved[e.Part] = e
+	g.unsaved[e.Cause] = e
 	signal(g.save)
 }
 
@@ -203,3 +214,11 @@
 	default:
 	}
 }
+
+// loggedCause returns a cause as the log names it.
+func loggedCause(c quarantine.Cause) decisionlog.Cause {
+	if c.Kind == quarantine.WholeRequest {
+		return decisionlog.Cause{Digest: c.ID}
+	}
+	return decisionlog.Cause{Part: c.ID}
+}
--- a/entry/direct/crashguard/guard_test.go
+++ b/entry/direct/crashguard/guard_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,7 +118,7 @@
 
 func (l link) BroadcastCrash(r CrashReport) { l.broadcast(func(g *Guard) { g.ReceiveCrash(r) }) }
 
-func (l link) BroadcastCleared(p ClearedParts) { l.broadcast(func(g *Guard) { g.ReceiveCleared(p) }) }
+func (l link) BroadcastCleared(c ClearedCauses) { l.broadcast(func(g *Guard) { g.ReceiveCleared(c) }) }
 
 func (l link) BroadcastEntries(e Entries) {
 	l.broadcast(func(g *Guard) { g.ReceiveEntries(l.self, e) })
@@ -148,7 +149,7 @@
 		g := guards[i%len(guards)]
 		before := g.State().Crashes
 		sent := time.Now()
-		g.Lost(crashedServer(t, i), quarantine.Lost{ID: fmt.Sprint("r", i), Parts: []uint64{firstPart, badPart, uint64(100 + i)}, Sent: sent})
+		g.Lost(crashedServer(t, i), quarantine.Lost{ID: fmt.Sprint("r", i), Digest: uint64(i + 1), Parts: []uint64{firstPart, badPart, uint64(100 + i)}, Sent: sent})
 		for _, other := range guards {
 			waitFor(t, "the crash is known", func() bool { return other.State().Crashes > before })
 		}
@@ -165,7 +166,15 @@
 	}
 }
 
-func refused(g *Guard) bool { return g.Check([]uint64{7, badPart}) != nil }
+func refused(g *Guard) bool { return g.Check(withParts(7, badPart)) != nil }
+
+// withParts returns a request with the parts, and with a digest that no other has.
+func withParts(parts ...uint64) quarantine.Contents {
+	digest := 1<<32 + digests.Add(1)
+	return quarantine.Contents{Parts: parts, Digest: func() uint64 { return digest }}
+}
+
+var digests atomic.Uint64
 
 const crashes = 3 // enough for a finding
 
@@ -174,11 +183,11 @@
 	t.Parallel()
 	n := newNetwork(t, nil)
 	a, b, c := n.start("a"), n.start("b"), n.start("c")
-	a.Answered([]uint64{firstPart})
+	a.Answered(withParts(firstPart))
 	crash(t, crashes, a, b, c)
 	for _, g := range []*Guard{a, b, c} {
 		waitFor(t, "the entry refuses the part", func() bool { return refused(g) })
-		assert.Assert(t, g.Check([]uint64{firstPart, 99}) == nil)
+		assert.Assert(t, g.Check(withParts(firstPart, 99)) == nil)
 	}
 }
 
@@ -188,7 +197,7 @@
 	n := newNetwork(t, nil)
 	a, b, c := n.start("a"), n.start("b"), n.start("c")
 	n.isolate("c", true)
-	a.Answered([]uint64{firstPart})
+	a.Answered(withParts(firstPart))
 	crash(t, crashes, a, b)
 	waitFor(t, "the others refuse the part", func() bool { return refused(a) && refused(b) })
 	assert.Assert(t, !refused(c))
@@ -202,7 +211,7 @@
 	n := newNetwork(t, newTable(t))
 	a, c := n.start("a"), n.start("c")
 	n.isolate("c", true)
-	a.Answered([]uint64{firstPart})
+	a.Answered(withParts(firstPart))
 	crash(t, crashes, a)
 	waitFor(t, "the entry refuses the part", func() bool { return refused(c) })
 }
@@ -213,10 +222,10 @@
 	table := newTable(t)
 	n := newNetwork(t, table)
 	a, b := n.start("a"), n.start("b")
-	a.Answered([]uint64{firstPart})
+	a.Answered(withParts(firstPart))
 	crash(t, crashes, a, b)
 	waitFor(t, "both refuse the part", func() bool { return refused(a) && refused(b) })
-	b.Answered([]uint64{firstPart, badPart})
+	b.Answered(withParts(firstPart, badPart))
 	waitFor(t, "both send the part", func() bool { return !refused(a) && !refused(b) })
 	waitFor(t, "the release is stored", func() bool { return a.State().Unsaved+b.State().Unsaved == 0 })
 	c := n.start("c")
@@ -230,22 +239,48 @@
 	n := newNetwork(t, nil)
 	a := n.start("a")
 	watch := func(begun bool, parts ...uint64) context.Context {
-		ctx, stop := a.Watch(t.Context(), parts, func() bool { return begun })
+		ctx, stop := a.Watch(t.Context(), withParts(parts...), func() bool { return begun })
 		t.Cleanup(stop)
 		return ctx
 	}
 	queued, begun, other := watch(false, firstPart, badPart), watch(true, firstPart, badPart), watch(false, firstPart)
-	a.Answered([]uint64{firstPart})
+	a.Answered(withParts(firstPart))
 	crash(t, crashes, a)
 	<-queued.Done()
 	var cause *QuarantinedError
 	assert.Assert(t, errors.As(context.Cause(queued), &cause))
-	assert.Equal(t, cause.Part, uint64(badPart))
+	assert.Equal(t, cause.Cause, quarantine.Part(badPart))
 	assert.NilError(t, begun.Err())
 	assert.NilError(t, other.Err())
 	assert.ErrorContains(t, watch(false, badPart).Err(), "canceled") // a request that comes later
 }
 
+// TestQueuedRepeatOfCrashingRequestEnds watches requests while the request that they repeat is found.
+func TestQueuedRepeatOfCrashingRequestEnds(t *testing.T) {
+	t.Parallel()
+	const badRequest = 77
+	n := newNetwork(t, nil)
+	a, b := n.start("a"), n.start("b")
+	bad := quarantine.Contents{Digest: func() uint64 { return badRequest }}
+	watch := func(c quarantine.Contents) context.Context {
+		ctx, stop := b.Watch(t.Context(), c, func() bool { return false })
+		t.Cleanup(stop)
+		return ctx
+	}
+	repeat, other := watch(bad), watch(withParts())
+	a.Answered(withParts())
+	for i := range crashes {
+		a.Lost(crashedServer(t, i), quarantine.Lost{ID: fmt.Sprint("r", i), Digest: badRequest, Sent: time.Now()})
+		waitFor(t, "the crash is known", func() bool { return a.State().Crashes > i })
+	}
+	<-repeat.Done()
+	assert.NilError(t, other.Err())
+	assert.Equal(t, b.Check(bad).Cause, quarantine.Request(badRequest))
+	assert.Equal(t, a.Quarantined(quarantine.WholeRequest), 1)
+	a.Answered(bad) // by a server that had begun before
+	waitFor(t, "both send the request again", func() bool { return a.Check(bad) == nil && b.Check(bad) == nil })
+}
+
 // TestBrokenConnectionIsNoCrash loses requests at a server that still accepts connections.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	t.Parallel()
@@ -280,7 +315,7 @@
 	n := newNetwork(t, platform.NewTable(platform.Settings{Address: s.Address}))
 	a := n.start("a")
 	s.SetFault(platformtest.StoreUnavailable)
-	a.Answered([]uint64{firstPart})
+	a.Answered(withParts(firstPart))
 	crash(t, crashes, a)
 	waitFor(t, "the entry refuses the part", func() bool { return refused(a) })
 	assert.Equal(t, a.State().Unsaved, 1)
--- a/entry/direct/crashguard/messages.go
+++ b/entry/direct/crashguard/messages.go
@@ -17,30 +17,48 @@
 
 // LostRequest is a request in a CrashReport.
 type LostRequest struct {
-	ID    string   `json:"i"`
-	Parts []uint64 `json:"p"`
-	AgeMS int64    `json:"a"` // since it was sent to the server
-	Begun bool     `json:"b,omitempty"`
+	ID     string   `json:"i"`
+	Digest uint64   `json:"d,omitempty"`
+	Parts  []uint64 `json:"p,omitempty"`
+	AgeMS  int64    `json:"a"` // since it was sent to the server
+	Begun  bool     `json:"b,omitempty"`
 }
 
-// ClearedParts tells the other entries that requests with parts lost in a crash have been
+// ClearedCauses tells the other entries that requests with causes lost in a crash have been
 // answered.
-type ClearedParts []uint64
+type ClearedCauses []CauseState
 
-// Entries tells the other entries which parts are quarantined or were released lately.
+// CauseState is a quarantine.Cause in messages.
+type CauseState struct {
+	ID      uint64 `json:"p"`
+	Request bool   `json:"q,omitempty"` // the digest of a request, not a part of prompts
+}
+
+// Entries tells the other entries which causes are quarantined or were released lately.
 type Entries []EntryState
 
 // EntryState is a quarantine.Entry with the time left.
 type EntryState struct {
-	Part        uint64 `json:"p"`
-	Changes     int    `json:"n"`
-	RemainingMS int64  `json:"r"`
+	CauseState
+	Changes     int   `json:"n"`
+	RemainingMS int64 `json:"r"`
+}
+
+func causeState(c quarantine.Cause) CauseState {
+	return CauseState{ID: c.ID, Request: c.Kind == quarantine.WholeRequest}
+}
+
+func (s CauseState) cause() quarantine.Cause {
+	if s.Request {
+		return quarantine.Request(s.ID)
+	}
+	return quarantine.Part(s.ID)
 }
 
 func reportOf(server string, at time.Time, lost []quarantine.Lost, now time.Time) CrashReport {
 	r := CrashReport{Server: server, AgeMS: now.Sub(at).Milliseconds()}
 	for _, l := range lost {
-		r.Lost = append(r.Lost, LostRequest{ID: l.ID, Parts: l.Parts, AgeMS: now.Sub(l.Sent).Milliseconds(), Begun: l.Begun})
+		r.Lost = append(r.Lost, LostRequest{ID: l.ID, Digest: l.Digest, Parts: l.Parts, AgeMS: now.Sub(l.Sent).Milliseconds(), Begun: l.Begun})
 	}
 	return r
 }
@@ -49,7 +67,7 @@
 func (r CrashReport) requests(now time.Time) []quarantine.Lost {
 	out := make([]quarantine.Lost, len(r.Lost))
 	for i, l := range r.Lost {
-		out[i] = quarantine.Lost{ID: l.ID, Parts: l.Parts, Sent: before(now, l.AgeMS), Begun: l.Begun}
+		out[i] = quarantine.Lost{ID: l.ID, Digest: l.Digest, Parts: l.Parts, Sent: before(now, l.AgeMS), Begun: l.Begun}
 	}
 	return out
 }
@@ -59,9 +77,9 @@
 }
 
 func stateOf(e quarantine.Entry, now time.Time) EntryState {
-	return EntryState{Part: e.Part, Changes: e.Changes, RemainingMS: e.Until.Sub(now).Milliseconds()}
+	return EntryState{CauseState: causeState(e.Cause), Changes: e.Changes, RemainingMS: e.Until.Sub(now).Milliseconds()}
 }
 
 func (s EntryState) entry(now time.Time) quarantine.Entry {
-	return quarantine.Entry{Part: s.Part, Changes: s.Changes, Until: now.Add(time.Duration(s.RemainingMS) * time.Millisecond)}
+	return quarantine.Entry{Cause: s.cause(), Changes: s.Changes, Until: now.Add(time.Duration(s.RemainingMS) * time.Millisecond)}
 }
--- a/entry/direct/crashguard/rows.go
+++ b/entry/direct/crashguard/rows.go
@@ -20,9 +20,11 @@
 )
 
 const (
-	rowPrefix   = "quarantine/" // of the keys of the parts' rows
-	rowTimeout  = time.Second   // of one call
-	maxRows     = 500           // read at a start
+	rowPrefix     = "quarantine/" // of the keys of all rows; the ID of a part follows,
+	requestPrefix = "request/"    // or this and the digest of a request
+
+	rowTimeout  = time.Second // of one call
+	maxRows     = 500         // read at a start
 	minRowRetry = 500 * time.Millisecond
 	maxRowRetry = 5 * time.Second
 
@@ -31,14 +33,14 @@
 	readInterval = 5 * time.Second
 )
 
-// partRow is the value stored in the row of a part. Its time is one of the wall clock: an
+// causeRow is the value stored in the row of a cause. Its time is one of the wall clock: an
 // error of seconds does not matter for quarantine.TTL.
-type partRow struct {
+type causeRow struct {
 	Changes int   `json:"changes"`
 	UntilMS int64 `json:"until_ms"` // Unix time
 }
 
-// RunRows reads the quarantined parts from the store at the start, and while this entry is
+// RunRows reads what is quarantined from the store at the start, and while this entry is
 // not connected to all others, and writes those that it finds, until ctx is done.
 func (g *Guard) RunRows(ctx context.Context) {
 	if g.opts.Table == nil {
@@ -114,15 +116,15 @@
 	return nil
 }
 
-// writeRows writes the rows of all parts that have changed here.
+// writeRows writes the rows of all causes that have changed here.
 func (g *Guard) writeRows(ctx context.Context) error {
 	for _, e := range g.unsavedEntries() {
 		if err := g.writeRow(ctx, e); err != nil {
 			return err
 		}
 		g.mu.Lock()
-		if g.unsaved[e.Part] == e {
-			delete(g.unsaved, e.Part)
+		if g.unsaved[e.Cause] == e {
+			delete(g.unsaved, e.Cause)
 		}
 		g.mu.Unlock()
 	}
@@ -149,8 +151,8 @@
 func (g *Guard) tryWriteRow(ctx context.Context, e quarantine.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
-	key := rowPrefix + decisionlog.FormatPart(e.Part)
-	value, err := json.Marshal(partRow{Changes: e.Changes, UntilMS: e.Until.UnixMilli()})
+	key := rowKey(e.Cause)
+	value, err := json.Marshal(causeRow{Changes: e.Changes, UntilMS: e.Until.UnixMilli()})
 	if err != nil {
 		return fault.New(fault.KindInternal, "crashguard.row", key, err)
 	}
@@ -169,14 +171,23 @@
 	return err
 }
 
+func rowKey(c quarantine.Cause) string {
+	if c.Kind == quarantine.WholeRequest {
+		return rowPrefix + requestPrefix + decisionlog.FormatDigest(c.ID)
+	}
+	return rowPrefix + decisionlog.FormatPart(c.ID)
+}
+
 func decodeRow(row store.Row) (quarantine.Entry, error) {
-	part, err := strconv.ParseUint(strings.TrimPrefix(row.Key, rowPrefix), 16, 64)
+	id, isRequest := strings.CutPrefix(strings.TrimPrefix(row.Key, rowPrefix), requestPrefix)
+	n, err := strconv.ParseUint(id, 16, 64)
 	if err != nil {
 		return quarantine.Entry{}, fault.New(fault.KindInvalid, "crashguard.row", row.Key, err)
 	}
-	var value partRow
+	var value causeRow
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return quarantine.Entry{}, fault.New(fault.KindInvalid, "crashguard.row", row.Key, err)
 	}
-	return quarantine.Entry{Part: part, Changes: value.Changes, Until: time.UnixMilli(value.UntilMS)}, nil
+	cause := CauseState{ID: n, Request: isRequest}.cause()
+	return quarantine.Entry{Cause: cause, Changes: value.Changes, Until: time.UnixMilli(value.UntilMS)}, nil
 }
--- a/entry/direct/crashguard/watch.go
+++ b/entry/direct/crashguard/watch.go
@@ -2,44 +2,38 @@
 
 import (
 	"context"
-	"fmt"
-	"slices"
 	"time"
 
 	"peridotchute.example/admission/quarantine"
-	"peridotchute.example/common/decisionlog"
 )
 
-// QuarantinedError says that a request has a part on which servers crash.
+// QuarantinedError says that a request holds a cause on which servers crash.
 type QuarantinedError struct {
-	Part      uint64
+	Cause     quarantine.Cause
 	Remaining time.Duration // until the quarantine ends
 }
 
 // Error implements error.
 func (e *QuarantinedError) Error() string {
-	return fmt.Sprintf("servers crash on prompt part %s", decisionlog.FormatPart(e.Part))
+	return "servers crash on " + loggedCause(e.Cause).String()
 }
 
 // watch is a request in progress.
 type watch struct {
-	parts  []uint64
-	begun  func() bool
-	cancel context.CancelCauseFunc
+	contents quarantine.Contents
+	begun    func() bool
+	cancel   context.CancelCauseFunc
 }
 
-// Watch returns a context that is canceled with a *QuarantinedError as its cause when a
-// part of the request is quarantined, unless its answer has begun by then. It is canceled
-// at once if a part is quarantined already. The caller must call stop.
-func (g *Guard) Watch(ctx context.Context, parts []uint64, begun func() bool) (watched context.Context, stop func()) {
-	if len(parts) == 0 {
-		return ctx, func() {}
-	}
+// Watch returns a context that is canceled with a *QuarantinedError as its cause when
+// something that the request holds is quarantined, unless its answer has begun by then. It
+// is canceled at once if something is quarantined already. The caller must call stop.
+func (g *Guard) Watch(ctx context.Context, c quarantine.Contents, begun func() bool) (watched context.Context, stop func()) {
 	watched, cancel := context.WithCancelCause(ctx)
-	w := &watch{parts: parts, begun: begun, cancel: cancel}
+	w := &watch{contents: c, begun: begun, cancel: cancel}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.check(parts); err != nil {
+	if err := g.check(c); err != nil {
 		cancel(err)
 		return watched, func() {}
 	}
@@ -52,28 +46,29 @@
 	}
 }
 
-// Check returns a *QuarantinedError if a part is quarantined, and otherwise nil.
-func (g *Guard) Check(parts []uint64) *QuarantinedError {
+// Check returns a *QuarantinedError if the request holds something quarantined, and
+// otherwise nil.
+func (g *Guard) Check(c quarantine.Contents) *QuarantinedError {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.check(parts)
+	return g.check(c)
 }
 
-func (g *Guard) check(parts []uint64) *QuarantinedError {
+func (g *Guard) check(c quarantine.Contents) *QuarantinedError {
 	now := time.Now()
-	e, ok := g.list.Find(parts, now)
+	e, ok := g.list.Find(c, now)
 	if !ok {
 		return nil
 	}
-	return &QuarantinedError{Part: e.Part, Remaining: e.Until.Sub(now)}
+	return &QuarantinedError{Cause: e.Cause, Remaining: e.Until.Sub(now)}
 }
 
-// cancelWatched ends the requests with the part whose answers have not begun. The caller
+// cancelWatched ends the requests with the cause whose answers have not begun. The caller
 // holds mu.
 func (g *Guard) cancelWatched(e quarantine.Entry, now time.Time) {
 	for w := range g.watches {
-		if slices.Contains(w.parts, e.Part) && !w.begun() {
-			w.cancel(&QuarantinedError{Part: e.Part, Remaining: e.Until.Sub(now)})
+		if w.contents.Has(e.Cause) && !w.begun() {
+			w.cancel(&QuarantinedError{Cause: e.Cause, Remaining: e.Until.Sub(now)})
 		}
 	}
 }
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -308,7 +308,7 @@
 	retryAfter time.Duration // Retry-After; 0 for none
 	reason     decisionlog.RefusalReason
 	detail     string
-	part       uint64 // quarantined part of the prompt; 0 if none is the reason
+	cause      decisionlog.Cause // on which servers crash, if that is the reason
 
 	expected time.Duration // expected wait that caused the refusal; 0 if unknown
 	waiting  int           // requests for the same service queued in this entry
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -165,7 +165,7 @@
 	r.refused = &decisionlog.Refused{
 		Reason:        cause.reason,
 		Detail:        cause.detail,
-		Part:          cause.part,
+		Cause:         cause.cause,
 		Status:        cause.status,
 		RetryAfter:    cause.retryAfter,
 		Waited:        r.end.Waited,
--- a/entry/direct/front/retry.go
+++ b/entry/direct/front/retry.go
@@ -31,9 +31,10 @@
 // withheldReason returns why no further attempt may be made, or "" if one may.
 // It does not consider the budget.
 func (r *run) withheldReason(ctx context.Context) decisionlog.WithheldReason {
+	if q := r.quarantined(ctx); q != nil {
+		return withheldOf(q)
+	}
 	switch {
-	case r.quarantined(ctx) != nil:
-		return decisionlog.WithheldQuarantined
 	case ctx.Err() != nil:
 		return decisionlog.WithheldTime
 	case r.mayHaveRun && r.req.route.RetryPolicy == fleet.RetryNever:
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -54,7 +54,7 @@
 	defer f.activeRequests.end(req)
 	run := &run{f: f, w: w, r: r, req: req, record: newRecord(f.opts.Log, req, v)}
 	defer run.record.close()
-	ctx, stopWatch := f.opts.Guard.Watch(ctx, req.parts, run.begun.Load)
+	ctx, stopWatch := f.opts.Guard.Watch(ctx, req.contents(), run.begun.Load)
 	defer stopWatch()
 	if quarantined := quarantinedCause(ctx); quarantined != nil {
 		run.finishWithError(ctx, refusalOf(quarantined))
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -56,9 +56,9 @@
 		return nil, nil
 	}
 	r := w.run
-	if r.quarantined(ctx) != nil {
+	if q := r.quarantined(ctx); q != nil {
 		w.phase = phaseIdle
-		w.recordWithheld(decisionlog.WithheldQuarantined)
+		w.recordWithheld(withheldOf(q))
 		return nil, nil
 	}
 	taken := time.Now()
--- a/entry/direct/guardpeers.go
+++ b/entry/direct/guardpeers.go
@@ -22,8 +22,8 @@
 func (p guardPeers) BroadcastCrash(r crashguard.CrashReport) { p.mesh.Broadcast(methodCrash, r) }
 
 // BroadcastCleared implements crashguard.Peers.
-func (p guardPeers) BroadcastCleared(parts crashguard.ClearedParts) {
-	p.mesh.Broadcast(methodCleared, parts)
+func (p guardPeers) BroadcastCleared(causes crashguard.ClearedCauses) {
+	p.mesh.Broadcast(methodCleared, causes)
 }
 
 // BroadcastEntries implements crashguard.Peers.
@@ -37,6 +37,6 @@
 // handleCrashes registers the messages about crashes from other entries.
 func (c *coordination) handleCrashes() {
 	mesh.HandleBroadcast(c.mesh, methodCrash, func(_ string, r crashguard.CrashReport) { c.guard.ReceiveCrash(r) })
-	mesh.HandleBroadcast(c.mesh, methodCleared, func(_ string, parts crashguard.ClearedParts) { c.guard.ReceiveCleared(parts) })
+	mesh.HandleBroadcast(c.mesh, methodCleared, func(_ string, causes crashguard.ClearedCauses) { c.guard.ReceiveCleared(causes) })
 	mesh.HandleBroadcast(c.mesh, methodParts, func(from string, e crashguard.Entries) { c.guard.ReceiveEntries(from, e) })
 }
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"peridotchute.example/admission/quarantine"
 	"peridotchute.example/common/admin"
 	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/decisionlog"
@@ -81,18 +82,19 @@
 func startMetrics(lc fx.Lifecycle, s Settings, m *metrics.Metrics, log *decisionlog.Log, logger logrus.FieldLogger,
 	w *view.Watcher, b *balance.Balancer, f *front.Front, c *coordination) {
 	m.RegisterSources(metrics.Sources{
-		Log:           log.Counts,
-		Waiting:       b.Waiting,
-		InProgress:    func() int { return int(f.Active()) },
-		BudgetLeft:    b.BudgetsLeft,
-		Servers:       func() map[metrics.ServerState]int { return serverStates(w.Current()) },
-		ConfigVersion: func() int64 { return configVersion(w.Current()) },
-		ConfigAge:     w.ConfigAge,
-		LeaseHeld:     c.holdsLease,
-		Quarantined:   c.guard.Quarantined,
-		Limited:       b.LimitedServers,
-		ServersAge:    func() time.Duration { return serversAge(w.Current()) },
-		ServerCalls:   func() map[string]int64 { return serverCalls(c.manager.Counts()) },
+		Log:                 log.Counts,
+		Waiting:             b.Waiting,
+		InProgress:          func() int { return int(f.Active()) },
+		BudgetLeft:          b.BudgetsLeft,
+		Servers:             func() map[metrics.ServerState]int { return serverStates(w.Current()) },
+		ConfigVersion:       func() int64 { return configVersion(w.Current()) },
+		ConfigAge:           w.ConfigAge,
+		LeaseHeld:           c.holdsLease,
+		QuarantinedParts:    func() int { return c.guard.Quarantined(quarantine.PromptPart) },
+		QuarantinedRequests: func() int { return c.guard.Quarantined(quarantine.WholeRequest) },
+		Limited:             b.LimitedServers,
+		ServersAge:          func() time.Duration { return serversAge(w.Current()) },
+		ServerCalls:         func() map[string]int64 { return serverCalls(c.manager.Counts()) },
 	})
 	server := admin.NewServer()
 	server.Router().Handle("/metrics", m.Handler()).Methods(http.MethodGet)
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -57,7 +57,7 @@
 	switch decisionlog.RefusalReason(e.Text("reason")) {
 	case decisionlog.RefusedModelNotLoaded, decisionlog.RefusedAdapterNotLoaded:
 		return append(sentences, t.modelHistory()...)
-	case decisionlog.RefusedQuarantined:
+	case decisionlog.RefusedPart, decisionlog.RefusedRequest:
 		return append(sentences, t.quarantineHistory()...)
 	case decisionlog.RefusedTooLate, decisionlog.RefusedQueueFull, decisionlog.RefusedPreempted:
 		return append(append(sentences, t.serverHistory()...), t.recentOutcomes())
@@ -90,24 +90,35 @@
 }
 
 // quarantineHistory describes how the entries learned that servers crash on a part of the
-// request's prompt.
+// request's prompt, or on the request.
 func (t *Timeline) quarantineHistory() []string {
 	var sentences []string
 	for _, item := range t.Items {
 		l := item.Line
 		switch {
 		case isFinding(l):
-			sentences = append(sentences, fmt.Sprintf("%s: %s found that servers crash on prompt part %s, by %s crashes that lost the requests %s.",
-				relativeTime(item.At), l.Node, l.Text("part"), l.Text("crashes"), l.Text("requests")))
-		case l.Event == event.PartQuarantined.ID:
-			sentences = append(sentences, fmt.Sprintf("%s: %s learned of prompt part %s from %s.", relativeTime(item.At), l.Node, l.Text("part"), l.Text("source")))
-		case l.Event == event.PartReleased.ID:
-			sentences = append(sentences, fmt.Sprintf("%s: %s released prompt part %s.", relativeTime(item.At), l.Node, l.Text("part")))
+			sentences = append(sentences, fmt.Sprintf("%s: %s found that servers crash on %s, by %s crashes that lost the requests %s.",
+				relativeTime(item.At), l.Node, crashCause(l), l.Text("crashes"), l.Text("requests")))
+		case isQuarantine(l):
+			sentences = append(sentences, fmt.Sprintf("%s: %s learned of %s from %s.", relativeTime(item.At), l.Node, crashCause(l), l.Text("source")))
+		case l.Event == event.PartReleased.ID || l.Event == event.RequestReleased.ID:
+			sentences = append(sentences, fmt.Sprintf("%s: %s released %s.", relativeTime(item.At), l.Node, crashCause(l)))
 		}
 	}
 	return sentences
 }
 
+// crashCause names what a line says that servers crash on, or "".
+func crashCause(l *Line) string {
+	if part := l.Text("part"); part != "" {
+		return "prompt part " + part
+	}
+	if digest := l.Text("digest"); digest != "" {
+		return "request digest " + digest
+	}
+	return ""
+}
+
 func (t *Timeline) lateCause() []string {
 	e := t.end
 	first, objective := e.Duration("first_byte_ms"), e.Duration("objective_ms")
@@ -166,7 +177,8 @@
 func (t *Timeline) failedCause() []string {
 	e := t.end
 	sentences := []string{fmt.Sprintf("%s after %v%s.", capitalize(e.Name), e.Duration("total_ms"), reasonSuffix(e))}
-	return append(append(sentences, t.attempts()...), t.serverHistory()...)
+	sentences = append(append(sentences, t.attempts()...), t.quarantineHistory()...)
+	return append(sentences, t.serverHistory()...)
 }
 
 // serverHistory describes which of the request's servers, and of its service's, left, crashed
@@ -241,8 +253,8 @@
 	if detail := l.Text("detail"); detail != "" {
 		parts = append(parts, detail)
 	}
-	if part := l.Text("part"); part != "" {
-		parts = append(parts, "prompt part "+part)
+	if cause := crashCause(l); cause != "" {
+		parts = append(parts, cause)
 	}
 	if len(parts) == 0 {
 		return ""
--- a/operator/explain/quarantine_test.go
+++ b/operator/explain/quarantine_test.go
@@ -13,25 +13,38 @@
 // TestQuarantinedRequestIsExplained explains a refusal whose reason another entry found long
 // before.
 func TestQuarantinedRequestIsExplained(t *testing.T) {
-	dir := t.TempDir()
-	write := func(node, lines string) string {
-		path := filepath.Join(dir, node)
-		assert.NilError(t, os.WriteFile(path, []byte(lines), 0o600))
-		return path
-	}
-	finder := write("edge-1.log", `{"time":"2026-01-24T17:20:00.000Z","msg":"process started","event":100,"node":"edge-1","run":"a","offset_ms":1}
-{"time":"2026-01-24T17:20:40.000Z","msg":"prompt part quarantined","event":653,"node":"edge-1","run":"a","offset_ms":40001,"part":"c4a5ed01","source":"crashes","crashes":3,"requests":"r1,r2","remaining_ms":600000}
-{"time":"2026-01-24T17:20:41.000Z","msg":"prompt part quarantined","event":653,"node":"edge-1","run":"a","offset_ms":41001,"part":"77","source":"crashes","crashes":3,"requests":"r3,r4","remaining_ms":600000}
+	for name, c := range map[string]struct{ found, foundOther, refused, reason, cause string }{
+		"prompt part": {
+			`"msg":"prompt part quarantined","event":653,"part":"c4a5ed01"`, `"msg":"prompt part quarantined","event":653,"part":"77"`,
+			`"part":"c4a5ed01"`, "servers crash on a part of the prompt", "prompt part c4a5ed01",
+		},
+		"request": {
+			`"msg":"request quarantined","event":658,"digest":"00000000c4a5ed01"`, `"msg":"request quarantined","event":658,"digest":"0000000000000077"`,
+			`"digest":"00000000c4a5ed01"`, "servers crash on the request", "request digest 00000000c4a5ed01",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			write := func(node, lines string) string {
+				path := filepath.Join(dir, node)
+				assert.NilError(t, os.WriteFile(path, []byte(lines), 0o600))
+				return path
+			}
+			finder := write("edge-1.log", `{"time":"2026-01-24T17:20:00.000Z","msg":"process started","event":100,"node":"edge-1","run":"a","offset_ms":1}
+{"time":"2026-01-24T17:20:40.000Z",`+c.found+`,"node":"edge-1","run":"a","offset_ms":40001,"source":"crashes","crashes":3,"requests":"r1,r2","remaining_ms":600000}
+{"time":"2026-01-24T17:20:41.000Z",`+c.foundOther+`,"node":"edge-1","run":"a","offset_ms":41001,"source":"crashes","crashes":3,"requests":"r3,r4","remaining_ms":600000}
 `)
-	refuser := write("edge-2.log", `{"time":"2026-01-24T17:20:00.000Z","msg":"process started","event":100,"node":"edge-2","run":"b","offset_ms":1}
-{"time":"2026-01-24T17:25:00.000Z","msg":"request refused","event":605,"node":"edge-2","run":"b","offset_ms":300001,"request":"r9","reason":"servers crash on a part of the prompt","part":"c4a5ed01","status":503,"retry_after_ms":340000}
+			refuser := write("edge-2.log", `{"time":"2026-01-24T17:20:00.000Z","msg":"process started","event":100,"node":"edge-2","run":"b","offset_ms":1}
+{"time":"2026-01-24T17:25:00.000Z","msg":"request refused","event":605,"node":"edge-2","run":"b","offset_ms":300001,"request":"r9","reason":"`+c.reason+`",`+c.refused+`,"status":503,"retry_after_ms":340000}
 `)
-	cmd := Command()
-	var out bytes.Buffer
-	cmd.SetOut(&out)
-	cmd.SetArgs([]string{"r9", finder, refuser})
-	assert.NilError(t, cmd.Execute())
-	assert.Assert(t, cmp.Contains(out.String(), "Refused with status 503 before it ran: servers crash on a part of the prompt (prompt part c4a5ed01)."))
-	assert.Assert(t, cmp.Contains(out.String(), "edge-1 found that servers crash on prompt part c4a5ed01, by 3 crashes that lost the requests r1,r2."))
-	assert.Assert(t, !bytes.Contains(out.Bytes(), []byte("prompt part 77")))
+			cmd := Command()
+			var out bytes.Buffer
+			cmd.SetOut(&out)
+			cmd.SetArgs([]string{"r9", finder, refuser})
+			assert.NilError(t, cmd.Execute())
+			assert.Assert(t, cmp.Contains(out.String(), "Refused with status 503 before it ran: "+c.reason+" ("+c.cause+")."))
+			assert.Assert(t, cmp.Contains(out.String(), "edge-1 found that servers crash on "+c.cause+", by 3 crashes that lost the requests r1,r2."))
+			assert.Assert(t, !bytes.Contains(out.Bytes(), []byte("r3,r4")))
+		})
+	}
 }
--- a/operator/explain/timeline.go
+++ b/operator/explain/timeline.go
@@ -132,10 +132,12 @@
 	}
 }
 
-// isFinding reports whether a line records the finding of a crashing prompt part, by any
-// entry: its quarantine lasts longer than a window.
-func isFinding(l *Line) bool {
-	return l.Event == event.PartQuarantined.ID && l.Text("crashes") != ""
+// isFinding reports whether a line records the finding of a crashing prompt part or request,
+// by any entry: its quarantine lasts longer than a window.
+func isFinding(l *Line) bool { return isQuarantine(l) && l.Text("crashes") != "" }
+
+func isQuarantine(l *Line) bool {
+	return l.Event == event.PartQuarantined.ID || l.Event == event.RequestQuarantined.ID
 }
 
 // withoutDuplicates removes lines of other processes about a change that another
@@ -219,6 +221,7 @@
 // subject is the set of services, servers, artifacts and prompt parts that a request involved.
 type subject struct {
 	parts     map[string]bool
+	digests   map[string]bool // of the request
 	services  map[string]bool
 	servers   map[string]bool // named in lines about the request
 	models    map[string]bool
@@ -226,12 +229,13 @@
 }
 
 func subjectOf(own []*Line) subject {
-	subj := subject{parts: map[string]bool{}, services: map[string]bool{}, servers: map[string]bool{}, models: map[string]bool{}, artifacts: map[string]bool{}}
+	subj := subject{parts: map[string]bool{}, digests: map[string]bool{}, services: map[string]bool{}, servers: map[string]bool{}, models: map[string]bool{}, artifacts: map[string]bool{}}
 	for _, l := range own {
 		for part := range strings.SplitSeq(l.Text("prompt_parts"), ",") {
 			subj.parts[part] = true
 		}
 		subj.parts[l.Text("part")] = true
+		subj.digests[l.Text("digest")] = true
 		if service := l.Text("service"); service != "" {
 			subj.services[service] = true
 		}
@@ -256,6 +260,8 @@
 	switch l.Event {
 	case event.PartQuarantined.ID, event.PartReleased.ID:
 		return a.parts[l.Text("part")]
+	case event.RequestQuarantined.ID, event.RequestReleased.ID:
+		return a.digests[l.Text("digest")]
 	case event.ServerCrashed.ID, event.ServerLimited.ID:
 		return a.servers[l.Text("server")]
 	case event.ServerAppeared.ID, event.ServerLeft.ID, event.ServerDraining.ID,
