A lapsed registration makes no leaving server the last resort again

A server that says that it leaves takes what no other server can for half of drain_ms. When its registration went and came back, or said draining and ready again, this time began anew, also later than drain_ms after the entry had passed on the first such answer.

Cause: the choice of a server kept the beginning, and forgot it with the registration.

Change: the view keeps when each incarnation was first known to leave, and messages between entries carry its age. An entry that learns it from a shared list does not know the beginning, and uses no last resort.

--- a/entry/direct/balance/leaving.go
+++ b/entry/direct/balance/leaving.go
@@ -12,22 +12,12 @@
 // left for their answers.
 const lastResortShare = 0.5
 
-// noteLeaving records since when the server says that it leaves, while its registration
-// does not. Once that does, the server gets no request, since it may have done so for a
-// while.
-func (s *server) noteLeaving(now time.Time) {
-	switch {
-	case !s.Leaving:
-		s.leavingSince = time.Time{}
-	case s.leavingSince.IsZero():
-		s.leavingSince = now
-	}
-}
-
 // isLastResort reports whether a leaving server may get requests that no other server can.
+// Once its registration says that it drains it gets none, since it may have done so for a
+// while.
 func (b *Balancer) isLastResort(s *server, now time.Time) bool {
 	share := time.Duration(float64(b.opts.Drain) * lastResortShare)
-	return s.Leaving && now.Before(s.leavingSince.Add(share)) && s.takesRequests(now)
+	return s.Leaving && now.Before(s.LeavingSince.Add(share)) && s.takesRequests(now)
 }
 
 // candidate reports whether the server may be offered to the request.
--- a/entry/direct/balance/leaving_test.go
+++ b/entry/direct/balance/leaving_test.go
@@ -70,7 +70,7 @@
 	b.opts.Drain = 400 * time.Millisecond
 	v := currentView(b)
 	v.Servers[0].Draining = true
-	v.Servers[1].Draining, v.Servers[1].Leaving = true, true
+	v.Servers[1].Draining, v.Servers[1].Leaving, v.Servers[1].LeavingSince = true, true, time.Now()
 	b.Update(v)
 	for range 5 {
 		ticket := admitWhile(b, query(""), func() bool { return false })
--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -35,7 +35,6 @@
 	downUntil     time.Time // gets no requests until then
 	failedDials   int       // consecutive
 	peers         peerLoad
-	leavingSince  time.Time // since when it says that it leaves and its registration does not; zero if not
 
 	limit        admission.ServerLimit // this entry's part of the rate that the server takes
 	limitNamed   time.Time             // when an answer or another entry last named the limit
@@ -139,7 +138,6 @@
 		s.reset()
 	}
 	s.Server = *r
-	s.noteLeaving(time.Now())
 	if s.engine != nil && engine != nil {
 		s.engine.Slots, s.engine.KVTokens = engine.Slots, engine.KVTokens
 	}
--- a/entry/direct/leaving.go
+++ b/entry/direct/leaving.go
@@ -2,7 +2,7 @@
 
 import (
 	"peridotchute.example/entry/direct/mesh"
-	"peridotchute.example/fleet"
+	"peridotchute.example/entry/direct/view"
 )
 
 // sendLeaving tells an entry that has connected which servers have said that they leave.
@@ -15,10 +15,10 @@
 // handleLeaving tells the other entries, at once, which servers say that they leave, and
 // registers the message.
 func (c *coordination) handleLeaving() {
-	c.watcher.OnLeaving(func(s fleet.Incarnation) { c.mesh.Broadcast(methodLeaving, []fleet.Incarnation{s}) })
-	mesh.HandleBroadcast(c.mesh, methodLeaving, func(from string, leaving []fleet.Incarnation) {
-		for _, s := range leaving {
-			c.watcher.PeerSaysLeaving(s, from)
+	c.watcher.OnLeaving(func(l view.Leaving) { c.mesh.Broadcast(methodLeaving, []view.Leaving{l}) })
+	mesh.HandleBroadcast(c.mesh, methodLeaving, func(from string, leaving []view.Leaving) {
+		for _, l := range leaving {
+			c.watcher.PeerSaysLeaving(l, from)
 		}
 	})
 }
--- a/entry/direct/view/leaving.go
+++ b/entry/direct/view/leaving.go
@@ -15,17 +15,37 @@
 	leavingTTL = 10 * time.Minute // for how long one is remembered without a registration
 )
 
+// Leaving says that an incarnation of a server has said in an answer that it leaves. Entries
+// exchange it; times are ages, since their clocks differ.
+type Leaving struct {
+	fleet.Incarnation
+	AgeMS int64 `json:"age_ms"` // since it said so first
+}
+
 // leavingServers remembers which incarnations of servers have said in an answer that they
 // leave. An incarnation never takes that back, so it counts as draining whatever its
 // registration says, also if that lapses and comes back.
 type leavingServers struct {
-	heard map[fleet.Incarnation]time.Time // when it was last said or registered
+	heard map[fleet.Incarnation]leavingTimes
+}
+
+type leavingTimes struct {
+	since time.Time // when it was first said; zero if unknown
+	last  time.Time // when it was last said or registered
+}
+
+func newLeavingServers() leavingServers {
+	return leavingServers{heard: map[fleet.Incarnation]leavingTimes{}}
 }
 
 // add remembers an incarnation and reports whether it was unknown.
-func (l *leavingServers) add(s fleet.Incarnation, now time.Time) bool {
-	_, known := l.heard[s]
-	l.heard[s] = now
+func (l *leavingServers) add(s fleet.Incarnation, since, now time.Time) bool {
+	times, known := l.heard[s]
+	if !known {
+		times.since = since
+	}
+	times.last = now
+	l.heard[s] = times
 	if len(l.heard) > maxLeaving {
 		delete(l.heard, slices.MinFunc(slices.Collect(maps.Keys(l.heard)), l.compare))
 	}
@@ -33,11 +53,13 @@
 }
 
 // compare orders incarnations by when they were last heard of.
-func (l *leavingServers) compare(a, b fleet.Incarnation) int { return l.heard[a].Compare(l.heard[b]) }
+func (l *leavingServers) compare(a, b fleet.Incarnation) int {
+	return l.heard[a].last.Compare(l.heard[b].last)
+}
 
 // expire forgets the incarnations that are gone.
 func (l *leavingServers) expire(now time.Time) {
-	maps.DeleteFunc(l.heard, func(_ fleet.Incarnation, at time.Time) bool { return now.Sub(at) >= leavingTTL })
+	maps.DeleteFunc(l.heard, func(_ fleet.Incarnation, t leavingTimes) bool { return now.Sub(t.last) >= leavingTTL })
 }
 
 // mark marks the servers that have said that they leave. Another entry's list may have
@@ -46,13 +68,14 @@
 	for i := range servers {
 		s := &servers[i]
 		if s.Leaving {
-			l.add(s.Incarnation(), now)
+			l.add(s.Incarnation(), time.Time{}, now)
 		}
-		if _, leaves := l.heard[s.Incarnation()]; !leaves {
+		times, leaves := l.heard[s.Incarnation()]
+		if !leaves {
 			continue
 		}
-		l.heard[s.Incarnation()] = now
-		s.Leaving = s.Leaving || !s.Draining
+		l.add(s.Incarnation(), times.since, now)
+		s.Leaving, s.LeavingSince = s.Leaving || !s.Draining, times.since
 		s.Draining = true
 	}
 }
@@ -65,34 +88,40 @@
 // OnLeaving sets the function that is called when an answer to this entry is the first to
 // say that its server leaves. It must be called before the Run methods, and f must not
 // block.
-func (w *Watcher) OnLeaving(f func(fleet.Incarnation)) { w.shareLeaving = f }
+func (w *Watcher) OnLeaving(f func(Leaving)) { w.shareLeaving = f }
 
 // Leaving returns the incarnations that are known to leave by their own word.
-func (w *Watcher) Leaving() []fleet.Incarnation {
+func (w *Watcher) Leaving() []Leaving {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.leaving.all()
+	now := time.Now()
+	var out []Leaving
+	for _, s := range w.leaving.all() {
+		out = append(out, Leaving{Incarnation: s, AgeMS: now.Sub(w.leaving.heard[s].since).Milliseconds()})
+	}
+	return out
 }
 
 // ServerLeaves records that an answer to this entry says that its server leaves. source
 // names the answer in the log.
 func (w *Watcher) ServerLeaves(s fleet.Incarnation, source string) {
-	if w.markLeaving(s, "it says so in the answer to "+source) {
-		w.shareLeaving(s)
+	if w.markLeaving(s, time.Now(), "it says so in the answer to "+source) {
+		w.shareLeaving(Leaving{Incarnation: s})
 	}
 }
 
 // PeerSaysLeaving records what another entry has learned of a server.
-func (w *Watcher) PeerSaysLeaving(s fleet.Incarnation, peer string) {
-	w.markLeaving(s, "told by "+peer)
+func (w *Watcher) PeerSaysLeaving(l Leaving, peer string) {
+	since := time.Now().Add(-time.Duration(max(l.AgeMS, 0)) * time.Millisecond)
+	w.markLeaving(l.Incarnation, since, "told by "+peer)
 }
 
 // markLeaving reports whether it was not known that the server leaves.
-func (w *Watcher) markLeaving(s fleet.Incarnation, reason string) bool {
+func (w *Watcher) markLeaving(s fleet.Incarnation, since time.Time, reason string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	if !w.leaving.add(s, now) {
+	if !w.leaving.add(s, since, now) {
 		return false
 	}
 	old := w.current.Load()
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -46,7 +46,7 @@
 	listeners    []func(*fleet.View)
 	share        func(Document)
 	leaving      leavingServers
-	shareLeaving func(fleet.Incarnation)
+	shareLeaving func(Leaving)
 }
 
 // New returns a Watcher with an empty view. regions maps each availability zone
@@ -61,8 +61,8 @@
 		unreadable: map[string]bool{},
 		share:      func(Document) {},
 
-		leaving:      leavingServers{heard: map[fleet.Incarnation]time.Time{}},
-		shareLeaving: func(fleet.Incarnation) {},
+		leaving:      newLeavingServers(),
+		shareLeaving: func(Leaving) {},
 	}
 	w.current.Store(&fleet.View{Regions: regions})
 	return w
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,6 +96,7 @@
 	Slots        int
 	Draining     bool          // it gets no new requests
 	Leaving      bool          // it drains by its own word in an answer, which its registration does not repeat
+	LeavingSince time.Time     `json:"-"` // when it was first known to leave by its own word; zero if that is unknown
 	Remaining    time.Duration // time until it shuts down; 0 if unknown
 	Cold         time.Duration // remaining warm-up time, during which it is slow
 	Residents    []Resident
