A server without a start time that leaves is used again once it registers anew

A server whose registration does not say when it started, which said that it leaves and came back under the same ID, was never used again: both processes count as one incarnation.

Evidence: TestServerOfUnknownStartIsUsedAgain failed before.

Change: the word of such an incarnation is forgotten when its registration is gone. The platform's servers say when they started.

--- a/entry/direct/view/leaving.go
+++ b/entry/direct/view/leaving.go
@@ -65,8 +65,10 @@
 // mark marks the servers that have said that they leave. Another entry's list may have
 // marked them already.
 func (l *leavingServers) mark(servers []fleet.Server, now time.Time) {
+	registered := map[fleet.Incarnation]bool{}
 	for i := range servers {
 		s := &servers[i]
+		registered[s.Incarnation()] = true
 		if s.Leaving {
 			l.add(s.Incarnation(), time.Time{}, now)
 		}
@@ -78,6 +80,8 @@
 		s.Leaving, s.LeavingSince = s.Leaving || !s.Draining, times.since
 		s.Draining = true
 	}
+	// Without the time of its start, a process that registers anew may be another one.
+	maps.DeleteFunc(l.heard, func(s fleet.Incarnation, _ leavingTimes) bool { return s.Born == 0 && !registered[s] })
 }
 
 // all returns the incarnations in order of their servers' IDs.
--- a/entry/direct/view/leaving_test.go
+++ b/entry/direct/view/leaving_test.go
@@ -40,6 +40,20 @@
 	assert.Assert(t, !w.Current().Servers[0].Draining)
 }
 
+// TestServerOfUnknownStartIsUsedAgain restarts a server whose registration does not say when it started,
+// after its registration was gone.
+func TestServerOfUnknownStartIsUsedAgain(t *testing.T) {
+	w := New(nil, nil, decisionlog.New(decisionlog.Options{Out: io.Discard}))
+	unknown := fleet.Server{ID: "i-1"}
+	w.ApplyServers(listOf(1, unknown), time.Now())
+	w.ServerLeaves(unknown.Incarnation(), "request r1")
+	w.ApplyServers(listOf(2, unknown), time.Now())
+	assert.Assert(t, w.Current().Servers[0].Draining)
+	w.ApplyServers(listOf(3), time.Now())
+	w.ApplyServers(listOf(4, unknown), time.Now())
+	assert.Assert(t, !w.Current().Servers[0].Draining)
+}
+
 // TestLeavingServersAreBounded hears of many servers, and forgets those that are gone.
 func TestLeavingServersAreBounded(t *testing.T) {
 	l := newLeavingServers()
