A service that crashes on everything is not judged by the answers of another one

While all servers of one service crash on whatever they get, a popular request that is lost in three crashes would be refused for ten minutes, as another service answers meanwhile. Prompt parts were hardly affected before, since only answers with parts counted; with whole requests, answers of plain services count too.

Evidence: TestServiceThatCrashesOnEverythingBlamesNobody failed before (the popular request was found).

Change: crashes and answers name their service, and a cause is blamed only while the service of the crashed servers answers other requests.

--- a/admission/quarantine/answers.go
+++ b/admission/quarantine/answers.go
@@ -4,13 +4,14 @@
 
 const (
 	answeredTTL = 5 * time.Minute // for how long at least an answered cause is remembered
+	maxServices = 256             // whose latest answer is remembered
 	maxAnswered = 1 << 14         // causes of each kind in each of the two generations of answers
 )
 
 // answers records when causes were last in an answered request.
 type answers struct {
 	byKind [WholeRequest + 1]generations
-	latest time.Time // of any answer
+	latest map[string]time.Time // of any answer, by service
 }
 
 // generations forgets in two generations.
@@ -19,8 +20,11 @@
 	rotated           time.Time
 }
 
-func (a *answers) add(causes []Cause, now time.Time) {
-	a.latest = now
+func (a *answers) add(service string, causes []Cause, now time.Time) {
+	if a.latest == nil || len(a.latest) >= maxServices {
+		a.latest = map[string]time.Time{}
+	}
+	a.latest[service] = now
 	for _, c := range causes {
 		a.byKind[c.Kind].add(c.ID, now)
 	}
--- a/admission/quarantine/cause.go
+++ b/admission/quarantine/cause.go
@@ -33,8 +33,9 @@
 
 // Contents is what a request holds on which servers may crash.
 type Contents struct {
-	Parts  []uint64      // of its prompt, in order
-	Digest func() uint64 // the same for requests that ask for the same; never 0
+	Service string
+	Parts   []uint64      // of its prompt, in order
+	Digest  func() uint64 // the same for requests that ask for the same; never 0
 }
 
 // Has reports whether the request holds the cause.
--- a/admission/quarantine/detector.go
+++ b/admission/quarantine/detector.go
@@ -44,15 +44,13 @@
 // NewDetector returns a Detector that knows of no crash.
 func NewDetector() *Detector { return &Detector{suspects: map[Cause]struct{}{}} }
 
-// Crashed adds a report that a server's incarnation crashed and lost the requests at the
-// given time.
-func (d *Detector) Crashed(server string, at time.Time, lost []Lost, now time.Time) {
-	d.evidence.add(server, at, lost, now)
+// Crashed adds a report of a crash.
+func (d *Detector) Crashed(r Crash, now time.Time) {
+	d.evidence.add(r, now)
 	if len(d.suspects) > maxSuspects {
 		clear(d.suspects)
 	}
-	for i := range lost {
-		l := lost[i]
+	for _, l := range r.Lost {
 		l.Parts = l.Parts[:min(len(l.Parts), maxParts)]
 		for _, c := range l.Causes() {
 			d.suspects[c] = struct{}{}
@@ -64,12 +62,12 @@
 // that had been lost in a crash since their last answer, which the other entries must
 // learn.
 func (d *Detector) Answered(c Contents, now time.Time) (cleared []Cause) {
-	return d.AnsweredWith(c.causes(), now)
+	return d.AnsweredWith(c.Service, c.causes(), now)
 }
 
-// AnsweredWith adds an answered request that holds the causes, as Answered does.
-func (d *Detector) AnsweredWith(causes []Cause, now time.Time) (cleared []Cause) {
-	d.answers.add(causes, now)
+// AnsweredWith adds an answered request of a service that holds the causes, as Answered does.
+func (d *Detector) AnsweredWith(service string, causes []Cause, now time.Time) (cleared []Cause) {
+	d.answers.add(service, causes, now)
 	for _, c := range causes {
 		if _, suspected := d.suspects[c]; suspected {
 			delete(d.suspects, c)
@@ -106,14 +104,15 @@
 	return found, time.Time{}
 }
 
-// othersAnswered reports whether requests without the candidate's cause are answered: if
-// none is, the servers may crash on all requests. For a cause that was answered before it
-// takes an answer since the first crash.
+// othersAnswered reports whether the service of the crashed servers answers requests without
+// the candidate's cause: if not, they may crash on all requests. For a cause that was answered
+// before it takes an answer since the first crash.
 func (d *Detector) othersAnswered(c *candidate) bool {
+	latest := d.answers.latest[c.crashes[0].service]
 	if c.answered {
-		return d.answers.latest.After(c.crashes[0].at)
+		return latest.After(c.crashes[0].at)
 	}
-	return !d.answers.latest.IsZero()
+	return !latest.IsZero()
 }
 
 // best returns the candidates that lost enough requests and before which none is ordered.
--- a/admission/quarantine/detector_test.go
+++ b/admission/quarantine/detector_test.go
@@ -14,6 +14,8 @@
 	first   = 1 // of all prompts
 	subject = 2 // shared by some prompts
 	bad     = 3 // servers crash on it
+
+	crashingService = "llm"
 )
 
 // scene feeds a Detector with requests and crashes in simulated time.
@@ -21,10 +23,12 @@
 	*Detector
 	now  time.Time
 	next int // numbers requests and servers
+
+	service string // that answers
 }
 
 func newScene() *scene {
-	return &scene{Detector: NewDetector(), now: time.Unix(1000, 0)}
+	return &scene{Detector: NewDetector(), now: time.Unix(1000, 0), service: crashingService}
 }
 
 func (s *scene) pass(d time.Duration) { s.now = s.now.Add(d) }
@@ -39,10 +43,14 @@
 func (s *scene) crash(lost ...Lost) {
 	s.next++
 	s.pass(100 * time.Millisecond)
-	s.Crashed(fmt.Sprint("s", s.next), s.now, lost, s.now)
+	s.crashed(fmt.Sprint("s", s.next), s.now, lost...)
 	s.pass(time.Millisecond)
 }
 
+func (s *scene) crashed(server string, at time.Time, lost ...Lost) {
+	s.Crashed(Crash{Server: server, Service: crashingService, At: at, Lost: lost}, s.now)
+}
+
 // answer answers a request with the parts that did not come before.
 func (s *scene) answer(parts ...uint64) []Cause {
 	s.next++
@@ -51,11 +59,11 @@
 
 func (s *scene) answerRequest(digest uint64, parts ...uint64) []Cause {
 	s.pass(time.Millisecond)
-	return s.Answered(contents(digest, parts...), s.now)
+	return s.Answered(contents(s.service, digest, parts...), s.now)
 }
 
-func contents(digest uint64, parts ...uint64) Contents {
-	return Contents{Parts: parts, Digest: func() uint64 { return digest }}
+func contents(service string, digest uint64, parts ...uint64) Contents {
+	return Contents{Service: service, Parts: parts, Digest: func() uint64 { return digest }}
 }
 
 func none(Cause) bool { return false }
@@ -119,7 +127,7 @@
 	}
 	s.pass(time.Second)
 	for i, l := range lost {
-		s.Crashed(fmt.Sprint("s", i), s.now.Add(time.Duration(i)*time.Millisecond), []Lost{l}, s.now)
+		s.crashed(fmt.Sprint("s", i), s.now.Add(time.Duration(i)*time.Millisecond), l)
 	}
 	s.pass(time.Second)
 	s.answer(7, 8)
@@ -218,7 +226,7 @@
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
 	s := newScene()
 	for range minCrashes {
-		s.Crashed("s", s.now, []Lost{s.lost(first, bad)}, s.now)
+		s.crashed("s", s.now, s.lost(first, bad))
 	}
 	s.answer(first, 7)
 	assert.Equal(t, s.Crashes(), 1)
@@ -230,9 +238,9 @@
 func TestLateReportOfCrashCountsOnce(t *testing.T) {
 	s := newScene()
 	l := s.lost(first, bad)
-	s.Crashed("s", s.now, []Lost{l}, s.now)
+	s.crashed("s", s.now, l)
 	s.pass(5 * time.Second)
-	s.Crashed("s", s.now, []Lost{s.lost(first, bad)}, s.now)
+	s.crashed("s", s.now, s.lost(first, bad))
 	assert.Equal(t, s.Crashes(), 1)
 }
 
--- a/admission/quarantine/evidence.go
+++ b/admission/quarantine/evidence.go
@@ -44,9 +44,18 @@
 	return v
 }
 
+// Crash is a report that one incarnation of a server has ended.
+type Crash struct {
+	Server  string // incarnation
+	Service string // of the server
+	At      time.Time
+	Lost    []Lost
+}
+
 // crash is the end of one incarnation of a server.
 type crash struct {
 	server   string
+	service  string
 	at       time.Time // when its requests were lost, by the earliest report
 	reported time.Time // when the latest report was added
 	lost     []Lost
@@ -115,18 +124,18 @@
 
 // add adds a report about a crash. An incarnation crashes once, so all reports about it
 // make one crash, whatever times the entries give.
-func (e *evidence) add(server string, at time.Time, lost []Lost, now time.Time) {
+func (e *evidence) add(r Crash, now time.Time) {
 	e.expire(now)
-	c := e.find(server)
+	c := e.find(r.Server)
 	if c == nil {
-		c = &crash{server: server, at: at}
+		c = &crash{server: r.Server, service: r.Service, at: r.At}
 		e.crashes = append(e.crashes, c)
 	}
-	if at.Before(c.at) {
-		c.at = at
+	if r.At.Before(c.at) {
+		c.at = r.At
 	}
 	c.reported = now
-	for _, l := range lost[:min(len(lost), maxLost-len(c.lost))] {
+	for _, l := range r.Lost[:min(len(r.Lost), maxLost-len(c.lost))] {
 		l.Parts = l.Parts[:min(len(l.Parts), maxParts)]
 		c.lost = append(c.lost, l)
 	}
--- a/admission/quarantine/request_test.go
+++ b/admission/quarantine/request_test.go
@@ -42,7 +42,7 @@
 	s := newScene()
 	s.answer()
 	for i := range minCrashes {
-		s.Crashed(fmt.Sprint("s", i), s.now.Add(100*time.Millisecond), []Lost{s.attempt(badRequest)}, s.now)
+		s.crashed(fmt.Sprint("s", i), s.now.Add(100*time.Millisecond), s.attempt(badRequest))
 	}
 	assert.DeepEqual(t, s.found(), []Cause{Request(badRequest)})
 }
@@ -63,7 +63,7 @@
 			}
 			assert.DeepEqual(t, s.found(), []Cause{Request(badRequest)})
 			for i := range minCrashes { // servers end together for another reason
-				s.Crashed(fmt.Sprint("t", i), s.now, []Lost{s.attempt(popular)}, s.now)
+				s.crashed(fmt.Sprint("t", i), s.now, s.attempt(popular))
 			}
 			assert.DeepEqual(t, s.found()[1:], []Cause{})
 		})
@@ -118,3 +118,17 @@
 	}
 	assert.DeepEqual(t, s.found(), []Cause{})
 }
+
+// TestServiceThatCrashesOnEverythingBlamesNobody loses a popular request in each crash of one service,
+// while another one answers.
+func TestServiceThatCrashesOnEverythingBlamesNobody(t *testing.T) {
+	const popular = 7
+	s := newScene()
+	s.answerRequest(popular)
+	s.service = "till"
+	for range 2 * minCrashes {
+		s.crash(s.attempt(popular))
+		s.answer(first)
+	}
+	assert.DeepEqual(t, s.found(), []Cause{})
+}
--- a/entry/direct/crashguard/guard.go
+++ b/entry/direct/crashguard/guard.go
@@ -91,8 +91,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.addCrash(incarnation(p.server), p.at, p.lost, now)
-	g.opts.Peers.BroadcastCrash(reportOf(incarnation(p.server), p.at, p.lost, now))
+	crash := quarantine.Crash{Server: incarnation(p.server), Service: p.server.Service, At: p.at, Lost: p.lost}
+	g.addCrash(crash, now)
+	g.opts.Peers.BroadcastCrash(reportOf(crash, now))
 }
 
 // Answered records that a request was answered completely.
@@ -101,11 +102,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	var cleared ClearedCauses
+	cleared := ClearedCauses{Service: c.Service}
 	for _, cause := range g.detector.Answered(c, now) {
-		cleared = append(cleared, causeState(cause))
+		cleared.Causes = append(cleared.Causes, causeState(cause))
 	}
-	if len(cleared) > 0 {
+	if len(cleared.Causes) > 0 {
 		g.opts.Peers.BroadcastCleared(cleared)
 	}
 	g.release(c, now)
@@ -134,18 +135,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.addCrash(r.Server, before(now, r.AgeMS), r.requests(now), now)
+	g.addCrash(r.crash(now), now)
 }
 
 // ReceiveCleared adds the answers of another entry.
 func (g *Guard) ReceiveCleared(cleared ClearedCauses) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	causes := make([]quarantine.Cause, len(cleared))
-	for i, c := range cleared {
+	causes := make([]quarantine.Cause, len(cleared.Causes))
+	for i, c := range cleared.Causes {
 		causes[i] = c.cause()
 	}
-	g.detector.AnsweredWith(causes, time.Now())
+	g.detector.AnsweredWith(cleared.Service, causes, time.Now())
 }
 
 // ReceiveEntries adds what another entry knows.
@@ -174,10 +175,10 @@
 
 // addCrash adds a report about a crash. A crash on a quarantined cause renews the
 // quarantine. The caller holds mu.
-func (g *Guard) addCrash(server string, at time.Time, lost []quarantine.Lost, now time.Time) {
-	g.detector.Crashed(server, at, lost, now)
-	for i := range lost {
-		for _, c := range lost[i].Causes() {
+func (g *Guard) addCrash(r quarantine.Crash, now time.Time) {
+	g.detector.Crashed(r, now)
+	for i := range r.Lost {
+		for _, c := range r.Lost[i].Causes() {
 			if g.list.Quarantined(c, now) {
 				g.list.Quarantine(c, now)
 			}
--- a/entry/direct/crashguard/guard_test.go
+++ b/entry/direct/crashguard/guard_test.go
@@ -138,7 +138,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, l.Close())
-	return &fleet.Server{ID: fmt.Sprint("i-", i), Address: l.Addr().String()}
+	return &fleet.Server{ID: fmt.Sprint("i-", i), Service: "llm", Address: l.Addr().String()}
 }
 
 // crash lets the guards in turn lose a request with badPart at a server of its own, each
@@ -171,7 +171,7 @@
 // withParts returns a request with the parts, and with a digest that no other has.
 func withParts(parts ...uint64) quarantine.Contents {
 	digest := 1<<32 + digests.Add(1)
-	return quarantine.Contents{Parts: parts, Digest: func() uint64 { return digest }}
+	return quarantine.Contents{Service: "llm", Parts: parts, Digest: func() uint64 { return digest }}
 }
 
 var digests atomic.Uint64
@@ -261,7 +261,7 @@
 	const badRequest = 77
 	n := newNetwork(t, nil)
 	a, b := n.start("a"), n.start("b")
-	bad := quarantine.Contents{Digest: func() uint64 { return badRequest }}
+	bad := quarantine.Contents{Service: "llm", Digest: func() uint64 { return badRequest }}
 	watch := func(c quarantine.Contents) context.Context {
 		ctx, stop := b.Watch(t.Context(), c, func() bool { return false })
 		t.Cleanup(stop)
--- a/entry/direct/crashguard/messages.go
+++ b/entry/direct/crashguard/messages.go
@@ -10,9 +10,10 @@
 // server. Times are ages, since the clocks of entries differ. JSON names are short
 // because a report lists many requests.
 type CrashReport struct {
-	Server string        `json:"s"` // incarnation
-	AgeMS  int64         `json:"a"` // since the requests were lost
-	Lost   []LostRequest `json:"l"`
+	Server  string        `json:"s"` // incarnation
+	Service string        `json:"v"`
+	AgeMS   int64         `json:"a"` // since the requests were lost
+	Lost    []LostRequest `json:"l"`
 }
 
 // LostRequest is a request in a CrashReport.
@@ -24,9 +25,12 @@
 	Begun  bool     `json:"b,omitempty"`
 }
 
-// ClearedCauses tells the other entries that requests with causes lost in a crash have been
-// answered.
-type ClearedCauses []CauseState
+// ClearedCauses tells the other entries that requests of a service, with causes lost in a
+// crash, have been answered.
+type ClearedCauses struct {
+	Service string       `json:"v"`
+	Causes  []CauseState `json:"c"`
+}
 
 // CauseState is a quarantine.Cause in messages.
 type CauseState struct {
@@ -55,21 +59,21 @@
 	return quarantine.Part(s.ID)
 }
 
-func reportOf(server string, at time.Time, lost []quarantine.Lost, now time.Time) CrashReport {
-	r := CrashReport{Server: server, AgeMS: now.Sub(at).Milliseconds()}
-	for _, l := range lost {
+func reportOf(c quarantine.Crash, now time.Time) CrashReport {
+	r := CrashReport{Server: c.Server, Service: c.Service, AgeMS: now.Sub(c.At).Milliseconds()}
+	for _, l := range c.Lost {
 		r.Lost = append(r.Lost, LostRequest{ID: l.ID, Digest: l.Digest, Parts: l.Parts, AgeMS: now.Sub(l.Sent).Milliseconds(), Begun: l.Begun})
 	}
 	return r
 }
 
-// requests returns the lost requests of a report that was received now.
-func (r CrashReport) requests(now time.Time) []quarantine.Lost {
-	out := make([]quarantine.Lost, len(r.Lost))
-	for i, l := range r.Lost {
-		out[i] = quarantine.Lost{ID: l.ID, Digest: l.Digest, Parts: l.Parts, Sent: before(now, l.AgeMS), Begun: l.Begun}
+// crash returns the crash of a report that was received now.
+func (r CrashReport) crash(now time.Time) quarantine.Crash {
+	c := quarantine.Crash{Server: r.Server, Service: r.Service, At: before(now, r.AgeMS)}
+	for _, l := range r.Lost {
+		c.Lost = append(c.Lost, quarantine.Lost{ID: l.ID, Digest: l.Digest, Parts: l.Parts, Sent: before(now, l.AgeMS), Begun: l.Begun})
 	}
-	return out
+	return c
 }
 
 func before(now time.Time, ageMS int64) time.Time {
--- a/entry/direct/front/quarantine.go
+++ b/entry/direct/front/quarantine.go
@@ -23,7 +23,7 @@
 
 // contents returns what the request holds on which servers may crash.
 func (q *request) contents() quarantine.Contents {
-	return quarantine.Contents{Parts: q.parts, Digest: q.digest}
+	return quarantine.Contents{Service: q.service, Parts: q.parts, Digest: q.digest}
 }
 
 // quarantinedCause returns why ctx was canceled if servers crash on the request or a part of
