--- a/config/index.go
+++ b/config/index.go
@@ -116,17 +116,6 @@
 	return ResolvedModel{Artifact: a.Artifact(), Base: m.Artifact(), Model: m, Bytes: a.MemoryBytes}, true
 }
 
-// BytesOf returns the declared memory of the artifact with that kind and name in
-// bytes, ignoring its version. It returns false if none is declared.
-func (x *Index) BytesOf(a wire.Artifact) (int64, bool) {
-	if a.Kind == wire.KindModel {
-		m, ok := x.models[a.Name]
-		return m.MemoryBytes, ok
-	}
-	ad, ok := x.adapters[a.Name]
-	return ad.MemoryBytes, ok
-}
-
 // NonIdempotent reports whether a call of the service must run at most once. This
 // is declared by Actions and Idempotent, or else depends on whether the method is
 // idempotent by RFC 9110, section 9.2.2.
--- /dev/null
+++ b/entry/direct/front/request.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/fleet"
+)
+
+// request is a client's request including its complete body.
+type request struct {
+	fleet.Request
+	parts   []uint64 // IDs of the prompt's parts
+	method  string
+	host    string
+	target  string // path and query as sent by the client
+	body    []byte
+	arrived time.Time
+	route   *fleet.Route
+	service string
+
+	digestOnce  sync.Once
+	digestValue uint64
+}
+
+// resumesStream reports whether the client resumes a stream of which an earlier
+// request brought events.
+func (q *request) resumesStream() bool {
+	return q.route.RetryPolicy == fleet.RetryResume && (q.Resumes != "" || q.LastEventID != "")
+}
+
+// read checks a request against the limits and reads its body. It returns a
+// refusal for an invalid or too large request.
+func (f *Front) read(w http.ResponseWriter, r *http.Request, limits fleet.Limits) (*request, *refusal) {
+	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: decisionlog.RefusedTooLarge, detail: "header"}
+	}
+	if limits.BodyBytes > 0 && r.ContentLength > limits.BodyBytes {
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: decisionlog.RefusedTooLarge, detail: "body"}
+	}
+	parsed, err := f.opts.Codec.Request(r.Header)
+	if err != nil {
+		return nil, &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: err.Error()}
+	}
+	body, err := readBody(w, r, limits.BodyBytes)
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: decisionlog.RefusedTooLarge, detail: "body"}
+	}
+	if err != nil {
+		return nil, &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: "body: " + err.Error()}
+	}
+	return &request{
+		Request: parsed,
+		parts:   parsed.PartIDs(),
+		method:  r.Method,
+		host:    r.Host,
+		target:  originForm(r.RequestURI),
+		body:    body,
+	}, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	source := io.Reader(r.Body)
+	if limit > 0 {
+		source = http.MaxBytesReader(w, r.Body, limit)
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(source, body)
+		return body, err
+	}
+	return io.ReadAll(source)
+}
+
+// headerBytes returns the approximate size of the request line and header on
+// the wire.
+func headerBytes(r *http.Request) int {
+	const separators = 4 // colon, space, carriage return, line feed
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators
+	n += len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
+// hostOf returns the host without its port, in lower case.
+func hostOf(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// originForm returns the path and query of a request target, which may be an
+// absolute URL.
+func originForm(target string) string {
+	for _, scheme := range []string{"http://", "https://"} {
+		if rest, ok := strings.CutPrefix(target, scheme); ok {
+			if slash := strings.IndexByte(rest, '/'); slash >= 0 {
+				return rest[slash:]
+			}
+			return "/"
+		}
+	}
+	return target
+}
+
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(originForm(target), "?")
+	return path
+}
--- a/entry/direct/orders/lease.go
+++ b/entry/direct/orders/lease.go
@@ -61,7 +61,6 @@
 	noticeVersion     string        // version of the row in that notice
 	noticeVersionSeen time.Duration // when a notice first had this version
 	resignHandover    *Handover     // from noticeHolder, when it resigned under noticeToken
-	resignedAt        time.Duration
 }
 
 // held returns the fencing token and how much longer this entry may issue orders;
@@ -142,7 +141,7 @@
 	}
 	now := l.clock()
 	l.noticeAt, l.noticeHolder, l.noticeToken = 0, holder, n.FencingToken
-	l.resignHandover, l.resignedAt = n.Handover, now
+	l.resignHandover = n.Handover
 	if !n.Held {
 		return
 	}
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -18,7 +18,6 @@
 	*faults.Injector
 	mu     sync.Mutex
 	bodies map[string][]byte // by URL path, /bucket/key
-	reads  int
 }
 
 // New returns an empty store.
@@ -31,13 +30,6 @@
 	return s
 }
 
-// Reads returns the number of GetObject requests.
-func (s *Server) Reads() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reads
-}
-
 // errorBody is the body of an S3 error response.
 type errorBody struct {
 	XMLName xml.Name `xml:"Error"`
@@ -47,7 +39,6 @@
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	s.reads++
 	body, ok := s.bodies[r.URL.Path]
 	s.mu.Unlock()
 	if !ok {
