--- a/entry/direct/crashguard/guard_test.go
+++ b/entry/direct/crashguard/guard_test.go
@@ -246,7 +246,7 @@
 	queued, begun, other := watch(false, firstPart, badPart), watch(true, firstPart, badPart), watch(false, firstPart)
 	a.Answered(withParts(firstPart))
 	crash(t, crashes, a)
-	<-queued.Done()
+	waitFor(t, "the queued request ends", func() bool { return queued.Err() != nil })
 	var cause *QuarantinedError
 	assert.Assert(t, errors.As(context.Cause(queued), &cause))
 	assert.Equal(t, cause.Cause, quarantine.Part(badPart))
@@ -273,7 +273,7 @@
 		a.Lost(crashedServer(t, i), quarantine.Lost{ID: fmt.Sprint("r", i), Digest: badRequest, Sent: time.Now()})
 		waitFor(t, "the crash is known", func() bool { return a.State().Crashes > i })
 	}
-	<-repeat.Done()
+	waitFor(t, "the repeat ends", func() bool { return repeat.Err() != nil })
 	assert.NilError(t, other.Err())
 	assert.Equal(t, b.Check(bad).Cause, quarantine.Request(badRequest))
 	assert.Equal(t, a.Quarantined(quarantine.WholeRequest), 1)
