--- a/placement/loadplan/adapter.go
+++ b/placement/loadplan/adapter.go
@@ -42,21 +42,22 @@
 	if _, ok := ps.Engine.Models[k.Model]; !ok {
 		return Choice{Outcome: ChoiceUnknown}
 	}
-	if c, ok := ps.loadedOn(k, software, prefer); ok {
+	hosts := ps.hosts(k.Model, software)
+	if c, ok := loadedOn(hosts, k, prefer); ok {
 		ps.Servers[c.Server].lastUsed[k] = now
 		return c
 	}
-	if k.Adapter == "" || len(ps.hosts(k.Model, software)) == 0 {
+	if k.Adapter == "" || len(hosts) == 0 {
 		return Choice{Outcome: ChoiceNoModel}
 	}
-	return ps.loadAdapter(k, software, prefer, now)
+	return ps.loadAdapter(hosts, k, prefer, now)
 }
 
-// loadedOn returns the most preferred server that has loaded the key or is
+// loadedOn returns the most preferred of the hosts that has loaded the key or is
 // loading it.
-func (ps *PlacementState) loadedOn(k Key, software string, prefer []string) (Choice, bool) {
+func loadedOn(hosts []*ServerState, k Key, prefer []string) (Choice, bool) {
 	best, bestRank := Choice{}, 0
-	for _, s := range ps.hosts(k.Model, software) {
+	for _, s := range hosts {
 		id := s.Server.ID
 		ready := time.Duration(0)
 		if k.Adapter != "" {
@@ -134,12 +135,12 @@
 	lastUsed     time.Duration // last use of the victim
 }
 
-// loadAdapter returns the order that loads the adapter on a server with its
+// loadAdapter returns the order that loads the adapter on one of the hosts of its
 // model: one with a free slot, else the one with the least recently used idle
 // adapter, which is unloaded first.
-func (ps *PlacementState) loadAdapter(k Key, software string, prefer []string, now time.Duration) Choice {
+func (ps *PlacementState) loadAdapter(hosts []*ServerState, k Key, prefer []string, now time.Duration) Choice {
 	var best *adapterOption
-	for _, s := range ps.hosts(k.Model, software) {
+	for _, s := range hosts {
 		o, ok := ps.adapterOption(k, s, now)
 		if !ok {
 			continue
--- a/placement/loadplan/demand.go
+++ b/placement/loadplan/demand.go
@@ -65,15 +65,44 @@
 // entryObservation is the last demand report of one entry.
 type entryObservation struct {
 	at      time.Duration
-	waiting map[string]int // by model
-	urgency map[string]int // by model, only for models with waiting requests
-	running map[string]map[Key]int
+	waiting []waitingRequests
+	running []runningRequests
+}
+
+// waitingRequests are an entry's requests for a model that no server has loaded.
+type waitingRequests struct {
+	model   string
+	count   int
+	urgency int // priority of the most urgent one
+}
+
+// runningRequests are an entry's requests for a key that run on a server.
+type runningRequests struct {
+	server string
+	key    Key
+	count  int
+}
+
+// runningByKey counts the requests of all entries that run on one server.
+type runningByKey map[Key]int
+
+// ofModel returns the number of requests for a model and its adapters.
+func (r runningByKey) ofModel(model string) int {
+	n := 0
+	for k, count := range r {
+		if k.Model == model {
+			n += count
+		}
+	}
+	return n
 }
 
 // Demands holds the demand for the models of one service.
 type Demands struct {
 	models       map[string]*estimate
 	entries      map[string]*entryObservation
+	running      map[string]runningByKey          // by server; sum over entries
+	waitingSum   map[string]int                   // by model; sum over entries
 	lastRun      map[string]map[Key]time.Duration // by server: when an entry last reported a running request
 	pending      map[string]ModelDemand           // by model; arrivals since the last step
 	lastWanted   map[string]time.Duration         // by model; time of the last call of MarkWanted
@@ -87,6 +116,8 @@
 	return Demands{
 		models:     map[string]*estimate{},
 		entries:    map[string]*entryObservation{},
+		running:    map[string]runningByKey{},
+		waitingSum: map[string]int{},
 		lastRun:    map[string]map[Key]time.Duration{},
 		pending:    map[string]ModelDemand{},
 		lastWanted: map[string]time.Duration{},
@@ -102,16 +133,17 @@
 
 // Observe applies the demand report of an entry.
 func (d *Demands) Observe(entry string, demand []ModelDemand, now time.Duration) {
-	o := &entryObservation{at: now, waiting: map[string]int{}, urgency: map[string]int{}, running: map[string]map[Key]int{}}
+	d.forget(entry)
+	o := &entryObservation{at: now}
 	d.entries[entry] = o
 	for _, m := range demand {
 		p := d.pending[m.Model]
 		p.Arrivals += m.Arrivals
 		p.PrefillTokens += m.PrefillTokens
 		d.pending[m.Model] = p
-		if m.Waiting+m.Refused > 0 {
-			o.waiting[m.Model] += m.Waiting + m.Refused
-			o.urgency[m.Model] = m.Urgency
+		if n := m.Waiting + m.Refused; n > 0 {
+			o.waiting = append(o.waiting, waitingRequests{model: m.Model, count: n, urgency: m.Urgency})
+			d.waitingSum[m.Model] += n
 		}
 		for _, r := range m.Running {
 			d.observeRunning(o, m.Model, r)
@@ -129,14 +161,43 @@
 	if r.Count <= 0 {
 		return
 	}
-	if o.running[r.Server] == nil {
-		o.running[r.Server] = map[Key]int{}
+	k := Key{Model: model, Adapter: r.Adapter}
+	o.running = append(o.running, runningRequests{server: r.Server, key: k, count: r.Count})
+	if d.running[r.Server] == nil {
+		d.running[r.Server] = runningByKey{}
 	}
-	o.running[r.Server][Key{Model: model, Adapter: r.Adapter}] += r.Count
+	d.running[r.Server][k] += r.Count
 	if d.lastRun[r.Server] == nil {
 		d.lastRun[r.Server] = map[Key]time.Duration{}
 	}
-	d.lastRun[r.Server][Key{Model: model, Adapter: r.Adapter}] = o.at
+	d.lastRun[r.Server][k] = o.at
+}
+
+// forget discards the last report of an entry.
+func (d *Demands) forget(entry string) {
+	o := d.entries[entry]
+	if o == nil {
+		return
+	}
+	delete(d.entries, entry)
+	for _, w := range o.waiting {
+		if d.waitingSum[w.model] -= w.count; d.waitingSum[w.model] == 0 {
+			delete(d.waitingSum, w.model)
+		}
+	}
+	for _, r := range o.running {
+		d.forgetRunning(r)
+	}
+}
+
+func (d *Demands) forgetRunning(r runningRequests) {
+	byKey := d.running[r.server]
+	if byKey[r.key] -= r.count; byKey[r.key] == 0 {
+		delete(byKey, r.key)
+	}
+	if len(byKey) == 0 {
+		delete(d.running, r.server)
+	}
 }
 
 func (d *Demands) estimate(model string) *estimate {
@@ -165,9 +226,9 @@
 		e.peak = max(d.work(model), e.peak*math.Exp(-seconds/slowTimeConstant.Seconds()))
 	}
 	d.pending = map[string]ModelDemand{}
-	for from, o := range d.entries {
+	for entry, o := range d.entries {
 		if now-o.at > maxObservationAge {
-			delete(d.entries, from)
+			d.forget(entry)
 		}
 	}
 }
@@ -218,53 +279,29 @@
 // waiting returns the number of requests that wait for a model that no server
 // has loaded.
 func (d *Demands) waiting(model string) int {
-	n := 0
+	n := d.waitingSum[model]
 	if at, ok := d.lastWanted[model]; ok && d.lastStep-at < maxWantAge {
 		n++
 	}
-	for _, o := range d.entries {
-		n += o.waiting[model]
-	}
-	return n
-}
-
-// urgency returns the priority of the most urgent request for a model with
-// waiting requests, math.MaxInt if none waits.
-func (d *Demands) urgency(model string) int {
-	rank := math.MaxInt
-	for _, o := range d.entries {
-		if u, ok := o.urgency[model]; ok {
-			rank = min(rank, u)
-		}
-	}
-	return rank
-}
-
-// Running returns the number of requests for a key that run on a server.
-func (d *Demands) Running(server string, k Key) int {
-	n := 0
-	for _, o := range d.entries {
-		n += o.running[server][k]
-	}
 	return n
 }
 
-// runningModels returns the number of running requests by server and model.
-func (d *Demands) runningModels() map[string]map[string]int {
-	out := map[string]map[string]int{}
+// urgencies returns, by model with waiting requests, the priority of the most urgent one.
+func (d *Demands) urgencies() map[string]int {
+	out := make(map[string]int, len(d.waitingSum))
 	for _, o := range d.entries {
-		for server, running := range o.running {
-			if out[server] == nil {
-				out[server] = map[string]int{}
-			}
-			for k, count := range running {
-				out[server][k.Model] += count
+		for _, w := range o.waiting {
+			if u, ok := out[w.model]; !ok || w.urgency < u {
+				out[w.model] = w.urgency
 			}
 		}
 	}
 	return out
 }
 
+// Running returns the number of requests for a key that run on a server.
+func (d *Demands) Running(server string, k Key) int { return d.running[server][k] }
+
 // LastRun returns when an entry last reported a running request for the key on
 // the server; 0 if none did.
 func (d *Demands) LastRun(server string, k Key) time.Duration { return d.lastRun[server][k] }
--- a/placement/loadplan/option.go
+++ b/placement/loadplan/option.go
@@ -7,50 +7,68 @@
 
 // option is a way to load a model on one server.
 type option struct {
-	server  *ServerState
-	victims []string
+	server  *serverPlan
+	victims []*residentPlan
 	loss    float64
 	cost    float64 // total cost, by which options are compared
 }
 
+// placement is one search for a server for a replica of a model.
+type placement struct {
+	model      *modelPlan
+	reason     string
+	fromStore  bool // a load from the weight store is allowed now
+	evictLast  bool // the last replica of another model may be unloaded
+	keepOthers bool // nothing may be unloaded
+}
+
 // place selects a server for one more replica of a model and records the
 // intent. It returns false if no server can load the replica or none pays off.
-func (p *planning) place(model, reason string) bool {
-	var best *option
-	for _, id := range p.ids {
-		o, ok := p.option(model, p.state.Servers[id], reason)
-		if ok && (best == nil || o.cost < best.cost) {
-			best = &o
+func (p *planning) place(m *modelPlan, reason string) bool {
+	pl := placement{
+		model:      m,
+		reason:     reason,
+		fromStore:  p.storeLoadAllowed(m, reason),
+		evictLast:  p.mayEvictLast(m, reason),
+		keepOthers: p.demandUnknown(reason),
+	}
+	var best option
+	for i := range p.servers {
+		o, ok := p.option(&pl, &p.servers[i])
+		if ok && (best.server == nil || o.cost < best.cost) {
+			best = o
 		}
 	}
-	if best == nil {
+	if best.server == nil {
 		return false
 	}
-	p.apply(model, best, reason)
+	p.apply(m, &best, reason)
 	return true
 }
 
 // option returns the victims and cost of loading a model on a server. It
 // returns false if the server can't load the model or the load doesn't pay off.
-func (p *planning) option(model string, s *ServerState, reason string) (option, bool) {
-	o := option{server: s}
-	if !p.state.takesLoads(s) || !p.idle(s) || s.intent != nil || s.Models[model] != nil || !p.loadAllowed(model, s, reason) {
+func (p *planning) option(pl *placement, sp *serverPlan) (option, bool) {
+	o := option{server: sp}
+	if !sp.open || sp.hasLoaded(pl.model) {
 		return o, false
 	}
-	m := p.state.Engine.Models[model]
-	need := m.WeightsMB - s.freeMemory(p.state.Engine, Key{Model: model})
-	if !p.chooseVictims(&o, need, reason, p.mayEvictLast(model, reason)) {
+	source, duration := sp.state.loadSource(pl.model.model)
+	if source == SourceStore && !pl.fromStore {
 		return o, false
 	}
-	if (len(o.victims) > 0 && p.demandUnknown(reason)) || !p.paysOff(model, &o, reason) {
+	need := pl.model.model.WeightsMB - p.freeFor(sp, pl.model)
+	if !p.chooseVictims(&o, need, pl) {
 		return o, false
 	}
-	_, duration := s.loadSource(m)
-	o.cost += lossMargin*o.loss + loadSecondCost*duration.Seconds() + serverWorkCost*p.serverWork[s.Server.ID]
-	if s.recentlyUnresponsive(p.now) {
+	if (len(o.victims) > 0 && pl.keepOthers) || !pl.paysOff(&o) {
+		return o, false
+	}
+	o.cost += lossMargin*o.loss + loadSecondCost*duration.Seconds() + serverWorkCost*sp.work
+	if sp.state.recentlyUnresponsive(p.now) {
 		o.cost += unresponsiveCost
 	}
-	o.cost += sameZoneCost * float64(p.replicasInZone(model, s.Server.Zone))
+	o.cost += sameZoneCost * float64(pl.model.inZone[sp.zone])
 	return o, true
 }
 
@@ -70,10 +88,10 @@
 
 // paysOff reports whether the load gains more than it costs. Loading a model
 // that is requested but not loaded anywhere always pays off.
-func (p *planning) paysOff(model string, o *option, reason string) bool {
-	switch reason {
+func (pl *placement) paysOff(o *option) bool {
+	switch pl.reason {
 	case ReasonDemand:
-		return p.gain(model) > lossMargin*o.loss+loadCost
+		return pl.model.gain() > lossMargin*o.loss+loadCost
 	case ReasonUnrequested:
 		return unrequestedGain > lossMargin*o.loss
 	default:
@@ -81,50 +99,47 @@
 	}
 }
 
-// loadAllowed reports whether the load rate and concurrency permit a load for
-// the reason. Loads from copies on the server are not limited.
-func (p *planning) loadAllowed(model string, s *ServerState, reason string) bool {
-	m := p.state.Engine.Models[model]
-	if source, _ := s.loadSource(m); source != SourceStore {
-		return true
-	}
+// storeLoadAllowed reports whether the load rate and concurrency permit a load from the
+// weight store for the reason. Loads from copies on a server are not limited.
+func (p *planning) storeLoadAllowed(m *modelPlan, reason string) bool {
 	free := p.state.Rate.Free(p.state.Engine.LoadsPerS, p.now) - p.loadsPlanned
 	if reason == ReasonDemand || reason == ReasonUnrequested {
 		free -= reservedLoads
 	}
-	return free > 0 && p.loading+p.loadsPlanned < concurrentLoads(p.state.Engine, m)+extraPlannedLoads
+	return free > 0 && p.loading+p.loadsPlanned < concurrentLoads(p.state.Engine, m.model)+extraPlannedLoads
 }
 
 // chooseVictims adds the cheapest victims until the memory needed is free. It
 // returns false if the evictable models don't suffice.
-func (p *planning) chooseVictims(o *option, need float64, reason string, allowLast bool) bool {
+func (p *planning) chooseVictims(o *option, need float64, pl *placement) bool {
 	for need > 0 {
-		best, bestCost := "", 0.0
-		for _, v := range sortedKeys(o.server.Models) {
-			if slices.Contains(o.victims, v) || !p.evictable(v, o.server, reason, allowLast) {
+		var best *residentPlan
+		bestCost := 0.0
+		for i := range o.server.residents {
+			v := &o.server.residents[i]
+			if slices.Contains(o.victims, v) || !v.evictable(pl) {
 				continue
 			}
-			if cost := p.victimCost(v, o.server); best == "" || cost < bestCost {
+			if cost := p.victimCost(v); best == nil || cost < bestCost {
 				best, bestCost = v, cost
 			}
 		}
-		if best == "" {
+		if best == nil {
 			return false
 		}
+		loss := best.model.loss()
 		o.victims = append(o.victims, best)
-		o.loss += p.loss(best)
-		o.cost += bestCost - lossMargin*p.loss(best)
-		m := p.state.Engine.Models[best]
-		need -= m.WeightsMB + float64(len(o.server.Models[best].Adapters))*m.AdapterMB
+		o.loss += loss
+		o.cost += bestCost - lossMargin*loss
+		need -= best.weights
 	}
 	return true
 }
 
-func (p *planning) victimCost(model string, s *ServerState) float64 {
-	running := p.running[s.Server.ID][model]
-	cost := unloadCost + lossMargin*p.loss(model)
-	cost += runningCost*float64(running) + loadSecondCost*unloadTime(running).Seconds()
-	if p.recentlyLoaded(model, s) || (p.count[model] <= 1 && p.state.Demand.observedTime() < learningTime) {
+func (p *planning) victimCost(v *residentPlan) float64 {
+	cost := unloadCost + lossMargin*v.model.loss()
+	cost += runningCost*float64(v.running) + loadSecondCost*unloadTime(v.running).Seconds()
+	if v.recent || (v.model.count <= 1 && p.state.Demand.observedTime() < learningTime) {
 		cost += recentLoadCost
 	}
 	return cost
@@ -148,30 +163,25 @@
 	return idleUnloadTime + min(drainBaseTime+time.Duration(running)*drainTimePerRequest, maxDrainTime)
 }
 
-func (p *planning) recentlyLoaded(model string, s *ServerState) bool {
-	at, ok := s.loadedAt[model]
-	return ok && p.now-at < minStayTime
-}
-
 // evictable reports whether a model may be unloaded from a server. The last
-// replica stays unless allowLast is set and the model was not requested
+// replica stays unless evictLast is set and the model was not requested
 // recently. A replica that is still loading elsewhere doesn't replace one that
 // serves.
-func (p *planning) evictable(v string, s *ServerState, reason string, allowLast bool) bool {
-	needed := reason == ReasonWaiting || reason == ReasonNotLoaded
-	if s.possiblyUnloads(v) || (!needed && p.recentlyLoaded(v, s)) {
+func (v *residentPlan) evictable(pl *placement) bool {
+	needed := pl.reason == ReasonWaiting || pl.reason == ReasonNotLoaded
+	if v.maybeOut || (!needed && v.recent) {
 		return false
 	}
-	if p.count[v] > 1 && (p.servedElsewhere(v, s) || !p.requested(v)) {
+	if v.model.count > 1 && (v.servedElsewhere() || !v.model.requested) {
 		return true
 	}
-	return allowLast && !p.requested(v)
+	return pl.evictLast && !v.model.requested
 }
 
 // servedElsewhere reports whether another server serves the model.
-func (p *planning) servedElsewhere(model string, s *ServerState) bool {
-	n := p.serving[model]
-	if p.modelsAt[s.Server.ID][model] && p.servesAt(model, s) {
+func (v *residentPlan) servedElsewhere() bool {
+	n := v.model.serving
+	if v.serves {
 		n--
 	}
 	return n > 0
@@ -181,46 +191,47 @@
 // unloaded to load the given model for the given reason. It may if the given
 // model has waiting requests or no replica, and also if its replicas are
 // overloaded and demand has been observed for learningTime.
-func (p *planning) mayEvictLast(model, reason string) bool {
+func (p *planning) mayEvictLast(m *modelPlan, reason string) bool {
 	switch reason {
 	case ReasonWaiting, ReasonNotLoaded:
 		return true
 	case ReasonDemand:
-		contended := p.state.Demand.work(model) > contendedWork*float64(p.count[model])
+		contended := m.work > contendedWork*float64(m.count)
 		return contended && p.state.Demand.observedTime() >= learningTime
 	default:
 		return false
 	}
 }
 
-func (p *planning) replicasInZone(model, zone string) int {
-	n := 0
-	for _, id := range p.ids {
-		if p.state.Servers[id].Server.Zone == zone && p.modelsAt[id][model] {
-			n++
-		}
-	}
-	return n
-}
-
 // apply records an option as the server's intent and updates the counts.
-func (p *planning) apply(model string, o *option, reason string) {
-	s := o.server
-	if source, _ := s.loadSource(p.state.Engine.Models[model]); source == SourceStore {
+func (p *planning) apply(m *modelPlan, o *option, reason string) {
+	sp := o.server
+	if source, _ := sp.state.loadSource(m.model); source == SourceStore {
 		p.loadsPlanned++
 	}
-	models := p.modelsAt[s.Server.ID]
+	intent := &Intent{Load: m.model.Name, Reason: reason}
 	for _, v := range o.victims {
-		if models[v] {
-			if p.servesAt(v, s) {
-				p.serving[v]--
-			}
-			p.count[v]--
-			delete(models, v)
-		}
-	}
-	s.intent = &Intent{Load: model, Unload: o.victims, Reason: reason}
-	models[model] = true
-	p.count[model]++
+		intent.Unload = append(intent.Unload, v.model.model.Name)
+		sp.dropReplica(v)
+	}
+	sp.state.intent, sp.open = intent, false
+	sp.replicas = append(sp.replicas, m.index)
+	slices.Sort(sp.replicas)
+	m.count++
+	m.inZone[sp.zone]++
 	p.spreadWork()
 }
+
+// dropReplica removes a victim from the counts, if it was counted.
+func (sp *serverPlan) dropReplica(v *residentPlan) {
+	at, counted := slices.BinarySearch(sp.replicas, v.model.index)
+	if !counted {
+		return
+	}
+	sp.replicas = slices.Delete(sp.replicas, at, at+1)
+	v.model.count--
+	v.model.inZone[sp.zone]--
+	if v.serves {
+		v.model.serving--
+	}
+}
--- a/placement/loadplan/placement_state.go
+++ b/placement/loadplan/placement_state.go
@@ -1,7 +1,6 @@
 package loadplan
 
 import (
-	"sort"
 	"time"
 
 	"peridotchute.example/fleet"
@@ -15,6 +14,7 @@
 	Rate    LoadRate
 	Demand  Demands
 
+	sortedIDs []string             // of Servers; nil after a change
 	down      map[string]outage    // unreachable servers
 	limits    map[string]float64   // requests per second that servers take, of those that limit them
 	inherited map[string]Inherited // by server, from the previous lease holder
@@ -49,10 +49,12 @@
 			continue
 		}
 		ps.Servers[sv.ID] = newState(sv, now)
+		ps.sortedIDs = nil
 	}
 	for id := range ps.Servers {
 		if !registered[id] {
 			delete(ps.Servers, id)
+			ps.sortedIDs = nil
 		}
 	}
 }
@@ -189,12 +191,10 @@
 
 // ids returns the server IDs in sorted order.
 func (ps *PlacementState) ids() []string {
-	out := make([]string, 0, len(ps.Servers))
-	for id := range ps.Servers {
-		out = append(out, id)
+	if ps.sortedIDs == nil {
+		ps.sortedIDs = sortedKeys(ps.Servers)
 	}
-	sort.Strings(out)
-	return out
+	return ps.sortedIDs
 }
 
 // order returns an order for the server that carries the current order count.
--- a/placement/loadplan/plan.go
+++ b/placement/loadplan/plan.go
@@ -43,17 +43,14 @@
 	p := newPlanning(ps, now)
 	p.decide()
 	var steps []Step
-	for _, id := range p.ids {
-		if step, ok := p.nextOrder(ps.Servers[id]); ok {
+	for i := range p.servers {
+		if step, ok := p.nextOrder(p.servers[i].state); ok {
 			steps = append(steps, step)
 		}
 	}
 	return steps
 }
 
-// idle reports whether a model order can be issued to the server now.
-func (p *planning) idle(s *ServerState) bool { return s.idle() && !p.state.fenced(s, p.now) }
-
 // dropIntents removes intents that are complete or can no longer be carried
 // out.
 func (ps *PlacementState) dropIntents() {
@@ -93,7 +90,7 @@
 		if s.Models[victim] == nil {
 			continue
 		}
-		if p.serving[victim] == 0 && p.requested(victim) {
+		if m := p.model(victim); m != nil && m.serving == 0 && m.requested {
 			s.intent = nil // the victim's other replicas were lost, or it was requested meanwhile
 			return Step{}, false
 		}
@@ -122,10 +119,6 @@
 	return Step{Server: s.Server.ID, Order: s.order(kind, Key{Model: model}), Reason: reason}
 }
 
-// hasWaiting reports whether requests wait for a model because no server has
-// loaded it.
-func (p *planning) hasWaiting(model string) bool { return p.state.Demand.waiting(model) > 0 }
-
 const (
 	// recentRequestTime is how long after its last request a model counts as
 	// requested. Rare models get only a few requests a minute.
@@ -138,12 +131,6 @@
 	learningTime = 15 * time.Second
 )
 
-// requested reports whether a model was requested within recentRequestTime.
-func (p *planning) requested(model string) bool {
-	e := p.state.Demand.models[model]
-	return e != nil && e.requested > 0 && p.now-e.requested < recentRequestTime
-}
-
 // concurrentLoads returns how many loads from the weight store may run at once:
 // the number that the rate starts during one load. More would slow each other
 // down.
