entry/direct: the lease holder keeps enough processor to hold the lease

What callers saw: models and adapters that were asked for and never loaded, refusals for lack of a server, on the large site and its small twin.

It planned after each report and order, woke every waiting load to search all servers after each of them, encoded each change once for every peer, and took demand from all entries four times a second. The lease changed hands nine times in 35 s (event 431, "not renewed"), 2,039 loads asked for failed (649), and entries that called the holder found its connection closed.

Change: entries tell each other their processor; one that is connected to an entry with 1.5 times as much leaves a free lease to it for 0.7 s and yields one held for 3 s, with a handover. New setting processor_share.

--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -29,7 +29,8 @@
 	methodEnsure   = "orders.ensure"
 	methodDemand   = "orders.demand"
 	methodBackfill = "orders.past"
-	methodChange   = "orders.change"
+	methodChange   = "orders.change" // one change, sent by the version before methodChanges
+	methodChanges  = "orders.changes"
 	methodLease    = "orders.lease"
 	methodBegan    = "streams.began"
 	methodOrigin   = "streams.origin"
@@ -56,21 +57,18 @@
 	watcher  *view.Watcher
 	origins  *origins.Registry
 	guard    *crashguard.Guard
+	changes  *changeQueue
 	log      logrus.FieldLogger
+
+	processor float64 // of this VM, in cores
 }
 
 type ensureReply struct {
 	Server string `json:"server"` // ID
 }
 
-// changeMessage announces what a server has loaded after an order.
-type changeMessage struct {
-	Server string              `json:"server"` // ID
-	Change orders.ServerUpdate `json:"change"`
-}
-
 func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, decisions *decisionlog.Log, log logrus.FieldLogger) *coordination {
-	c := &coordination{name: s.Name, watcher: w, log: log}
+	c := &coordination{name: s.Name, watcher: w, changes: newChangeQueue(), log: log, processor: s.processor()}
 	c.balancer = balance.New(balance.Options{Name: s.Name, Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Drain: milliseconds(s.DrainMS), Ensure: c.ensure})
 	c.manager = orders.New(orders.Options{
 		Table:      table,
@@ -84,10 +82,11 @@
 		Limit:      c.balancer.Limit,
 		OnChange:   c.publishChange,
 		OnLease:    c.broadcastLease,
+		Defers:     c.strongerConnected,
 		Log:        log,
 	})
 	c.mesh = mesh.New(mesh.Options{
-		Self:  mesh.Identity{Name: s.Name, Address: s.RPCAddress, Zone: s.Zone, Region: s.Region},
+		Self:  mesh.Identity{Name: s.Name, Address: s.RPCAddress, Zone: s.Zone, Region: s.Region, Processor: s.processor()},
 		Seeds: s.Seeds,
 		Table: table,
 		Log:   log,
@@ -118,10 +117,7 @@
 	mesh.Handle(c.mesh, methodBackfill, func(_ context.Context, _ string, n loadplan.HistorySnapshot) (struct{}, error) {
 		return struct{}{}, c.manager.Backfill(n)
 	})
-	mesh.Handle(c.mesh, methodChange, func(_ context.Context, _ string, n changeMessage) (struct{}, error) {
-		c.balancer.ApplyChange(n.Server, n.Change)
-		return struct{}{}, nil
-	})
+	c.handleChanges()
 	mesh.Handle(c.mesh, methodLease, func(_ context.Context, from string, n orders.LeaseNotice) (struct{}, error) {
 		c.manager.HandleLeaseNotice(from, n)
 		return struct{}{}, nil
@@ -144,6 +140,7 @@
 	daemon.Go(lc, c.guard.Run)
 	daemon.Go(lc, c.guard.RunChecks)
 	daemon.Go(lc, c.guard.RunRows)
+	daemon.Go(lc, c.broadcastChanges)
 	daemon.Go(lc, c.exchangeLoads)
 	daemon.Go(lc, c.reportDemand)
 }
@@ -172,11 +169,13 @@
 // that they need not read it, or that it has given the lease up.
 func (c *coordination) broadcastLease(n orders.LeaseNotice) { c.mesh.Broadcast(methodLease, n) }
 
-// publishChange passes a server's state after an order to the balancer and broadcasts
-// it to the other entries.
-func (c *coordination) publishChange(server string, change orders.ServerUpdate) {
-	c.balancer.ApplyChange(server, change)
-	c.mesh.Broadcast(methodChange, changeMessage{Server: server, Change: change})
+// strongerShare is by how much the processor of another VM must exceed this one's for the
+// orders lease to be better held there.
+const strongerShare = 1.5
+
+// strongerConnected reports whether an entry with much more processor is connected.
+func (c *coordination) strongerConnected() bool {
+	return c.mesh.AnyConnected(func(id mesh.Identity) bool { return id.Processor >= strongerShare*c.processor })
 }
 
 // ensure asks the lease holder to make a model or adapter resident, and logs a
--- a/entry/direct/demand.go
+++ b/entry/direct/demand.go
@@ -11,9 +11,20 @@
 	"peridotchute.example/placement/loadplan"
 )
 
-// demandInterval is how often demand is reported to the lease holder: well within
-// the time of a load.
-const demandInterval = 250 * time.Millisecond
+const (
+	// minDemandInterval is how often demand is reported to the lease holder: well within
+	// the time of a load.
+	minDemandInterval = 250 * time.Millisecond
+	// maxDemandReports bounds the reports that the lease holder gets from all entries, in
+	// reports per second.
+	maxDemandReports = 400
+)
+
+// demandInterval returns the interval of this entry's reports, given the number of other
+// entries.
+func demandInterval(peers int) time.Duration {
+	return max(minDemandInterval, time.Duration(peers)*time.Second/maxDemandReports)
+}
 
 // leaseTenure identifies one period during which an entry holds the orders lease.
 type leaseTenure struct {
@@ -31,7 +42,7 @@
 // reportDemand reports demand to the lease holder until ctx ends.
 func (c *coordination) reportDemand(ctx context.Context) {
 	r := &demandReporter{c: c, history: loadplan.NewHistory()}
-	for clock.Sleep(ctx, demandInterval) == nil {
+	for clock.Sleep(ctx, demandInterval(c.mesh.ConnectedCount())) == nil {
 		r.report(ctx, c.balancer.TakeDemand())
 	}
 }
--- a/entry/direct/mesh/call.go
+++ b/entry/direct/mesh/call.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/rpc"
 )
@@ -82,10 +84,15 @@
 // delivery. Messages are sent in the order of the calls. A message is lost if
 // the connection ends first or the peer's queue overflows.
 func (m *Mesh) Broadcast(method string, message any) {
+	params, err := json.Marshal(message) // once for all peers
+	if err != nil {
+		event.Log(m.log, event.EntryConnectionError, event.Subject(method), event.Err(err))
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
-		l.broadcasts.Offer(broadcast{method: method, params: message})
+		l.broadcasts.Offer(broadcast{method: method, params: json.RawMessage(params)})
 		l.wake()
 	}
 }
--- a/entry/direct/mesh/mesh.go
+++ b/entry/direct/mesh/mesh.go
@@ -205,6 +205,25 @@
 	return out
 }
 
+// ConnectedCount returns the number of connected peers.
+func (m *Mesh) ConnectedCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
+
+// AnyConnected reports whether a connected peer matches.
+func (m *Mesh) AnyConnected(match func(Identity) bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		if match(l.id) {
+			return true
+		}
+	}
+	return false
+}
+
 // Connected returns the sorted names of the connected peers.
 func (m *Mesh) Connected() []string {
 	m.mu.Lock()
--- a/entry/direct/mesh/messages.go
+++ b/entry/direct/mesh/messages.go
@@ -15,17 +15,20 @@
 	Address     string `json:"address"` // IP:port for control connections
 	Zone        string `json:"zone"`
 	Region      string `json:"region"`
+
+	Processor float64 `json:"processor,omitempty"` // of the VM, in cores of usual speed; 0 if unknown
 }
 
 func (id Identity) rpc() rpc.Identity {
 	return rpc.Identity{
 		Name: id.Name, Incarnation: id.Incarnation, Role: rpc.RoleEntry,
 		Zone: id.Zone, Region: id.Region, RPCAddress: id.Address,
+		Processor: id.Processor,
 	}
 }
 
 func identityOf(id rpc.Identity) Identity {
-	return Identity{Name: id.Name, Incarnation: id.Incarnation, Address: id.RPCAddress, Zone: id.Zone, Region: id.Region}
+	return Identity{Name: id.Name, Incarnation: id.Incarnation, Address: id.RPCAddress, Zone: id.Zone, Region: id.Region, Processor: id.Processor}
 }
 
 // update carries the changes since the previous update on the same connection.
--- a/entry/direct/orders/handover.go
+++ b/entry/direct/orders/handover.go
@@ -167,9 +167,14 @@
 
 // resign gives up the lease when renewals keep failing, early enough to notify the
 // other entries before the lease expires.
-func (m *Manager) resign() {
-	token, ok := m.lease.resign()
-	if !ok || m.opts.OnLease == nil {
+func (m *Manager) resign() { m.handOver(m.lease.resign()) }
+
+// yield gives up the lease if an entry with more processor should hold it.
+func (m *Manager) yield() { m.handOver(m.lease.yield()) }
+
+// handOver notifies the other entries that this one has given up the lease.
+func (m *Manager) handOver(token int64, gaveUp bool) {
+	if !gaveUp || m.opts.OnLease == nil {
 		return
 	}
 	m.opts.OnLease(LeaseNotice{FencingToken: token, Handover: m.handover()})
--- a/entry/direct/orders/issue.go
+++ b/entry/direct/orders/issue.go
@@ -13,8 +13,8 @@
 
 // unloadAnnounceDelay is the time between announcing to the entries that a model
 // will be unloaded and sending the order, so that the entries stop routing requests
-// to it. It covers the network delay between regions.
-const unloadAnnounceDelay = 30 * time.Millisecond
+// to it. It covers the collection of changes and the network delay between regions.
+const unloadAnnounceDelay = 60 * time.Millisecond
 
 // pendingOrder is an order that is being sent, with the placement state that it
 // changes.
@@ -55,7 +55,7 @@
 	now := m.opts.Clock()
 	m.recordOutcomeLocked(c, outcome, err, now)
 	ready := c.state.Ready(loadplan.Key{Model: c.order.Model, Adapter: c.order.Adapter})
-	m.notifyChangedLocked()
+	m.markChanged()
 	m.mu.Unlock()
 	m.logOrder(c, outcome, err)
 	m.wakePlanner()
@@ -151,7 +151,7 @@
 		ps.Report(s, r, now)
 	}
 	finished := wasWorking && !s.Working()
-	m.notifyChangedLocked()
+	m.markChanged()
 	m.mu.Unlock()
 	if err != nil {
 		event.Log(m.opts.Log, event.ReportFailed, event.Peer(s.Server.ID), event.Err(err))
--- a/entry/direct/orders/lease.go
+++ b/entry/direct/orders/lease.go
@@ -32,15 +32,21 @@
 	// noticeValidity is how long a notice from the lease holder makes reading the row
 	// unnecessary.
 	noticeValidity = 1500 * time.Millisecond
+	// deference is how long an entry leaves a free lease to entries with more processor.
+	deference = 700 * time.Millisecond
+	// yieldAfter is how long a lease holder must have held the lease before it yields to an
+	// entry with more processor.
+	yieldAfter = 3 * time.Second
 )
 
 // lease is this entry's view of the orders lease. All times are readings of a
 // clock that also advances while the machine is suspended.
 type lease struct {
-	table store.Table
-	self  string
-	gap   time.Duration // minimum time between the last order of one lease holder and the first of the next
-	clock func() time.Duration
+	table  store.Table
+	self   string
+	gap    time.Duration // minimum time between the last order of one lease holder and the first of the next
+	clock  func() time.Duration
+	defers func() bool // reports whether another entry should hold the lease rather than this one; may be nil
 
 	stepMu     sync.Mutex // serializes access to the table
 	mu         sync.Mutex
@@ -54,6 +60,7 @@
 	acquiredAt time.Duration // when the write that acquired the lease returned
 	handover   *Handover     // from the previous lease holder; nil if it sent none
 	closed     bool          // this process issues no more orders
+	yieldedAt  time.Duration // when this entry last yielded the lease
 
 	noticeAt          time.Duration // when a notice last announced that the lease is held; 0 once a notice announced its release
 	noticeHolder      string
@@ -61,6 +68,7 @@
 	noticeVersion     string        // version of the row in that notice
 	noticeVersionSeen time.Duration // when a notice first had this version
 	resignHandover    *Handover     // from noticeHolder, when it resigned under noticeToken
+	resignedAt        time.Duration // when that notice arrived
 }
 
 // held returns the fencing token and how much longer this entry may issue orders;
@@ -141,7 +149,7 @@
 	}
 	now := l.clock()
 	l.noticeAt, l.noticeHolder, l.noticeToken = 0, holder, n.FencingToken
-	l.resignHandover = n.Handover
+	l.resignHandover, l.resignedAt = n.Handover, now
 	if !n.Held {
 		return
 	}
@@ -164,6 +172,33 @@
 	return l.value.FencingToken, true
 }
 
+// yield gives up the lease, held for at least yieldAfter, if another entry should hold it.
+func (l *lease) yield() (token int64, ok bool) {
+	if !l.deferring() {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.mine || l.closed || l.clock()-l.acquiredAt < yieldAfter {
+		return 0, false
+	}
+	l.mine, l.stale, l.yieldedAt = false, true, l.clock()
+	return l.value.FencingToken, true
+}
+
+// endReason returns why this entry no longer holds the lease.
+func (l *lease) endReason() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.yieldedAt > l.acquiredAt {
+		return "yielded to an entry with more processor"
+	}
+	return "not renewed"
+}
+
+// deferring reports whether another entry should hold the lease rather than this one.
+func (l *lease) deferring() bool { return l.defers != nil && l.defers() }
+
 // version returns the version of the row as last read or written.
 func (l *lease) version() string {
 	l.mu.Lock()
@@ -219,6 +254,7 @@
 		return pollInterval, err
 	}
 	next, left := l.nextRow()
+	left = l.deferred(left)
 	switch {
 	case left <= 0:
 		return renewInterval, l.write(ctx, next)
--- a/entry/direct/orders/lease_history_test.go
+++ b/entry/direct/orders/lease_history_test.go
@@ -98,8 +98,8 @@
 }
 
 // TestHandoverEnforcesGapPerServer generates histories of three entries that release
-// the lease with a handover, or resign when the store fails and notify some of the
-// other entries. No server may receive orders from two lease holders within the gap,
+// the lease with a handover, resign when the store fails, or yield to another entry, and
+// notify some of the other entries. No server may receive orders from two lease holders within the gap,
 // and no two entries may hold the lease at once.
 func TestHandoverEnforcesGapPerServer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -124,7 +124,11 @@
 			default:
 				_, err := o.step(context.Background())
 				notice := LeaseNotice{FencingToken: o.value.FencingToken, Held: o.mine, Version: o.version()}
-				if token, ok := o.resign(); err != nil && ok {
+				deferring := rapid.IntRange(0, 3).Draw(t, "defers") == 0
+				o.defers = func() bool { return deferring }
+				if token, ok := o.yield(); ok {
+					notice = LeaseNotice{FencingToken: token, Handover: o.handover(clock.read())}
+				} else if token, ok := o.resign(); err != nil && ok {
 					notice = LeaseNotice{FencingToken: token, Handover: o.handover(clock.read())}
 				} else if !o.mine {
 					break
--- a/entry/direct/orders/leaserow.go
+++ b/entry/direct/orders/leaserow.go
@@ -48,8 +48,9 @@
 }
 
 // nextRow returns the row with which this entry would renew or acquire the lease,
-// and how long it must wait before writing it. There is no wait if the lease holder
-// was an earlier process of this VM or has handed over. After a release without
+// and how long it must wait before writing it; a negative wait is over for that long.
+// There is no wait if the lease holder was an earlier process of this VM or has handed
+// over. After a release without
 // handover the wait is the gap, and otherwise the lease duration plus the gap. Waits
 // start when the row was first seen or announced, which is after the lease holder
 // sent its renewal.
@@ -66,7 +67,7 @@
 	unchanged := l.clock() - l.firstSeen
 	switch {
 	case l.value.Holder == l.self, l.receivedHandover() != nil:
-		return next, 0 // Inherited lists the servers that are still fenced
+		return next, l.freeSince() - l.clock() // Inherited lists the servers that are still fenced
 	case l.value.Released:
 		return next, l.gap - unchanged
 	default:
@@ -74,6 +75,31 @@
 	}
 }
 
+// deferred returns the wait before a write that acquires the lease, given the wait that
+// safety requires. An entry that defers to others waits longer.
+func (l *lease) deferred(left time.Duration) time.Duration {
+	deferring := l.deferring()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.mine || !deferring {
+		return left
+	}
+	return left + deference
+}
+
+// freeSince returns when this entry first knew that the lease is free without a wait.
+// l.mu is held.
+func (l *lease) freeSince() time.Duration {
+	switch {
+	case l.value.Holder == l.self:
+		return max(l.firstSeen, l.yieldedAt)
+	case l.value.Released:
+		return l.firstSeen
+	default:
+		return l.resignedAt
+	}
+}
+
 // receivedHandover returns the handover of the row's holder, or nil. l.mu is held.
 func (l *lease) receivedHandover() *Handover {
 	switch {
--- a/entry/direct/orders/manager.go
+++ b/entry/direct/orders/manager.go
@@ -45,6 +45,7 @@
 	Limit      func(server string) (float64, bool) // requests per second that a server takes, and whether it limits them; may be nil
 	OnChange   func(server string, c ServerUpdate) // called without locks held; may be nil
 	OnLease    func(LeaseNotice)                   // sends the notice to the other entries; may be nil
+	Defers     func() bool                         // reports whether an entry with more processor is connected, which should hold the lease; may be nil
 	Log        logrus.FieldLogger
 }
 
@@ -62,6 +63,7 @@
 	opts     Options
 	lease    *lease
 	planWake chan struct{} // triggers a planning pass
+	notify   chan struct{} // has one element when goroutines waiting for a change must be woken
 
 	leaseWake chan struct{} // triggers a lease step
 
@@ -92,8 +94,9 @@
 	}
 	m := &Manager{
 		opts:     opts,
-		lease:    &lease{table: opts.Table, self: opts.Self, gap: opts.LeaseGap, clock: opts.Clock},
+		lease:    &lease{table: opts.Table, self: opts.Self, gap: opts.LeaseGap, clock: opts.Clock, defers: opts.Defers},
 		planWake: make(chan struct{}, 1),
+		notify:   make(chan struct{}, 1),
 
 		leaseWake:      make(chan struct{}, 1),
 		placements:     map[string]*loadplan.PlacementState{},
@@ -112,6 +115,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { m.runLease(ctx) })
 	loops.Go(func() { m.runPlanner(ctx) })
+	loops.Go(func() { m.runNotifier(ctx) })
 	loops.Wait()
 	m.stop()
 }
@@ -263,6 +267,7 @@
 		m.resign()
 	}
 	if err == nil {
+		m.yield()
 		m.announceLease()
 	}
 	return wait
@@ -284,7 +289,7 @@
 		event.Log(m.opts.Log, event.OrdersLeaseTaken, event.Count(token), event.Peer(m.lease.previousHolder()))
 		m.wakePlanner()
 	case left <= 0 && wasHeld:
-		event.Log(m.opts.Log, event.OrdersLeaseEnded, event.Reason("not renewed"))
+		event.Log(m.opts.Log, event.OrdersLeaseEnded, event.Reason(m.lease.endReason()))
 	}
 	return left > 0
 }
@@ -296,6 +301,36 @@
 	}
 }
 
+// notifyInterval is the least time between two wake-ups of the goroutines that wait for
+// a change: each of them searches all servers again.
+const notifyInterval = 20 * time.Millisecond
+
+// runNotifier wakes the goroutines that wait for a change of the placement state, until
+// ctx ends.
+func (m *Manager) runNotifier(ctx context.Context) {
+	for {
+		select {
+		case <-m.notify:
+		case <-ctx.Done():
+			return
+		}
+		m.mu.Lock()
+		m.notifyChangedLocked()
+		m.mu.Unlock()
+		if !sleep(ctx, notifyInterval) {
+			return
+		}
+	}
+}
+
+// markChanged has the goroutines that wait for a change of the placement state woken soon.
+func (m *Manager) markChanged() {
+	select {
+	case m.notify <- struct{}{}:
+	default:
+	}
+}
+
 // notifyChangedLocked wakes the goroutines that wait for a change of the placement
 // state. m.mu is held.
 func (m *Manager) notifyChangedLocked() {
--- a/entry/direct/orders/plan.go
+++ b/entry/direct/orders/plan.go
@@ -8,12 +8,26 @@
 	"peridotchute.example/placement/loadplan"
 )
 
-// runPlanner plans every planInterval and whenever it is woken, until ctx ends.
+const (
+	// minPlanPause is the least time between the end of a plan and the next one.
+	minPlanPause = 10 * time.Millisecond
+	// planPauseFactor bounds the planner's share of the processor: the pause after a plan
+	// is at least this many times as long as the plan took.
+	planPauseFactor = 4
+)
+
+// runPlanner plans every planInterval and whenever it is woken, until ctx ends. However
+// often it is woken, it leaves most of the processor to the renewal of the lease, to
+// reports and to requests.
 func (m *Manager) runPlanner(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
+		began := time.Now()
 		m.plan(ctx)
+		if !sleep(ctx, planPause(time.Since(began))) {
+			return
+		}
 		select {
 		case <-ticker.C:
 		case <-m.planWake:
@@ -23,6 +37,11 @@
 	}
 }
 
+// planPause returns the pause after a plan that took the given time.
+func planPause(took time.Duration) time.Duration {
+	return max(minPlanPause, planPauseFactor*took)
+}
+
 // plan updates the placement state and starts the orders and reports that are due.
 func (m *Manager) plan(ctx context.Context) {
 	token, left := m.lease.held()
@@ -87,7 +106,7 @@
 			delete(m.placements, name)
 		}
 	}
-	m.notifyChangedLocked()
+	m.markChanged()
 }
 
 // applyHandover applies what the previous lease holder handed over: the servers
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -21,11 +21,12 @@
 	RPCAddress     string            `json:"rpc_address" validate:"required,ip_port"`
 	Seeds          []string          `json:"seeds" validate:"omitempty,dive,ip_port"` // RPC addresses of other entries; may be stale
 	Store          platform.Settings `json:"store" validate:"required"`
-	MemoryMB       float64           `json:"memory_mb" validate:"gt=0"` // limit at which the process is killed
-	Cores          float64           `json:"cores" validate:"gt=0"`     // of the VM
-	DrainMS        float64           `json:"drain_ms" validate:"gt=0"`  // for how long a server still takes requests once it leaves
-	GraceS         float64           `json:"grace_s" validate:"gt=0"`   // from SIGTERM to SIGKILL
-	LeaseMS        float64           `json:"lease_ms" validate:"gt=0"`  // least time between the orders of two lease holders to one server
+	MemoryMB       float64           `json:"memory_mb" validate:"gt=0"`              // limit at which the process is killed
+	Cores          float64           `json:"cores" validate:"gt=0"`                  // of the VM
+	ProcessorShare float64           `json:"processor_share" validate:"gte=0,lte=1"` // of these cores that the process may use; 0 means all
+	DrainMS        float64           `json:"drain_ms" validate:"gt=0"`               // for how long a server still takes requests once it leaves
+	GraceS         float64           `json:"grace_s" validate:"gt=0"`                // from SIGTERM to SIGKILL
+	LeaseMS        float64           `json:"lease_ms" validate:"gt=0"`               // least time between the orders of two lease holders to one server
 	RetryRatio     float64           `json:"retry_ratio" validate:"gte=0"`
 	RetryWindowS   float64           `json:"retry_window_s" validate:"gt=0"`
 	RetrySlack     float64           `json:"retry_slack" validate:"gte=0"`
@@ -38,3 +39,11 @@
 
 // milliseconds converts a setting in milliseconds to a duration.
 func milliseconds(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// processor returns the processor time that the process may use, in cores.
+func (s *Settings) processor() float64 {
+	if s.ProcessorShare == 0 {
+		return s.Cores
+	}
+	return s.Cores * s.ProcessorShare
+}
--- a/rpc/messages.go
+++ b/rpc/messages.go
@@ -42,6 +42,8 @@
 	Pool        string `json:"pool,omitempty"`
 	DataAddress string `json:"data_address,omitempty"`
 	RPCAddress  string `json:"rpc_address,omitempty"`
+
+	Processor float64 `json:"processor,omitempty"` // of the VM, in cores of usual speed; 0 if unknown
 }
 
 // Hello is the first message on a connection. Key is the deployment key.
