A request whose caller has left is not sent, and an ended server not tried again

What the users saw: GONE on the large site.

Causes: on a VM short of processor the handler of a request starts late, and net/http cancels its context only once a goroutine has read the end of the client's connection. Idle connections to an ended server were used one after the other: each request written to one may have run, as far as the entry knows.

Change: the kernel is asked (MSG_PEEK) whether the client has closed its connection, once a connection to the server exists and before a byte is written, and before each attempt. The first broken or refused connection of a server closes its idle ones, so that the next request dials, and a refused dial is no attempt. A server that refused the connection of a request is not offered to it again. An offer without a server is never ready.

--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -29,6 +29,11 @@
 	Budget  Budget
 	Drain   time.Duration // for how long a server still takes requests once it leaves
 	Ensure  EnsureFunc
+
+	// Entries returns the number of entries of the deployment, those out of reach included,
+	// which share the slack of the retry budgets, and the rank of this one among them, from
+	// 0. The number is 0 while it is unknown. Nil means that this is the only entry.
+	Entries func() (n, rank int)
 }
 
 // Budget limits the retries of a service across all entries.
@@ -50,8 +55,6 @@
 	pools map[string]*pool // by service
 
 	started time.Time
-	entries int // of the deployment, which share the budgets' slack; 0 while unknown
-	rank    int // of this entry among them
 
 	peers       []string               // names of the other entries
 	earlyLimits map[string]ServerLimit // by server; of servers that are not known yet
--- a/entry/direct/balance/balance_test.go
+++ b/entry/direct/balance/balance_test.go
@@ -27,7 +27,6 @@
 			return answer, nil
 		},
 	})
-	b.SetEntries(1, 0)
 	engine := &fleet.Engine{Slots: 64, KVTokens: 240_000, WeightsMB: 200_000, AdapterSlots: 8, Models: map[string]fleet.Model{
 		"m": {Name: "m", WeightsMB: 60_000, Adapters: 9, Load: time.Second},
 	}}
@@ -167,3 +166,20 @@
 	assert.Equal(t, demand[0].Refused, 0)
 	assert.Equal(t, calls.Load(), int64(0))
 }
+
+// TestServerThatRefusedTheConnectionIsOfferedAgain has one server with the model: it is
+// offered again to a request that it failed, and not to one whose connection it refused.
+func TestServerThatRefusedTheConnectionIsOfferedAgain(t *testing.T) {
+	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}}, "")
+	ticket, rejected := b.Admit(t.Context(), query("", "s1"))
+	assert.Assert(t, rejected == nil)
+	ticket.End()
+	q := query("")
+	q.Gone = []string{"s1"}
+	q.Deadline = time.Now().Add(time.Second)
+	q.Route.Objective = 100 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	ticket, _ = b.Admit(ctx, q)
+	assert.Assert(t, ticket == nil)
+}
--- a/entry/direct/balance/bench_test.go
+++ b/entry/direct/balance/bench_test.go
@@ -24,7 +24,6 @@
 			return "", ctx.Err()
 		},
 	})
-	b.SetEntries(8, 0)
 	engine := &fleet.Engine{Slots: 64, KVTokens: 240_000, WeightsMB: 200_000, AdapterSlots: 8, LoadsPerS: 2, EventTokens: 4, Models: map[string]fleet.Model{}}
 	for m := range models {
 		name := fmt.Sprintf("model%08d", m)
--- a/entry/direct/balance/budget.go
+++ b/entry/direct/balance/budget.go
@@ -6,22 +6,24 @@
 	"peridotchute.example/admission"
 )
 
-// retryBudget returns the unused budget of a service. The caller holds b.mu.
+// retryBudget returns the unused budget of a service.
 func (b *Balancer) retryBudget() admission.RetryBudget {
 	o := b.opts.Budget
-	return admission.RetryBudget{Ratio: o.Ratio, Slack: o.Slack, Window: o.Window, Entries: b.entries, Rank: b.rank, Started: b.started}
+	return admission.RetryBudget{Ratio: o.Ratio, Slack: o.Slack, Window: o.Window, Started: b.started}
 }
 
-// SetEntries sets the number of entries of the deployment, also of those out of reach; 0
-// means unknown. They share the slack of the retry budgets. rank is the place of this entry
-// among them, from 0.
-func (b *Balancer) SetEntries(n, rank int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.entries, b.rank = n, rank
-	for _, p := range b.pools {
-		p.budget.Entries, p.budget.Rank = n, rank
+// budgetOf returns the retry budget of a service with the present number of entries, or nil
+// if the service is unknown. The caller holds b.mu.
+func (b *Balancer) budgetOf(service string) *admission.RetryBudget {
+	p := b.pools[service]
+	if p == nil {
+		return nil
 	}
+	p.budget.Entries, p.budget.Rank = 1, 0
+	if b.opts.Entries != nil {
+		p.budget.Entries, p.budget.Rank = b.opts.Entries()
+	}
+	return &p.budget
 }
 
 // SetBudget replaces the retry budget of all services. The window of existing
@@ -49,8 +51,8 @@
 func (b *Balancer) TakeRetry(service string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.pools[service]
-	return p != nil && p.budget.Take(now)
+	budget := b.budgetOf(service)
+	return budget != nil && budget.Take(now)
 }
 
 // ReturnRetry gives back an attempt that TakeRetry took at the given time, because
@@ -68,8 +70,8 @@
 func (b *Balancer) BudgetLeft(service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if p := b.pools[service]; p != nil {
-		return float64(p.budget.Remaining(time.Now()))
+	if budget := b.budgetOf(service); budget != nil {
+		return float64(budget.Remaining(time.Now()))
 	}
 	return 0
 }
@@ -79,8 +81,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	left := make(map[string]float64, len(b.pools))
-	for service, p := range b.pools {
-		left[service] = float64(p.budget.Remaining(time.Now()))
+	for service := range b.pools {
+		left[service] = float64(b.budgetOf(service).Remaining(time.Now()))
 	}
 	return left
 }
--- a/entry/direct/balance/leaving.go
+++ b/entry/direct/balance/leaving.go
@@ -22,7 +22,7 @@
 
 // candidate reports whether the server may be offered to the request.
 func (b *Balancer) candidate(s *server, w *waiting, now time.Time) bool {
-	if !w.fits(s) {
+	if !w.mayGet(s) {
 		return false
 	}
 	if w.lastResort {
--- a/entry/direct/balance/limit.go
+++ b/entry/direct/balance/limit.go
@@ -217,7 +217,7 @@
 func (p *pool) limitWait(w *waiting, now time.Time) (wait time.Duration, ok bool) {
 	rate := 0.0
 	for _, s := range p.order {
-		if s.engine == nil || s.Draining || now.Before(s.downUntil) || !w.fits(s) || !s.hasLoaded(w.artifact, now) {
+		if s.engine == nil || s.Draining || now.Before(s.downUntil) || !w.mayGet(s) || !s.hasLoaded(w.artifact, now) {
 			continue
 		}
 		if until, has := s.limit.Until(now); has {
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -103,6 +103,9 @@
 	return true
 }
 
+// mayGet reports whether the server fits the request and has not refused its connection.
+func (w *waiting) mayGet(s *server) bool { return w.fits(s) && !slices.Contains(w.gone, s.ID) }
+
 // fits reports whether the server has the software version that the request needs.
 func (w *waiting) fits(s *server) bool { return w.software == "" || w.software == s.Software }
 
@@ -163,6 +166,7 @@
 		load = wait
 	}
 	w.server = nil
+	load = max(load, minSleep) // an offer without a server is never ready
 	work := w.prompt.Work(0)
 	return admission.Offer{Batch: &m.virtual.Batch, Load: load, Wait: load + work, Work: work, Step: timePerToken}, true
 }
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -17,7 +17,8 @@
 	Route    *fleet.Route
 	Arrived  time.Time
 	Deadline time.Time
-	Exclude  []string // IDs of servers that failed or declined the request
+	Exclude  []string // IDs of servers that failed or declined the request; offered if there is no other
+	Gone     []string // IDs of servers that refused the connection; not offered
 	Resumed  bool     // a stream that continues after a failed attempt
 	Software string   // if set, only servers of this software version may get the request
 
@@ -42,6 +43,7 @@
 	artifact artifact
 	prompt   routing.Prompt
 	exclude  []string
+	gone     []string
 	strict   bool   // no excluded server is offered, and no model is loaded
 	software string // if set, only servers of this software version are offered
 	priority int
@@ -97,6 +99,7 @@
 	w := &waiting{
 		artifact: artifact{r.Model, r.Adapter},
 		exclude:  q.Exclude,
+		gone:     q.Gone,
 		strict:   q.Successor,
 		software: q.Software,
 		priority: q.Route.Priority,
@@ -157,6 +160,9 @@
 	for _, id := range w.exclude {
 		out.Flow ^= routing.ArtifactKey(id)
 	}
+	for _, id := range w.gone {
+		out.Flow ^= routing.ArtifactKey("gone " + id)
+	}
 	return out
 }
 
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -69,7 +69,7 @@
 
 func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, decisions *decisionlog.Log, log logrus.FieldLogger) *coordination {
 	c := &coordination{name: s.Name, watcher: w, changes: newChangeQueue(), log: log, processor: s.processor()}
-	c.balancer = balance.New(balance.Options{Name: s.Name, Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Drain: milliseconds(s.DrainMS), Ensure: c.ensure})
+	c.balancer = balance.New(balance.Options{Name: s.Name, Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Drain: milliseconds(s.DrainMS), Ensure: c.ensure, Entries: c.entries})
 	c.manager = orders.New(orders.Options{
 		Table:      table,
 		Control:    control,
@@ -169,6 +169,9 @@
 // that they need not read it, or that it has given the lease up.
 func (c *coordination) broadcastLease(n orders.LeaseNotice) { c.mesh.Broadcast(methodLease, n) }
 
+// entries returns the number of entries and the rank of this one among them.
+func (c *coordination) entries() (n, rank int) { return c.mesh.Entries() }
+
 // strongerShare is by how much the processor of another VM must exceed this one's for the
 // orders lease to be better held there.
 const strongerShare = 1.5
@@ -206,7 +209,6 @@
 func (c *coordination) exchangeLoads(ctx context.Context) {
 	for clock.Sleep(ctx, loadInterval) == nil {
 		c.balancer.SetPeers(c.mesh.Connected())
-		c.balancer.SetEntries(c.mesh.Entries())
 		if changed := c.balancer.TakeLimitChanges(); len(changed) > 0 {
 			c.mesh.Broadcast(methodLimits, changed)
 		}
--- a/entry/direct/exchange/conn.go
+++ b/entry/direct/exchange/conn.go
@@ -28,11 +28,17 @@
 // written.
 var errStale = errors.New("connection was idle for too long")
 
+// errCallerLeft means that the caller left before the request was written.
+var errCallerLeft = errors.New("the caller has left")
+
 // IsStale reports whether an attempt failed before anything was written because its
 // reused connection had been idle for too long or was closed, which does not
 // indicate a server fault.
 func IsStale(err error) bool { return errors.Is(err, errStale) }
 
+// IsRefused reports whether no process listens at the server's address.
+func IsRefused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
+
 // conn is a connection to a backend server. It counts the bytes written and refuses
 // a new request after being idle for longer than the server allows.
 type conn struct {
@@ -41,12 +47,17 @@
 	lastUsed atomic.Int64 // nanoseconds since processStart
 	maxIdle  atomic.Int64 // nanoseconds; 0 when the server set no limit
 	busy     atomic.Bool  // from the start of a request to the end of its response
+	withheld atomic.Bool  // the next request must not be written: its caller has left
+	onClose  func()       // may be called several times; nil for none
 }
 
 // processStart is the origin of lastUsed.
 var processStart = time.Now()
 
 func (c *conn) Write(p []byte) (int, error) {
+	if c.withheld.Load() {
+		return 0, errCallerLeft
+	}
 	now := int64(time.Since(processStart))
 	if idle := c.maxIdle.Load(); idle > 0 && now-c.lastUsed.Load() > idle && !c.busy.Load() {
 		return 0, errStale
@@ -72,7 +83,15 @@
 	c.busy.Store(false)
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
+// Close closes the connection.
+func (c *conn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
+	return c.Conn.Close()
+}
+
+func dial(ctx context.Context, network, address string) (*conn, error) {
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -45,6 +45,10 @@
 	Header  http.Header // as the client sent it
 	Attempt fleet.Attempt
 	Address string // IP:port of the server
+
+	// CallerLeft reports whether the caller has closed its connection. It is asked once a
+	// connection to the server exists; nothing is sent then. It may be nil.
+	CallerLeft func() bool
 }
 
 // Response is a server's response whose body has not been read.
@@ -69,20 +73,15 @@
 
 // Exchanger sends attempts to backend servers over shared connections.
 type Exchanger struct {
-	codec     fleet.Codec
-	transport *http.Transport
+	codec       fleet.Codec
+	connections *connections
+	transport   *http.Transport
 }
 
 // New returns an Exchanger that forwards requests as the codec prescribes.
 func New(codec fleet.Codec) *Exchanger {
-	return &Exchanger{codec: codec, transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: maxIdlePerServer,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: MaxHeaderBytes,
-	}}
+	cs := newConnections()
+	return &Exchanger{codec: codec, connections: cs, transport: cs.newTransport()}
 }
 
 // Close closes the idle connections.
@@ -98,6 +97,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			used, writtenBefore = c, c.written.Load()
+			c.withheld.Store(ctx.Err() != nil || call.CallerLeft != nil && call.CallerLeft())
 		}
 	}}
 	req, err := x.request(httptrace.WithClientTrace(ctx, trace), call)
@@ -106,6 +106,9 @@
 	}
 	resp, err := x.transport.RoundTrip(req)
 	if err != nil {
+		if showsEnd(err) {
+			x.connections.closeIdle(call.Address)
+		}
 		return nil, sendError(call, used, writtenBefore, err)
 	}
 	response := &Response{
@@ -118,7 +121,7 @@
 	}
 	if used != nil {
 		used.setMaxIdle(keepAliveTimeout(resp.Header))
-		response.Body, response.conn = &body{ReadCloser: resp.Body, conn: used}, used
+		response.Body, response.conn = &body{ReadCloser: resp.Body, conn: used, ends: func() { x.connections.closeIdle(call.Address) }}, used
 	}
 	if reason := mismatch(call, response); reason != "" {
 		_ = resp.Body.Close()
@@ -160,12 +163,16 @@
 type body struct {
 	io.ReadCloser
 	conn *conn
+	ends func() // called when the connection breaks in a way that suggests that the server has ended
 }
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		b.conn.markIdle()
+	case err != nil && showsEnd(err):
+		b.ends()
 	}
 	return n, err
 }
--- a/entry/direct/front/outcome.go
+++ b/entry/direct/front/outcome.go
@@ -19,7 +19,7 @@
 )
 
 // callerDisconnected reports whether the caller closed its connection.
-func (r *run) callerDisconnected() bool { return r.r.Context().Err() != nil }
+func (r *run) callerDisconnected() bool { return callerLeft(r.r) }
 
 // recordFailure records a failed attempt unless the caller disconnected.
 func (r *run) recordFailure(ctx context.Context, a *attempt, status int, err error) {
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -39,6 +39,7 @@
 	unsent     int           // attempts that failed before anything was sent
 	mayHaveRun bool          // some server may have run the request
 	exclude    []string      // IDs of servers that failed or declined the request
+	gone       []string      // IDs of servers that refused the connection
 	software   string        // version that brought the stream's events; empty while there are none
 	recorded   string        // version last recorded as the stream's origin
 	begun      atomic.Bool   // the client has been sent an event
@@ -113,7 +114,7 @@
 		r.record.serverChanged(next)
 		return next, nil
 	}
-	if ctx.Err() != nil || time.Until(r.req.deadline()) < minTimeLeft {
+	if ctx.Err() != nil || r.callerDisconnected() || time.Until(r.req.deadline()) < minTimeLeft {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate}
 	}
 	queuedAt := time.Now()
@@ -177,6 +178,7 @@
 		Arrived:  r.req.arrived,
 		Deadline: r.req.deadline(),
 		Exclude:  r.exclude,
+		Gone:     r.gone,
 		Resumed:  r.stream != nil,
 		Software: r.software,
 	}
@@ -207,6 +209,8 @@
 		Header:  r.r.Header,
 		Attempt: attempt,
 		Address: s.Address,
+
+		CallerLeft: func() bool { return callerLeft(r.r) },
 	}
 }
 
@@ -238,6 +242,9 @@
 		if ctx.Err() == nil {
 			r.markUnreachable(a, err)
 		}
+		if exchange.IsRefused(err) {
+			r.gone = append(r.gone, t.Server.ID)
+		}
 		r.unsent++
 		if r.unsent < maxUnsentAttempts && ctx.Err() == nil {
 			return true
--- a/entry/direct/front/stall_test.go
+++ b/entry/direct/front/stall_test.go
@@ -23,7 +23,6 @@
 func newTestFront(t *testing.T) *Front {
 	t.Helper()
 	b := balance.New(balance.Options{Budget: balance.Budget{Slack: 10, Window: time.Minute}})
-	b.SetEntries(1, 0)
 	v := &fleet.View{Config: &fleet.Config{Services: map[string]*fleet.Service{testService: {Name: testService}}}}
 	for _, id := range []string{"s1", "s2"} {
 		v.Servers = append(v.Servers, fleet.Server{ID: id, Service: testService, Address: "10.0.0.1:80", Slots: 8})
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -39,25 +39,39 @@
 	maxHeaderBytes    = 2 << 20 // the configured limit is enforced separately
 )
 
+// maxWaitForEntries is the longest time after its start for which an entry is not ready
+// because it does not know the other entries.
+const maxWaitForEntries = time.Second
+
 // readiness answers the platform's readiness checks.
 type readiness struct {
 	views    *view.Watcher
+	entries  func() (n, rank int) // n is 0 while the number of entries is unknown
+	started  time.Time
 	stopping atomic.Bool
 }
 
-func newReadiness(w *view.Watcher) *readiness { return &readiness{views: w} }
+func newReadiness(w *view.Watcher, c *coordination) *readiness {
+	return &readiness{views: w, entries: c.entries, started: time.Now()}
+}
 
-// ServeHTTP responds with 200 once the configuration and the servers are known and
-// until the process begins to stop, and otherwise with 503.
+// ServeHTTP responds with 200 once the configuration, the servers and the other entries are
+// known and until the process begins to stop, and otherwise with 503. Entries that remain
+// unknown are not waited for.
 func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	v := r.views.Current()
-	if r.stopping.Load() || v.Config == nil || v.ServersRead.IsZero() {
+	if r.stopping.Load() || v.Config == nil || v.ServersRead.IsZero() || !r.knowsEntries() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+func (r *readiness) knowsEntries() bool {
+	n, _ := r.entries()
+	return n > 0 || time.Since(r.started) >= maxWaitForEntries
+}
+
 // limits returns the client limits of the active configuration, or none before a
 // configuration is known.
 func (r *readiness) limits() fleet.Limits {
