--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -218,8 +218,9 @@
 			loads[i] = mesh.ServerLoad{ID: l.ID, Requests: l.Requests, Prefill: int(l.Work.Milliseconds()), Memory: l.Tokens}
 		}
 		c.mesh.SetLoad(loads)
+		peerLoads := c.mesh.Loads()
 		c.balancer.SetPeerLoads(func(id string) balance.Load {
-			peers, _ := c.mesh.Load(id)
+			peers := peerLoads[id]
 			return balance.Load{ID: id, Requests: peers.Requests, Work: time.Duration(peers.Prefill) * time.Millisecond, Tokens: peers.Memory}
 		})
 	}
--- a/entry/direct/mesh/documents.go
+++ b/entry/direct/mesh/documents.go
@@ -67,10 +67,11 @@
 
 // addDocuments adds the versions of this entry's documents to an update.
 // Documents received from a peer are announced only with gossip, since most peers
-// have received them from the same peer.
+// have received them from the same peer, but by an aggregator with members.
 func (m *Mesh) addDocuments(u *update, l *link, withGossip bool, now time.Time) {
+	relayed := m.aggregator == m.self.Name && m.hasMembers() && m.exchangesLoad(l)
 	for kind, d := range m.documents {
-		if !withGossip && !d.local || !d.newerThan(l.sentDocuments[kind]) || !d.newerThan(l.peerDocuments[kind]) {
+		if !withGossip && !d.local && !relayed || !d.newerThan(l.sentDocuments[kind]) || !d.newerThan(l.peerDocuments[kind]) {
 			continue
 		}
 		l.sentDocuments[kind] = document{version: d.version, asOf: d.asOf}
@@ -165,7 +166,11 @@
 	newer := pulled.newerThan(m.documents[kind])
 	if newer {
 		m.documents[kind] = pulled
-		m.counts.documents++
+		m.counters.documents++
+		if m.hasMembers() {
+			m.urgent = true
+			m.markChanged()
+		}
 	}
 	m.mu.Unlock()
 	if !newer {
--- a/entry/direct/mesh/dump.go
+++ b/entry/direct/mesh/dump.go
@@ -44,6 +44,6 @@
 		age := time.Since(doc.asOf).Milliseconds()
 		d.Documents[kind] = DocumentDump{Version: doc.version, AgeMS: age, Bytes: len(doc.body), Own: doc.local}
 	}
-	d.Updates, d.DocumentsReceived, d.RowCalls = m.counts.updates, m.counts.documents, m.counts.rowCalls
+	d.Updates, d.DocumentsReceived, d.RowCalls = m.counters.updates, m.counters.documents, m.counters.rowCalls
 	return d
 }
--- a/entry/direct/mesh/link.go
+++ b/entry/direct/mesh/link.go
@@ -32,6 +32,8 @@
 	lastReceived      time.Time     // time of the last update from the peer
 	peerInterval      time.Duration // maximum interval between updates that the peer announced
 	receivedLoad      receivedLoad
+	peerAggregator    string              // announced by the peer; empty if none was
+	sentAggregator    string              // announced to the peer
 	peerLinks         map[string]bool     // entries to which the peer is connected
 	peerDocuments     map[string]document // what the peer has, by kind; without bodies
 	lastSent          time.Time           // time of the last update to the peer
@@ -86,6 +88,7 @@
 	added := m.members.addOrUpdate(l.id, true, now)
 	m.members.markConnected(l.id.Name)
 	m.links[l.id.Name] = l
+	m.chooseAggregator()
 	if m.firstConnected.IsZero() {
 		m.firstConnected = now
 	}
@@ -134,7 +137,8 @@
 		return false
 	}
 	delete(m.links, l.id.Name)
-	l.receivedLoad.removeAll(m.totals)
+	m.chooseAggregator()
+	m.rolesChanged()
 	m.members.markDisconnected(l.id.Name, now)
 	m.markChanged()
 	m.wakeScheduler()
@@ -209,14 +213,17 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	var u update
-	if announcedInterval := heartbeatInterval(len(m.links)); announcedInterval != l.announcedInterval {
+	if announcedInterval := m.announcedInterval(l); announcedInterval != l.announcedInterval {
 		l.announcedInterval = announcedInterval
 		u.NextMS = announcedInterval.Milliseconds()
 	}
 	l.sentChanges = m.changes
 	if l.loadVersion != m.loadVersion {
 		l.loadVersion = m.loadVersion
-		l.sentLoad.addDelta(&u, m.load)
+		l.sentLoad.addDelta(&u, m.loadFor(l))
+	}
+	if l.sentAggregator != m.aggregator {
+		l.sentAggregator, u.Aggregator = m.aggregator, m.aggregator
 	}
 	withGossip := now.Sub(l.lastGossip) >= gossipInterval
 	m.addDocuments(&u, l, withGossip, now)
@@ -228,7 +235,7 @@
 		return u, false
 	}
 	l.lastSent = now
-	m.counts.updates++
+	m.counters.updates++
 	return u, true
 }
 
@@ -263,7 +270,8 @@
 	if u.NextMS > 0 {
 		l.peerInterval = time.Duration(u.NextMS) * time.Millisecond
 	}
-	l.receivedLoad.apply(&u, m.totals)
+	m.receiveAggregator(l, u.Aggregator)
+	m.receiveLoad(l, &u)
 	for _, id := range u.Joined {
 		l.peerLinks[id.Name] = true
 		if m.members.addOrUpdate(id, false, now) {
--- a/entry/direct/mesh/load.go
+++ b/entry/direct/mesh/load.go
@@ -1,8 +1,8 @@
 package mesh
 
 import (
+	"maps"
 	"slices"
-	"time"
 )
 
 // ServerLoad is the load that one entry puts on a backend server.
@@ -150,15 +150,25 @@
 	m.markChanged()
 }
 
-// Load returns the load that the connected peers put on a backend server, and
-// the time since the least recent update among these peers.
-func (m *Mesh) Load(serverID string) (Totals, time.Duration) {
+// receiveLoad applies the load in an update from a peer. The caller holds mu.
+func (m *Mesh) receiveLoad(l *link, u *update) {
+	if len(u.Servers)+len(u.Load)+len(u.Removed) == 0 {
+		return
+	}
+	if !m.counts(l) {
+		l.receivedLoad.apply(u, map[string]Totals{})
+		return
+	}
+	l.receivedLoad.apply(u, m.totals)
+	if m.aggregator == m.self.Name && m.hasMembers() {
+		m.loadVersion++
+		m.markChanged()
+	}
+}
+
+// Loads returns the load that the other entries put on the backend servers, by server ID.
+func (m *Mesh) Loads() map[string]Totals {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
-	var age time.Duration
-	for _, l := range m.links {
-		age = max(age, now.Sub(l.lastReceived))
-	}
-	return m.totals[serverID], age
+	return maps.Clone(m.totals)
 }
--- a/entry/direct/mesh/mesh.go
+++ b/entry/direct/mesh/mesh.go
@@ -80,13 +80,15 @@
 	active         bool                   // the last pass found changes, so the next one follows soon
 	checkedChanges uint64                 // value of changes at the last pass
 	nextPass       time.Time              // planned time of the next pass
-	counts         counts
+	counters       counters
+	loadLinks      int       // peers with which load is exchanged, at the last pass
+	aggregator     string    // name of the entry that this one tells its load to; its own if it tells all
 	rowsRead       bool      // all rows have been read once
 	firstConnected time.Time // of any peer
 }
 
-// counts are cumulative since the start.
-type counts struct {
+// counters are cumulative since the start.
+type counters struct {
 	updates, documents, rowCalls uint64
 }
 
@@ -111,6 +113,8 @@
 		totals:    map[string]Totals{},
 		documents: map[string]document{},
 		pulling:   map[string]bool{},
+
+		aggregator: opts.Self.Name,
 	}
 	for _, address := range opts.Seeds {
 		if address != opts.Self.Address {
--- a/entry/direct/mesh/mesh_test.go
+++ b/entry/direct/mesh/mesh_test.go
@@ -197,8 +197,7 @@
 }
 
 func requests(e *entry, server string) int {
-	totals, _ := e.Load(server)
-	return totals.Requests
+	return e.Loads()[server].Requests
 }
 
 func TestLoadSumsAllPeers(t *testing.T) {
@@ -209,7 +208,7 @@
 	entries[1].SetLoad([]ServerLoad{{ID: "s1", Requests: 2, Prefill: 900, Memory: 5000}, {ID: "s2", Requests: 1}})
 	entries[2].SetLoad([]ServerLoad{{ID: "s1", Requests: 3, Prefill: 100, Memory: 7000}})
 	want := Totals{Requests: 5, Prefill: 1000, Memory: 12000}
-	await(t, "sum", func() bool { got, _ := entries[0].Load("s1"); return got == want })
+	await(t, "sum", func() bool { return entries[0].Loads()["s1"] == want })
 	await(t, "own load is excluded", func() bool { return requests(entries[1], "s1") == 3 })
 	entries[2].SetLoad(nil)
 	await(t, "less", func() bool { return requests(entries[0], "s1") == 2 })
--- a/entry/direct/mesh/messages.go
+++ b/entry/direct/mesh/messages.go
@@ -42,11 +42,13 @@
 	Joined    []Identity                 `json:"j,omitempty"` // entries to which the sender has connected
 	Left      []string                   `json:"x,omitempty"` // entries from which the sender has disconnected
 	Documents map[string]documentVersion `json:"d,omitempty"` // versions of the sender's documents, by kind
+
+	Aggregator string `json:"a,omitempty"` // name of the sender's aggregator; empty if unchanged
 }
 
 func (u *update) empty() bool {
 	return u.NextMS == 0 && len(u.Servers) == 0 && len(u.Load) == 0 && len(u.Removed) == 0 &&
-		len(u.Joined) == 0 && len(u.Left) == 0 && len(u.Documents) == 0
+		len(u.Joined) == 0 && len(u.Left) == 0 && len(u.Documents) == 0 && u.Aggregator == ""
 }
 
 // documentVersion is the version and age of a document that the sender has.
--- a/entry/direct/mesh/rows.go
+++ b/entry/direct/mesh/rows.go
@@ -212,5 +212,5 @@
 func (m *Mesh) countRowCall() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.counts.rowCalls++
+	m.counters.rowCalls++
 }
--- a/entry/direct/mesh/schedule.go
+++ b/entry/direct/mesh/schedule.go
@@ -60,12 +60,13 @@
 func (m *Mesh) runPass(ctx context.Context, now time.Time) ([]*link, time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.loadLinks = m.loadPeers()
 	silent, next := m.scheduleLinks(now)
 	m.urgent = false
 	m.active = m.checkedChanges != m.changes
 	m.checkedChanges = m.changes
 	if m.active {
-		next = earlier(next, now.Add(updateInterval(true, len(m.links))))
+		next = earlier(next, now.Add(updateInterval(true, m.loadLinks)))
 	}
 	m.members.expire(m.peerConnectedTo, now)
 	m.nextPass = earlier(next, m.scheduleDials(ctx, now))
@@ -99,7 +100,7 @@
 // scheduleLink wakes a link if it is due and returns the time to check it again.
 func (m *Mesh) scheduleLink(l *link, now time.Time) time.Time {
 	due := m.due(l)
-	if m.urgent {
+	if m.urgent && m.exchangesLoad(l) {
 		due = now
 	}
 	if due.After(now.Add(sendSlack)) {
@@ -107,7 +108,7 @@
 	}
 	l.lastWoken = now
 	l.wake()
-	return now.Add(heartbeatInterval(len(m.links)))
+	return now.Add(m.announcedInterval(l))
 }
 
 // due returns when the next update or heartbeat of a link should be sent.
@@ -122,8 +123,20 @@
 	return due
 }
 
+// interval returns the minimum interval between updates to a peer.
 func (m *Mesh) interval(l *link) time.Duration {
-	return updateInterval(l.id.Region == m.self.Region, len(m.links))
+	if !m.exchangesLoad(l) {
+		return quietInterval(len(m.links))
+	}
+	return updateInterval(l.id.Region == m.self.Region, m.loadLinks)
+}
+
+// announcedInterval returns the maximum interval between updates to a peer.
+func (m *Mesh) announcedInterval(l *link) time.Duration {
+	if !m.exchangesLoad(l) {
+		return quietInterval(len(m.links))
+	}
+	return heartbeatInterval(m.loadLinks)
 }
 
 // scheduleDials starts the dial attempts that are due and returns the time of the
