--- a/entry/direct/mesh/aggregate.go
+++ b/entry/direct/mesh/aggregate.go
@@ -11,9 +11,10 @@
 // VM's processor. There each entry tells its load to one aggregator of its availability
 // zone, which tells the sum of its group to the other aggregators, and to each member of
 // its group the load of all other entries. Each entry chooses its aggregator from its own
-// connections and announces it. The groups are disjoint whatever the entries believe of
-// each other, because an entry has one aggregator at a time, and sums are built from
-// members' own loads only; so no load counts twice.
+// connections and announces it. Groups are disjoint whatever the entries believe of each
+// other, because an entry has one aggregator at a time and the sum of a group is built from
+// its members' own loads only. After a change an entry's load counts twice until its former
+// aggregator has received the change or has lost the connection.
 
 const (
 	// maxFlatEntries is the number of entries up to which each tells its load to all.
@@ -61,17 +62,25 @@
 // announced none.
 func (l *link) aggregates() bool { return l.peerAggregator == "" || l.peerAggregator == l.id.Name }
 
-// chooseAggregator updates this entry's aggregator. The caller holds mu.
+// chooseAggregator updates this entry's aggregator. An entry that others have chosen is its
+// own: what they tell it goes on to the other aggregators. The caller holds mu.
 func (m *Mesh) chooseAggregator() {
+	if m.hasMembers() {
+		m.setAggregator(m.self.Name)
+		return
+	}
 	peers := make([]Identity, 0, len(m.links))
 	for _, l := range m.links {
 		peers = append(peers, l.id)
 	}
-	chosen := aggregatorOf(m.self, peers, m.aggregator)
-	if chosen == m.aggregator {
+	m.setAggregator(aggregatorOf(m.self, peers, m.aggregator))
+}
+
+func (m *Mesh) setAggregator(name string) {
+	if name == m.aggregator {
 		return
 	}
-	m.aggregator = chosen
+	m.aggregator = name
 	m.rolesChanged()
 }
 
@@ -189,5 +198,6 @@
 		return
 	}
 	l.peerAggregator = name
+	m.chooseAggregator()
 	m.rolesChanged()
 }
