--- a/entry/direct/mesh/dump.go
+++ b/entry/direct/mesh/dump.go
@@ -6,6 +6,7 @@
 type Dump struct {
 	Self              Identity                `json:"self"`
 	Peers             []PeerDump              `json:"peers"`
+	Aggregator        string                  `json:"aggregator"`      // name of the entry that this one tells its load to; its own if it tells all
 	Documents         map[string]DocumentDump `json:"documents"`       // by kind
 	Updates           uint64                  `json:"updates"`         // updates sent since the start
 	DocumentsReceived uint64                  `json:"documents_taken"` // documents received from peers since the start
@@ -44,6 +45,7 @@
 		age := time.Since(doc.asOf).Milliseconds()
 		d.Documents[kind] = DocumentDump{Version: doc.version, AgeMS: age, Bytes: len(doc.body), Own: doc.local}
 	}
+	d.Aggregator = m.aggregator
 	d.Updates, d.DocumentsReceived, d.RowCalls = m.counters.updates, m.counters.documents, m.counters.rowCalls
 	return d
 }
