--- a/placement/loadplan/option.go
+++ b/placement/loadplan/option.go
@@ -164,8 +164,9 @@
 }
 
 // evictable reports whether a model may be unloaded from a server. The last
-// replica stays unless evictLast is set and the model is idle and runs no request. A
-// replica that is still loading elsewhere doesn't replace one that serves.
+// replica stays unless evictLast is set and the model was not requested
+// recently. A replica that is still loading elsewhere doesn't replace one that
+// serves.
 func (v *residentPlan) evictable(pl *placement) bool {
 	needed := pl.reason == ReasonWaiting || pl.reason == ReasonNotLoaded
 	if v.maybeOut || (!needed && v.recent) {
@@ -174,7 +175,7 @@
 	if v.model.count > 1 && (v.servedElsewhere() || !v.model.requested) {
 		return true
 	}
-	return pl.evictLast && v.model.idle && (v.running == 0 || !v.model.requested)
+	return pl.evictLast && !v.model.requested
 }
 
 // servedElsewhere reports whether another server serves the model.
@@ -186,7 +187,7 @@
 	return n > 0
 }
 
-// mayEvictLast reports whether the last replica of another, idle model may be
+// mayEvictLast reports whether the last replica of another model may be
 // unloaded to load the given model for the given reason. It may if the given
 // model has waiting requests or no replica, and also if its replicas are
 // overloaded and demand has been observed for learningTime.
--- a/placement/loadplan/plan.go
+++ b/placement/loadplan/plan.go
@@ -90,7 +90,7 @@
 		if s.Models[victim] == nil {
 			continue
 		}
-		if m := p.model(victim); m != nil && m.serving == 0 && !m.idle {
+		if m := p.model(victim); m != nil && m.serving == 0 && m.requested {
 			s.intent = nil // the victim's other replicas were lost, or it was requested meanwhile
 			return Step{}, false
 		}
--- a/placement/loadplan/planning.go
+++ b/placement/loadplan/planning.go
@@ -39,8 +39,6 @@
 	waiting   int     // requests that wait because no server has loaded the model
 	urgency   int     // priority of the most urgent of them; math.MaxInt if none waits
 	requested bool    // requested within recentRequestTime
-	idle      bool    // not requested for idleLoads of its own loads, and no request waits
-	rate      float64 // requests per second
 }
 
 // serverPlan is the planning state of one server.
@@ -85,20 +83,13 @@
 		if !waits {
 			urgency = noUrgency
 		}
-		m := modelPlan{
-			index:   i,
-			model:   p.state.Engine.Models[name],
-			waiting: p.state.Demand.waiting(name),
-			urgency: urgency,
-			idle:    true,
-			rate:    p.state.Demand.requestRate(name),
+		p.models[i] = modelPlan{
+			index:     i,
+			model:     p.state.Engine.Models[name],
+			waiting:   p.state.Demand.waiting(name),
+			urgency:   urgency,
+			requested: e != nil && e.requested > 0 && p.now-e.requested < recentRequestTime,
 		}
-		if e != nil && e.requested > 0 {
-			unrequestedFor := p.now - e.requested
-			m.requested = unrequestedFor < recentRequestTime
-			m.idle = m.waiting == 0 && unrequestedFor >= idleLoads*m.model.Load
-		}
-		p.models[i] = m
 	}
 }
 
--- a/placement/loadplan/replicas.go
+++ b/placement/loadplan/replicas.go
@@ -24,12 +24,6 @@
 	// initialReplicaWork is the work assumed for a replica that was placed
 	// before the demand was known.
 	initialReplicaWork = 0.5
-	// idleLoads is for how many of its own loads a model must not have been requested
-	// before its last replica may make room for a model that needs the place more.
-	idleLoads = 3
-	// lastReplicaCost is the cost of the last replica of a model, for each request per
-	// second.
-	lastReplicaCost = 4.0
 	// minMeanWork is the mean work per server, in tokens per second, below
 	// which more replicas have no noticeable effect.
 	minMeanWork = 5000.0
@@ -128,7 +122,7 @@
 func (m *modelPlan) loss() float64 {
 	n := float64(m.count)
 	if n <= 1 {
-		return m.share*m.share + unrequestedGain + lastReplicaCost*m.rate
+		return m.share*m.share + unrequestedGain
 	}
 	return m.peak * m.peak / (n * (n - 1))
 }
