--- a/entry/direct/mesh/load.go
+++ b/entry/direct/mesh/load.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// ServerLoad is the load that one entry puts on a backend server.
+// ServerLoad is the load that one entry, or some together, put on a backend server.
 type ServerLoad struct {
 	ID       string
 	Requests int
