Entries on the other side of a long split still share the retry slack

What callers could have seen: a split of over a minute in which both sides reach servers. The side with the store removed the rows of the others and divided the slack among its own, the other side among all: by reading, up to 1.3 times the slack together.

Change: an entry that was dropped counts for ten more minutes when the slack is divided; it is no longer dialed, as before.

Tests: TestOtherSideOfALongSplitIsNotCounted (1 counted in place of 3 without the change); TestSlackIsTakenOncePerEntry also freezes entries, lets them leave and cuts them off, and fails with the slack divided by 8, or with the whole part used at the start.

--- a/admission/budget_test.go
+++ b/admission/budget_test.go
@@ -71,13 +71,15 @@
 
 // deploymentEntry is an entry in a generated history of a deployment.
 type deploymentEntry struct {
-	budget RetryBudget
-	knows  bool // the number of entries
+	budget      RetryBudget
+	frozenUntil time.Time
+	left        bool // for good; the others go on counting it
 }
 
 // TestSlackIsTakenOncePerEntry generates histories of 1 to 400 entries, many of which join or
-// restart at once, once in a window, and learn late how many there are. All of them retry
-// whatever their budgets allow, and few requests come, so that the slack decides.
+// restart at once, once in a window, freeze, leave, and learn late how many there are, or not
+// at all while they are cut off from the others and the store. All of them retry whatever
+// their budgets allow, and few requests come, so that the slack decides.
 func TestSlackIsTakenOncePerEntry(t *testing.T) {
 	const ratio, slack, window = 0.2, 246.0, 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
@@ -87,13 +89,12 @@
 		entries := make([]deploymentEntry, size)
 		for i := range entries {
 			entries[i].budget = RetryBudget{Ratio: ratio, Slack: slack, Entries: running, Rank: i, Window: window}
-			entries[i].knows = i < running
 		}
 		startedAt := now.Add(-window)
 		var requests, retries []time.Time
 		for range 40 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "gap")) * time.Millisecond)
-			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0: // all others join at once
 				if now.Sub(startedAt) < window {
 					break
@@ -109,14 +110,25 @@
 				}
 				startedAt = now
 				for i := range running {
-					entries[i] = deploymentEntry{budget: RetryBudget{Ratio: ratio, Slack: slack, Window: window, Rank: i, Started: now}}
+					entries[i] = deploymentEntry{left: entries[i].left, budget: RetryBudget{Ratio: ratio, Slack: slack, Window: window, Rank: i, Started: now}}
 				}
-			case 2: // the running entries learn how many there are
-				for i := range running {
-					entries[i].knows, entries[i].budget.Entries = true, running
+			case 2: // the running entries learn how many there are, but for some that are cut off
+				cutOff := rapid.IntRange(0, running).Draw(t, "cut off")
+				for i := range running - cutOff {
+					entries[i].budget.Entries = running
+				}
+			case 3: // some freeze, and go on with what they knew
+				until := now.Add(time.Duration(rapid.IntRange(0, 12).Draw(t, "frozen for")) * time.Second)
+				for i := range rapid.IntRange(0, running).Draw(t, "frozen") {
+					entries[i].frozenUntil = until
 				}
+			case 4:
+				entries[rapid.IntRange(0, running-1).Draw(t, "leaves")].left = true
 			}
 			for i := range running {
+				if entries[i].left || now.Before(entries[i].frozenUntil) {
+					continue
+				}
 				b := &entries[i].budget
 				if rapid.IntRange(0, 9).Draw(t, "request") == 0 {
 					b.Request(now)
--- a/entry/direct/mesh/members.go
+++ b/entry/direct/mesh/members.go
@@ -14,6 +14,9 @@
 	// removed and it is no longer dialed. It exceeds the duration of a restart or
 	// a short partition.
 	expireAfter = 60 * time.Second
+	// rememberFor is how long an entry that was dropped still counts as one of the
+	// deployment: it may serve on the other side of a split.
+	rememberFor = 10 * time.Minute
 	// dialDelay is how long an entry waits before it dials one whose name sorts
 	// lower, so that the two usually open one connection instead of two.
 	dialDelay = 300 * time.Millisecond
@@ -53,11 +56,14 @@
 
 // members holds the other known entries, by name.
 type members struct {
-	self string
-	all  map[string]*member
+	self   string
+	all    map[string]*member
+	former map[string]time.Time // when entries were dropped; for rememberFor
 }
 
-func newMembers(self string) members { return members{self: self, all: map[string]*member{}} }
+func newMembers(self string) members {
+	return members{self: self, all: map[string]*member{}, former: map[string]time.Time{}}
+}
 
 // addOrUpdate records an identity learned from a row, from a peer or, if
 // fromEntry is set, from the entry itself. While an entry is connected, only its
@@ -68,6 +74,7 @@
 	}
 	old, known := ms.all[id.Name]
 	if !known {
+		delete(ms.former, id.Name)
 		ms.all[id.Name] = &member{id: id, disconnectedAt: now, target: newDialTarget(id.Address, ms.dialTime(id.Name, now))}
 		return true
 	}
@@ -144,10 +151,25 @@
 			continue
 		}
 		delete(ms.all, name)
+		ms.former[name] = now
 	}
 	slices.SortFunc(out, func(a, b *member) int { return strings.Compare(a.id.Name, b.id.Name) })
 	return out
 }
 
+// counted returns the names of all entries of the deployment but this one, those dropped
+// within rememberFor included.
+func (ms *members) counted(now time.Time) []string {
+	names := ms.names()
+	for name, dropped := range ms.former {
+		if now.Sub(dropped) >= rememberFor {
+			delete(ms.former, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
 // names returns the sorted names of the members.
 func (ms *members) names() []string { return slices.Sorted(maps.Keys(ms.all)) }
--- a/entry/direct/mesh/mesh.go
+++ b/entry/direct/mesh/mesh.go
@@ -217,20 +217,23 @@
 
 // Entries returns the number of entries of the deployment, this one and those out of reach
 // included, and the rank of this one's name among them, from 0; n is 0 while it is unknown.
-// Entries that this one cannot reach count until their rows are removed.
-func (m *Mesh) Entries() (n, rank int) {
+// Entries that this one cannot reach count until rememberFor after they were dropped.
+func (m *Mesh) Entries() (n, rank int) { return m.entriesAt(time.Now()) }
+
+func (m *Mesh) entriesAt(now time.Time) (n, rank int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	announced := !m.firstConnected.IsZero() && time.Since(m.firstConnected) >= entriesKnownAfter
+	announced := !m.firstConnected.IsZero() && now.Sub(m.firstConnected) >= entriesKnownAfter
 	if !m.rowsRead && !announced {
 		return 0, 0
 	}
-	for name := range m.members.all {
+	others := m.members.counted(now)
+	for _, name := range others {
 		if name < m.self.Name {
 			rank++
 		}
 	}
-	return len(m.members.all) + 1, rank
+	return len(others) + 1, rank
 }
 
 // ConnectedCount returns the number of connected peers.
--- a/entry/direct/mesh/rules_test.go
+++ b/entry/direct/mesh/rules_test.go
@@ -168,3 +168,27 @@
 		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, tc.d.newerThan(current), tc.want) })
 	}
 }
+
+// TestOtherSideOfALongSplitIsNotCounted drops entries that have been out of reach for long.
+// They may go on retrying on the other side of a split.
+func TestOtherSideOfALongSplitIsNotCounted(t *testing.T) {
+	m := New(options(t, "b"))
+	m.rowsRead = true
+	for _, name := range []string{"a", "c"} {
+		m.members.addOrUpdate(Identity{Name: name, Address: name + ":1"}, false, testStart)
+	}
+	counted := func(at time.Duration) int {
+		m.members.expire(noPeer, testStart.Add(at))
+		n, _ := m.entriesAt(testStart.Add(at))
+		return n
+	}
+	assert.Equal(t, counted(expireAfter-time.Second), 3)
+	assert.Equal(t, counted(expireAfter), 3)
+	assert.Equal(t, len(m.members.all), 0, "they are no longer dialed")
+	assert.Equal(t, counted(expireAfter+rememberFor-time.Second), 3)
+	assert.Equal(t, counted(expireAfter+rememberFor), 1, "they are gone for good")
+	m.members.addOrUpdate(Identity{Name: "a", Address: "a:1"}, true, testStart)
+	n, rank := m.entriesAt(testStart)
+	assert.Equal(t, n, 2)
+	assert.Equal(t, rank, 1)
+}
