mesh: figures of a peer's malformed update are bounded

What callers could have seen: a peer that sends a negative load for a server attracts all requests of this entry to it; one that announces no update for years is never taken for silent. No update of the test ended the process.

Test: TestMalformedUpdateEndsTheProcess, which failed with a load of -5 requests.

--- a/entry/direct/mesh/intervals.go
+++ b/entry/direct/mesh/intervals.go
@@ -25,6 +25,8 @@
 	// regions. It is lower because half of a large mesh is in other regions and
 	// each message has a few hundred bytes.
 	maxCrossRegionMessagesPerSecond = 96
+	// maxAnnounced is the longest interval between updates that a peer may announce.
+	maxAnnounced = time.Minute
 	// gossipInterval is the interval between announcements whose content most peers
 	// already have: connected entries, and documents received from a peer.
 	gossipInterval = time.Second
--- a/entry/direct/mesh/link.go
+++ b/entry/direct/mesh/link.go
@@ -268,7 +268,7 @@
 	}
 	l.lastReceived = now
 	if u.NextMS > 0 {
-		l.peerInterval = time.Duration(u.NextMS) * time.Millisecond
+		l.peerInterval = time.Duration(min(u.NextMS, maxAnnounced.Milliseconds())) * time.Millisecond
 	}
 	m.receiveAggregator(l, u.Aggregator)
 	m.receiveLoad(l, &u)
--- a/entry/direct/mesh/load.go
+++ b/entry/direct/mesh/load.go
@@ -113,11 +113,19 @@
 			continue // the peer must assign an index in Servers before using it
 		}
 		addTotals(totals, old, -1)
-		r[l[0]] = ServerLoad{ID: old.ID, Requests: l[1], Prefill: l[2], Memory: l[3]}
+		r[l[0]] = ServerLoad{ID: old.ID, Requests: plausible(l[1]), Prefill: plausible(l[2]), Memory: plausible(l[3])}
 		addTotals(totals, r[l[0]], 1)
 	}
 }
 
+// maxFigure is the highest load figure of a peer that counts. It keeps sums of all peers
+// from overflowing.
+const maxFigure = 1 << 40
+
+// plausible returns a load figure of a peer within its range: a negative one would attract
+// all requests to the server.
+func plausible(figure int) int { return min(max(figure, 0), maxFigure) }
+
 // removeAll removes the peer's load and subtracts it from the totals.
 func (r receivedLoad) removeAll(totals map[string]Totals) {
 	for i, l := range r {
