A stop waits for the handlers of the requests that it cuts

Cause: http.Server.Close does not wait for handlers, so the log may stop before the handler has written its line.

Change: after Close the stop waits for the handlers, at most 200 ms.

--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -103,10 +103,12 @@
 			drain(ctx, f)
 			logCutRequests(decisions, f)
 			c.release()
-			if err := server.Shutdown(ctx); err != nil {
-				return server.Close()
+			if err := server.Shutdown(ctx); err == nil {
+				return nil
 			}
-			return nil
+			err := server.Close()
+			awaitHandlers(f)
+			return err
 		},
 	})
 }
@@ -143,6 +145,18 @@
 	log.Write(cut)
 }
 
+// handlersTimeout bounds the wait for handlers whose connections have been closed.
+const handlersTimeout = 200 * time.Millisecond
+
+// awaitHandlers waits until the handlers of requests that were cut off have ended, and with
+// them their log lines: http.Server.Close does not wait for handlers.
+func awaitHandlers(f *front.Front) {
+	ctx, cancel := context.WithTimeout(context.Background(), handlersTimeout)
+	defer cancel()
+	for f.Active() > 0 && clock.Sleep(ctx, stopPollInterval) == nil {
+	}
+}
+
 // drain waits until no new connections arrive and no request is in progress, or
 // until ctx ends.
 func drain(ctx context.Context, f *front.Front) {
--- a/entry/direct/mesh/aggregate.go
+++ b/entry/direct/mesh/aggregate.go
@@ -89,7 +89,7 @@
 func (m *Mesh) rolesChanged() {
 	clear(m.totals)
 	for _, l := range m.links {
-		if !m.counts(l) {
+		if !m.countsLoadOf(l) {
 			continue
 		}
 		for _, load := range l.receivedLoad {
@@ -100,10 +100,10 @@
 	m.markChanged()
 }
 
-// counts reports whether the load that a peer sends counts: an aggregator counts those of
+// countsLoadOf reports whether the load that a peer sends counts: an aggregator counts those of
 // its members and of the other aggregators, another entry that of its aggregator, which
 // includes all others. The caller holds mu.
-func (m *Mesh) counts(l *link) bool {
+func (m *Mesh) countsLoadOf(l *link) bool {
 	if m.aggregator != m.self.Name {
 		return l.id.Name == m.aggregator
 	}
@@ -113,7 +113,7 @@
 // exchangesLoad reports whether load is sent to a peer or counted from it. The caller holds
 // mu.
 func (m *Mesh) exchangesLoad(l *link) bool {
-	return m.counts(l) || m.aggregator == m.self.Name && l.aggregates()
+	return m.countsLoadOf(l) || m.aggregator == m.self.Name && l.aggregates()
 }
 
 // loadPeers returns the number of peers with which load is exchanged. The caller holds mu.
--- a/entry/direct/mesh/load.go
+++ b/entry/direct/mesh/load.go
@@ -155,7 +155,7 @@
 	if len(u.Servers)+len(u.Load)+len(u.Removed) == 0 {
 		return
 	}
-	if !m.counts(l) {
+	if !m.countsLoadOf(l) {
 		l.receivedLoad.apply(u, map[string]Totals{})
 		return
 	}
