review: a silent store makes all entries deaf to new configurations for 20 s

Seen: the store is silent for 3.2 s while the entries' calls for the next configuration run out. Each sends the next call into the silence; it is never answered and is given up 21.5 s later. Until then no entry learns of any configuration: requests are run by the service that the operator has taken off the route, or refused with 404 (CONFIG, DENIED).

Cause, as far as known: the call waits for 20 s and is allowed 1.5 s more, its connection lives, and the return of the store, which the entry notices by its other calls, ends no call that waits.

The stand-in's ports now lie below those of outgoing connections: once in some 100 starts an entry had not become ready, probably since its port was taken.

--- a/review/standins/entry.go
+++ b/review/standins/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -42,13 +43,25 @@
 	runs    int
 }
 
+// Ports of the entries. They lie below those that the kernel gives to outgoing connections, so
+// that none is taken between the choice and the start.
+const (
+	lowestPort = 12000
+	ports      = 20000
+)
+
+// freeAddress returns a loopback address at which nothing listens.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var l net.Listener
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(ports)))
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().String(), nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // newEntries writes the settings of n entries. They are not started.
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -38,6 +40,7 @@
 type backup struct {
 	rows    map[rowName]storeRow
 	history []storeRow
+	floor   int64
 	ver     int64
 	taken   time.Time
 }
@@ -53,9 +56,11 @@
 	mu      sync.Mutex
 	rows    map[rowName]storeRow
 	history []storeRow
+	floor   int64 // newest version that the history has lost
 	ver     int64
 	era     int64
 	away    bool
+	silent  bool
 	changed chan struct{}
 
 	conns map[net.Conn]struct{}
@@ -107,7 +112,7 @@
 func (s *store) backup() backup {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := backup{rows: map[rowName]storeRow{}, history: append([]storeRow(nil), s.history...), ver: s.ver, taken: time.Now()}
+	b := backup{rows: map[rowName]storeRow{}, history: append([]storeRow(nil), s.history...), floor: s.floor, ver: s.ver, taken: time.Now()}
 	for name, row := range s.rows {
 		b.rows[name] = row
 	}
@@ -129,7 +134,7 @@
 func (s *store) comeBack(b backup, first func()) {
 	s.mu.Lock()
 	lost := s.ver - b.ver
-	s.rows, s.history, s.ver = map[rowName]storeRow{}, append([]storeRow(nil), b.history...), b.ver
+	s.rows, s.history, s.floor, s.ver = map[rowName]storeRow{}, append([]storeRow(nil), b.history...), b.floor, b.ver
 	for name, row := range b.rows {
 		s.rows[name] = row
 	}
@@ -204,12 +209,38 @@
 	s.changed = make(chan struct{})
 }
 
+// setSilent makes the store silent, or ends that. Calls that arrive meanwhile, or would be
+// answered meanwhile, never get an answer.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// awaitSpeech returns at once unless the store is silent: then the call ends without an answer
+// when its caller gives it up.
+func (s *store) awaitSpeech(r *http.Request) {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // ServeHTTP serves the store's calls.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeLatency)
 	if s.isAway() {
 		panic(http.ErrAbortHandler)
 	}
+	body, err := io.ReadAll(r.Body) // so that the end of the connection is noticed
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	s.awaitSpeech(r)
 	switch r.Method + " " + r.URL.Path {
 	case "POST " + names["txPath"]:
 		s.serveTx(w, r)
@@ -329,13 +360,17 @@
 	}
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	deadline := time.After(min(time.Duration(wait)*time.Millisecond, maxFeedWait))
+	if !s.reachesBack(after) {
+		s.mu.Lock()
+		body := s.stamp()
+		s.mu.Unlock()
+		s.answer(w, http.StatusGone, body)
+		return
+	}
 	for last := false; ; {
-		rows, body, known, changed := s.since(q.Get("table"), after)
-		if !known {
-			s.answer(w, http.StatusGone, body)
-			return
-		}
+		rows, body, changed := s.since(q.Get("table"), after)
 		if len(rows) > 0 || last {
+			s.awaitSpeech(r)
 			body["rows"] = rows
 			s.answer(w, http.StatusOK, body)
 			return
@@ -350,29 +385,26 @@
 	}
 }
 
-// since returns the changes of a table after a version. known is false if the store does
-// not have that version, or its history no longer reaches back to it.
-func (s *store) since(table string, after int64) (rows []storeRow, body map[string]any, known bool, changed <-chan struct{}) {
+// reachesBack reports whether the store has a version, and its history reaches back to it.
+func (s *store) reachesBack(version int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	oldest := int64(0)
 	for len(s.history) > 0 && time.Since(s.history[0].at) > historyTime {
-		oldest = s.history[0].Ver
+		s.floor = s.history[0].Ver
 		s.history = s.history[1:]
 	}
-	if len(s.history) > 0 {
-		oldest = max(oldest, s.history[0].Ver-1)
-	} else {
-		oldest = s.ver
-	}
+	return version <= s.ver && version >= s.floor
+}
+
+// since returns the changes of a table after a version.
+func (s *store) since(table string, after int64) (rows []storeRow, body map[string]any, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	rows, body = []storeRow{}, s.stamp()
-	if after > s.ver || after < oldest {
-		return rows, body, false, nil
-	}
 	for _, c := range s.history {
 		if c.Table == table && c.Ver > after {
 			rows = append(rows, c)
 		}
 	}
-	return rows, body, true, s.changed
+	return rows, body, s.changed
 }
