--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -84,7 +84,7 @@
 	versions []string
 	attempts int
 	statuses []int // of its attempts; 0 for a connection without an answer
-	resumed  int   // attempts with which it was taken up again
+	resumed  int   // attempts with which it was taken up again at an entry in touch
 	wentOn   bool  // an attempt that took it up again brought an event
 	complete bool
 	broken   time.Time // when it first broke off after an event
@@ -135,7 +135,9 @@
 	if from > 0 {
 		req.Header.Set(names["lastEventID"], strconv.Itoa(from))
 		req.Header.Set(names["resumes"], s.begun)
-		s.resumed++
+		if entry.startedFor() >= stableTime {
+			s.resumed++
+		}
 	}
 	s.mu.Unlock()
 	s.rec.add("sent to %s: stream %s from event %d, resumes %q", entry.name, id, from+1, req.Header.Get(names["resumes"]))
