Log and count how the version of a resumed stream was found

Line 613 said that a client resumes a stream, and 605 that it was refused; nothing said whether a record was found and where, which versions the entry knew, how old its registrations were, or that another entry did not answer. So the hypotheses 1, 2 and 3 of docs/incidents/order-streams-after-restart.md look alike. Line 614, the counter stream_origins_sought_total by origin, and a sentence in explain tell them apart. Nothing else changes.

--- a/common/decisionlog/limits.go
+++ b/common/decisionlog/limits.go
@@ -43,7 +43,7 @@
 	switch e.ID {
 	case event.RequestServed.ID:
 		return success
-	case event.RequestRouted.ID, event.StreamResumed.ID, event.ServerChosen.ID, event.RequestRetried.ID, event.NotMadeResident.ID:
+	case event.RequestRouted.ID, event.StreamResumed.ID, event.OriginSought.ID, event.ServerChosen.ID, event.RequestRetried.ID, event.NotMadeResident.ID:
 		return decision
 	}
 	if signalsProblem(e) {
--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -27,6 +27,17 @@
 	LastEventID string // the stream resumes after this event
 }
 
+// OriginSought records what is known of the software version that began a stream which
+// its client resumes.
+type OriginSought struct {
+	Origin     string // known, any or unknown
+	Software   string // the version; empty if it is unknown
+	Source     string // where the record was found; empty without one
+	Versions   string // versions of the service in use lately, joined by spaces
+	Unanswered int    // other entries that were asked and did not answer
+	ServersAge time.Duration
+}
+
 // Chosen records the server that a request is sent to and the inputs of the
 // choice.
 type Chosen struct {
@@ -214,6 +225,9 @@
 // Event implements Record.
 func (StreamResumed) Event() event.Event { return event.StreamResumed }
 
+// Event implements Record.
+func (OriginSought) Event() event.Event { return event.OriginSought }
+
 // Event implements Record.
 func (Chosen) Event() event.Event { return event.ServerChosen }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -42,6 +42,15 @@
 	e.textIfSet("last_event", r.LastEventID)
 }
 
+func (r OriginSought) encode(e *encoder) {
+	e.text("origin", r.Origin)
+	e.textIfSet("software", r.Software)
+	e.textIfSet("source", r.Source)
+	e.textIfSet("versions", r.Versions)
+	e.countIfSet("unanswered", int64(r.Unanswered))
+	e.duration("servers_age_ms", r.ServersAge)
+}
+
 func (r Chosen) encode(e *encoder) {
 	e.text("server", r.Server)
 	e.textIfSet("software", r.Software)
--- a/common/event/decision.go
+++ b/common/event/decision.go
@@ -17,5 +17,6 @@
 	ServerSilent    = define(611, "server silent", logrus.InfoLevel, "During an attempt of the request its server sent nothing on any connection of this entry for silent_ms. The lines after it say whether the attempt went on or another server took over.")
 	HandlerPanicked = define(612, "request handler panicked", logrus.ErrorLevel, "A defect ended the handling of a request, and its connection was closed without an answer. reason has the panic and its stack.")
 	StreamResumed   = define(613, "stream resumed by its client", logrus.InfoLevel, "A client resumes a stream that an earlier request brought, named in resumes.")
+	OriginSought    = define(614, "stream's version sought", logrus.InfoLevel, "What the entry found out about the software version that began a stream which a client resumes: known, any (one version is in use) or unknown. source names where the record was; versions are those in use lately, unanswered the entries that did not answer, servers_age_ms the age of the registrations.")
 	LogLinesLeftOut = define(699, "log lines left out", logrus.WarnLevel, "Counts, by event, of the log lines left out since the previous such line: the event exceeded its rate, or the writer was too slow.")
 )
--- a/common/metrics/metrics.go
+++ b/common/metrics/metrics.go
@@ -21,6 +21,7 @@
 	labelNotRun  = "not_run"
 	labelState   = "state"
 	labelEvent   = "event"
+	labelOrigin  = "origin"
 )
 
 // outcomeRefused is the outcome label of requests that were not run.
@@ -43,6 +44,7 @@
 	attempts  *prometheus.CounterVec
 	silences  prometheus.Counter
 	resumed   prometheus.Counter
+	origins   *prometheus.CounterVec
 	retries   *prometheus.CounterVec
 	withheld  *prometheus.CounterVec
 	events    *prometheus.CounterVec
@@ -62,12 +64,13 @@
 		attempts:  newCounterVec("attempts_failed_total", "Attempts that brought no whole answer.", labelKind, labelNotRun),
 		silences:  newCounter("attempts_silent_total", "Times that the server of an attempt sent nothing for a while on any connection of this entry."),
 		resumed:   newCounter("streams_resumed_by_client_total", "Requests that resume a stream of an earlier request."),
+		origins:   newCounterVec("stream_origins_sought_total", "Searches for the software version that began a stream which its client resumes.", labelOrigin),
 		retries:   newCounterVec("retries_total", "Further attempts of requests; resumed streams are one kind.", labelKind),
 		events:    newCounterVec("events_total", "Events of the log that belong to no request, such as orders by their outcome.", labelEvent),
 		withheld:  newCounterVec("retries_withheld_total", "Failed attempts without another one.", labelReason),
 	}
 	m.registry.MustRegister(
-		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.silences, m.resumed, m.retries, m.withheld,
+		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.silences, m.resumed, m.origins, m.retries, m.withheld,
 		m.events, collectors.NewGoCollector(),
 	)
 	return m
@@ -99,6 +102,8 @@
 		m.withheld.WithLabelValues(string(r.Reason)).Inc()
 	case decisionlog.StreamResumed:
 		m.resumed.Inc()
+	case decisionlog.OriginSought:
+		m.origins.WithLabelValues(r.Origin).Inc()
 	case decisionlog.Routed, decisionlog.Chosen:
 		// Counted when the request ends.
 	default:
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -48,7 +48,7 @@
 // Origins knows which software version of a service began each resumable stream.
 type Origins interface {
 	Began(service, id, software string)
-	Find(ctx context.Context, service, id string) (software string, o origins.Origin)
+	Find(ctx context.Context, service, id string) origins.Finding
 }
 
 // Options configures a Front.
--- a/entry/direct/front/origin.go
+++ b/entry/direct/front/origin.go
@@ -17,11 +17,12 @@
 // findOrigin finds the software version that began the stream which the client
 // resumes. It refuses the request and returns false if that is not known.
 func (r *run) findOrigin(ctx context.Context) bool {
-	software, origin := r.f.opts.Origins.Find(ctx, r.req.service, r.req.Resumes)
-	if origin == origins.Unknown {
+	found := r.f.opts.Origins.Find(ctx, r.req.service, r.req.Resumes)
+	r.record.originSought(found)
+	if found.Origin == origins.Unknown {
 		return r.finishWithError(ctx, refusal{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: decisionlog.RefusedVersionUnknown})
 	}
-	r.software = software
+	r.software = found.Software
 	return true
 }
 
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -5,11 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/origins"
 	"peridotchute.example/entry/direct/relay"
 	"peridotchute.example/fleet"
 )
@@ -46,6 +48,18 @@
 	return r
 }
 
+// originSought records what is known of the version that began a resumed stream.
+func (r *record) originSought(f origins.Finding) {
+	r.trace.Add(decisionlog.OriginSought{
+		Origin:     f.Origin.String(),
+		Software:   f.Software,
+		Source:     f.Source,
+		Versions:   strings.Join(f.Versions, " "),
+		Unanswered: f.Unanswered,
+		ServersAge: f.ServersAge,
+	})
+}
+
 // serverChanged makes the attempt the current one.
 func (r *record) serverChanged(a *attempt) {
 	r.end.Server = a.ticket.Server.ID
--- a/entry/direct/origins/origins_test.go
+++ b/entry/direct/origins/origins_test.go
@@ -91,7 +91,8 @@
 }
 
 func find(g *Registry, id string) (string, Origin) {
-	return g.Find(context.Background(), service, id)
+	f := g.Find(context.Background(), service, id)
+	return f.Software, f.Origin
 }
 
 func TestRecordSurvivesItsEntry(t *testing.T) {
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -53,6 +53,22 @@
 	AnyVersion               // no record is needed, as one version is in use
 )
 
+// String returns the name of the origin in logs and metrics.
+func (o Origin) String() string { return [...]string{"unknown", "known", "any"}[o] }
+
+// Finding is the result of a search for the version that began a stream.
+type Finding struct {
+	Origin     Origin
+	Software   string        // the version; for AnyVersion the one in use, or "" if none is
+	Source     string        // where the record was found
+	Versions   []string      // of the service, in use lately
+	Unanswered int           // entries that were asked and did not answer
+	ServersAge time.Duration // age of the registrations
+}
+
+// Sources of a record besides the names of entries.
+const sourceOwn = "own record"
+
 // Registry records and finds the software versions that began streams. It is safe
 // for concurrent use.
 type Registry struct {
@@ -201,30 +217,42 @@
 
 // Find returns which software version began the stream of the request id. It asks
 // other entries if this one does not know and several versions are in use, or may be.
-// With AnyVersion it returns the one in use, or "" if none is: another one may appear
-// before the stream goes on.
-func (g *Registry) Find(ctx context.Context, service, id string) (software string, o Origin) {
+// With AnyVersion another version may appear before the stream goes on.
+func (g *Registry) Find(ctx context.Context, service, id string) Finding {
 	s := Stream{Service: service, ID: id}
+	found := g.beginFinding(service)
 	if a := g.Lookup(s); a.Found {
-		return a.Software, Known
+		found.Origin, found.Software, found.Source = Known, a.Software, sourceOwn
+		return found
 	}
 	names := g.peers.Connected()
 	only, one := g.onlyVersion(service, len(names))
 	if one && !g.startedLately() {
-		return only, AnyVersion
+		found.Origin, found.Software = AnyVersion, only
+		return found
 	}
 	if id == "" && !one {
-		return "", Unknown
+		return found
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	switch a := g.ask(ctx, s, names); {
+	a, source, unanswered := g.ask(ctx, s, names)
+	found.Unanswered = unanswered
+	switch {
 	case a.Found:
-		return a.Software, Known
-	case a.Several || !one:
-		return "", Unknown
+		found.Origin, found.Software, found.Source = Known, a.Software, source
+	case !a.Several && one:
+		found.Origin, found.Software = AnyVersion, only
 	}
-	return only, AnyVersion
+	return found
+}
+
+// beginFinding returns a Finding that says only what this entry knows of the service.
+func (g *Registry) beginFinding(service string) Finding {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return Finding{Versions: g.versions.recent(service, now), ServersAge: now.Sub(g.serversRead)}
 }
 
 // startedLately reports whether streams may be resumed of versions that left before
@@ -250,10 +278,15 @@
 
 // ask asks the entries that hold copies of the record. The entry that made the
 // record may be among names; it made copies at copies other entries. Without a record,
-// the answer has Several set if any entry's has.
-func (g *Registry) ask(ctx context.Context, s Stream, names []string) Answer {
+// the answer has Several set if any entry's has. source is the entry that has the record.
+func (g *Registry) ask(ctx context.Context, s Stream, names []string) (found Answer, source string, unanswered int) {
+	type reply struct {
+		Answer
+		peer string
+		err  error
+	}
 	candidates := holders(s, append(slices.Clone(names), g.self), copies+1)
-	answers := make(chan Answer, len(candidates))
+	replies := make(chan reply, len(candidates))
 	asked := 0
 	for _, peer := range candidates {
 		if peer == g.self {
@@ -262,19 +295,20 @@
 		asked++
 		go func() {
 			a, err := g.peers.Ask(ctx, peer, s)
-			if err != nil {
-				a = Answer{} // an entry that does not answer has no record for this purpose
-			}
-			answers <- a
+			replies <- reply{a, peer, err}
 		}()
 	}
 	var none Answer
 	for range asked {
-		a := <-answers
-		if a.Found {
-			return a
+		r := <-replies
+		if r.err != nil {
+			unanswered++
+			continue
+		}
+		if r.Found {
+			return r.Answer, r.peer, unanswered
 		}
-		none.Several = none.Several || a.Several
+		none.Several = none.Several || r.Several
 	}
-	return none
+	return none, "", unanswered
 }
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -207,6 +207,8 @@
 			sentences = append(sentences, fmt.Sprintf("Attempt %s at %s failed after %v: %s; %s.", l.Text("attempt"), l.Text("server"), l.Duration("after_ms"), failureText(l), executionText(l)))
 		case event.StreamResumed.ID:
 			sentences = append(sentences, fmt.Sprintf("The client resumed the stream of request %s after event %s.", l.Text("resumes"), l.Text("last_event")))
+		case event.OriginSought.ID:
+			sentences = append(sentences, originText(l))
 		case event.ServerSilent.ID:
 			sentences = append(sentences, fmt.Sprintf("During attempt %s, %s sent nothing for %v on any connection of %s.", l.Text("attempt"), l.Text("server"), l.Duration("silent_ms"), t.Entry.node))
 		case event.RequestRetried.ID:
@@ -218,6 +220,18 @@
 	return sentences
 }
 
+// originText says what the entry knew of the version that began a resumed stream.
+func originText(l *Line) string {
+	text := fmt.Sprintf("The software version that began the stream was %s", l.Text("origin"))
+	if software := l.Text("software"); software != "" {
+		text += " (" + software + ")"
+	}
+	if source := l.Text("source"); source != "" {
+		text += ", from " + source
+	}
+	return fmt.Sprintf("%s; in use lately: %s; the list of servers was %v old.", text, l.Text("versions"), l.Duration("servers_age_ms"))
+}
+
 func retryText(l *Line) string {
 	if after := l.Text("resume_after"); after != "" {
 		return fmt.Sprintf("Attempt %s was to resume after event %s.", l.Text("attempt"), after)
