--- a/entry/direct/origins/origins_test.go
+++ b/entry/direct/origins/origins_test.go
@@ -322,3 +322,20 @@
 	software, origin := find(kept, "a")
 	assert.Assert(t, origin == Unknown || software == "v2", "%s", software)
 }
+
+// TestEntryThatStoodStillAssumesOneVersion has an entry go on with the registrations of
+// before it stood still, connected to entries that have begun streams at another version.
+func TestEntryThatStoodStillAssumesOneVersion(t *testing.T) {
+	n := newNetwork(3, "v1")
+	late := n.entry("entry-1")
+	late.started = late.started.Add(-2 * recordTTL)
+	v := viewOf("v1")
+	v.ServersRead = time.Now().Add(-2 * staleAfter)
+	late.Update(v)
+	for _, name := range []string{"entry-0", "entry-2"} {
+		n.entry(name).Update(viewOf("v1", "v2"))
+	}
+	n.entry("entry-0").Began(service, "a", "v2")
+	software, origin := find(late, "a")
+	assert.Assert(t, origin == Unknown || software == "v2", "%s %s", origin, software)
+}
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -200,6 +200,7 @@
 type State struct {
 	Records  int                 `json:"records"`
 	Pending  int                 `json:"pending"`  // records to copy to other entries
+	Unsaved  int                 `json:"unsaved"`  // records to write to the store
 	Versions map[string][]string `json:"versions"` // software versions in use lately, by service
 }
 
