Partitions of the platform's table, and Boottime for all packages

Preparation for the records of streams in the store: rows that many entries write must not share the partition of the orders lease, since a partition applies 200 transactions a second one after the other. Nothing uses a partition yet. Boottime moves from entry/direct/orders to common/clock.

--- a/entry/direct/orders/clock.go
+++ b/common/clock/boottime.go
@@ -1,4 +1,4 @@
-package orders
+package clock
 
 import (
 	"time"
--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -1,4 +1,5 @@
-// Package clock provides a sleep that a context can end.
+// Package clock provides a sleep that a context can end, and a clock that runs while the
+// machine is suspended.
 package clock
 
 import (
--- a/entry/direct/demand.go
+++ b/entry/direct/demand.go
@@ -7,7 +7,6 @@
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/entry/direct/mesh"
-	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/placement/loadplan"
 )
 
@@ -53,7 +52,7 @@
 	if current.holder != "" && current != r.backfilled && r.backfill(ctx, current.holder) {
 		r.backfilled = current
 	}
-	r.history.Add(demand, orders.Boottime())
+	r.history.Add(demand, clock.Boottime())
 	if len(demand) == 0 || current.holder == "" {
 		return
 	}
@@ -68,7 +67,7 @@
 // backfill sends the demand history to a new lease holder and reports whether it
 // succeeded.
 func (r *demandReporter) backfill(ctx context.Context, holder string) bool {
-	snapshot := r.history.Snapshot(orders.Boottime())
+	snapshot := r.history.Snapshot(clock.Boottime())
 	var err error
 	if holder == r.c.name {
 		err = r.c.manager.Backfill(snapshot)
--- a/entry/direct/orders/manager.go
+++ b/entry/direct/orders/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
 	"peridotchute.example/fleet"
@@ -40,7 +41,7 @@
 	LeaseGap   time.Duration                       // least time between the orders of two lease holders to a server; 0 means the default
 	LoadWindow time.Duration                       // over which the weight store limits loads; 0 means the default
 	LoadBurst  float64                             // factor by which the loads in a window may exceed the rate; 0 means 1
-	Clock      func() time.Duration                // must advance while the machine is suspended; nil means Boottime
+	Clock      func() time.Duration                // must advance while the machine is suspended; nil means clock.Boottime
 	Down       func(server string) bool            // reports whether a server is unreachable; may be nil
 	Limit      func(server string) (float64, bool) // requests per second that a server takes, and whether it limits them; may be nil
 	OnChange   func(server string, c ServerUpdate) // called without locks held; may be nil
@@ -84,7 +85,7 @@
 // New returns a manager that does not hold the lease yet.
 func New(opts Options) *Manager {
 	if opts.Clock == nil {
-		opts.Clock = Boottime
+		opts.Clock = clock.Boottime
 	}
 	if opts.LeaseGap <= 0 {
 		opts.LeaseGap = defaultLeaseGap
--- a/store/store.go
+++ b/store/store.go
@@ -30,6 +30,15 @@
 	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 }
 
+// Partitioned is a Table whose rows lie in partitions. Writes to one partition are applied
+// one after the other, so rows that many processes write are spread over several.
+type Partitioned interface {
+	Table
+	// Partition returns the part of the table with the given name. The Table itself is the
+	// partition without a name; a key exists in each partition on its own.
+	Partition(name string) Table
+}
+
 // Objects is the platform's object store. Errors are as for Table.
 type Objects interface {
 	Get(ctx context.Context, key string) ([]byte, error)
