Records of streams are stored, and one version is assumed only where that is certain

What callers saw: after a kill of all entries, or restarts in turn, streams that clients resume were refused while two software versions were in use (LOST), or went on at the other version when one was left (ORDER); an entry that stood still or was cut off joined two versions in one text.

Cause, of one class: what an entry has in its own memory was taken for all that there is. Records ended with the three entries that had them; an entry without a record took the versions in its list of servers for all that could have begun the stream, however old the list and however young the entry; a copy was taken for the newest record.

Records have a revision, and a copy is checked with its maker. An entry that connects gets the copies that it is to hold. With the store away, records are copied although one version is known.

--- a/common/event/state.go
+++ b/common/event/state.go
@@ -24,6 +24,13 @@
 	ServerLimited       = define(657, "server limit changed", logrus.WarnLevel, "A backend server in need named the rate of requests that it takes from all entries together, another one, or, if limited is false, none any more. source is the request whose answer said so, or the entry that told this one.")
 	RequestQuarantined  = define(658, "request quarantined", logrus.ErrorLevel, "Servers crashed, one after the other, on a request that clients send again and again: requests with its digest are refused until the quarantine ends. source is as in line 653; requests names some of its client attempts, whose lines 600 and 125 say where it goes. Find out who sends it, and why the server crashes on it.")
 	RequestReleased     = define(659, "request released", logrus.WarnLevel, "The quarantine of a request ended early, since one with its digest was answered; source is the entry that told it, or answer.")
+	VersionsChanged     = define(660, "versions changed", logrus.InfoLevel, "This entry wrote which software versions of a service, named by subject, are in use. An announced version gets no resumable streams yet, a settled one does, and one that left has streams that clients may still resume.")
+	VersionsNotStored   = define(661, "versions not stored", logrus.WarnLevel, "The row of a service with its software versions could not be read or written, which is tried again. A new version gets resumable streams later, and a stream without a record is refused.")
+	VersionsNotRead     = define(662, "versions unreadable", logrus.WarnLevel, "The row with the software versions of a service, named by subject, could not be parsed and is not used.")
+
+	StreamRecordsNotStored = define(663, "stream records not stored", logrus.WarnLevel, "The records of which software version began which stream could not be written to the store, which is tried again. Until then only running entries have them.")
+	StreamRecordsNotRead   = define(664, "stream records not read", logrus.WarnLevel, "The records of which software version began which stream could not be read from the store, or the row named by subject not parsed. Streams without a record elsewhere are refused while several versions are in use.")
+
 	SettingsReloaded    = define(670, "settings reloaded", logrus.InfoLevel, "The settings file was read again; reason says what changed, or that nothing did.")
 	SettingsNotReloaded = define(671, "settings not reloaded", logrus.ErrorLevel, "The settings file cannot be used; the current settings stay active. Correct the file named in the error.")
 )
--- a/entry/direct/balance/balance.go
+++ b/entry/direct/balance/balance.go
@@ -58,6 +58,7 @@
 
 	peers       []string               // names of the other entries
 	earlyLimits map[string]ServerLimit // by server; of servers that are not known yet
+	unsettled   map[string][]string    // versions that may not begin resumable streams yet, by service
 }
 
 // New returns a balancer without servers.
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -93,8 +93,12 @@
 	return b.offerMissing(p, w, now)
 }
 
-// allFit reports whether all servers that may get requests fit the request.
+// allFit reports whether all servers that may get requests fit the request, now or once
+// their versions have settled.
 func (p *pool) allFit(w *waiting) bool {
+	if w.software == "" {
+		return true
+	}
 	for _, s := range p.order {
 		if !s.Draining && !w.fits(s) {
 			return false
@@ -106,8 +110,13 @@
 // mayGet reports whether the server fits the request and has not refused its connection.
 func (w *waiting) mayGet(s *server) bool { return w.fits(s) && !slices.Contains(w.gone, s.ID) }
 
-// fits reports whether the server has the software version that the request needs.
-func (w *waiting) fits(s *server) bool { return w.software == "" || w.software == s.Software }
+// fits reports whether the server has a software version that may get the request.
+func (w *waiting) fits(s *server) bool {
+	if w.software != "" {
+		return w.software == s.Software
+	}
+	return !w.resumable || !s.unsettled
+}
 
 func (p *pool) acceptChoice(w *waiting, choice *routing.EngineChoice) admission.Offer {
 	w.server = p.models.chosen[choice.Index]
--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -28,6 +28,8 @@
 	ensuredAt      map[artifact]time.Time // when Ensure reported the artifact as resident
 	notLoadedUntil map[artifact]time.Time // after a declined request; the artifact counts as not loaded until then
 
+	unsettled bool // its software version is too new to begin resumable streams
+
 	running       map[artifact]int
 	inFlight      int
 	lastReceived  time.Time // when data was last received from the server
@@ -76,6 +78,7 @@
 			p.servers[s.ID] = known
 		}
 		lost = known.applyRegistration(s, p.engine) || lost
+		known.unsettled = b.isUnsettled(p, s.Software)
 		b.applyEarly(known)
 	}
 	for id, s := range p.servers {
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -46,9 +46,12 @@
 	gone     []string
 	strict   bool   // no excluded server is offered, and no model is loaded
 	software string // if set, only servers of this software version are offered
-	priority int
-	draw     uint64 // random number for the choice of a plain server
-	decided  chan decision
+	// resumable is set for a stream that may go on in a later request: no server is offered
+	// whose version is new, unless software names it.
+	resumable bool
+	priority  int
+	draw      uint64 // random number for the choice of a plain server
+	decided   chan decision
 
 	lastResort bool // only leaving servers are offered, to a request that has no other
 
@@ -102,9 +105,11 @@
 		gone:     q.Gone,
 		strict:   q.Successor,
 		software: q.Software,
-		priority: q.Route.Priority,
-		draw:     b.rnd.Uint64(),
-		decided:  make(chan decision, 1),
+
+		resumable: q.Route.RetryPolicy == fleet.RetryResume,
+		priority:  q.Route.Priority,
+		draw:      b.rnd.Uint64(),
+		decided:   make(chan decision, 1),
 	}
 	if p.engine != nil && r.Model != "" {
 		parts := make([]routing.Part, len(r.Parts))
@@ -154,6 +159,9 @@
 	if w.software != "" {
 		out.Flow ^= routing.ArtifactKey("software " + w.software)
 	}
+	if w.resumable && p.anyUnsettled() {
+		out.Flow ^= routing.ArtifactKey("resumable")
+	}
 	if w.strict {
 		out.Flow ^= routing.ArtifactKey("successor")
 	}
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -32,7 +32,8 @@
 	methodChange   = "orders.change" // one change, sent by the version before methodChanges
 	methodChanges  = "orders.changes"
 	methodLease    = "orders.lease"
-	methodBegan    = "streams.began"
+	methodRecords  = "streams.records"
+	methodUsages   = "streams.versions"
 	methodOrigin   = "streams.origin"
 	methodCrash    = "crashes.report"
 	methodCleared  = "crashes.cleared"
@@ -67,7 +68,7 @@
 	Server string `json:"server"` // ID
 }
 
-func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, decisions *decisionlog.Log, log logrus.FieldLogger) *coordination {
+func newCoordination(s Settings, table store.Partitioned, control fleet.Control, w *view.Watcher, decisions *decisionlog.Log, log logrus.FieldLogger) *coordination {
 	c := &coordination{name: s.Name, watcher: w, changes: newChangeQueue(), log: log, processor: s.processor()}
 	c.balancer = balance.New(balance.Options{Name: s.Name, Zone: s.Zone, Regions: s.Regions, Budget: budgetOf(s), Drain: milliseconds(s.DrainMS), Ensure: c.ensure, Entries: c.entries})
 	c.manager = orders.New(orders.Options{
@@ -96,10 +97,11 @@
 			c.guard.PeerConnected(peer)
 			c.sendLimits(peer)
 			c.sendLeaving(peer)
+			c.origins.PeerConnected(peer)
 		},
 		PullDelay: map[string]time.Duration{view.KindConfig: configFetchDelay},
 	})
-	c.origins = origins.New(s.Name, originPeers{mesh: c.mesh, log: log})
+	c.origins = origins.New(origins.Options{Self: s.Name, Peers: originPeers{mesh: c.mesh, log: log}, Table: table, Log: log, OnUnsettled: c.balancer.SetUnsettled})
 	c.handleOrigins()
 	c.guard = crashguard.New(crashguard.Options{Self: s.Name, Peers: guardPeers{c.mesh}, Table: table, Log: decisions, Events: log})
 	c.handleCrashes()
@@ -137,6 +139,8 @@
 	})
 	daemon.Go(lc, c.manager.Run)
 	daemon.Go(lc, c.origins.Run)
+	daemon.Go(lc, c.origins.RunUsages)
+	daemon.Go(lc, c.origins.RunRows)
 	daemon.Go(lc, c.guard.Run)
 	daemon.Go(lc, c.guard.RunChecks)
 	daemon.Go(lc, c.guard.RunRows)
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -39,37 +39,38 @@
 	maxHeaderBytes    = 2 << 20 // the configured limit is enforced separately
 )
 
-// maxWaitForEntries is the longest time after its start for which an entry is not ready
-// because it does not know the other entries.
-const maxWaitForEntries = time.Second
+// maxWaitForOthers is the longest time after its start for which an entry is not ready
+// because it does not know the other entries, or which versions of servers are in use.
+const maxWaitForOthers = time.Second
 
 // readiness answers the platform's readiness checks.
 type readiness struct {
 	views    *view.Watcher
 	entries  func() (n, rank int) // n is 0 while the number of entries is unknown
+	settled  func() bool          // whether all registered servers may get streams
 	started  time.Time
 	stopping atomic.Bool
 }
 
 func newReadiness(w *view.Watcher, c *coordination) *readiness {
-	return &readiness{views: w, entries: c.entries, started: time.Now()}
+	return &readiness{views: w, entries: c.entries, settled: c.origins.Settled, started: time.Now()}
 }
 
-// ServeHTTP responds with 200 once the configuration, the servers and the other entries are
-// known and until the process begins to stop, and otherwise with 503. Entries that remain
-// unknown are not waited for.
+// ServeHTTP responds with 200 once the configuration, the servers, their versions and the
+// other entries are known and until the process begins to stop, and otherwise with 503.
+// Entries and versions that remain unknown are not waited for.
 func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	v := r.views.Current()
-	if r.stopping.Load() || v.Config == nil || v.ServersRead.IsZero() || !r.knowsEntries() {
+	if r.stopping.Load() || v.Config == nil || v.ServersRead.IsZero() || !r.knowsOthers() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-func (r *readiness) knowsEntries() bool {
+func (r *readiness) knowsOthers() bool {
 	n, _ := r.entries()
-	return n > 0 || time.Since(r.started) >= maxWaitForEntries
+	return n > 0 && r.settled() || time.Since(r.started) >= maxWaitForOthers
 }
 
 // limits returns the client limits of the active configuration, or none before a
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -41,7 +41,7 @@
 
 func newDirectory(s Settings) fleet.Directory { return platform.NewDirectory(s.Store) }
 
-func newTable(s Settings) store.Table { return platform.NewTable(s.Store) }
+func newTable(s Settings) store.Partitioned { return platform.NewTable(s.Store) }
 
 func newControl(w *view.Watcher) fleet.Control {
 	return platform.NewControl(func(s fleet.Incarnation) { w.ServerLeaves(s, "a report or order") })
@@ -70,8 +70,8 @@
 }
 
 func startLoops(lc fx.Lifecycle, w *view.Watcher, b *balance.Balancer, c *coordination) {
+	w.OnChange(c.origins.Update) // first, so that the balancer knows which versions get no streams yet
 	w.OnChange(b.Update)
-	w.OnChange(c.origins.Update)
 	daemon.Go(lc, b.Run)
 	daemon.Go(lc, w.RunConfig)
 	daemon.Go(lc, func(ctx context.Context) { w.RunServers(ctx, c.nextRead) })
--- a/entry/direct/originpeers.go
+++ b/entry/direct/originpeers.go
@@ -20,7 +20,12 @@
 func (p originPeers) Connected() []string { return p.mesh.Connected() }
 
 // Send implements origins.Peers.
-func (p originPeers) Send(peer string, began origins.Began) { p.mesh.Send(peer, methodBegan, began) }
+func (p originPeers) Send(peer string, m origins.Records) { p.mesh.Send(peer, methodRecords, m) }
+
+// SendUsages implements origins.Peers.
+func (p originPeers) SendUsages(peer string, u []origins.Usage) {
+	p.mesh.Send(peer, methodUsages, u)
+}
 
 // Ask implements origins.Peers and logs a failure.
 func (p originPeers) Ask(ctx context.Context, peer string, s origins.Stream) (origins.Answer, error) {
@@ -31,9 +36,10 @@
 	return a, err
 }
 
-// handleOrigins registers the calls about origins from other entries.
+// handleOrigins registers the messages and calls about origins from other entries.
 func (c *coordination) handleOrigins() {
-	mesh.HandleBroadcast(c.mesh, methodBegan, func(_ string, b origins.Began) { c.origins.Receive(b) })
+	mesh.HandleBroadcast(c.mesh, methodRecords, func(from string, m origins.Records) { c.origins.Receive(from, m) })
+	mesh.HandleBroadcast(c.mesh, methodUsages, func(_ string, u []origins.Usage) { c.origins.ReceiveUsages(u) })
 	mesh.Handle(c.mesh, methodOrigin, func(_ context.Context, _ string, s origins.Stream) (origins.Answer, error) {
 		return c.origins.Lookup(s), nil
 	})
--- a/entry/direct/origins/origins_test.go
+++ b/entry/direct/origins/origins_test.go
@@ -4,12 +4,15 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/common/fault"
@@ -20,6 +23,7 @@
 
 // network connects the registries of several entries within the test.
 type network struct {
+	table   *memory
 	mu      sync.Mutex
 	entries map[string]*Registry
 }
@@ -43,7 +47,9 @@
 	return names
 }
 
-func (l link) Send(peer string, b Began) { l.net.entry(peer).Receive(b) }
+func (l link) Send(peer string, m Records) { l.net.entry(peer).Receive(l.self, m) }
+
+func (l link) SendUsages(peer string, u []Usage) { l.net.entry(peer).ReceiveUsages(u) }
 
 func (l link) Ask(_ context.Context, peer string, s Stream) (Answer, error) {
 	entry := l.net.entry(peer)
@@ -66,22 +72,38 @@
 }
 
 func newNetwork(entries int, software ...string) *network {
-	n := &network{entries: map[string]*Registry{}}
+	n := &network{table: newMemory(), entries: map[string]*Registry{}}
 	for i := range entries {
 		name := fmt.Sprintf("entry-%d", i)
-		n.entries[name] = New(name, link{net: n, self: name})
+		n.entries[name] = n.newRegistry(name)
 	}
 	n.update(software...)
 	return n
 }
 
+func (n *network) newRegistry(name string) *Registry {
+	return New(Options{Self: name, Peers: link{net: n, self: name}, Table: n.table, Log: discardLog()})
+}
+
+func discardLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 // update gives every entry a view with one server of each software version.
 func (n *network) update(software ...string) {
-	for _, g := range n.entries {
-		g.Update(viewOf(software...))
+	for _, name := range slices.Sorted(maps.Keys(n.entries)) {
+		updateEntry(n.entries[name], viewOf(software...))
 	}
 }
 
+// updateEntry gives an entry a view and has it do what its loops would do.
+func updateEntry(g *Registry, v *fleet.View) {
+	g.Update(v)
+	_ = g.syncUsages(context.Background()) // fails while the table is down
+}
+
 func viewOf(software ...string) *fleet.View {
 	v := &fleet.View{ServersRead: time.Now()}
 	for i, s := range software {
@@ -115,7 +137,7 @@
 	first := n.entry("entry-0")
 	first.Began(service, "a", "v1")
 	first.copyPending()
-	kept := holders(Stream{Service: service, ID: "a"}, first.peers.Connected(), copies)
+	kept := holders(Stream{Service: service, ID: "a"}, first.opts.Peers.Connected(), copies)
 	n.remove("entry-0")
 	n.remove(kept[0])
 	for name, g := range n.entries {
@@ -152,7 +174,7 @@
 func TestEntryThatIsCutOffDoesNotAssumeOneVersion(t *testing.T) {
 	n := newNetwork(1)
 	g := n.entry("entry-0")
-	v := &fleet.View{Servers: []fleet.Server{{ID: "1", Service: service, Software: "v1"}}, ServersRead: time.Now().Add(-2 * staleAfter)}
+	v := &fleet.View{Servers: []fleet.Server{{ID: "1", Service: service, Software: "v1"}}, ServersRead: time.Now().Add(-2 * freshFor)}
 	g.Update(v)
 	_, origin := find(g, "a")
 	assert.Equal(t, origin, Unknown)
@@ -201,8 +223,8 @@
 // restart replaces an entry by a new process that has read the registrations of one
 // server of each software version.
 func (n *network) restart(name string, software ...string) *Registry {
-	g := New(name, link{net: n, self: name})
-	g.Update(viewOf(software...))
+	g := n.newRegistry(name)
+	updateEntry(g, viewOf(software...))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.entries[name] = g
@@ -266,7 +288,7 @@
 func TestCutOffEntriesAssumeOneVersion(t *testing.T) {
 	n := newNetwork(2)
 	v := viewOf("v1")
-	v.ServersRead = time.Now().Add(-2 * staleAfter)
+	v.ServersRead = time.Now().Add(-2 * freshFor)
 	for _, g := range n.entries {
 		g.Update(v)
 	}
@@ -311,7 +333,7 @@
 	first := n.entry("entry-0")
 	first.Began(service, "a", "v1")
 	first.copyPending()
-	holder := holders(Stream{Service: service, ID: "a"}, first.peers.Connected(), copies)[0]
+	holder := holders(Stream{Service: service, ID: "a"}, first.opts.Peers.Connected(), copies)[0]
 	kept := n.entry(holder)
 	n.remove(holder)
 	first.Began(service, "a", "v2")
@@ -330,7 +352,7 @@
 	late := n.entry("entry-1")
 	late.started = late.started.Add(-2 * recordTTL)
 	v := viewOf("v1")
-	v.ServersRead = time.Now().Add(-2 * staleAfter)
+	v.ServersRead = time.Now().Add(-2 * freshFor)
 	late.Update(v)
 	for _, name := range []string{"entry-0", "entry-2"} {
 		n.entry(name).Update(viewOf("v1", "v2"))
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -2,25 +2,31 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
+
 	"peridotchute.example/common/clock"
 	"peridotchute.example/fleet"
+	"peridotchute.example/store"
 )
 
 const (
-	// gatherTime is how long records are gathered before they are copied: shorter
-	// than the time to the first event of a stream.
-	gatherTime = 20 * time.Millisecond
+	// freshFor is the age up to which a list of servers has each version that gets streams.
+	// The list is read about every 600 ms.
+	freshFor = 2 * time.Second
 
-	// findTimeout bounds the search for a record: a few round trips between regions.
-	findTimeout = 300 * time.Millisecond
+	// settleTime is the time from the announcement of a version until it gets streams. The
+	// excess over freshFor covers clocks that run at slightly different speeds.
+	settleTime = freshFor + 500*time.Millisecond
 
-	// staleAfter is the age of the registrations from which an entry without
-	// connected peers cannot know which versions are in use.
-	staleAfter = 4 * time.Second
+	// announceTimeout is how long a version that cannot be announced gets no streams: with
+	// the store away, servers that are needed must not stay unused.
+	announceTimeout = 5 * time.Second
 )
 
 // Peers are the other entries. Implementations are safe for concurrent use.
@@ -28,288 +34,309 @@
 	// Connected returns the names of the connected entries.
 	Connected() []string
 	// Send sends records to an entry without waiting for delivery.
-	Send(peer string, began Began)
+	Send(peer string, m Records)
+	// SendUsages sends the stages of versions to an entry without waiting for delivery.
+	SendUsages(peer string, u []Usage)
 	// Ask asks an entry for a record.
 	Ask(ctx context.Context, peer string, s Stream) (Answer, error)
 }
 
-// Began contains records: by service and software version, the streams begun.
-type Began map[string]map[string][]string
-
 // Answer says which software version began a stream.
 type Answer struct {
 	Software string `json:"software,omitempty"`
+	Revision int    `json:"revision,omitempty"`
 	Found    bool   `json:"found,omitempty"`
+	Own      bool   `json:"own,omitempty"`     // the entry made the record, so that no other is newer
 	Several  bool   `json:"several,omitempty"` // several versions of the service are in use
 }
 
-// Origin is what is known of the software version that began a stream.
-type Origin int
+// Options configures a Registry.
+type Options struct {
+	Self  string // name of this entry
+	Peers Peers
+	Table store.Partitioned
+	Log   logrus.FieldLogger
 
-// The values of Origin.
-const (
-	Unknown    Origin = iota // several versions are in use, and no record was found
-	Known                    // the record was found
-	AnyVersion               // no record is needed, as one version is in use
-)
-
-// String returns the name of the origin in logs and metrics.
-func (o Origin) String() string { return [...]string{"unknown", "known", "any"}[o] }
-
-// Finding is the result of a search for the version that began a stream.
-type Finding struct {
-	Origin     Origin
-	Software   string        // the version; for AnyVersion the one in use, or "" if none is
-	Source     string        // where the record was found
-	Versions   []string      // of the service, in use lately
-	Unanswered int           // entries that were asked and did not answer
-	ServersAge time.Duration // age of the registrations
+	// OnUnsettled is called with the versions of each service that may not get streams yet,
+	// when they change. It must not block.
+	OnUnsettled func(map[string][]string)
 }
 
-// Sources of a record besides the names of entries.
-const sourceOwn = "own record"
-
 // Registry records and finds the software versions that began streams. It is safe
 // for concurrent use.
 type Registry struct {
-	self    string
-	peers   Peers
-	started time.Time
-	wake    chan struct{} // has one element when Run must copy records
-
-	mu          sync.Mutex
-	table       *table
-	versions    versions
-	pending     map[Stream]string // records to copy
-	serversRead time.Time         // when the newest registrations were read
+	opts         Options
+	started      time.Time
+	copyWake     chan struct{} // has one element when Run must copy records
+	saveWake     chan struct{} // has one element when RunRows must write records
+	announceWake chan struct{} // has one element when RunUsages must look at the versions
+	loads        singleflight.Group
+	writer       rowWriter // used by RunRows alone
+
+	mu         sync.Mutex
+	table      *table
+	versions   versions
+	streaming  map[string]bool      // services of model servers; nil while no configuration is known
+	usages     map[string]*usage    // by service
+	usagesRead bool                 // the rows of all services have been read since the list of servers was last old
+	gaps       int                  // times at which the list of servers was old
+	noticed    map[string]time.Time // since when the row of a service has to change
+	list       listAge
+	unsettled  map[string][]string // as last passed to OnUnsettled
+	copying    map[string]bool     // services whose records are copied to other entries
+	pending    map[Stream]bool     // records to copy
+	unsaved    map[Stream]bool     // records to write to the store
+	stored     storedRecords
 }
 
-// New returns an empty registry of the entry with the name self.
-func New(self string, peers Peers) *Registry {
+// New returns an empty registry.
+func New(opts Options) *Registry {
+	if opts.OnUnsettled == nil {
+		opts.OnUnsettled = func(map[string][]string) {}
+	}
 	return &Registry{
-		self:     self,
-		peers:    peers,
-		started:  time.Now(),
-		wake:     make(chan struct{}, 1),
-		table:    newTable(),
-		versions: newVersions(),
-		pending:  map[Stream]string{},
+		opts:         opts,
+		started:      time.Now(),
+		copyWake:     make(chan struct{}, 1),
+		saveWake:     make(chan struct{}, 1),
+		announceWake: make(chan struct{}, 1),
+		writer:       newRowWriter(opts.Self, time.Now()),
+		table:        newTable(),
+		versions:     newVersions(),
+		usages:       map[string]*usage{},
+		noticed:      map[string]time.Time{},
+		copying:      map[string]bool{},
+		pending:      map[Stream]bool{},
+		unsaved:      map[Stream]bool{},
 	}
 }
 
-// Update applies a new view of the deployment. When a second version of a service
-// appears, the records of its Streams are copied. Update does not block.
-func (g *Registry) Update(v *fleet.View) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	g.serversRead = v.ServersRead
-	for _, service := range g.versions.observe(v.Servers, now) {
-		for s, software := range g.table.ofService(service, now) {
-			g.copyLater(s, software)
-		}
-	}
+// listAge measures the age of the list of servers, also while the machine is suspended.
+type listAge struct {
+	read      time.Time
+	suspended time.Duration // total up to the update before the last one, which was before the read
+	updated   time.Duration // total up to the last update
 }
 
-// Began records that the stream of the request id is sent to a server of the given
-// software version. A later call replaces the record.
-func (g *Registry) Began(service, id, software string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	s := Stream{Service: service, ID: id}
-	g.table.put(s, software, now)
-	if g.versions.several(service, now) {
-		g.copyLater(s, software)
+// suspendedTime returns for how long the machine was suspended, plus a constant.
+func suspendedTime() time.Duration { return clock.Boottime() - time.Since(processStart) }
+
+var processStart = time.Now()
+
+// update records a list that was requested at read. It reports whether the list before it
+// was too old to have shown all versions until then.
+func (a *listAge) update(read time.Time, suspended time.Duration) (gap bool) {
+	if read.Equal(a.read) {
+		return false
+	}
+	gap = a.read.IsZero() || read.Sub(a.read)+suspended-a.suspended > freshFor
+	a.read, a.suspended, a.updated = read, a.updated, suspended
+	if a.suspended == 0 {
+		a.suspended = suspended
 	}
+	return gap
 }
 
-// copyLater makes Run copy a record. The caller holds mu.
-func (g *Registry) copyLater(s Stream, software string) {
-	g.pending[s] = software
-	select {
-	case g.wake <- struct{}{}:
-	default:
-	}
+// of returns the age of the list.
+func (a *listAge) of(now time.Time, suspended time.Duration) time.Duration {
+	return now.Sub(a.read) + suspended - a.suspended
 }
 
-// Run copies records to other entries until ctx is done.
-func (g *Registry) Run(ctx context.Context) {
-	for {
-		select {
-		case <-g.wake:
-		case <-ctx.Done():
-			return
+// Update applies a new view of the deployment. While several versions of a service are in
+// use, the records of its streams are copied and stored. Update does not block.
+func (g *Registry) Update(v *fleet.View) {
+	now := time.Now()
+	g.mu.Lock()
+	if g.list.update(v.ServersRead, suspendedTime()) {
+		g.usagesRead = false
+		g.gaps++
+	}
+	if v.Config != nil {
+		g.streaming = map[string]bool{}
+		for name, s := range v.Config.Services {
+			g.streaming[name] = s.Engine != nil
 		}
-		_ = clock.Sleep(ctx, gatherTime) // if ctx is done, the last records are still sent
-		g.copyPending()
 	}
+	g.versions.observe(v.Servers, now)
+	g.mu.Unlock()
+	g.review(now)
 }
 
-func (g *Registry) copyPending() {
+// review derives what follows from the versions in use and the age of the list.
+func (g *Registry) review(now time.Time) {
 	g.mu.Lock()
-	pending := g.pending
-	g.pending = map[Stream]string{}
+	for service := range g.versions.seen {
+		if g.tracked(service) {
+			g.reviewService(service, now)
+		}
+	}
+	unsettled := g.findUnsettled(now)
+	changed := !maps.EqualFunc(unsettled, g.unsettled, slices.Equal)
+	g.unsettled = unsettled
 	g.mu.Unlock()
-	names := g.peers.Connected()
-	messages := map[string]Began{}
-	for s, software := range pending {
-		for _, peer := range holders(s, names, copies) {
-			if messages[peer] == nil {
-				messages[peer] = Began{}
+	if changed {
+		g.opts.OnUnsettled(unsettled)
+	}
+}
+
+// reviewService starts to copy and to store the records of a service, or stops it, and wakes
+// RunUsages if a row has to change. The caller holds mu.
+func (g *Registry) reviewService(service string, now time.Time) {
+	several := len(g.inUse(service, now)) > 1
+	copied := several || !g.certain(service, now)
+	if copied != g.copying[service] {
+		g.copying[service] = copied
+		for _, s := range g.table.ownOf(service, now) {
+			if copied {
+				g.copyLater(s)
+			}
+		}
+	}
+	if stored := g.stored.services[service]; several != stored {
+		g.stored.store(service, several)
+		for _, s := range g.table.ownOf(service, now) {
+			if several {
+				g.saveLater(s)
 			}
-			messages[peer].add(s, software)
 		}
 	}
-	for peer, m := range messages {
-		g.peers.Send(peer, m)
+	if _, change := g.nextUsage(service, now); change || !g.usagesRead {
+		wake(g.announceWake)
 	}
 }
 
-func (b Began) add(s Stream, software string) {
-	if b[s.Service] == nil {
-		b[s.Service] = map[string][]string{}
+// tracked reports whether the service has streams whose versions matter. The caller holds mu.
+func (g *Registry) tracked(service string) bool { return g.streaming == nil || g.streaming[service] }
+
+// usageOf returns what is known of the row of a service. The caller holds mu.
+func (g *Registry) usageOf(service string) *usage {
+	if g.usages[service] == nil {
+		g.usages[service] = newUsage()
 	}
-	b[s.Service][software] = append(b[s.Service][software], s.ID)
+	return g.usages[service]
 }
 
-// Receive stores records of another entry.
-func (g *Registry) Receive(b Began) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	for service, bySoftware := range b {
-		for software, ids := range bySoftware {
-			for _, id := range ids {
-				g.table.put(Stream{Service: service, ID: id}, software, now)
-			}
+// inUse returns the versions of the service that are in use or were lately, in order. The
+// caller holds mu.
+func (g *Registry) inUse(service string, now time.Time) []string {
+	out := g.versions.recent(service, now)
+	for software := range g.usageOf(service).stages {
+		if !slices.Contains(out, software) {
+			out = append(out, software)
 		}
 	}
+	slices.Sort(out)
+	return out
 }
 
-// Lookup answers from this entry's records.
-func (g *Registry) Lookup(s Stream) Answer {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	software, found := g.table.get(s, now)
-	return Answer{Software: software, Found: found, Several: g.versions.several(s.Service, now)}
+// certain reports whether no other version than those in inUse can have begun a stream that
+// clients resume now. The caller holds mu.
+func (g *Registry) certain(service string, now time.Time) bool {
+	return g.fresh(now) && g.usagesRead && g.usageOf(service).row > 0
 }
 
-// State is the registry's part of the state dump.
-type State struct {
-	Records  int                 `json:"records"`
-	Pending  int                 `json:"pending"`  // records to copy to other entries
-	Unsaved  int                 `json:"unsaved"`  // records to write to the store
-	Versions map[string][]string `json:"versions"` // software versions in use lately, by service
+// fresh reports whether the list of servers has each version that gets streams. The caller
+// holds mu.
+func (g *Registry) fresh(now time.Time) bool { return g.list.of(now, suspendedTime()) <= freshFor }
+
+// findUnsettled returns the registered versions, by service, that may not get streams yet.
+// The caller holds mu.
+func (g *Registry) findUnsettled(now time.Time) map[string][]string {
+	out := map[string][]string{}
+	for service := range g.versions.seen {
+		if !g.tracked(service) {
+			continue
+		}
+		u := g.usageOf(service)
+		for _, software := range g.versions.registered(service) {
+			if !u.settled(software, g.versions.seen[service][software].since, now) {
+				out[service] = append(out[service], software)
+			}
+		}
+	}
+	return out
 }
 
-// State returns the current state.
-func (g *Registry) State() State {
+// Settled reports whether the versions of all registered servers may get streams.
+func (g *Registry) Settled() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
-	s := State{Records: len(g.table.records), Pending: len(g.pending), Versions: map[string][]string{}}
-	for service := range g.versions.seen {
-		s.Versions[service] = g.versions.recent(service, now)
-	}
-	return s
+	return g.usagesRead && len(g.unsettled) == 0
 }
 
-// Find returns which software version began the stream of the request id. It asks
-// other entries if this one does not know and several versions are in use, or may be.
-// With AnyVersion another version may appear before the stream goes on.
-func (g *Registry) Find(ctx context.Context, service, id string) Finding {
+// Began records that the stream of the request id is sent to a server of the given
+// software version. A later call replaces the record.
+func (g *Registry) Began(service, id, software string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
 	s := Stream{Service: service, ID: id}
-	found := g.beginFinding(service)
-	if a := g.Lookup(s); a.Found {
-		found.Origin, found.Software, found.Source = Known, a.Software, sourceOwn
-		return found
-	}
-	names := g.peers.Connected()
-	only, one := g.onlyVersion(service, len(names))
-	if one && !g.startedLately() {
-		found.Origin, found.Software = AnyVersion, only
-		return found
-	}
-	if id == "" && !one {
-		return found
+	g.table.put(s, software, now)
+	if g.copying[service] {
+		g.copyLater(s)
 	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	a, source, unanswered := g.ask(ctx, s, names)
-	found.Unanswered = unanswered
-	switch {
-	case a.Found:
-		found.Origin, found.Software, found.Source = Known, a.Software, source
-	case !a.Several && one:
-		found.Origin, found.Software = AnyVersion, only
+	if g.stored.services[service] {
+		g.saveLater(s)
 	}
-	return found
 }
 
-// beginFinding returns a Finding that says only what this entry knows of the service.
-func (g *Registry) beginFinding(service string) Finding {
+// Lookup answers from this entry's records.
+func (g *Registry) Lookup(s Stream) Answer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	return Finding{Versions: g.versions.recent(service, now), ServersAge: now.Sub(g.serversRead)}
+	r, found := g.table.find(s, now)
+	return Answer{
+		Software: r.software,
+		Revision: r.revision,
+		Found:    found,
+		Own:      found && r.own(),
+		Several:  len(g.inUse(s.Service, now)) > 1,
+	}
 }
 
-// startedLately reports whether streams may be resumed of versions that left before
-// this entry started.
-func (g *Registry) startedLately() bool { return time.Since(g.started) < recordTTL }
+// State is the registry's part of the state dump.
+type State struct {
+	Records   int                         `json:"records"`
+	Pending   int                         `json:"pending"`             // records to copy to other entries
+	Unsaved   int                         `json:"unsaved"`             // records to write to the store
+	Versions  map[string][]string         `json:"versions"`            // software versions in use lately, by service
+	Stages    map[string]map[string]stage `json:"stages"`              // of the versions, by service, as in the store
+	Unsettled map[string][]string         `json:"unsettled,omitempty"` // versions that may not get streams yet, by service
+	Certain   map[string]bool             `json:"certain"`             // whether other versions can be ruled out, by service
+	ListAgeMS int64                       `json:"list_age_ms"`
+}
 
-// onlyVersion returns the version of the service that is in use, or "" if none is.
-// certain is false if others are or may be in use: an entry that has no peers and old
-// registrations may be cut off and cannot know.
-func (g *Registry) onlyVersion(service string, peers int) (only string, certain bool) {
+// State returns the current state.
+func (g *Registry) State() State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if peers == 0 && now.Sub(g.serversRead) > staleAfter {
-		return "", false
-	}
-	recent := g.versions.recent(service, now)
-	if len(recent) == 1 {
-		return recent[0], true
+	s := State{
+		Records:   len(g.table.records),
+		Pending:   len(g.pending),
+		Unsaved:   len(g.unsaved) + g.stored.writing,
+		Versions:  map[string][]string{},
+		Stages:    map[string]map[string]stage{},
+		Unsettled: maps.Clone(g.unsettled),
+		Certain:   map[string]bool{},
+		ListAgeMS: g.list.of(now, suspendedTime()).Milliseconds(),
 	}
-	return "", len(recent) == 0
-}
-
-// ask asks the entries that hold copies of the record. The entry that made the
-// record may be among names; it made copies at copies other entries. Without a record,
-// the answer has Several set if any entry's has. source is the entry that has the record.
-func (g *Registry) ask(ctx context.Context, s Stream, names []string) (found Answer, source string, unanswered int) {
-	type reply struct {
-		Answer
-		peer string
-		err  error
-	}
-	candidates := holders(s, append(slices.Clone(names), g.self), copies+1)
-	replies := make(chan reply, len(candidates))
-	asked := 0
-	for _, peer := range candidates {
-		if peer == g.self {
+	for service := range g.versions.seen {
+		if !g.tracked(service) {
 			continue
 		}
-		asked++
-		go func() {
-			a, err := g.peers.Ask(ctx, peer, s)
-			replies <- reply{a, peer, err}
-		}()
+		s.Versions[service] = g.inUse(service, now)
+		s.Stages[service] = maps.Clone(g.usageOf(service).stages)
+		s.Certain[service] = g.certain(service, now)
 	}
-	var none Answer
-	for range asked {
-		r := <-replies
-		if r.err != nil {
-			unanswered++
-			continue
-		}
-		if r.Found {
-			return r.Answer, r.peer, unanswered
-		}
-		none.Several = none.Several || r.Several
+	return s
+}
+
+// wake makes the receiver of c run once more.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
-	return none, "", unanswered
 }
--- a/entry/direct/origins/table.go
+++ b/entry/direct/origins/table.go
@@ -9,18 +9,17 @@
 	maxRecords = 1 << 16 // of one entry; the oldest are dropped
 )
 
-// Stream identifies a stream.
-type Stream struct {
-	Service string `json:"service"`
-	ID      string `json:"id"` // of the request that brought its first event
-}
-
-// record is the software version that began a stream.
+// record is what an entry knows of the software version that began a stream.
 type record struct {
 	software string
+	revision int
+	maker    string    // entry whose record this is a copy of; empty for a record of this entry
 	at       time.Time // when it was written
 }
 
+// own reports whether this entry made the record, so that no other is newer.
+func (r record) own() bool { return r.maker == "" }
+
 // table holds the records of the last recordTTL. It is not safe for concurrent
 // use.
 type table struct {
@@ -36,11 +35,32 @@
 
 func newTable() *table { return &table{records: map[Stream]record{}} }
 
-// put writes a record and drops those that have expired.
+// put writes a record of this entry and drops those that have expired. It replaces one of
+// another version.
 func (t *table) put(s Stream, software string, now time.Time) {
-	t.records[s] = record{software: software, at: now}
-	t.order = append(t.order, written{stream: s, at: now})
-	t.expire(now)
+	revision := 0
+	if old, found := t.find(s, now); found {
+		revision = old.revision
+		if old.software != software {
+			revision++
+		}
+	}
+	t.write(s, record{software: software, revision: revision, at: now})
+}
+
+// putCopy writes a copy of another entry's record unless a newer record is known.
+func (t *table) putCopy(r Record, maker string, now time.Time) {
+	old, found := t.find(r.Stream, now)
+	if found && (old.revision > r.Revision || old.own() && old.revision == r.Revision) {
+		return
+	}
+	t.write(r.Stream, record{software: r.Software, revision: r.Revision, maker: maker, at: now})
+}
+
+func (t *table) write(s Stream, r record) {
+	t.records[s] = r
+	t.order = append(t.order, written{stream: s, at: r.at})
+	t.expire(r.at)
 }
 
 func (t *table) expire(now time.Time) {
@@ -55,22 +75,34 @@
 	t.order = t.order[n:]
 }
 
-// get returns the software version that began the stream.
-func (t *table) get(s Stream, now time.Time) (software string, found bool) {
+// find returns the record of the stream.
+func (t *table) find(s Stream, now time.Time) (record, bool) {
 	r, ok := t.records[s]
 	if !ok || now.Sub(r.at) >= recordTTL {
-		return "", false
+		return record{}, false
 	}
-	return r.software, true
+	return r, true
 }
 
-// ofService returns the records of a service.
-func (t *table) ofService(service string, now time.Time) map[Stream]string {
-	out := map[Stream]string{}
+// get returns the software version that began the stream.
+func (t *table) get(s Stream, now time.Time) (software string, found bool) {
+	r, found := t.find(s, now)
+	return r.software, found
+}
+
+// ownOf returns the streams of a service of which this entry has made the records.
+func (t *table) ownOf(service string, now time.Time) []Stream {
+	var out []Stream
 	for s, r := range t.records {
-		if s.Service == service && now.Sub(r.at) < recordTTL {
-			out[s] = r.software
+		if s.Service == service && r.own() && now.Sub(r.at) < recordTTL {
+			out = append(out, s)
 		}
 	}
 	return out
 }
+
+// record returns the record of the stream in the form for messages and rows.
+func (t *table) record(s Stream, now time.Time) (Record, bool) {
+	r, found := t.find(s, now)
+	return Record{Stream: s, Software: r.software, Revision: r.revision}, found
+}
--- a/entry/direct/origins/versions.go
+++ b/entry/direct/origins/versions.go
@@ -16,41 +16,41 @@
 // sighting is what is known of one software version of a service.
 type sighting struct {
 	registered bool      // in the latest view
+	since      time.Time // when the first view with it was applied
 	at         time.Time // if not registered, when the first view without it was applied
 }
 
+// recent reports whether the version is registered or was within recordTTL.
+func (s sighting) recent(now time.Time) bool { return s.registered || now.Sub(s.at) < recordTTL }
+
 func newVersions() versions { return versions{seen: map[string]map[string]sighting{}} }
 
-// observe applies the registrations of a view. It returns the services in which a
-// second version has appeared.
-func (v *versions) observe(servers []fleet.Server, now time.Time) (mixed []string) {
-	before := map[string]bool{}
-	for service := range v.seen {
-		before[service] = v.several(service, now)
-	}
-	v.leave(now)
+// observe applies the registrations of a view.
+func (v *versions) observe(servers []fleet.Server, now time.Time) {
+	v.leave(servers, now)
 	for i := range servers {
 		s := &servers[i]
-		if v.seen[s.Service] == nil {
-			v.seen[s.Service] = map[string]sighting{}
+		bySoftware := v.seen[s.Service]
+		if bySoftware == nil {
+			bySoftware = map[string]sighting{}
+			v.seen[s.Service] = bySoftware
 		}
-		v.seen[s.Service][s.Software] = sighting{registered: true}
-	}
-	for service := range v.seen {
-		if !before[service] && v.several(service, now) {
-			mixed = append(mixed, service)
+		known, ok := bySoftware[s.Software]
+		if !ok || !known.recent(now) {
+			known.since = now
 		}
+		bySoftware[s.Software] = sighting{registered: true, since: known.since}
 	}
-	return mixed
 }
 
-// leave records that all registered versions have left.
-func (v *versions) leave(now time.Time) {
-	for _, bySoftware := range v.seen {
+// leave records which registered versions have left.
+func (v *versions) leave(servers []fleet.Server, now time.Time) {
+	for service, bySoftware := range v.seen {
 		for software, s := range bySoftware {
-			if s.registered {
-				bySoftware[software] = sighting{at: now}
+			if !s.registered || slices.ContainsFunc(servers, func(f fleet.Server) bool { return f.Service == service && f.Software == software }) {
+				continue
 			}
+			bySoftware[software] = sighting{since: s.since, at: now}
 		}
 	}
 }
@@ -64,9 +64,18 @@
 // recent returns the versions of the service that are registered or were within
 // recordTTL, in order.
 func (v *versions) recent(service string, now time.Time) []string {
+	return v.list(service, func(s sighting) bool { return s.recent(now) })
+}
+
+// registered returns the versions of the service that are registered, in order.
+func (v *versions) registered(service string) []string {
+	return v.list(service, func(s sighting) bool { return s.registered })
+}
+
+func (v *versions) list(service string, include func(sighting) bool) []string {
 	var out []string
 	for software, s := range v.seen[service] {
-		if s.registered || now.Sub(s.at) < recordTTL {
+		if include(s) {
 			out = append(out, software)
 		}
 	}
