Proofs, operators' view and explain of resumed streams; a test of rows that cannot be read

Mutations on a scratch copy of, one at a time, each seen to fail a test of entry/direct/origins: age of the list, records in the store, copy checked with its maker, copies for a restarted entry, copies while uncertain, records of before the second version, wait of a new version, version kept after it left, suspensions. The guard 'rows not read' failed none; TestVersionsThatCannotBeReadAreRuledOut is added for it.

--- a/entry/direct/origins/rows_test.go
+++ b/entry/direct/origins/rows_test.go
@@ -66,6 +66,16 @@
 	assert.Equal(t, origin, Unknown)
 }
 
+// TestVersionsThatCannotBeReadAreRuledOut has the store be away when all entries start anew.
+func TestVersionsThatCannotBeReadAreRuledOut(t *testing.T) {
+	n := newNetwork(3, "v1")
+	n.entry("entry-0").Began(service, "a", "v1")
+	n.table.down = true
+	n.killAll("v2")
+	_, origin := find(n.entry("entry-1"), "a")
+	assert.Equal(t, origin, Unknown)
+}
+
 func TestStreamIsNamedAfterFailedAttemptFromStore(t *testing.T) {
 	n := newNetwork(3, "v1", "v2")
 	maker := n.entry("entry-0")
--- a/operator/explain/leaving_test.go
+++ b/operator/explain/leaving_test.go
@@ -19,3 +19,14 @@
 	assert.Assert(t, cmp.Contains(out, "server draining i-1, logged by edge-1: told by edge-2."))
 	assert.Assert(t, !strings.Contains(out, "i-2"))
 }
+
+// TestRefusalForUnknownVersionIsExplained explains why a stream that its client resumes is
+// refused: an entry that was cut off cannot rule out that another version began it.
+func TestRefusalForUnknownVersionIsExplained(t *testing.T) {
+	out := explained(t, "r9", `{"time":"2026-01-24T17:20:00.000Z","msg":"process started","event":100,"node":"edge-1","run":"a","offset_ms":1}
+{"time":"2026-01-24T17:20:43.000Z","msg":"stream resumed by its client","event":613,"node":"edge-1","run":"a","offset_ms":43000,"request":"r9","resumes":"r1","last_event":"7"}
+{"time":"2026-01-24T17:20:43.001Z","msg":"stream's version sought","event":614,"node":"edge-1","run":"a","offset_ms":43001,"request":"r9","origin":"unknown","versions":"v1","unanswered":2,"servers_age_ms":4100}
+{"time":"2026-01-24T17:20:43.002Z","msg":"request refused","event":605,"node":"edge-1","run":"a","offset_ms":43002,"request":"r9","service":"llm","reason":"the software version that began the stream is not known","status":503,"retry_after_ms":400}
+`)
+	assert.Assert(t, cmp.Contains(out, "The software version that began the stream was unknown; in use lately: v1; the list of servers was 4.1s old."))
+}
