--- a/entry/direct/origins/announce.go
+++ b/entry/direct/origins/announce.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
@@ -21,9 +19,8 @@
 	usagePrefix = "versions/" // of the keys of the rows of services
 	maxUsages   = 500         // rows read at once
 
-	rowTimeout  = time.Second // of one call
-	minRowRetry = 250 * time.Millisecond
-	maxRowRetry = 2 * time.Second
+	// usageGatherTime gathers the changes that follow from one list of servers.
+	usageGatherTime = 25 * time.Millisecond
 
 	// announceStagger is the delay between the entries that would write the same change: all
 	// but the first usually learn of it from the first.
@@ -34,35 +31,20 @@
 // RunUsages reads the rows of the services, and writes the stages of their versions, until
 // ctx is done.
 func (g *Registry) RunUsages(ctx context.Context) {
-	pause := newRowBackoff()
-	failing := false
+	calls := newRetrier(g.opts.Log, event.VersionsNotStored)
 	for ctx.Err() == nil {
-		err := g.syncUsages(ctx)
-		if err == nil {
-			pause.Reset()
-			failing = false
-			select {
-			case <-g.announceWake:
-			case <-ctx.Done():
-				return
-			}
-			_ = clock.Sleep(ctx, reviewInterval/10) // gathers the changes of one list of servers
+		if calls.wait(ctx, g.syncUsages(ctx)) {
 			continue
 		}
-		if !failing && ctx.Err() == nil {
-			event.Log(g.opts.Log, event.VersionsNotStored, event.Err(err))
+		select {
+		case <-g.announceWake:
+		case <-ctx.Done():
+			return
 		}
-		failing = true
-		_ = clock.Sleep(ctx, pause.NextBackOff())
+		_ = clock.Sleep(ctx, usageGatherTime)
 	}
 }
 
-func newRowBackoff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = minRowRetry, maxRowRetry
-	return b
-}
-
 // syncUsages reads the rows if they may have changed unseen, and writes those that have to
 // change.
 func (g *Registry) syncUsages(ctx context.Context) error {
--- a/entry/direct/origins/find.go
+++ b/entry/direct/origins/find.go
@@ -6,13 +6,8 @@
 	"time"
 )
 
-const (
-	// findTimeout bounds the questions to other entries: a few round trips between regions.
-	findTimeout = 300 * time.Millisecond
-
-	// loadTimeout bounds the read of all records from the store.
-	loadTimeout = time.Second
-)
+// findTimeout bounds the questions to other entries: a few round trips between regions.
+const findTimeout = 300 * time.Millisecond
 
 // Origin is what is known of the software version that began a stream.
 type Origin int
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/singleflight"
 
-	"peridotchute.example/common/clock"
 	"peridotchute.example/fleet"
 	"peridotchute.example/store"
 )
@@ -111,37 +110,6 @@
 	}
 }
 
-// listAge measures the age of the list of servers, also while the machine is suspended.
-type listAge struct {
-	read      time.Time
-	suspended time.Duration // total up to the update before the last one, which was before the read
-	updated   time.Duration // total up to the last update
-}
-
-// suspendedTime returns for how long the machine was suspended, plus a constant.
-func suspendedTime() time.Duration { return clock.Boottime() - time.Since(processStart) }
-
-var processStart = time.Now()
-
-// update records a list that was requested at read. It reports whether the list before it
-// was too old to have shown all versions until then.
-func (a *listAge) update(read time.Time, suspended time.Duration) (gap bool) {
-	if read.Equal(a.read) {
-		return false
-	}
-	gap = a.read.IsZero() || read.Sub(a.read)+suspended-a.suspended > freshFor
-	a.read, a.suspended, a.updated = read, a.updated, suspended
-	if a.suspended == 0 {
-		a.suspended = suspended
-	}
-	return gap
-}
-
-// of returns the age of the list.
-func (a *listAge) of(now time.Time, suspended time.Duration) time.Duration {
-	return now.Sub(a.read) + suspended - a.suspended
-}
-
 // Update applies a new view of the deployment. While several versions of a service are in
 // use, the records of its streams are copied and stored. Update does not block.
 func (g *Registry) Update(v *fleet.View) {
@@ -295,44 +263,6 @@
 	}
 }
 
-// State is the registry's part of the state dump.
-type State struct {
-	Records   int                         `json:"records"`
-	Pending   int                         `json:"pending"`             // records to copy to other entries
-	Unsaved   int                         `json:"unsaved"`             // records to write to the store
-	Versions  map[string][]string         `json:"versions"`            // software versions in use lately, by service
-	Stages    map[string]map[string]stage `json:"stages"`              // of the versions, by service, as in the store
-	Unsettled map[string][]string         `json:"unsettled,omitempty"` // versions that may not get streams yet, by service
-	Certain   map[string]bool             `json:"certain"`             // whether other versions can be ruled out, by service
-	ListAgeMS int64                       `json:"list_age_ms"`
-}
-
-// State returns the current state.
-func (g *Registry) State() State {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	s := State{
-		Records:   len(g.table.records),
-		Pending:   len(g.pending),
-		Unsaved:   len(g.unsaved) + g.stored.writing,
-		Versions:  map[string][]string{},
-		Stages:    map[string]map[string]stage{},
-		Unsettled: maps.Clone(g.unsettled),
-		Certain:   map[string]bool{},
-		ListAgeMS: g.list.of(now, suspendedTime()).Milliseconds(),
-	}
-	for service := range g.versions.seen {
-		if !g.tracked(service) {
-			continue
-		}
-		s.Versions[service] = g.inUse(service, now)
-		s.Stages[service] = maps.Clone(g.usageOf(service).stages)
-		s.Certain[service] = g.certain(service, now)
-	}
-	return s
-}
-
 // wake makes the receiver of c run once more.
 func wake(c chan struct{}) {
 	select {
--- a/entry/direct/origins/rows.go
+++ b/entry/direct/origins/rows.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,24 +26,6 @@
 	// longer, so that their writes together do not grow.
 	saveInterval       = 250 * time.Millisecond
 	maxFrequentWriters = 100
-
-	// rowSpan is the time for which one row gathers records; it is written anew for each
-	// addition.
-	rowSpan = 4 * time.Second
-
-	// maxRowRecords bounds a row to about 20 KB; the store allows 64 KB.
-	maxRowRecords = 500
-
-	// rowTTL is how long a row is kept: the last record in it expires before.
-	rowTTL = recordTTL + rowSpan
-
-	// abandonedTTL is the age at which any entry removes a row. It exceeds rowTTL by more
-	// than the wall clocks of two entries differ.
-	abandonedTTL = 5 * time.Minute
-
-	maxLoadedRows   = 10_000 // in one partition
-	maxRemovedRows  = 50     // abandoned ones, in one read
-	minLoadInterval = time.Second
 )
 
 // rowValue is the value of a row with records.
@@ -54,77 +34,6 @@
 	Records   Records `json:"records"`
 }
 
-// storedRecords is the state of the records in the store, as this entry knows it.
-type storedRecords struct {
-	services map[string]bool // whose records are written to the store
-	writing  int             // records being written
-	records  map[Stream]Record
-	loaded   time.Time // when the last read of records began
-}
-
-func (r *storedRecords) store(service string, stored bool) {
-	if r.services == nil {
-		r.services = map[string]bool{}
-	}
-	r.services[service] = stored
-}
-
-// rowWriter divides the records of one process into rows.
-type rowWriter struct {
-	prefix string // of the keys of this process's rows
-	rows   []*recordRow
-	made   int // number of rows made
-}
-
-// recordRow is a row of this process.
-type recordRow struct {
-	key     string
-	records Records
-	count   int
-	opened  time.Time
-	version string // in the store; empty before the first write
-}
-
-func newRowWriter(self string, now time.Time) rowWriter {
-	return rowWriter{prefix: recordPrefix + self + "/" + strconv.FormatInt(now.UnixMilli(), 36)}
-}
-
-// add adds records to the current row, or to new ones, and returns the rows to write.
-func (w *rowWriter) add(records []Record, now time.Time) (changed []*recordRow) {
-	var row *recordRow
-	for _, r := range records {
-		if current := w.current(now); current != row {
-			row = current
-			changed = append(changed, row)
-		}
-		row.records.add(r)
-		row.count++
-	}
-	return changed
-}
-
-// current returns the row that takes further records.
-func (w *rowWriter) current(now time.Time) *recordRow {
-	if n := len(w.rows); n > 0 {
-		if last := w.rows[n-1]; now.Sub(last.opened) < rowSpan && last.count < maxRowRecords {
-			return last
-		}
-	}
-	w.made++
-	row := &recordRow{key: fmt.Sprintf("%s-%06d", w.prefix, w.made), opened: now}
-	w.rows = append(w.rows, row)
-	return row
-}
-
-// expired removes and returns the rows whose records have all expired.
-func (w *rowWriter) expired(now time.Time) (out []*recordRow) {
-	for len(w.rows) > 0 && now.Sub(w.rows[0].opened) >= rowTTL+rowSpan {
-		out = append(out, w.rows[0])
-		w.rows = w.rows[1:]
-	}
-	return out
-}
-
 // partitionOf returns the partition for the rows of an entry.
 func partitionOf(entry string) string {
 	return partitionName(int(xxhash.Sum64String(entry) % partitions))
@@ -142,8 +51,7 @@
 func (g *Registry) RunRows(ctx context.Context) {
 	tick := time.NewTicker(rowSpan)
 	defer tick.Stop()
-	pause := newRowBackoff()
-	failing := false
+	calls := newRetrier(g.opts.Log, event.StreamRecordsNotStored)
 	for {
 		select {
 		case <-tick.C:
@@ -154,20 +62,7 @@
 			return
 		}
 		_ = clock.Sleep(ctx, g.saveDelay())
-		err := g.save(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
-			pause.Reset()
-			failing = false
-			continue
-		}
-		if !failing {
-			event.Log(g.opts.Log, event.StreamRecordsNotStored, event.Err(err))
-		}
-		failing = true
-		_ = clock.Sleep(ctx, pause.NextBackOff())
+		calls.wait(ctx, g.save(ctx)) // save wakes this loop again if it fails
 	}
 }
 
@@ -249,88 +144,3 @@
 		event.Log(g.opts.Log, event.StreamRecordsNotStored, event.Subject(key), event.Err(err))
 	}
 }
-
-// load finds the record of a stream in the store. It reads all records, unless that was
-// done less than minLoadInterval ago.
-func (g *Registry) load(ctx context.Context, s Stream) (Record, bool) {
-	done := g.loads.DoChan("", func() (any, error) {
-		g.mu.Lock()
-		recent := time.Since(g.stored.loaded) < minLoadInterval
-		g.mu.Unlock()
-		if recent {
-			return nil, nil
-		}
-		return nil, g.loadAll()
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r, found := g.stored.records[s]
-	return r, found
-}
-
-// loadAll reads all records in the store. The result of an incomplete read is kept, but
-// the next search reads again.
-func (g *Registry) loadAll() error {
-	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
-	defer cancel()
-	began := time.Now()
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	records := map[Stream]Record{}
-	var failed error
-	for i := range partitions {
-		wait.Go(func() {
-			found, err := g.loadPartition(ctx, partitionName(i))
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				failed = err
-			}
-			for _, r := range found {
-				if known, ok := records[r.Stream]; !ok || r.Revision > known.Revision {
-					records[r.Stream] = r
-				}
-			}
-		})
-	}
-	wait.Wait()
-	if failed != nil {
-		event.Log(g.opts.Log, event.StreamRecordsNotRead, event.Err(failed))
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if failed == nil {
-		g.stored.loaded = began
-	}
-	g.stored.records = records
-	return failed
-}
-
-// loadPartition reads the records in one partition. It removes abandoned rows.
-func (g *Registry) loadPartition(ctx context.Context, name string) (records []Record, err error) {
-	table := g.opts.Table.Partition(name)
-	rows, err := table.List(ctx, recordPrefix, "", maxLoadedRows)
-	if err != nil {
-		return nil, err
-	}
-	removed := 0
-	for _, row := range rows {
-		var value rowValue
-		if err := json.Unmarshal(row.Value, &value); err != nil {
-			event.Log(g.opts.Log, event.StreamRecordsNotRead, event.Subject(row.Key), event.Err(err))
-			continue
-		}
-		if time.Since(time.UnixMilli(value.WrittenMS)) > abandonedTTL {
-			if removed++; removed <= maxRemovedRows {
-				g.removeRow(ctx, table, row.Key, row.Version)
-			}
-			continue
-		}
-		value.Records.each(func(r Record) { records = append(records, r) })
-	}
-	return records, nil
-}
--- /dev/null
+++ b/entry/direct/origins/state.go
@@ -0,0 +1,44 @@
+package origins
+
+import (
+	"maps"
+	"time"
+)
+
+// State is the registry's part of the state dump.
+type State struct {
+	Records   int                         `json:"records"`
+	Pending   int                         `json:"pending"`             // records to copy to other entries
+	Unsaved   int                         `json:"unsaved"`             // records to write to the store
+	Versions  map[string][]string         `json:"versions"`            // software versions in use lately, by service
+	Stages    map[string]map[string]stage `json:"stages"`              // of the versions, by service, as in the store
+	Unsettled map[string][]string         `json:"unsettled,omitempty"` // versions that may not get streams yet, by service
+	Certain   map[string]bool             `json:"certain"`             // whether other versions can be ruled out, by service
+	ListAgeMS int64                       `json:"list_age_ms"`
+}
+
+// State returns the current state.
+func (g *Registry) State() State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	s := State{
+		Records:   len(g.table.records),
+		Pending:   len(g.pending),
+		Unsaved:   len(g.unsaved) + g.stored.writing,
+		Versions:  map[string][]string{},
+		Stages:    map[string]map[string]stage{},
+		Unsettled: maps.Clone(g.unsettled),
+		Certain:   map[string]bool{},
+		ListAgeMS: g.list.of(now, suspendedTime()).Milliseconds(),
+	}
+	for service := range g.versions.seen {
+		if !g.tracked(service) {
+			continue
+		}
+		s.Versions[service] = g.inUse(service, now)
+		s.Stages[service] = maps.Clone(g.usageOf(service).stages)
+		s.Certain[service] = g.certain(service, now)
+	}
+	return s
+}
