origins: what an entry forgot, lost or never knew is not ruled out

A version that came back got streams at once; now it is announced again, unless it is the only one. A row that the store lost was neither noticed nor written again, and then every version settled at once. Copies that are sent again pushed out other records.

--- a/entry/direct/origins/announce.go
+++ b/entry/direct/origins/announce.go
@@ -15,6 +15,8 @@
 	"peridotchute.example/store"
 )
 
+const stepUsage = "origins.usage"
+
 const (
 	usagePrefix = "versions/" // of the keys of the rows of services
 	maxUsages   = 500         // rows read at once
@@ -76,49 +78,65 @@
 		return err
 	}
 	now := time.Now()
+	g.mu.Lock()
+	found := map[string]bool{}
 	for _, row := range rows {
+		found[serviceOf(row.Key)] = true
 		g.applyRow(row, now)
 	}
-	g.mu.Lock()
+	for service, u := range g.usages {
+		if !found[service] && u.row > 0 {
+			u.lost(0)
+		}
+	}
 	g.usagesRead = gaps == g.gaps
 	g.mu.Unlock()
 	g.review(now)
 	return nil
 }
 
-// applyRow takes over the row of a service as the store has it.
+func serviceOf(key string) string { return strings.TrimPrefix(key, usagePrefix) }
+
+// applyRow takes over the row of a service as the store has it. The caller holds mu.
 func (g *Registry) applyRow(row store.Row, now time.Time) {
-	u, err := decodeUsage(row)
+	service := serviceOf(row.Key)
+	u := g.usageOf(service)
+	content, err := decodeUsage(row)
 	if err != nil {
 		event.Log(g.opts.Log, event.VersionsNotRead, event.Subject(row.Key), event.Err(err))
+		u.lost(content.Row)
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.usageOf(u.Service).apply(u.Stages, u.Row, now)
+	u.apply(content, true, now)
 }
 
+// decodeUsage decodes the row of a service. The version of the row is set also if the content
+// cannot be decoded.
 func decodeUsage(row store.Row) (Usage, error) {
-	var stages map[string]stage
-	if err := json.Unmarshal(row.Value, &stages); err != nil {
-		return Usage{}, fault.New(fault.KindInvalid, "origins.usage", row.Key, err)
-	}
+	var u Usage
 	version, err := strconv.ParseInt(row.Version, 10, 64)
 	if err != nil {
-		return Usage{}, fault.New(fault.KindInvalid, "origins.usage", row.Key, err)
+		return Usage{}, fault.New(fault.KindInvalid, stepUsage, row.Key, err)
+	}
+	if err := json.Unmarshal(row.Value, &u); err != nil {
+		return Usage{Row: version}, fault.New(fault.KindInvalid, stepUsage, row.Key, err)
 	}
-	return Usage{Service: strings.TrimPrefix(row.Key, usagePrefix), Stages: stages, Row: version}, nil
+	if u.Revision <= 0 {
+		return Usage{Row: version}, fault.Newf(fault.KindInvalid, stepUsage, row.Key, "revision %d", u.Revision)
+	}
+	u.Row = version
+	return u, nil
 }
 
 // nextUsage returns the stages that the row of a service should have, and whether they
 // differ from those that it has. The caller holds mu.
 func (g *Registry) nextUsage(service string, now time.Time) (map[string]stage, bool) {
-	registered := g.versions.registered(service)
+	registered, recent := g.versions.registered(service), g.versions.recent(service, now)
 	u := g.usageOf(service)
-	if len(registered) == 0 && len(u.stages) == 0 {
+	if len(recent) == 0 && len(u.stages) == 0 {
 		return nil, false
 	}
-	return u.next(registered, g.fresh(now), now)
+	return u.next(registered, recent, g.fresh(now), now)
 }
 
 // dueUsages returns the services whose rows this entry should write now. The caller does
@@ -130,7 +148,7 @@
 	var due []string
 	for service := range g.versions.seen {
 		_, change := g.nextUsage(service, now)
-		if !change || !g.tracked(service) {
+		if !change {
 			delete(g.noticed, service)
 			continue
 		}
@@ -156,10 +174,11 @@
 	g.mu.Lock()
 	stages, _ := g.nextUsage(service, time.Now())
 	known := g.usageOf(service).row
+	content := Usage{Stages: stages, Revision: g.usageOf(service).revision + 1}
 	g.mu.Unlock()
-	value, err := json.Marshal(stages)
+	value, err := json.Marshal(content)
 	if err != nil {
-		return fault.New(fault.KindInternal, "origins.usage", service, err)
+		return fault.New(fault.KindInternal, stepUsage, service, err)
 	}
 	key := usagePrefix + service
 	var row store.Row
@@ -174,7 +193,9 @@
 	if err != nil {
 		return err
 	}
+	g.mu.Lock()
 	g.applyRow(row, time.Now())
+	g.mu.Unlock()
 	g.announced(service)
 	return nil
 }
@@ -182,16 +203,17 @@
 // rereadUsage reads the row of a service after a write that failed or may have failed.
 func (g *Registry) rereadUsage(ctx context.Context, key string) error {
 	row, err := g.opts.Table.Get(ctx, key)
-	if fault.Is(err, fault.KindNotFound) {
-		g.mu.Lock()
-		g.usageOf(strings.TrimPrefix(key, usagePrefix)).row = 0 // the store came back from a copy without the row
-		g.mu.Unlock()
-		return nil
-	}
-	if err != nil {
+	missing := fault.Is(err, fault.KindNotFound)
+	if err != nil && !missing {
 		return err
 	}
-	g.applyRow(row, time.Now())
+	g.mu.Lock()
+	if missing {
+		g.usageOf(serviceOf(key)).lost(0) // the store came back from a copy without the row
+	} else {
+		g.applyRow(row, time.Now())
+	}
+	g.mu.Unlock()
 	g.review(time.Now())
 	return nil
 }
@@ -201,7 +223,7 @@
 	g.mu.Lock()
 	u := g.usageOf(service)
 	delete(g.noticed, service)
-	m := []Usage{{Service: service, Stages: u.stages, Row: u.row}}
+	m := []Usage{u.message(service)}
 	g.mu.Unlock()
 	event.Log(g.opts.Log, event.VersionsChanged, event.Subject(service), event.Reason(describe(m[0].Stages)))
 	for _, peer := range g.opts.Peers.Connected() {
@@ -227,7 +249,7 @@
 	var out []Usage
 	for service, u := range g.usages {
 		if u.row > 0 {
-			out = append(out, Usage{Service: service, Stages: u.stages, Row: u.row})
+			out = append(out, u.message(service))
 		}
 	}
 	return out
@@ -239,9 +261,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	for _, u := range received {
-		if known := g.usageOf(u.Service); u.Row > known.row {
-			known.apply(u.Stages, u.Row, now)
-		}
+		g.usageOf(u.Service).apply(u, false, now)
 	}
 	g.mu.Unlock()
 	g.review(now)
--- a/entry/direct/origins/find.go
+++ b/entry/direct/origins/find.go
@@ -62,12 +62,12 @@
 		found.improve(r)
 	}
 	switch {
-	case found.Origin == Known:
+	case found.Origin == Known && answers.newest:
 		return found
-	case one && !answers.several:
+	case found.Origin == Unknown && one && !answers.several:
 		return found.anyVersion()
 	}
-	if r, ok := g.load(ctx, s); ok {
+	if r, ok := g.load(ctx, s); ok { // it may be newer than a copy
 		found.improve(reply{Record: r, source: sourceStore})
 	}
 	return found
@@ -116,22 +116,40 @@
 
 // answers are what other entries know of a stream.
 type answers struct {
-	records []reply // that of the entry that made it is the last
-	several bool    // an entry knows several versions
-	failed  int     // entries that did not answer
+	records []reply
+	newest  bool // one is that of the entry that made it
+	several bool // an entry knows several versions
+	failed  int  // entries that did not answer
+	makers  []string
 }
 
 // ask asks the entries that hold copies of the record, and the one that made it if it is
-// known. It does not wait for further answers after that of the maker.
+// known, or becomes known by the others' answers.
 func (g *Registry) ask(ctx context.Context, s Stream, maker string) (out answers) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
+	asked := g.candidates(s, maker)
+	g.askPeers(ctx, s, asked, &out)
+	if out.newest {
+		return out
+	}
+	connected := g.opts.Peers.Connected()
+	makers := slices.DeleteFunc(out.makers, func(name string) bool {
+		return slices.Contains(asked, name) || !slices.Contains(connected, name)
+	})
+	slices.Sort(makers)
+	g.askPeers(ctx, s, slices.Compact(makers), &out)
+	return out
+}
+
+// askPeers asks entries for a record. It does not wait for further answers after that of the
+// entry that made it.
+func (g *Registry) askPeers(ctx context.Context, s Stream, peers []string, out *answers) {
 	type answer struct {
 		Answer
 		peer string
 		err  error
 	}
-	peers := g.candidates(s, maker)
 	received := make(chan answer, len(peers))
 	for _, peer := range peers {
 		go func() {
@@ -146,14 +164,16 @@
 			continue
 		}
 		out.several = out.several || a.Several
-		if a.Found {
-			out.records = append(out.records, reply{Record{Stream: s, Software: a.Software, Revision: a.Revision}, a.peer})
+		if !a.Found {
+			continue
 		}
-		if a.Own {
-			break
+		out.records = append(out.records, reply{Record{Stream: s, Software: a.Software, Revision: a.Revision}, a.peer})
+		if a.Maker == "" {
+			out.newest = true
+			return
 		}
+		out.makers = append(out.makers, a.Maker)
 	}
-	return out
 }
 
 // candidates returns the entries that may have the record of a stream. The entry that
--- a/entry/direct/origins/load.go
+++ b/entry/direct/origins/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -26,8 +27,9 @@
 type storedRecords struct {
 	services map[string]bool // whose records are written to the store
 	writing  int             // records being written
-	records  map[Stream]Record
+	records  [partitions]map[Stream]Record
 	loaded   time.Time // when the last read of records began
+	failing  bool      // it failed
 }
 
 func (r *storedRecords) store(service string, stored bool) {
@@ -37,17 +39,30 @@
 	r.services[service] = stored
 }
 
+// find returns the newest record of a stream.
+func (r *storedRecords) find(s Stream) (newest Record, found bool) {
+	for _, records := range r.records {
+		if known, ok := records[s]; ok && (!found || known.Revision > newest.Revision) {
+			newest, found = known, true
+		}
+	}
+	return newest, found
+}
+
 // load finds the record of a stream in the store. It reads all records, unless that was
-// done less than minLoadInterval ago.
+// tried less than minLoadInterval ago.
 func (g *Registry) load(ctx context.Context, s Stream) (Record, bool) {
 	done := g.loads.DoChan("", func() (any, error) {
 		g.mu.Lock()
 		recent := time.Since(g.stored.loaded) < minLoadInterval
+		if !recent {
+			g.stored.loaded = time.Now()
+		}
 		g.mu.Unlock()
-		if recent {
-			return nil, nil
+		if !recent {
+			g.loadAll()
 		}
-		return nil, g.loadAll()
+		return nil, nil
 	})
 	select {
 	case <-done:
@@ -55,55 +70,46 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r, found := g.stored.records[s]
-	return r, found
+	return g.stored.find(s)
 }
 
-// loadAll reads all records in the store. The result of an incomplete read is kept, but
-// the next search reads again.
-func (g *Registry) loadAll() error {
+// loadAll reads all records in the store. What is known of a partition that cannot be read
+// is kept.
+func (g *Registry) loadAll() {
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
-	began := time.Now()
 	var wait sync.WaitGroup
-	var mu sync.Mutex
-	records := map[Stream]Record{}
-	var failed error
+	var errs [partitions]error
 	for i := range partitions {
 		wait.Go(func() {
-			found, err := g.loadPartition(ctx, partitionName(i))
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				failed = err
-			}
-			for _, r := range found {
-				if known, ok := records[r.Stream]; !ok || r.Revision > known.Revision {
-					records[r.Stream] = r
-				}
+			records, err := g.loadPartition(ctx, partitionName(i))
+			errs[i] = err
+			if err == nil {
+				g.mu.Lock()
+				g.stored.records[i] = records
+				g.mu.Unlock()
 			}
 		})
 	}
 	wait.Wait()
-	if failed != nil {
-		event.Log(g.opts.Log, event.StreamRecordsNotRead, event.Err(failed))
-	}
+	err := errors.Join(errs[:]...)
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if failed == nil {
-		g.stored.loaded = began
+	failedBefore := g.stored.failing
+	g.stored.failing = err != nil
+	g.mu.Unlock()
+	if err != nil && !failedBefore {
+		event.Log(g.opts.Log, event.StreamRecordsNotRead, event.Err(err))
 	}
-	g.stored.records = records
-	return failed
 }
 
 // loadPartition reads the records in one partition. It removes abandoned rows.
-func (g *Registry) loadPartition(ctx context.Context, name string) (records []Record, err error) {
+func (g *Registry) loadPartition(ctx context.Context, name string) (map[Stream]Record, error) {
 	table := g.opts.Table.Partition(name)
 	rows, err := table.List(ctx, recordPrefix, "", maxLoadedRows)
 	if err != nil {
 		return nil, err
 	}
+	records := map[Stream]Record{}
 	removed := 0
 	for _, row := range rows {
 		var value rowValue
@@ -117,7 +123,11 @@
 			}
 			continue
 		}
-		value.Records.each(func(r Record) { records = append(records, r) })
+		value.Records.each(func(r Record) {
+			if known, ok := records[r.Stream]; !ok || r.Revision > known.Revision {
+				records[r.Stream] = r
+			}
+		})
 	}
 	return records, nil
 }
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -45,7 +45,7 @@
 	Software string `json:"software,omitempty"`
 	Revision int    `json:"revision,omitempty"`
 	Found    bool   `json:"found,omitempty"`
-	Own      bool   `json:"own,omitempty"`     // the entry made the record, so that no other is newer
+	Maker    string `json:"maker,omitempty"`   // entry that made the record; empty for the one that answers, whose record is the newest
 	Several  bool   `json:"several,omitempty"` // several versions of the service are in use
 }
 
@@ -72,6 +72,8 @@
 	loads        singleflight.Group
 	writer       rowWriter // used by RunRows alone
 
+	reviewMu sync.Mutex // orders the calls of OnUnsettled; taken before mu
+
 	mu         sync.Mutex
 	table      *table
 	versions   versions
@@ -119,12 +121,6 @@
 		g.usagesRead = false
 		g.gaps++
 	}
-	if v.Config != nil {
-		g.streaming = map[string]bool{}
-		for name, s := range v.Config.Services {
-			g.streaming[name] = s.Engine != nil
-		}
-	}
 	g.versions.observe(v.Servers, now)
 	g.mu.Unlock()
 	g.review(now)
@@ -132,11 +128,11 @@
 
 // review derives what follows from the versions in use and the age of the list.
 func (g *Registry) review(now time.Time) {
+	g.reviewMu.Lock()
+	defer g.reviewMu.Unlock()
 	g.mu.Lock()
 	for service := range g.versions.seen {
-		if g.tracked(service) {
-			g.reviewService(service, now)
-		}
+		g.reviewService(service, now)
 	}
 	unsettled := g.findUnsettled(now)
 	changed := !maps.EqualFunc(unsettled, g.unsettled, slices.Equal)
@@ -173,9 +169,6 @@
 	}
 }
 
-// tracked reports whether the service has streams whose versions matter. The caller holds mu.
-func (g *Registry) tracked(service string) bool { return g.streaming == nil || g.streaming[service] }
-
 // usageOf returns what is known of the row of a service. The caller holds mu.
 func (g *Registry) usageOf(service string) *usage {
 	if g.usages[service] == nil {
@@ -200,7 +193,7 @@
 // certain reports whether no other version than those in inUse can have begun a stream that
 // clients resume now. The caller holds mu.
 func (g *Registry) certain(service string, now time.Time) bool {
-	return g.fresh(now) && g.usagesRead && g.usageOf(service).row > 0
+	return g.fresh(now) && g.usagesRead && g.usageOf(service).current()
 }
 
 // fresh reports whether the list of servers has each version that gets streams. The caller
@@ -212,9 +205,6 @@
 func (g *Registry) findUnsettled(now time.Time) map[string][]string {
 	out := map[string][]string{}
 	for service := range g.versions.seen {
-		if !g.tracked(service) {
-			continue
-		}
 		u := g.usageOf(service)
 		for _, software := range g.versions.registered(service) {
 			if !u.settled(software, g.versions.seen[service][software].since, now) {
@@ -258,7 +248,7 @@
 		Software: r.software,
 		Revision: r.revision,
 		Found:    found,
-		Own:      found && r.own(),
+		Maker:    r.maker,
 		Several:  len(g.inUse(s.Service, now)) > 1,
 	}
 }
--- a/entry/direct/origins/rows.go
+++ b/entry/direct/origins/rows.go
@@ -80,6 +80,7 @@
 	for _, row := range g.writer.add(records, time.Now()) {
 		if err := writeRow(ctx, table, row); err != nil {
 			failed = err
+			g.writer.close() // the write may be applied later, and must not replace a newer one
 		}
 	}
 	g.mu.Lock()
@@ -117,7 +118,12 @@
 	if err != nil {
 		return fault.New(fault.KindInternal, "origins.rows", row.key, err)
 	}
-	written, err := table.Put(ctx, row.key, value)
+	var written store.Row
+	if row.version == "" {
+		written, err = table.PutIfAbsent(ctx, row.key, value)
+	} else {
+		written, err = table.CompareAndSet(ctx, row.key, row.version, value)
+	}
 	if err == nil {
 		row.version = written.Version
 	}
--- a/entry/direct/origins/rowwriter.go
+++ b/entry/direct/origins/rowwriter.go
@@ -22,7 +22,8 @@
 type rowWriter struct {
 	prefix string // of the keys of this process's rows
 	rows   []*recordRow
-	made   int // number of rows made
+	closed bool // the last of rows takes no further records
+	made   int  // number of rows made
 }
 
 // recordRow is a row of this process.
@@ -54,17 +55,21 @@
 
 // current returns the row that takes further records.
 func (w *rowWriter) current(now time.Time) *recordRow {
-	if n := len(w.rows); n > 0 {
+	if n := len(w.rows); n > 0 && !w.closed {
 		if last := w.rows[n-1]; now.Sub(last.opened) < rowSpan && last.count < maxRowRecords {
 			return last
 		}
 	}
+	w.closed = false
 	w.made++
 	row := &recordRow{key: fmt.Sprintf("%s-%06d", w.prefix, w.made), opened: now}
 	w.rows = append(w.rows, row)
 	return row
 }
 
+// close makes further records go to a new row.
+func (w *rowWriter) close() { w.closed = true }
+
 // expired removes and returns the rows whose records have all expired.
 func (w *rowWriter) expired(now time.Time) (out []*recordRow) {
 	for len(w.rows) > 0 && now.Sub(w.rows[0].opened) >= rowTTL+rowSpan {
--- a/entry/direct/origins/state.go
+++ b/entry/direct/origins/state.go
@@ -33,9 +33,6 @@
 		ListAgeMS: g.list.of(now, suspendedTime()).Milliseconds(),
 	}
 	for service := range g.versions.seen {
-		if !g.tracked(service) {
-			continue
-		}
 		s.Versions[service] = g.inUse(service, now)
 		s.Stages[service] = maps.Clone(g.usageOf(service).stages)
 		s.Certain[service] = g.certain(service, now)
--- a/entry/direct/origins/table.go
+++ b/entry/direct/origins/table.go
@@ -54,6 +54,9 @@
 	if found && (old.revision > r.Revision || old.own() && old.revision == r.Revision) {
 		return
 	}
+	if found && old.revision == r.Revision && old.maker == maker && now.Sub(old.at) < recordTTL/2 {
+		return // sent again
+	}
 	t.write(r.Stream, record{software: r.Software, revision: r.Revision, maker: maker, at: now})
 }
 
@@ -65,7 +68,7 @@
 
 func (t *table) expire(now time.Time) {
 	n := 0
-	for n < len(t.order) && (now.Sub(t.order[n].at) >= recordTTL || len(t.order)-n > maxRecords) {
+	for n < len(t.order) && (now.Sub(t.order[n].at) >= recordTTL || len(t.records) > maxRecords) {
 		w := t.order[n]
 		if t.records[w.stream].at.Equal(w.at) {
 			delete(t.records, w.stream)
--- a/entry/direct/origins/usage.go
+++ b/entry/direct/origins/usage.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+// versionTTL is how long a version that left is remembered. It exceeds the time for which its
+// streams may be resumed by the longest time for which an entry and servers that are cut off
+// together go on with a list of before.
+const versionTTL = 5 * time.Minute
+
 // stage is how far a software version of a service has come in its use.
 type stage string
 
@@ -18,72 +23,105 @@
 
 // Usage is the content of the row of a service: the stages of its software versions.
 type Usage struct {
-	Service string           `json:"service"`
-	Stages  map[string]stage `json:"stages"`
-	Row     int64            `json:"row"` // version of the row in the store
+	Service  string           `json:"service,omitempty"` // in messages
+	Stages   map[string]stage `json:"stages"`
+	Revision int64            `json:"revision"`      // counts the changes, also if the store came back from an older copy
+	Row      int64            `json:"row,omitempty"` // version of the row in the store; in messages
 }
 
 // usage is what an entry knows of the row of a service. It is not safe for concurrent use.
 type usage struct {
-	stages map[string]stage
-	row    int64                // version of the row in the store; 0 if there is none
-	since  map[string]time.Time // when this entry learned of a version's stage
+	stages   map[string]stage
+	revision int64                // 0 until a row is known
+	row      int64                // version of the row in the store; 0 if there is none
+	stale    bool                 // the row in the store is of an earlier revision, or has other content
+	since    map[string]time.Time // when this entry learned of a version's stage
 }
 
 func newUsage() *usage { return &usage{stages: map[string]stage{}, since: map[string]time.Time{}} }
 
-// apply replaces the content.
-func (u *usage) apply(stages map[string]stage, row int64, now time.Time) {
+// apply takes over the content of a row or message, unless a later revision is known. stored
+// says that the row in the store is as u says.
+func (u *usage) apply(content Usage, stored bool, now time.Time) {
+	if stored {
+		u.row, u.stale = content.Row, content.Revision < u.revision
+	}
+	if content.Revision <= u.revision {
+		return
+	}
 	since := map[string]time.Time{}
-	for software, s := range stages {
+	for software, s := range content.Stages {
 		since[software] = now
 		if u.stages[software] == s {
 			since[software] = u.since[software]
 		}
 	}
-	u.stages, u.row, u.since = maps.Clone(stages), row, since
+	u.stages, u.revision, u.row, u.since, u.stale = maps.Clone(content.Stages), content.Revision, content.Row, since, false
+}
+
+// lost records that the store has no row, or one that cannot be read, with the given version.
+// What is known is written again; a version that is not known has to be announced.
+func (u *usage) lost(row int64) {
+	u.row, u.stale = row, true
+	if row > 0 {
+		u.revision = max(u.revision, 1)
+	}
 }
 
+// message returns the content in the form for messages.
+func (u *usage) message(service string) Usage {
+	return Usage{Service: service, Stages: maps.Clone(u.stages), Revision: u.revision, Row: u.row}
+}
+
+// current reports whether the store has what this entry knows.
+func (u *usage) current() bool { return u.row > 0 && !u.stale }
+
 // settled reports whether the version may get streams. seen is when this entry first
 // saw it registered.
 func (u *usage) settled(software string, seen, now time.Time) bool {
-	switch s, known := u.stages[software]; {
-	case known && s != stageAnnounced:
+	switch u.stages[software] {
+	case stageSettled:
 		return true
-	case known:
+	case stageAnnounced:
 		return now.Sub(seen) >= settleTime
 	}
 	return now.Sub(seen) >= announceTimeout
 }
 
-// next returns the stages that the row should have, given the registered versions, and
-// whether they differ from those that it has. Versions are taken for gone only if the list
-// of registered ones is fresh.
-func (u *usage) next(registered []string, fresh bool, now time.Time) (map[string]stage, bool) {
+// next returns the stages that the row should have, given the registered versions and those
+// that were registered lately, and whether the row has to be written. Versions are taken for gone only if
+// the list of registered ones is fresh.
+func (u *usage) next(registered, recent []string, fresh bool, now time.Time) (map[string]stage, bool) {
 	stages := maps.Clone(u.stages)
 	for _, software := range registered {
-		stages[software] = u.nextStage(software, now)
+		stages[software] = u.nextStage(software, registered, now)
+	}
+	for _, software := range recent {
+		if _, known := stages[software]; !known {
+			stages[software] = stageLeft
+		}
 	}
 	for software, s := range u.stages {
 		if !fresh || slices.Contains(registered, software) {
 			continue
 		}
 		stages[software] = stageLeft
-		if s == stageLeft && now.Sub(u.since[software]) >= recordTTL {
+		if s == stageLeft && now.Sub(u.since[software]) >= versionTTL && !slices.Contains(recent, software) {
 			delete(stages, software)
 		}
 	}
-	return stages, !maps.Equal(stages, u.stages)
+	return stages, u.stale || !maps.Equal(stages, u.stages)
 }
 
-// nextStage returns the stage that a registered version should have. The versions of the
-// first row settle at once, as no entry has sent streams to any other.
-func (u *usage) nextStage(software string, now time.Time) stage {
+// nextStage returns the stage that a registered version should have. One that comes back is
+// announced again: other entries may not have heard of it. The versions of the first row settle at once, as no
+// entry has sent streams to any other, and so does one that comes back and is the only one.
+func (u *usage) nextStage(software string, registered []string, now time.Time) stage {
 	s, known := u.stages[software]
 	switch {
-	case u.row == 0:
+	case u.revision == 0, known && len(u.stages) == 1 && len(registered) == 1:
 		return stageSettled
-	case !known:
+	case !known || s == stageLeft:
 		return stageAnnounced
 	case s == stageAnnounced && now.Sub(u.since[software]) < settleTime:
 		return stageAnnounced
--- a/entry/direct/origins/versions.go
+++ b/entry/direct/origins/versions.go
@@ -8,7 +8,7 @@
 )
 
 // versions records which software versions of each service are registered or were
-// within recordTTL. It is not safe for concurrent use.
+// within versionTTL. It is not safe for concurrent use.
 type versions struct {
 	seen map[string]map[string]sighting // by service and version
 }
@@ -16,12 +16,12 @@
 // sighting is what is known of one software version of a service.
 type sighting struct {
 	registered bool      // in the latest view
-	since      time.Time // when the first view with it was applied
+	since      time.Time // when the first view with it, after one without it, was applied
 	at         time.Time // if not registered, when the first view without it was applied
 }
 
-// recent reports whether the version is registered or was within recordTTL.
-func (s sighting) recent(now time.Time) bool { return s.registered || now.Sub(s.at) < recordTTL }
+// recent reports whether the version is registered or was within versionTTL.
+func (s sighting) recent(now time.Time) bool { return s.registered || now.Sub(s.at) < versionTTL }
 
 func newVersions() versions { return versions{seen: map[string]map[string]sighting{}} }
 
@@ -35,11 +35,9 @@
 			bySoftware = map[string]sighting{}
 			v.seen[s.Service] = bySoftware
 		}
-		known, ok := bySoftware[s.Software]
-		if !ok || !known.recent(now) {
-			known.since = now
+		if !bySoftware[s.Software].registered {
+			bySoftware[s.Software] = sighting{registered: true, since: now}
 		}
-		bySoftware[s.Software] = sighting{registered: true, since: known.since}
 	}
 }
 
@@ -50,13 +48,13 @@
 			if !s.registered || slices.ContainsFunc(servers, func(f fleet.Server) bool { return f.Service == service && f.Software == software }) {
 				continue
 			}
-			bySoftware[software] = sighting{since: s.since, at: now}
+			bySoftware[software] = sighting{at: now}
 		}
 	}
 }
 
 // several reports whether more than one version of the service is registered or
-// was within recordTTL.
+// was within versionTTL.
 func (v *versions) several(service string, now time.Time) bool {
 	return len(v.recent(service, now)) > 1
 }
