mesh: ages of documents count the time for which a machine is suspended

Cause: ages were measured by the steady clock, which stands still then.

Documents are dated by CLOCK_BOOTTIME. TestDocumentLooksFreshAfterSuspension: with the steady clock the age that a peer is told is 0 instead of 5,000 ms, since that clock is not the one which the test advances.

--- a/entry/direct/mesh/documents.go
+++ b/entry/direct/mesh/documents.go
@@ -37,11 +37,14 @@
 // document is a stored document.
 type document struct {
 	version int64
-	asOf    time.Time // when the version was last confirmed to be the newest
+	asOf    time.Time // when the version was last confirmed to be the newest, by documentTime
 	body    []byte
 	local   bool // passed to Offer rather than received from a peer
 }
 
+// documentTime returns the reading of Options.Clock as a time.
+func (m *Mesh) documentTime() time.Time { return time.Unix(0, 0).Add(m.opts.Clock()) }
+
 // newerThan reports whether d should replace other: it has a higher version, or
 // the same version confirmed at least minAgeRenewal later.
 func (d document) newerThan(other document) bool {
@@ -56,7 +59,7 @@
 func (m *Mesh) Offer(d Document) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	offered := document{version: d.Version, asOf: time.Now().Add(-d.Age), body: bytes.Clone(d.Body), local: true}
+	offered := document{version: d.Version, asOf: m.documentTime().Add(-d.Age), body: bytes.Clone(d.Body), local: true}
 	if !offered.newerThan(m.documents[d.Kind]) {
 		return
 	}
@@ -68,7 +71,7 @@
 // addDocuments adds the versions of this entry's documents to an update.
 // Documents received from a peer are announced only with gossip, since most peers
 // have received them from the same peer, but by an aggregator with members.
-func (m *Mesh) addDocuments(u *update, l *link, withGossip bool, now time.Time) {
+func (m *Mesh) addDocuments(u *update, l *link, withGossip bool) {
 	relayed := m.aggregator == m.self.Name && m.hasMembers() && m.exchangesLoad(l)
 	for kind, d := range m.documents {
 		if !withGossip && !d.local && !relayed || !d.newerThan(l.sentDocuments[kind]) || !d.newerThan(l.peerDocuments[kind]) {
@@ -78,15 +81,15 @@
 		if u.Documents == nil {
 			u.Documents = map[string]documentVersion{}
 		}
-		u.Documents[kind] = documentVersion{Version: d.version, AgeMS: now.Sub(d.asOf).Milliseconds()}
+		u.Documents[kind] = documentVersion{Version: d.version, AgeMS: m.documentTime().Sub(d.asOf).Milliseconds()}
 	}
 }
 
 // receiveDocumentVersions records which documents a peer has and starts pulling
 // the newer ones.
-func (m *Mesh) receiveDocumentVersions(l *link, versions map[string]documentVersion, now time.Time) {
+func (m *Mesh) receiveDocumentVersions(l *link, versions map[string]documentVersion) {
 	for kind, version := range versions {
-		l.peerDocuments[kind] = document{version: version.Version, asOf: now.Add(-time.Duration(version.AgeMS) * time.Millisecond)}
+		l.peerDocuments[kind] = document{version: version.Version, asOf: m.documentTime().Add(-time.Duration(version.AgeMS) * time.Millisecond)}
 		if m.pulling[kind] || m.stopped || !l.peerDocuments[kind].newerThan(m.documents[kind]) {
 			continue
 		}
@@ -104,7 +107,7 @@
 		if l == nil || ctx.Err() != nil {
 			return
 		}
-		sentAt := time.Now()
+		sentAt := m.documentTime()
 		query := documentQuery{Kind: kind, Sum: digest(current.body)}
 		callCtx, cancel := context.WithTimeout(ctx, documentTimeout)
 		reply, err := rpc.Call[documentQuery, documentReply](callCtx, l.peer, methodDocument, query)
@@ -178,7 +181,7 @@
 	}
 	event.Log(m.log, event.DocumentReceived, event.Peer(l.id.Name), event.Subject(kind), event.Count(pulled.version))
 	if m.opts.OnDocument != nil {
-		m.opts.OnDocument(Document{Kind: kind, Version: pulled.version, Body: pulled.body, Age: time.Since(pulled.asOf)})
+		m.opts.OnDocument(Document{Kind: kind, Version: pulled.version, Body: pulled.body, Age: m.documentTime().Sub(pulled.asOf)})
 	}
 }
 
@@ -191,7 +194,7 @@
 	if !ok {
 		return documentReply{}, fault.Newf(fault.KindNotFound, methodDocument, "", "no document %q", q.Kind)
 	}
-	reply := documentReply{Version: d.version, AgeMS: time.Since(d.asOf).Milliseconds()}
+	reply := documentReply{Version: d.version, AgeMS: m.documentTime().Sub(d.asOf).Milliseconds()}
 	if q.Sum != 0 && q.Sum == digest(d.body) {
 		reply.Same = true
 		return reply, nil
--- a/entry/direct/mesh/documents_test.go
+++ b/entry/direct/mesh/documents_test.go
@@ -149,3 +149,17 @@
 	_, err := Call[int, int](context.Background(), a.Mesh, "b", "hang", 1)
 	assertKind(t, err, "unknown")
 }
+
+// TestDocumentLooksFreshAfterSuspension suspends the machine of an entry that has a document.
+func TestDocumentLooksFreshAfterSuspension(t *testing.T) {
+	const suspended = 5 * time.Second
+	var elapsed time.Duration
+	o := options(t, "a")
+	o.Clock = func() time.Duration { return elapsed }
+	m := New(o)
+	m.Offer(Document{Kind: "servers", Version: 3, Body: []byte("list")})
+	elapsed += suspended
+	reply, err := m.handleDocumentQuery(t.Context(), nil, documentQuery{Kind: "servers"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.AgeMS, suspended.Milliseconds())
+}
--- a/entry/direct/mesh/dump.go
+++ b/entry/direct/mesh/dump.go
@@ -1,7 +1,5 @@
 package mesh
 
-import "time"
-
 // Dump is the mesh section of the state dump.
 type Dump struct {
 	Self              Identity                `json:"self"`
@@ -42,7 +40,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for kind, doc := range m.documents {
-		age := time.Since(doc.asOf).Milliseconds()
+		age := m.documentTime().Sub(doc.asOf).Milliseconds()
 		d.Documents[kind] = DocumentDump{Version: doc.version, AgeMS: age, Bytes: len(doc.body), Own: doc.local}
 	}
 	d.Aggregator = m.aggregator
--- a/entry/direct/mesh/link.go
+++ b/entry/direct/mesh/link.go
@@ -226,7 +226,7 @@
 		l.sentAggregator, u.Aggregator = m.aggregator, m.aggregator
 	}
 	withGossip := now.Sub(l.lastGossip) >= gossipInterval
-	m.addDocuments(&u, l, withGossip, now)
+	m.addDocuments(&u, l, withGossip)
 	if withGossip {
 		m.addMembers(&u, l)
 		l.lastGossip = now
@@ -281,7 +281,7 @@
 	for _, name := range u.Left {
 		delete(l.peerLinks, name)
 	}
-	m.receiveDocumentVersions(l, u.Documents, now)
+	m.receiveDocumentVersions(l, u.Documents)
 	if !l.maySend {
 		l.maySend = true
 		l.wake()
--- a/entry/direct/mesh/mesh.go
+++ b/entry/direct/mesh/mesh.go
@@ -25,6 +25,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
 	"peridotchute.example/rpc"
 	"peridotchute.example/store"
@@ -48,6 +49,9 @@
 	// document and the request for it. It avoids transfers between entries that
 	// usually get the document from its source at about the same time.
 	PullDelay map[string]time.Duration
+	// Clock measures the ages of documents. It must advance while the machine is suspended;
+	// nil means clock.Boottime.
+	Clock func() time.Duration
 }
 
 // Mesh manages an entry's connections to the other entries. It is safe for
@@ -101,6 +105,9 @@
 	if opts.Listen == "" {
 		opts.Listen = opts.Self.Address
 	}
+	if opts.Clock == nil {
+		opts.Clock = clock.Boottime
+	}
 	m := &Mesh{
 		opts: opts, self: opts.Self, log: opts.Log, handlers: rpc.NewHandlers(),
 		local:     rpc.Local{Identity: opts.Self.rpc(), Key: opts.Key, Open: opts.Key == "", DeadPeerTimeout: silenceTimeout},
