--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -77,7 +77,6 @@
 	mu         sync.Mutex
 	table      *table
 	versions   versions
-	streaming  map[string]bool      // services of model servers; nil while no configuration is known
 	usages     map[string]*usage    // by service
 	usagesRead bool                 // the rows of all services have been read since the list of servers was last old
 	gaps       int                  // times at which the list of servers was old
