Log who read a list of servers, and why a server without a registration is kept

The logs could not tell three causes of a late request to a leaving server apart: an outage of the store that an entry inferred, a store that came back with lower versions, and a request that was sent late after a timely choice.

Lines 641 to 643 name the source of the list (store, or the entry that sent it). New lines: 672, a server without a readable registration is kept, with the reason and for how long; 673, an outage of the store is assumed, with its start, its end and how it was concluded; 674, a list was not applied, with both versions. Line 602 says whether the chosen server is kept.

No decision changes.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -52,6 +52,7 @@
 	Cached     int           // prompt tokens in the server's prefix cache
 	Candidates int           // servers that could have been chosen
 	ViewAge    time.Duration // since the servers' registrations were read from the store
+	Kept       bool          // the server has no readable registration and is kept for a while
 	Reason     string        // why this server was chosen
 }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -63,6 +63,9 @@
 	e.countIfSet("cached_tokens", int64(r.Cached))
 	e.countIfSet("candidates", int64(r.Candidates))
 	e.duration("view_age_ms", r.ViewAge)
+	if r.Kept {
+		e.boolean("kept", true)
+	}
 	e.textIfSet("reason", r.Reason)
 }
 
--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -54,6 +54,7 @@
 	ServerDraining
 	ServerUnreadable
 	ServerSuspected
+	ServerKept
 )
 
 // ServerChanged records a change in what the process knows of a server.
@@ -68,9 +69,14 @@
 	ViewAge      time.Duration // since the request that read the registrations
 	Remaining    time.Duration // until a draining server is removed; 0 if unknown
 	LoadedModels string        // models that it has or had loaded, joined by spaces
+	Keep         time.Duration // for how long a server without a registration is kept; 0 if it is not
+	Source       string        // SourceStore, or the entry that sent the list of servers; empty if it is not due to a list
 	Reason       string
 }
 
+// SourceStore is the source of a list of servers that the process read from the store itself.
+const SourceStore = "store"
+
 // ModelChanged records that a server loaded or unloaded a model.
 type ModelChanged struct {
 	Server     string
@@ -139,6 +145,23 @@
 	Down time.Duration // length of the outage
 }
 
+// StoreOutage records that the process assumes an outage of the platform's store.
+type StoreOutage struct {
+	Start  time.Duration // since the outage began; 0 if unknown
+	End    time.Duration // since it ended
+	Source string        // SourceStore, or the entry that told of it
+	Reason string
+}
+
+// ServersIgnored records that a list of servers was not applied.
+type ServersIgnored struct {
+	Version  int64 // position in the store
+	Previous int64 // position of the list in use
+	ViewAge  time.Duration
+	Source   string // SourceStore, or the entry that sent the list
+	Reason   string
+}
+
 // leftOut records how many lines were left out.
 type leftOut struct {
 	counts map[string]int64 // by event name
@@ -176,7 +199,7 @@
 func (r ServerChanged) Event() event.Event {
 	return [...]event.Event{
 		event.ServerAppeared, event.ServerLeft, event.ServerDraining,
-		event.ServerUnreadable, event.ServerSuspected,
+		event.ServerUnreadable, event.ServerSuspected, event.ServerKept,
 	}[r.Change]
 }
 
@@ -216,6 +239,12 @@
 // Event implements Record.
 func (StoreRecovered) Event() event.Event { return event.StoreRecovered }
 
+// Event implements Record.
+func (StoreOutage) Event() event.Event { return event.StoreOutage }
+
+// Event implements Record.
+func (ServersIgnored) Event() event.Event { return event.ServersIgnored }
+
 // Event implements Record.
 func (leftOut) Event() event.Event { return event.LogLinesLeftOut }
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -47,6 +47,8 @@
 	e.duration("view_age_ms", r.ViewAge)
 	e.durationIfSet("remaining_ms", r.Remaining)
 	e.textIfSet("held", r.LoadedModels)
+	e.durationIfSet("keep_ms", r.Keep)
+	e.textIfSet("source", r.Source)
 	e.textIfSet("reason", r.Reason)
 }
 
@@ -104,6 +106,21 @@
 	e.duration("down_ms", r.Down)
 }
 
+func (r StoreOutage) encode(e *encoder) {
+	e.durationIfSet("start_ms", r.Start)
+	e.duration("end_ms", r.End)
+	e.text("source", r.Source)
+	e.text("reason", r.Reason)
+}
+
+func (r ServersIgnored) encode(e *encoder) {
+	e.count("row_version", r.Version)
+	e.count("previous", r.Previous)
+	e.duration("view_age_ms", r.ViewAge)
+	e.text("source", r.Source)
+	e.text("reason", r.Reason)
+}
+
 func (r leftOut) encode(e *encoder) { e.counts("left_out", r.counts) }
 
 func (r truncated) encode(e *encoder) { e.count("count", int64(r.count)) }
--- a/common/event/state.go
+++ b/common/event/state.go
@@ -7,8 +7,8 @@
 var (
 	ConfigReplaced      = define(640, "configuration replaced", logrus.InfoLevel, "This process now uses another configuration version.")
 	ServerAppeared      = define(641, "server appeared", logrus.InfoLevel, "A backend server, or a new incarnation of one, was added to the list; row_version is the version of its registration.")
-	ServerLeft          = define(642, "server left", logrus.WarnLevel, "A backend server is no longer used; reason says how the process learned this.")
-	ServerDraining      = define(643, "server draining", logrus.InfoLevel, "A backend server accepts no new requests; remaining_ms, when known, is the time until it is removed. Without a reason its registration says so; reason names the answer in which it said so itself, or the entry that was told.")
+	ServerLeft          = define(642, "server left", logrus.WarnLevel, "A backend server is no longer used; source is store, if this entry read its list of servers itself, or the entry that sent the list; view_age_ms is the age of the list.")
+	ServerDraining      = define(643, "server draining", logrus.InfoLevel, "A backend server accepts no new requests; remaining_ms, when known, is the time until it is removed. Without a reason its registration says so, and source is as in line 642; reason names the answer in which it said so itself, or the entry that was told.")
 	ServerUnreadable    = define(644, "registration unreadable", logrus.WarnLevel, "A registration could not be parsed and is not used. Check the process that writes it.")
 	ServerSuspected     = define(645, "server suspected", logrus.WarnLevel, "A backend server could not be reached, for the given reason; this entry sends it no requests for a while.")
 	ModelLoaded         = define(647, "model held", logrus.InfoLevel, "A backend server has loaded a model.")
@@ -26,4 +26,7 @@
 	RequestReleased     = define(659, "request released", logrus.WarnLevel, "The quarantine of a request ended early, since one with its digest was answered; source is the entry that told it, or answer.")
 	SettingsReloaded    = define(670, "settings reloaded", logrus.InfoLevel, "The settings file was read again; reason says what changed, or that nothing did.")
 	SettingsNotReloaded = define(671, "settings not reloaded", logrus.ErrorLevel, "The settings file cannot be used; the current settings stay active. Correct the file named in the error.")
+	ServerKept          = define(672, "server kept", logrus.WarnLevel, "A backend server has no readable registration in the newest list, and is used until keep_ms have passed; reason says why: an outage of the store, after which live servers register again, or a registration that cannot be read.")
+	StoreOutage         = define(673, "store outage assumed", logrus.WarnLevel, "No entry is known to have read the registrations from start_ms ago to end_ms ago. Servers without a registration are kept for a while; see line 672. source says how this entry knows: store, for its own reads, or the entry whose list says so; reason says how it was concluded.")
+	ServersIgnored      = define(674, "server list ignored", logrus.WarnLevel, "A list of servers was not applied, for the given reason; row_version is its version in the store, previous that of the list in use, and source is store or the entry that sent it. Of a series only the first is written. If the store itself answers with lower versions, it has lost some.")
 )
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -82,6 +82,7 @@
 		Running:  t.Running,
 		Cached:   t.Cached,
 		ViewAge:  a.viewAge,
+		Kept:     t.Server.Kept,
 
 		Candidates: t.Replicas,
 	})
--- a/entry/direct/mesh/documents.go
+++ b/entry/direct/mesh/documents.go
@@ -32,6 +32,7 @@
 	Version int64
 	Body    []byte
 	Age     time.Duration // time since the version was last confirmed to be the newest
+	Peer    string        // entry that sent it; empty in Offer
 }
 
 // document is a stored document.
@@ -178,7 +179,7 @@
 	}
 	event.Log(m.log, event.DocumentReceived, event.Peer(l.id.Name), event.Subject(kind), event.Count(pulled.version))
 	if m.opts.OnDocument != nil {
-		m.opts.OnDocument(Document{Kind: kind, Version: pulled.version, Body: pulled.body, Age: time.Since(pulled.asOf)})
+		m.opts.OnDocument(Document{Kind: kind, Version: pulled.version, Body: pulled.body, Age: time.Since(pulled.asOf), Peer: l.id.Name})
 	}
 }
 
--- a/entry/direct/view/changes.go
+++ b/entry/direct/view/changes.go
@@ -63,6 +63,9 @@
 		return []decisionlog.Record{serverRestarted(now, age)}
 	}
 	var out []decisionlog.Record
+	if now.Kept && !old.Kept {
+		out = append(out, serverChanged(now, decisionlog.ServerKept, age))
+	}
 	if now.Draining && !old.Draining {
 		out = append(out, serverChanged(now, decisionlog.ServerDraining, age))
 	}
@@ -79,6 +82,18 @@
 	return out
 }
 
+// logChanges logs the differences between two lists of servers. add completes the records
+// of changed servers.
+func (w *Watcher) logChanges(old, now []fleet.Server, age time.Duration, add func(*decisionlog.ServerChanged)) {
+	for _, r := range diffServers(old, now, age) {
+		if change, ok := r.(decisionlog.ServerChanged); ok {
+			add(&change)
+			r = change
+		}
+		w.log.Write(r)
+	}
+}
+
 func serverRestarted(s *fleet.Server, age time.Duration) decisionlog.ServerChanged {
 	r := serverChanged(s, decisionlog.ServerAppeared, age)
 	r.Reason = "restarted under the same ID"
--- a/entry/direct/view/leaving.go
+++ b/entry/direct/view/leaving.go
@@ -133,12 +133,6 @@
 	next.Servers = slices.Clone(old.Servers)
 	w.leaving.mark(next.Servers, now)
 	w.setView(&next)
-	for _, r := range diffServers(old.Servers, next.Servers, time.Since(next.ServersRead)) {
-		if change, ok := r.(decisionlog.ServerChanged); ok {
-			change.Reason = reason
-			r = change
-		}
-		w.log.Write(r)
-	}
+	w.logChanges(old.Servers, next.Servers, time.Since(next.ServersRead), func(c *decisionlog.ServerChanged) { c.Reason = reason })
 	return true
 }
--- a/entry/direct/view/leaving_test.go
+++ b/entry/direct/view/leaving_test.go
@@ -23,12 +23,12 @@
 	ready := fleet.Server{ID: "i-1", Born: 7}
 	draining := ready
 	draining.Draining = true
-	w.ApplyServers(listOf(1, ready), time.Now())
+	w.ApplyServers(listOf(1, ready), time.Now(), decisionlog.SourceStore)
 	w.ServerLeaves(ready.Incarnation(), "request r1")
 	since := w.Current().Servers[0].LeavingSince
 	assert.Assert(t, !since.IsZero())
 	for position, list := range []fleet.Registry{listOf(2, draining), listOf(3, ready), listOf(4), listOf(5, ready)} {
-		w.ApplyServers(list, time.Now())
+		w.ApplyServers(list, time.Now(), decisionlog.SourceStore)
 		for _, s := range w.Current().Servers {
 			assert.Assert(t, s.Draining, "after list %d", position)
 			assert.Equal(t, s.LeavingSince, since, "after list %d", position)
@@ -36,7 +36,7 @@
 	}
 	restarted := ready
 	restarted.Born = 8
-	w.ApplyServers(listOf(6, restarted), time.Now())
+	w.ApplyServers(listOf(6, restarted), time.Now(), decisionlog.SourceStore)
 	assert.Assert(t, !w.Current().Servers[0].Draining)
 }
 
@@ -45,12 +45,12 @@
 func TestServerOfUnknownStartIsUsedAgain(t *testing.T) {
 	w := New(nil, nil, decisionlog.New(decisionlog.Options{Out: io.Discard}))
 	unknown := fleet.Server{ID: "i-1"}
-	w.ApplyServers(listOf(1, unknown), time.Now())
+	w.ApplyServers(listOf(1, unknown), time.Now(), decisionlog.SourceStore)
 	w.ServerLeaves(unknown.Incarnation(), "request r1")
-	w.ApplyServers(listOf(2, unknown), time.Now())
+	w.ApplyServers(listOf(2, unknown), time.Now(), decisionlog.SourceStore)
 	assert.Assert(t, w.Current().Servers[0].Draining)
-	w.ApplyServers(listOf(3), time.Now())
-	w.ApplyServers(listOf(4, unknown), time.Now())
+	w.ApplyServers(listOf(3), time.Now(), decisionlog.SourceStore)
+	w.ApplyServers(listOf(4, unknown), time.Now(), decisionlog.SourceStore)
 	assert.Assert(t, !w.Current().Servers[0].Draining)
 }
 
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -50,7 +50,7 @@
 		return
 	}
 	w.recordStoreAnswer()
-	if v := w.ApplyServers(reg, requestedAt); v != nil {
+	if v := w.ApplyServers(reg, requestedAt, decisionlog.SourceStore); v != nil {
 		w.shareServers(v, reg)
 	}
 }
@@ -78,7 +78,7 @@
 		w.log.Write(decisionlog.StoreRecovered{Call: "servers", Down: now.Sub(w.failingSince)})
 	}
 	if !w.unreadSince.IsZero() {
-		w.outage = outage{start: w.unreadSince, end: now}
+		w.setOutage(outage{start: w.unreadSince, end: now}, decisionlog.SourceStore, "reads of this entry failed, and it got no list from others")
 	}
 	w.failingSince, w.unreadSince = time.Time{}, time.Time{}
 }
@@ -89,11 +89,22 @@
 	end   time.Time
 }
 
-// recordPeerRead records that a peer read the registrations at the given time. last
+// setOutage sets the last store outage and logs it.
+func (w *Watcher) setOutage(o outage, source, reason string) {
+	w.outage = o
+	now := time.Now()
+	r := decisionlog.StoreOutage{End: now.Sub(o.end), Source: source, Reason: reason}
+	if !o.start.IsZero() {
+		r.Start = now.Sub(o.start)
+	}
+	w.log.Write(r)
+}
+
+// recordPeerRead records that the named peer read the registrations at the given time. last
 // is the last store outage known to the peer, or zero. It returns false if the
 // peer's list must not be applied: the store answered others during that outage, and
 // the list has servers that left meanwhile.
-func (w *Watcher) recordPeerRead(read time.Time, last outage) bool {
+func (w *Watcher) recordPeerRead(peer string, read time.Time, last outage) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	known := w.current.Load().ServersRead
@@ -101,28 +112,31 @@
 		return false
 	}
 	if last.end.After(w.outage.end) {
-		w.outage = last
+		w.setOutage(last, peer, "the list of the other entry says so")
 	}
 	if w.unreadSince.IsZero() || !read.After(w.unreadSince) {
 		return true
 	}
 	if read.Sub(known) > minExpiryGap && read.After(w.outage.end) {
-		w.outage = outage{start: w.unreadSince, end: read} // without reads for so long, the peer may not have noticed it
+		// Without reads for so long, the peer may not have noticed it.
+		w.setOutage(outage{start: w.unreadSince, end: read}, peer, "reads of this entry failed, and the list in use was old")
 	}
 	w.unreadSince = time.Time{}
 	return true
 }
 
-// ApplyServers applies registrations that were requested at the given time. It
-// returns the new view, or nil if newer registrations are known.
-func (w *Watcher) ApplyServers(reg fleet.Registry, requestedAt time.Time) *fleet.View {
+// ApplyServers applies registrations that were requested at the given time. source is
+// decisionlog.SourceStore, or the entry that sent them. It returns the new view, or nil if
+// newer registrations are known.
+func (w *Watcher) ApplyServers(reg fleet.Registry, requestedAt time.Time, source string) *fleet.View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.current.Load()
 	if reg.Position < w.position || reg.Position == w.position && requestedAt.Before(old.ServersRead) {
+		w.ignoreServers(reg.Position, requestedAt, source, "newer ones are in use")
 		return nil
 	}
-	w.position = reg.Position
+	w.position, w.ignoring = reg.Position, false
 	w.logUnreadable(reg.Unreadable)
 	next := *old
 	next.Servers = fleet.Merge(old.Servers, reg, w.inGrace())
@@ -130,12 +144,33 @@
 	w.leaving.mark(next.Servers, time.Now())
 	next.ServersRead = requestedAt
 	w.setView(&next)
-	for _, r := range diffServers(old.Servers, next.Servers, time.Since(requestedAt)) {
-		w.log.Write(r)
-	}
+	w.logChanges(old.Servers, next.Servers, time.Since(requestedAt), func(c *decisionlog.ServerChanged) { w.describe(c, source) })
 	return &next
 }
 
+// describe adds to the record of a changed server who read the list, and for how long a
+// server without a readable registration is kept. The caller holds mu.
+func (w *Watcher) describe(c *decisionlog.ServerChanged, source string) {
+	c.Source = source
+	if c.Change != decisionlog.ServerKept {
+		return
+	}
+	c.Reason = "its registration cannot be read"
+	if !w.unreadable[c.Server] {
+		c.Reason, c.Keep = "outage of the store", max(outageGrace-time.Since(w.outage.end), 0)
+	}
+}
+
+// ignoreServers logs the first of a series of lists that are not applied and that were read
+// later than the list in use. Older ones are common. The caller holds mu.
+func (w *Watcher) ignoreServers(position int64, read time.Time, source, reason string) {
+	if w.ignoring || !read.After(w.current.Load().ServersRead) {
+		return
+	}
+	w.ignoring = true
+	w.log.Write(decisionlog.ServersIgnored{Version: position, Previous: w.position, ViewAge: time.Since(read), Source: source, Reason: reason})
+}
+
 // inGrace reports whether live servers may still lack a registration after a
 // store outage. The caller holds mu.
 func (w *Watcher) inGrace() bool {
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -33,6 +33,7 @@
 	Version int64
 	Body    []byte
 	Age     time.Duration // time since it was requested from the store
+	Peer    string        // entry that sent it; empty if this entry read it from the store
 }
 
 // sharedServers is the body of a KindServers document, encoded as compressed
@@ -80,10 +81,13 @@
 		return err
 	}
 	read := time.Now().Add(-d.Age)
-	if !w.recordPeerRead(read, list.outage(read)) {
+	if !w.recordPeerRead(d.Peer, read, list.outage(read)) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.ignoreServers(d.Version, read, d.Peer, "it has servers kept from an outage during which the store answered others")
 		return nil
 	}
-	w.ApplyServers(fleet.Registry{Servers: subtractAge(list.Servers, d.Age), Unreadable: list.Unreadable, Position: d.Version}, read)
+	w.ApplyServers(fleet.Registry{Servers: subtractAge(list.Servers, d.Age), Unreadable: list.Unreadable, Position: d.Version}, read, d.Peer)
 	return nil
 }
 
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -43,6 +43,7 @@
 	unreadSince  time.Time // start of the time without reads by any entry; zero once this entry or a peer has read
 	outage       outage    // the last store outage; zero if there was none
 	unreadable   map[string]bool
+	ignoring     bool // a list has been ignored since the last one that was applied
 	listeners    []func(*fleet.View)
 	share        func(Document)
 	leaving      leavingServers
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -103,6 +103,7 @@
 	Fetching     []string // adapters being fetched, as MODEL/NAME@VERSION
 	InMemory     []string // models whose weights are cached in its host memory
 	OnDisk       []string // models whose weights are cached on its disk
+	Kept         bool     `json:",omitempty"` // it has no readable registration, and is used for a while nevertheless
 	Registration int64    // version of the registration row
 }
 
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -21,6 +21,7 @@
 	}
 	for _, s := range known {
 		if !present[s.ID] && (keepMissing || unreadable[s.ID]) {
+			s.Kept = true
 			out = append(out, s)
 		}
 	}
--- a/operator/explain/timeline.go
+++ b/operator/explain/timeline.go
@@ -265,13 +265,13 @@
 	case event.ServerCrashed.ID, event.ServerLimited.ID:
 		return a.servers[l.Text("server")]
 	case event.ServerAppeared.ID, event.ServerLeft.ID, event.ServerDraining.ID,
-		event.ServerSuspected.ID, event.ModelLoaded.ID, event.ModelUnloaded.ID:
+		event.ServerSuspected.ID, event.ServerKept.ID, event.ModelLoaded.ID, event.ModelUnloaded.ID:
 		return a.servers[l.Text("server")] || a.models[l.Text("model")] || a.anyLoaded(l)
 	case event.OrderIssued.ID, event.OrderDeclined.ID, event.OrderNoAnswer.ID, event.NotMadeResident.ID:
 		return a.artifacts[orderedArtifact(l)]
 	case event.OrdersLeaseTaken.ID, event.OrdersLeaseEnded.ID, event.OrdersLeaseError.ID:
 		return true
-	case event.ConfigReplaced.ID, event.StoreLost.ID, event.StoreRecovered.ID,
+	case event.ConfigReplaced.ID, event.StoreLost.ID, event.StoreRecovered.ID, event.StoreOutage.ID, event.ServersIgnored.ID,
 		event.EntryConnected.ID, event.EntryLost.ID, event.ConfigFailed.ID,
 		event.SettingsReloaded.ID, event.SettingsNotReloaded.ID,
 		event.ProcessStarted.ID, event.ProcessStopping.ID, event.ProcessStopped.ID,
