Keep servers after an outage of the store only for as long as that outage explains

Cause: servers without a registration are kept for 2.3 s after an outage, since registrations may have expired in it. Several facts added up to much more: - of several entries' accounts of an outage the latest end held, so an entry that was cut off longer than the others renewed their grace, and its list brought servers back that the others had dropped; - the list of an entry that had read all the while was taken for the end of an outage by one that had been cut off; - a list named kept servers like registered ones, so receivers kept them longer; - the grace was looked at only when a list came, up to 1.4 s after its end; - it began with the first read that succeeded, up to 1.5 s after the store was back; - a short failure of one entry's reads was an outage for all that had not read yet.

The earliest end holds. If the store answered others meanwhile, only servers of this entry's region are kept, which could not have told the store that they leave. Lists mark kept servers. The list is read when a grace ends. The grace is bounded from the last failed read as well.

--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -50,7 +50,9 @@
 func newCodec() fleet.Codec { return platform.Codec{} }
 
 func newWatcher(s Settings, d fleet.Directory, log *decisionlog.Log) *view.Watcher {
-	return view.New(d, s.Regions, log)
+	w := view.New(d, s.Regions, log)
+	w.SetRegion(s.Region)
+	return w
 }
 
 func newExchanger(codec fleet.Codec) *exchange.Exchanger { return exchange.New(codec) }
--- a/entry/direct/view/records_test.go
+++ b/entry/direct/view/records_test.go
@@ -43,9 +43,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			w, records := newRecordingWatcher()
 			w.refresh(t, 1, "a")
-			time.Sleep(minExpiryGap / 2)
-			w.failRefresh()
 			time.Sleep(minExpiryGap)
+			w.failRefresh()
+			time.Sleep(minExpiryGap / 4)
 			w.refresh(t, 2)
 			outage := lastRecord[decisionlog.StoreOutage](t, *records)
 			assert.Equal(t, outage.Source, decisionlog.SourceStore)
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -9,18 +9,6 @@
 	"peridotchute.example/fleet"
 )
 
-const (
-	// outageGrace is how long after a store outage servers without a
-	// registration stay in the view: live servers register again within 2 s.
-	outageGrace = 2300 * time.Millisecond
-
-	// minExpiryGap is the shortest time between two reads of the registrations
-	// in which a registration may have expired unseen. Registrations are renewed
-	// every 1.2 s and removed after three missed renewals, the first of which
-	// may already be due at the earlier read.
-	minExpiryGap = 2 * time.Second
-)
-
 // RunServers reads the registrations repeatedly until ctx is done. next returns
 // the time of the next read, given the start of this entry's last attempt and
 // the time of the newest list read by any entry. These times are zero if there
@@ -28,7 +16,7 @@
 func (w *Watcher) RunServers(ctx context.Context, next func(attempted, asOf time.Time) time.Time) {
 	var attempted time.Time
 	for ctx.Err() == nil {
-		if left := time.Until(next(attempted, w.Current().ServersRead)); left > 0 {
+		if left := time.Until(w.nextRead(attempted, next)); left > 0 {
 			_ = clock.Sleep(ctx, left) // check again, since a peer may have read meanwhile
 			continue
 		}
@@ -37,6 +25,18 @@
 	}
 }
 
+// nextRead returns when this entry should read the registrations, given the start of its last
+// attempt. A kept server is dropped by a list only, since the store may be down again: the
+// list is read as soon as the server need not be kept.
+func (w *Watcher) nextRead(attempted time.Time, next func(attempted, asOf time.Time) time.Time) time.Time {
+	asOf := w.Current().ServersRead
+	at := next(attempted, asOf)
+	if drop := w.nextDrop(); drop.After(asOf) && drop.After(attempted) && drop.Before(at) {
+		return drop
+	}
+	return at
+}
+
 // Refresh reads the registrations once, applies them and shares the resulting
 // servers with other entries.
 func (w *Watcher) Refresh(ctx context.Context) {
@@ -49,7 +49,7 @@
 		w.recordStoreFailure(err, requestedAt)
 		return
 	}
-	w.recordStoreAnswer()
+	w.recordStoreAnswer(requestedAt)
 	if v := w.ApplyServers(reg, requestedAt, decisionlog.SourceStore); v != nil {
 		w.shareServers(v, reg)
 	}
@@ -63,66 +63,31 @@
 		w.failingSince = requestedAt
 		w.log.Write(decisionlog.StoreLost{Call: "servers", Err: err})
 	}
-	if w.unreadSince.IsZero() {
-		w.unreadSince = requestedAt
-	}
+	w.reads.failed(requestedAt)
 }
 
-// recordStoreAnswer records that the store answered this entry. An outage ends
-// now unless a peer has read the registrations since it began.
-func (w *Watcher) recordStoreAnswer() {
+// recordStoreAnswer records that the store answered a read of this entry that began at the
+// given time.
+func (w *Watcher) recordStoreAnswer(requestedAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now()
 	if !w.failingSince.IsZero() {
-		w.log.Write(decisionlog.StoreRecovered{Call: "servers", Down: now.Sub(w.failingSince)})
+		w.log.Write(decisionlog.StoreRecovered{Call: "servers", Down: time.Since(w.failingSince)})
 	}
-	if !w.unreadSince.IsZero() {
-		w.setOutage(outage{start: w.unreadSince, end: now}, decisionlog.SourceStore, "reads of this entry failed, and it got no list from others")
+	w.failingSince = time.Time{}
+	if w.reads.succeeded(requestedAt, time.Now()) {
+		w.logOutage(decisionlog.SourceStore, "reads of this entry failed, and it got no list from others")
 	}
-	w.failingSince, w.unreadSince = time.Time{}, time.Time{}
-}
-
-// outage is a time in which the store did not answer.
-type outage struct {
-	start time.Time // zero if unknown
-	end   time.Time
-}
-
-// setOutage sets the last store outage and logs it.
-func (w *Watcher) setOutage(o outage, source, reason string) {
-	w.outage = o
-	now := time.Now()
-	r := decisionlog.StoreOutage{End: now.Sub(o.end), Source: source, Reason: reason}
-	if !o.start.IsZero() {
-		r.Start = now.Sub(o.start)
-	}
-	w.log.Write(r)
 }
 
-// recordPeerRead records that the named peer read the registrations at the given time. last
-// is the last store outage known to the peer, or zero. It returns false if the
-// peer's list must not be applied: the store answered others during that outage, and
-// the list has servers that left meanwhile.
-func (w *Watcher) recordPeerRead(peer string, read time.Time, last outage) bool {
+// recordPeerRead records that the named peer read the registrations at the given time. last is
+// the last store outage known to the peer, or zero.
+func (w *Watcher) recordPeerRead(peer string, read time.Time, last outage) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	known := w.current.Load().ServersRead
-	if !last.start.IsZero() && known.After(last.start) && w.outage.end.Before(last.start) {
-		return false
+	if w.reads.peerSucceeded(read, last) {
+		w.logOutage(peer, "by the list of the other entry")
 	}
-	if last.end.After(w.outage.end) {
-		w.setOutage(last, peer, "the list of the other entry says so")
-	}
-	if w.unreadSince.IsZero() || !read.After(w.unreadSince) {
-		return true
-	}
-	if read.Sub(known) > minExpiryGap && read.After(w.outage.end) {
-		// Without reads for so long, the peer may not have noticed it.
-		w.setOutage(outage{start: w.unreadSince, end: read}, peer, "reads of this entry failed, and the list in use was old")
-	}
-	w.unreadSince = time.Time{}
-	return true
 }
 
 // ApplyServers applies registrations that were requested at the given time. source is
@@ -138,26 +103,49 @@
 	}
 	w.position, w.ignoring = reg.Position, false
 	w.logUnreadable(reg.Unreadable)
+	w.noteRegistered(reg, requestedAt)
+	if w.reads.outage.position == 0 {
+		w.reads.outage.position = reg.Position
+	}
 	next := *old
-	next.Servers = fleet.Merge(old.Servers, reg, w.inGrace())
+	next.Servers = fleet.Merge(old.Servers, reg, w.keep)
 	w.leaving.expire(requestedAt)
 	w.leaving.mark(next.Servers, time.Now())
 	next.ServersRead = requestedAt
 	w.setView(&next)
-	w.logChanges(old.Servers, next.Servers, time.Since(requestedAt), func(c *decisionlog.ServerChanged) { w.describe(c, source) })
+	w.logChanges(old.Servers, next.Servers, time.Since(requestedAt), func(c *decisionlog.ServerChanged) { w.describe(c, &next, source) })
 	return &next
 }
 
+// noteRegistered notes which servers are registered by a list that was requested at the given
+// time, and which registrations cannot be read. The caller holds mu.
+func (w *Watcher) noteRegistered(reg fleet.Registry, requestedAt time.Time) {
+	before := w.registered
+	w.registered, w.unreadableNow = map[string]time.Time{}, map[string]bool{}
+	for i := range w.current.Load().Servers {
+		id := w.current.Load().Servers[i].ID
+		w.registered[id] = before[id]
+	}
+	for i := range reg.Servers {
+		if s := &reg.Servers[i]; !s.Kept {
+			w.registered[s.ID] = requestedAt
+		}
+	}
+	for _, id := range reg.Unreadable {
+		w.unreadableNow[id] = true
+	}
+}
+
 // describe adds to the record of a changed server who read the list, and for how long a
 // server without a readable registration is kept. The caller holds mu.
-func (w *Watcher) describe(c *decisionlog.ServerChanged, source string) {
+func (w *Watcher) describe(c *decisionlog.ServerChanged, v *fleet.View, source string) {
 	c.Source = source
 	if c.Change != decisionlog.ServerKept {
 		return
 	}
-	c.Reason = "its registration cannot be read"
-	if !w.unreadable[c.Server] {
-		c.Reason, c.Keep = "outage of the store", max(outageGrace-time.Since(w.outage.end), 0)
+	c.Reason, c.Keep = "outage of the store", time.Until(w.keepUntil(v.Server(c.Server)))
+	if w.unreadableNow[c.Server] {
+		c.Reason = "its registration cannot be read"
 	}
 }
 
@@ -171,12 +159,6 @@
 	w.log.Write(decisionlog.ServersIgnored{Version: position, Previous: w.position, ViewAge: time.Since(read), Source: source, Reason: reason})
 }
 
-// inGrace reports whether live servers may still lack a registration after a
-// store outage. The caller holds mu.
-func (w *Watcher) inGrace() bool {
-	return !w.outage.end.IsZero() && time.Since(w.outage.end) < outageGrace
-}
-
 // logUnreadable logs each undecodable registration when it is first seen.
 func (w *Watcher) logUnreadable(keys []string) {
 	for _, k := range keys {
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"slices"
 	"time"
 
 	"peridotchute.example/common/event"
@@ -40,9 +41,9 @@
 // JSON because traffic between regions is expensive. Times are sent as
 // durations, which don't depend on the clocks of the entries.
 type sharedServers struct {
-	Servers     []fleet.Server // as in the sender's view, including servers kept after an outage
+	Servers     []fleet.Server // as in the sender's view, including those that it keeps without a registration
 	Unreadable  []string       `json:",omitempty"`
-	OutageEnded *time.Duration `json:",omitempty"` // time between the end of the last store outage and the read of Servers; nil if more than outageGrace
+	OutageEnded *time.Duration `json:",omitempty"` // time between the end of the last store outage, or the sender's first read, and the read of Servers; nil if more than outageGrace
 	Outage      time.Duration  `json:",omitempty"` // length of that outage; 0 if unknown
 }
 
@@ -81,13 +82,9 @@
 		return err
 	}
 	read := time.Now().Add(-d.Age)
-	if !w.recordPeerRead(d.Peer, read, list.outage(read)) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.ignoreServers(d.Version, read, d.Peer, "it has servers kept from an outage during which the store answered others")
-		return nil
-	}
-	w.ApplyServers(fleet.Registry{Servers: subtractAge(list.Servers, d.Age), Unreadable: list.Unreadable, Position: d.Version}, read, d.Peer)
+	w.recordPeerRead(d.Peer, read, list.outage(read))
+	servers := subtractAge(list.registered(w.Current().ServersRead.IsZero()), d.Age)
+	w.ApplyServers(fleet.Registry{Servers: servers, Unreadable: list.Unreadable, Position: d.Version}, read, d.Peer)
 	return nil
 }
 
@@ -104,6 +101,16 @@
 	return last
 }
 
+// registered returns the servers that have a registration and, withKept, those that the sender
+// keeps without one. Any entry decides itself which of the servers that it knew before it
+// keeps.
+func (list *sharedServers) registered(withKept bool) []fleet.Server {
+	if withKept {
+		return list.Servers
+	}
+	return slices.DeleteFunc(list.Servers, func(s fleet.Server) bool { return s.Kept })
+}
+
 // subtractAge subtracts the age of the list from the remaining times of the
 // servers. It changes and returns the given slice.
 func subtractAge(servers []fleet.Server, age time.Duration) []fleet.Server {
@@ -121,9 +128,11 @@
 func (w *Watcher) shareServers(v *fleet.View, reg fleet.Registry) {
 	list := sharedServers{Servers: v.Servers, Unreadable: reg.Unreadable}
 	w.mu.Lock()
-	if w.inGrace() {
-		ended := v.ServersRead.Sub(w.outage.end)
-		list.OutageEnded, list.Outage = &ended, w.outage.end.Sub(w.outage.start)
+	if ended := v.ServersRead.Sub(w.reads.since); ended < outageGrace {
+		list.OutageEnded = &ended
+		if o := &w.reads.outage; o.end.Equal(w.reads.since) && !o.start.IsZero() {
+			list.Outage = o.end.Sub(o.start)
+		}
 	}
 	w.mu.Unlock()
 	body, err := encodeServers(list)
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -30,6 +30,7 @@
 type Watcher struct {
 	directory fleet.Directory
 	regions   map[string]string
+	region    string // of this entry; empty if unknown
 	log       *decisionlog.Log
 	logger    logrus.FieldLogger // writes to the same log
 
@@ -37,17 +38,18 @@
 	started      time.Time
 	configReadAt atomic.Int64 // when the store last answered a configuration request, in nanoseconds since started
 
-	mu           sync.Mutex
-	position     int64     // store position of the newest registrations
-	failingSince time.Time // start of the store outage for this entry; zero while the store answers
-	unreadSince  time.Time // start of the time without reads by any entry; zero once this entry or a peer has read
-	outage       outage    // the last store outage; zero if there was none
-	unreadable   map[string]bool
-	ignoring     bool // a list has been ignored since the last one that was applied
-	listeners    []func(*fleet.View)
-	share        func(Document)
-	leaving      leavingServers
-	shareLeaving func(Leaving)
+	mu            sync.Mutex
+	position      int64     // store position of the newest registrations
+	failingSince  time.Time // start of the store outage for this entry; zero while the store answers
+	reads         storeReads
+	unreadable    map[string]bool      // keys of registrations that could not be decoded and were logged
+	ignoring      bool                 // a list has been ignored since the last one that was applied
+	registered    map[string]time.Time // when the newest list with a readable registration of a server was requested, by ID
+	unreadableNow map[string]bool      // servers whose registrations in the newest list cannot be decoded, by ID
+	listeners     []func(*fleet.View)
+	share         func(Document)
+	leaving       leavingServers
+	shareLeaving  func(Leaving)
 }
 
 // New returns a Watcher with an empty view. regions maps each availability zone
@@ -69,6 +71,9 @@
 	return w
 }
 
+// SetRegion sets the region of this entry. It must be called before the Run methods.
+func (w *Watcher) SetRegion(region string) { w.region = region }
+
 // Current returns the current view.
 func (w *Watcher) Current() *fleet.View { return w.current.Load() }
 
