Stop using a server whose registration stays unreadable

Cause: a server with an unreadable registration kept its last known value without a bound.

Change: it stays in the view for 1.8 s after the last list in which its registration was readable, in which a live server writes it again, and the list is read at that time. TestUnreadableRegistrationKeepsServerForShort failed before (the server stayed in every later list), and passes.

--- a/entry/direct/view/outage.go
+++ b/entry/direct/view/outage.go
@@ -24,6 +24,10 @@
 	// the last requests of a server that drains for 2.5 s.
 	maxUnconfirmedUse = 2 * time.Second
 
+	// unreadableGrace is how long a server whose registration cannot be read stays in the
+	// view: a server writes its registration again about every 1.2 s.
+	unreadableGrace = 1800 * time.Millisecond
+
 	// maxAnswerTime is the longest time that a read takes while the store answers. A read that
 	// took longer may have begun in an outage.
 	maxAnswerTime = 500 * time.Millisecond
@@ -169,7 +173,7 @@
 // missing now has left. The caller holds mu.
 func (w *Watcher) keepUntil(s *fleet.Server) time.Time {
 	if w.unreadableNow[s.ID] {
-		return time.Now().Add(time.Hour)
+		return w.registered[s.ID].Add(unreadableGrace)
 	}
 	o := &w.reads.outage
 	registeredAgain := o.position > 0 && s.Registration > o.position
--- a/entry/direct/view/outage_test.go
+++ b/entry/direct/view/outage_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"peridotchute.example/fleet"
 )
 
 // outageCase is a case of two watchers in a bubble: other is in the same region as w.
@@ -113,3 +115,18 @@
 		w.assertServers(t)
 	})
 }
+
+// TestUnreadableRegistrationKeepsServerForShort lets the registration of a server become unreadable for good.
+func TestUnreadableRegistrationKeepsServerForShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestWatcher()
+		w.refresh(t, 1, "a")
+		unreadable := fleet.Registry{Position: 2, Unreadable: []string{"a"}}
+		w.ApplyServers(unreadable, time.Now(), "store")
+		w.assertServers(t, "a")
+		time.Sleep(unreadableGrace)
+		unreadable.Position = 3
+		w.ApplyServers(unreadable, time.Now(), "store")
+		w.assertServers(t)
+	})
+}
