Follow the list of servers when the store answers with lower versions

Cause: a list with a lower version than that of the list in use was ignored, whoever had read it and when.

Evidence: TestServerThatLeftIsUsedAfterStoreWentBack failed before: the list of version 80 is ignored after one of version 100, as are all up to it.

Change: a read of this entry that began after the list in use was received, and returns a lower version, shows that the store lost what was written last. Its list is used, lists from before are ignored, and servers that were lost with their rows stay for a while, as after an outage. The mesh does not pass on documents with lower versions, so each entry reads for itself until the versions have passed.

After: the test passes; no real store with an older copy was played against it.

--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -153,6 +153,12 @@
 	Reason string
 }
 
+// StoreWentBack records that the platform's store answered with a lower version than before.
+type StoreWentBack struct {
+	Version  int64 // of the list of servers, which is used
+	Previous int64 // of the list before
+}
+
 // ServersIgnored records that a list of servers was not applied.
 type ServersIgnored struct {
 	Version  int64 // position in the store
@@ -242,6 +248,9 @@
 // Event implements Record.
 func (StoreOutage) Event() event.Event { return event.StoreOutage }
 
+// Event implements Record.
+func (StoreWentBack) Event() event.Event { return event.StoreWentBack }
+
 // Event implements Record.
 func (ServersIgnored) Event() event.Event { return event.ServersIgnored }
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -113,6 +113,11 @@
 	e.text("reason", r.Reason)
 }
 
+func (r StoreWentBack) encode(e *encoder) {
+	e.count("row_version", r.Version)
+	e.count("previous", r.Previous)
+}
+
 func (r ServersIgnored) encode(e *encoder) {
 	e.count("row_version", r.Version)
 	e.count("previous", r.Previous)
--- a/entry/direct/view/outage_test.go
+++ b/entry/direct/view/outage_test.go
@@ -130,3 +130,26 @@
 		w.assertServers(t)
 	})
 }
+
+// TestServerThatLeftIsUsedAfterStoreWentBack lets the store answer with lower versions than before for ten
+// seconds, as after a return from an older copy, while a server leaves.
+func TestServerThatLeftIsUsedAfterStoreWentBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval = 600 * time.Millisecond
+		w := newTestWatcher()
+		old := w.refresh(t, 100, "a", "b")
+		for position := int64(80); position < 98; position++ {
+			time.Sleep(interval)
+			w.refresh(t, position, "a")
+			if position == 81 { // a peer sends the list from before
+				old.Age = 2 * interval
+				w.apply(t, old)
+			}
+			assert.Equal(t, time.Since(w.Current().ServersRead), time.Duration(0), "the list of version %d is ignored", position)
+		}
+		w.assertServers(t, "a")
+		other := newTestWatcher()
+		w.apply(t, other.refresh(t, 99, "c"))
+		w.assertServers(t, "c")
+	})
+}
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -97,11 +97,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.current.Load()
-	if reg.Position < w.position || reg.Position == w.position && requestedAt.Before(old.ServersRead) {
+	if source == decisionlog.SourceStore {
+		w.followStoreBack(reg, requestedAt)
+	}
+	if requestedAt.Before(w.wentBackAt) || reg.Position < w.position || reg.Position == w.position && requestedAt.Before(old.ServersRead) {
 		w.ignoreServers(reg.Position, requestedAt, source, "newer ones are in use")
 		return nil
 	}
-	w.position, w.ignoring = reg.Position, false
+	w.position, w.appliedAt, w.ignoring = reg.Position, time.Now(), false
 	w.logUnreadable(reg.Unreadable)
 	w.noteRegistered(reg, requestedAt)
 	if w.reads.outage.position == 0 {
@@ -117,6 +120,21 @@
 	return &next
 }
 
+// followStoreBack accepts lower versions of the store. A read that began after the list in
+// use was received must return the same version or a higher one, unless the store lost what was
+// written last. Otherwise all lists would be ignored until the versions have passed the earlier
+// ones. Registrations that were lost as well come back like those that expire in an outage. The
+// caller holds mu.
+func (w *Watcher) followStoreBack(reg fleet.Registry, requestedAt time.Time) {
+	if reg.Position >= w.position || !requestedAt.After(w.appliedAt) {
+		return
+	}
+	w.log.Write(decisionlog.StoreWentBack{Version: reg.Position, Previous: w.position})
+	w.position, w.wentBackAt = 0, requestedAt
+	w.reads.begin(outage{start: requestedAt, end: time.Now()})
+	w.logOutage(decisionlog.SourceStore, "the store has lower versions than before")
+}
+
 // noteRegistered notes which servers are registered by a list that was requested at the given
 // time, and which registrations cannot be read. The caller holds mu.
 func (w *Watcher) noteRegistered(reg fleet.Registry, requestedAt time.Time) {
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -40,6 +40,8 @@
 
 	mu            sync.Mutex
 	position      int64     // store position of the newest registrations
+	appliedAt     time.Time // when they were applied
+	wentBackAt    time.Time // start of the latest read that showed lower versions of the store than before; zero if none has
 	failingSince  time.Time // start of the store outage for this entry; zero while the store answers
 	reads         storeReads
 	unreadable    map[string]bool      // keys of registrations that could not be decoded and were logged
--- a/operator/explain/timeline.go
+++ b/operator/explain/timeline.go
@@ -271,7 +271,7 @@
 		return a.artifacts[orderedArtifact(l)]
 	case event.OrdersLeaseTaken.ID, event.OrdersLeaseEnded.ID, event.OrdersLeaseError.ID:
 		return true
-	case event.ConfigReplaced.ID, event.StoreLost.ID, event.StoreRecovered.ID, event.StoreOutage.ID, event.ServersIgnored.ID,
+	case event.ConfigReplaced.ID, event.StoreLost.ID, event.StoreRecovered.ID, event.StoreOutage.ID, event.ServersIgnored.ID, event.StoreWentBack.ID,
 		event.EntryConnected.ID, event.EntryLost.ID, event.ConfigFailed.ID,
 		event.SettingsReloaded.ID, event.SettingsNotReloaded.ID,
 		event.ProcessStarted.ID, event.ProcessStopping.ID, event.ProcessStopped.ID,
