--- a/entry/direct/view/outage_test.go
+++ b/entry/direct/view/outage_test.go
@@ -16,7 +16,8 @@
 	play func(t *testing.T, w, other *testWatcher)
 }
 
-// failFor lets a watcher's reads fail for some time.
+// failFor lets a watcher's reads fail for some time. If it runs in the background, call
+// synctest.Wait after that time.
 func (r *testWatcher) failFor(d time.Duration) {
 	const retry = 500 * time.Millisecond
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(retry) {
@@ -39,6 +40,7 @@
 			w.refresh(t, 3, "a")
 			w.assertServers(t, "a")
 			time.Sleep(cut)
+			synctest.Wait()
 			w.apply(t, other.refresh(t, 4, "a"))
 			w.assertServers(t, "a")
 			w.refresh(t, 5, "a")
@@ -52,6 +54,7 @@
 			w.refresh(t, 2, "a")
 			w.assertServers(t, "a", "b")
 			time.Sleep(outageGrace / 2)
+			synctest.Wait()
 			w.apply(t, other.refresh(t, 3, "a"))
 			w.refresh(t, 4, "a")
 			w.assertServers(t, "a")
@@ -63,6 +66,7 @@
 				time.Sleep(cut / 6)
 				other.refresh(t, position, "a")
 			}
+			synctest.Wait()
 			w.apply(t, other.shared)
 			w.assertServers(t, "a")
 		}},
@@ -71,6 +75,7 @@
 			time.Sleep(cut)
 			w.refresh(t, 2, "a")
 			time.Sleep(time.Second)
+			synctest.Wait()
 			w.apply(t, other.refresh(t, 3, "a"))
 			w.assertServers(t, "a")
 		}},
