--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -9,18 +9,6 @@
 	"peridotchute.example/fleet"
 )
 
-const (
-	// outageGrace is how long after a store outage servers without a
-	// registration stay in the view: live servers register again within 2 s.
-	outageGrace = 2300 * time.Millisecond
-
-	// minExpiryGap is the shortest time between two reads of the registrations
-	// in which a registration may have expired unseen. Registrations are renewed
-	// every 1.2 s and removed after three missed renewals, the first of which
-	// may already be due at the earlier read.
-	minExpiryGap = 2 * time.Second
-)
-
 // RunServers reads the registrations repeatedly until ctx is done. next returns
 // the time of the next read, given the start of this entry's last attempt and
 // the time of the newest list read by any entry. These times are zero if there
@@ -28,7 +16,7 @@
 func (w *Watcher) RunServers(ctx context.Context, next func(attempted, asOf time.Time) time.Time) {
 	var attempted time.Time
 	for ctx.Err() == nil {
-		if left := time.Until(next(attempted, w.Current().ServersRead)); left > 0 {
+		if left := time.Until(w.nextRead(attempted, next)); left > 0 {
 			_ = clock.Sleep(ctx, left) // check again, since a peer may have read meanwhile
 			continue
 		}
@@ -37,6 +25,18 @@
 	}
 }
 
+// nextRead returns when this entry should read the registrations, given the start of its last
+// attempt. A kept server is dropped by a list only, since the store may be down again: the
+// list is read as soon as the server need not be kept.
+func (w *Watcher) nextRead(attempted time.Time, next func(attempted, asOf time.Time) time.Time) time.Time {
+	asOf := w.Current().ServersRead
+	at := next(attempted, asOf)
+	if drop := w.nextDrop(); drop.After(asOf) && drop.After(attempted) && drop.Before(at) {
+		return drop
+	}
+	return at
+}
+
 // Refresh reads the registrations once, applies them and shares the resulting
 // servers with other entries.
 func (w *Watcher) Refresh(ctx context.Context) {
@@ -49,8 +49,8 @@
 		w.recordStoreFailure(err, requestedAt)
 		return
 	}
-	w.recordStoreAnswer()
-	if v := w.ApplyServers(reg, requestedAt); v != nil {
+	w.recordStoreAnswer(requestedAt)
+	if v := w.ApplyServers(reg, requestedAt, decisionlog.SourceStore); v != nil {
 		w.shareServers(v, reg)
 	}
 }
@@ -63,83 +63,118 @@
 		w.failingSince = requestedAt
 		w.log.Write(decisionlog.StoreLost{Call: "servers", Err: err})
 	}
-	if w.unreadSince.IsZero() {
-		w.unreadSince = requestedAt
-	}
+	w.reads.failed(requestedAt)
 }
 
-// recordStoreAnswer records that the store answered this entry. An outage ends
-// now unless a peer has read the registrations since it began.
-func (w *Watcher) recordStoreAnswer() {
+// recordStoreAnswer records that the store answered a read of this entry that began at the
+// given time.
+func (w *Watcher) recordStoreAnswer(requestedAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now()
 	if !w.failingSince.IsZero() {
-		w.log.Write(decisionlog.StoreRecovered{Call: "servers", Down: now.Sub(w.failingSince)})
+		w.log.Write(decisionlog.StoreRecovered{Call: "servers", Down: time.Since(w.failingSince)})
 	}
-	if !w.unreadSince.IsZero() {
-		w.outage = outage{start: w.unreadSince, end: now}
+	w.failingSince = time.Time{}
+	if w.reads.succeeded(requestedAt, time.Now()) {
+		w.logOutage(decisionlog.SourceStore, "reads of this entry failed, and it got no list from others")
 	}
-	w.failingSince, w.unreadSince = time.Time{}, time.Time{}
-}
-
-// outage is a time in which the store did not answer.
-type outage struct {
-	start time.Time // zero if unknown
-	end   time.Time
 }
 
-// recordPeerRead records that a peer read the registrations at the given time. last
-// is the last store outage known to the peer, or zero. It returns false if the
-// peer's list must not be applied: the store answered others during that outage, and
-// the list has servers that left meanwhile.
-func (w *Watcher) recordPeerRead(read time.Time, last outage) bool {
+// recordPeerRead records that the named peer read the registrations at the given time. last is
+// the last store outage known to the peer, or zero.
+func (w *Watcher) recordPeerRead(peer string, read time.Time, last outage) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	known := w.current.Load().ServersRead
-	if !last.start.IsZero() && known.After(last.start) && w.outage.end.Before(last.start) {
-		return false
-	}
-	if last.end.After(w.outage.end) {
-		w.outage = last
-	}
-	if w.unreadSince.IsZero() || !read.After(w.unreadSince) {
-		return true
-	}
-	if read.Sub(known) > minExpiryGap && read.After(w.outage.end) {
-		w.outage = outage{start: w.unreadSince, end: read} // without reads for so long, the peer may not have noticed it
+	if w.reads.peerSucceeded(read, last) {
+		w.logOutage(peer, "by the list of the other entry")
 	}
-	w.unreadSince = time.Time{}
-	return true
 }
 
-// ApplyServers applies registrations that were requested at the given time. It
-// returns the new view, or nil if newer registrations are known.
-func (w *Watcher) ApplyServers(reg fleet.Registry, requestedAt time.Time) *fleet.View {
+// ApplyServers applies registrations that were requested at the given time. source is
+// decisionlog.SourceStore, or the entry that sent them. It returns the new view, or nil if
+// newer registrations are known.
+func (w *Watcher) ApplyServers(reg fleet.Registry, requestedAt time.Time, source string) *fleet.View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.current.Load()
-	if reg.Position < w.position || reg.Position == w.position && requestedAt.Before(old.ServersRead) {
+	if source == decisionlog.SourceStore {
+		w.followStoreBack(reg, requestedAt)
+	}
+	if requestedAt.Before(w.wentBackAt) || reg.Position < w.position || reg.Position == w.position && requestedAt.Before(old.ServersRead) {
+		w.ignoreServers(reg.Position, requestedAt, source, "newer ones are in use")
 		return nil
 	}
-	w.position = reg.Position
+	w.position, w.appliedAt, w.ignoring = reg.Position, time.Now(), false
 	w.logUnreadable(reg.Unreadable)
+	w.noteRegistered(reg, requestedAt)
+	if w.reads.outage.position == 0 {
+		w.reads.outage.position = reg.Position
+	}
 	next := *old
-	next.Servers = fleet.Merge(old.Servers, reg, w.inGrace())
+	next.Servers = fleet.Merge(old.Servers, reg, w.keep)
 	w.leaving.expire(requestedAt)
 	w.leaving.mark(next.Servers, time.Now())
 	next.ServersRead = requestedAt
 	w.setView(&next)
-	for _, r := range diffServers(old.Servers, next.Servers, time.Since(requestedAt)) {
-		w.log.Write(r)
-	}
+	w.logChanges(old.Servers, next.Servers, time.Since(requestedAt), func(c *decisionlog.ServerChanged) { w.describe(c, &next, source) })
 	return &next
 }
 
-// inGrace reports whether live servers may still lack a registration after a
-// store outage. The caller holds mu.
-func (w *Watcher) inGrace() bool {
-	return !w.outage.end.IsZero() && time.Since(w.outage.end) < outageGrace
+// followStoreBack accepts lower versions of the store. A read that began after the list in
+// use was received must return the same version or a higher one, unless the store lost what was
+// written last. Otherwise all lists would be ignored until the versions have passed the earlier
+// ones. Registrations that were lost as well come back like those that expire in an outage. The
+// caller holds mu.
+func (w *Watcher) followStoreBack(reg fleet.Registry, requestedAt time.Time) {
+	if reg.Position >= w.position || !requestedAt.After(w.appliedAt) {
+		return
+	}
+	w.log.Write(decisionlog.StoreWentBack{Version: reg.Position, Previous: w.position})
+	w.position, w.wentBackAt = 0, requestedAt
+	w.reads.begin(outage{start: requestedAt, end: time.Now()})
+	w.logOutage(decisionlog.SourceStore, "the store has lower versions than before")
+}
+
+// noteRegistered notes which servers are registered by a list that was requested at the given
+// time, and which registrations cannot be read. The caller holds mu.
+func (w *Watcher) noteRegistered(reg fleet.Registry, requestedAt time.Time) {
+	before := w.registered
+	w.registered, w.unreadableNow = map[string]time.Time{}, map[string]bool{}
+	for i := range w.current.Load().Servers {
+		id := w.current.Load().Servers[i].ID
+		w.registered[id] = before[id]
+	}
+	for i := range reg.Servers {
+		if s := &reg.Servers[i]; !s.Kept {
+			w.registered[s.ID] = requestedAt
+		}
+	}
+	for _, id := range reg.Unreadable {
+		w.unreadableNow[id] = true
+	}
+}
+
+// describe adds to the record of a changed server who read the list, and for how long a
+// server without a readable registration is kept. The caller holds mu.
+func (w *Watcher) describe(c *decisionlog.ServerChanged, v *fleet.View, source string) {
+	c.Source = source
+	if c.Change != decisionlog.ServerKept {
+		return
+	}
+	c.Reason, c.Keep = "outage of the store", time.Until(w.keepUntil(v.Server(c.Server)))
+	if w.unreadableNow[c.Server] {
+		c.Reason = "its registration cannot be read"
+	}
+}
+
+// ignoreServers logs the first of a series of lists that are not applied and that were read
+// later than the list in use. Older ones are common. The caller holds mu.
+func (w *Watcher) ignoreServers(position int64, read time.Time, source, reason string) {
+	if w.ignoring || !read.After(w.current.Load().ServersRead) {
+		return
+	}
+	w.ignoring = true
+	w.log.Write(decisionlog.ServersIgnored{Version: position, Previous: w.position, ViewAge: time.Since(read), Source: source, Reason: reason})
 }
 
 // logUnreadable logs each undecodable registration when it is first seen.
