Stop using a server whose registration has become unreadable

Cause: fleet.Merge kept the known value of a server while its row was unreadable, without an end. If the writer leaves its row there, neither the server's draining nor its end was learned.

Change: such a server is dropped at once, also after an outage of the store, when servers without any row are kept.

--- a/entry/direct/view/share_test.go
+++ b/entry/direct/view/share_test.go
@@ -152,6 +152,26 @@
 	})
 }
 
+// TestServerOfUnreadableRowStaysInUse has another writer replace the row of a known server. The
+// server must not stay known, with what an earlier row said of it, for this entry or for one
+// that learns of it from a peer.
+func TestServerOfUnreadableRowStaysInUse(t *testing.T) {
+	a, b := newTestWatcher(), newTestWatcher()
+	b.apply(t, a.refresh(t, 1, "a", "b"))
+	b.assertServers(t, "a", "b")
+	a.store.reg = fleet.Registry{Position: 2, Servers: []fleet.Server{{ID: "b"}}, Unreadable: []string{"a"}}
+	a.Refresh(t.Context())
+	a.assertServers(t, "b")
+	b.apply(t, a.shared)
+	b.assertServers(t, "b")
+	b.apply(t, a.refresh(t, 3, "a", "b"))
+	b.assertServers(t, "a", "b")
+	a.failRefresh()
+	a.store.reg, a.store.err = fleet.Registry{Position: 4, Unreadable: []string{"a"}}, nil
+	a.Refresh(t.Context())
+	a.assertServers(t, "b") // the registration of b may have expired during the outage
+}
+
 func TestConfigurationFromPeer(t *testing.T) {
 	r := newTestWatcher()
 	config := func(version int64, raw ...byte) error {
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -6,21 +6,22 @@
 )
 
 // Merge updates the known servers with newly read registrations and returns
-// them ordered by ID. A server whose registration is unreadable keeps its known
-// value. A server without a registration is dropped unless keepMissing is set,
-// because registrations may have expired during a store outage.
+// them ordered by ID. A server without a registration is dropped unless
+// keepMissing is set, because registrations may have expired during a store
+// outage. A server whose registration is unreadable is always dropped: nothing is
+// known of it anymore, not even that it drains, and it writes its row again with
+// its next heartbeat.
 func Merge(known []Server, read Registry, keepMissing bool) []Server {
 	out := slices.Clone(read.Servers)
-	present := make(map[string]bool, len(out))
+	inRows := make(map[string]bool, len(out)+len(read.Unreadable))
 	for i := range out {
-		present[out[i].ID] = true
+		inRows[out[i].ID] = true
 	}
-	unreadable := make(map[string]bool, len(read.Unreadable))
 	for _, id := range read.Unreadable {
-		unreadable[id] = true
+		inRows[id] = true
 	}
 	for _, s := range known {
-		if !present[s.ID] && (keepMissing || unreadable[s.ID]) {
+		if keepMissing && !inRows[s.ID] {
 			out = append(out, s)
 		}
 	}
