--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -22,7 +22,7 @@
 }
 
 // Snapshot is a configuration and the position in the history at which it was
-// read. Config is nil if nothing changed or the change cannot be decoded.
+// read. Config is nil if nothing changed or no change can be decoded.
 type Snapshot struct {
 	Config   *Config
 	Raw      []byte // encoded Config, as stored
