Ignore quarantine rows with numbers that no entry writes

What callers would see: requests with a sound prompt part refused for as long as the row of another writer stays in the table, also after an operator or an answer has released the part.

Cause: rows were merged with any number. 2^63-1 changes are odd, so quarantined, and more than any release; an end in the year 292 million was cut to ten minutes at each read, so renewed by each.

--- a/entry/direct/crashguard/guard_test.go
+++ b/entry/direct/crashguard/guard_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/admission/quarantine"
+	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/fleet"
 	"peridotchute.example/platform"
 	"peridotchute.example/platform/platformtest"
@@ -348,6 +350,30 @@
 	})
 }
 
+// TestOddRowQuarantinesPart puts rows with numbers that no entry writes: one cannot be released,
+// one is renewed by each read, and one has fewer changes than none.
+func TestOddRowQuarantinesPart(t *testing.T) {
+	t.Parallel()
+	table := newTable(t)
+	soon := time.Now().Add(time.Minute).UnixMilli()
+	for key, value := range map[string]string{
+		"1": fmt.Sprintf(`{"changes":9223372036854775807,"until_ms":%d}`, soon),
+		"2": `{"changes":1,"until_ms":9223372036854775807}`,
+		"3": fmt.Sprintf(`{"changes":-1,"until_ms":%d}`, soon),
+		"4": fmt.Sprintf(`{"changes":1e400,"until_ms":%d}`, soon),
+		"5": strings.Repeat("[", 1_000_000),
+		"6": fmt.Sprintf(`{"changes":1,"until_ms":%d}`, soon), // a good one
+	} {
+		_, err := table.Put(t.Context(), rowPrefix+key, []byte(value))
+		assert.NilError(t, err)
+	}
+	a := newNetwork(t, table).start("a")
+	waitFor(t, "the good row is read", func() bool { return len(a.State().Parts) > 0 })
+	parts := a.State().Parts
+	assert.Equal(t, len(parts), 1, "%+v", parts)
+	assert.Equal(t, parts[0].Part, decisionlog.FormatPart(6))
+}
+
 func newTable(t *testing.T) store.Table {
 	t.Helper()
 	return platform.NewTable(platform.Settings{Address: platformtest.NewStore(t).Address})
--- a/entry/direct/crashguard/rows.go
+++ b/entry/direct/crashguard/rows.go
@@ -28,6 +28,11 @@
 	minRowRetry = 500 * time.Millisecond
 	maxRowRetry = 5 * time.Second
 
+	// Rows beyond these limits are from another writer: an entry ends a quarantine after
+	// quarantine.TTL, and clocks differ by less than a day.
+	maxChanges = 1 << 30
+	maxAhead   = 24 * time.Hour
+
 	// readInterval is how often an entry that is not connected to all others reads the
 	// rows.
 	readInterval = 5 * time.Second
@@ -188,6 +193,10 @@
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return quarantine.Entry{}, fault.New(fault.KindInvalid, "crashguard.row", row.Key, err)
 	}
+	until := time.UnixMilli(value.UntilMS)
+	if value.Changes < 1 || value.Changes > maxChanges || time.Until(until) > maxAhead {
+		return quarantine.Entry{}, fault.Newf(fault.KindInvalid, "crashguard.row", row.Key, "no entry writes these numbers")
+	}
 	cause := CauseState{ID: n, Request: isRequest}.cause()
-	return quarantine.Entry{Cause: cause, Changes: value.Changes, Until: time.UnixMilli(value.UntilMS)}, nil
+	return quarantine.Entry{Cause: cause, Changes: value.Changes, Until: until}, nil
 }
