Bound what odd registrations add to the shared list and to memory

What would be seen: with some thousands of unreadable rows no entry could decode the list of servers that the reader sends to all ("unexpected EOF", 8 MB when decompressed), so that each entry read the store itself; and an entry's memory grew with each new key of such a row.

Cause: the list carries the keys of all unreadable rows, for the others' logs, and the sender did not check its length. The keys that were logged were remembered for good.

Change: a list carries at most 1,000 such keys, a list that is too long to be decoded is not sent but logged (each entry then reads for itself, as without a reader), and 10,000 keys are remembered.

--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -19,6 +19,8 @@
 	// every 1.2 s and removed after three missed renewals, the first of which
 	// may already be due at the earlier read.
 	minExpiryGap = 2 * time.Second
+
+	maxUnreadable = 10_000 // keys of unreadable rows that are remembered, so that each is logged once
 )
 
 // RunServers reads the registrations repeatedly until ctx is done. next returns
@@ -142,12 +144,16 @@
 	return !w.outage.end.IsZero() && time.Since(w.outage.end) < outageGrace
 }
 
-// logUnreadable logs each undecodable registration when it is first seen.
+// logUnreadable logs each undecodable registration when it is first seen. The caller holds mu.
 func (w *Watcher) logUnreadable(keys []string) {
-	for _, k := range keys {
-		if !w.unreadable[k] {
-			w.log.Write(decisionlog.ServerChanged{Change: decisionlog.ServerUnreadable, Server: k})
+	for _, k := range keys[:min(len(keys), maxUnreadable)] {
+		if w.unreadable[k] {
+			continue
+		}
+		if len(w.unreadable) >= maxUnreadable {
+			w.unreadable = map[string]bool{}
 		}
 		w.unreadable[k] = true
+		w.log.Write(decisionlog.ServerChanged{Change: decisionlog.ServerUnreadable, Server: k})
 	}
 }
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -24,6 +24,10 @@
 	// maxServersBytes limits the size of a decompressed list: a thousand
 	// servers take about 400 bytes each.
 	maxServersBytes = 8 << 20
+
+	// maxSharedUnreadable limits the keys of unreadable rows in a list, which other
+	// entries log.
+	maxSharedUnreadable = 1000
 )
 
 // Document is data that an entry read from the platform's store and shares with
@@ -115,7 +119,7 @@
 
 // shareServers shares the servers of the view that resulted from reading reg.
 func (w *Watcher) shareServers(v *fleet.View, reg fleet.Registry) {
-	list := sharedServers{Servers: v.Servers, Unreadable: reg.Unreadable}
+	list := sharedServers{Servers: v.Servers, Unreadable: reg.Unreadable[:min(len(reg.Unreadable), maxSharedUnreadable)]}
 	w.mu.Lock()
 	if w.inGrace() {
 		ended := v.ServersRead.Sub(w.outage.end)
@@ -130,13 +134,22 @@
 	w.share(Document{Kind: KindServers, Version: reg.Position, Body: body, Age: time.Since(v.ServersRead)})
 }
 
+// encodeServers returns an error if the list is longer than decodeServers accepts. Each entry
+// then reads the registrations itself.
 func encodeServers(list sharedServers) ([]byte, error) {
+	raw, err := json.Marshal(list)
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > maxServersBytes {
+		return nil, fault.Newf(fault.KindInvalid, "view.share", KindServers, "%d bytes are too many", len(raw))
+	}
 	var b bytes.Buffer
 	z, err := flate.NewWriter(&b, flate.DefaultCompression)
 	if err != nil {
 		return nil, err
 	}
-	if err := json.NewEncoder(z).Encode(list); err != nil {
+	if _, err := z.Write(raw); err != nil {
 		return nil, err
 	}
 	if err := z.Close(); err != nil {
--- a/entry/direct/view/share_test.go
+++ b/entry/direct/view/share_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -172,6 +175,43 @@
 	a.assertServers(t, "b") // the registration of b may have expired during the outage
 }
 
+// TestOddRowsMakeSharedListUnreadable reads thousands of unreadable rows with long keys, and then
+// readable ones that are too large together. A peer must be able to decode each shared list, and
+// a list that it could not is not sent.
+func TestOddRowsMakeSharedListUnreadable(t *testing.T) {
+	const oddRows, keyBytes = 20_000, 200
+	a, b := newTestWatcher(), newTestWatcher()
+	a.store.reg = fleet.Registry{Position: 1, Servers: []fleet.Server{{ID: "a"}}}
+	for i := range oddRows {
+		a.store.reg.Unreadable = append(a.store.reg.Unreadable, fmt.Sprintf("%0*d", keyBytes, i)+strings.Repeat("\x00", keyBytes))
+	}
+	a.Refresh(t.Context())
+	b.apply(t, a.shared)
+	b.assertServers(t, "a")
+
+	a.store.reg = fleet.Registry{Position: 2}
+	names := slices.Repeat([]string{strings.Repeat("m", 200)}, 300)
+	for i := range 200 {
+		a.store.reg.Servers = append(a.store.reg.Servers, fleet.Server{ID: fmt.Sprintf("i-%03d", i), OnDisk: names})
+	}
+	a.Refresh(t.Context())
+	assert.Equal(t, len(a.Current().Servers), 200)
+	assert.Equal(t, a.shared.Version, int64(1), "the large list is not sent")
+	b.apply(t, a.refresh(t, 3, "b"))
+	b.assertServers(t, "b")
+}
+
+// TestNamesOfOddRowsAreKept has another writer leave rows under ever new keys. The entry must not
+// remember all of them.
+func TestNamesOfOddRowsAreKept(t *testing.T) {
+	w := newTestWatcher()
+	for read := range 3 * maxUnreadable {
+		w.ApplyServers(fleet.Registry{Position: int64(read + 1), Unreadable: []string{fmt.Sprintf("i-%d", read), "stays"}}, time.Now())
+		assert.Assert(t, len(w.unreadable) <= maxUnreadable, "%d names kept", len(w.unreadable))
+		assert.Assert(t, w.unreadable["stays"])
+	}
+}
+
 func TestConfigurationFromPeer(t *testing.T) {
 	r := newTestWatcher()
 	config := func(version int64, raw ...byte) error {
