Send no request to the store or back to the entry itself

What callers saw in the test: 404 of the store for a proper request, or a request that came back to its entry and was routed once more, with a registration of another writer that is sound but for its address.

Cause: any address of a host and port in a registration was taken for a server's. The entry's own answers look like those of a server, as they bear the signature of the server behind them.

Change: a registration with the store's address or one at which the entry itself listens is unreadable (644). The caller addresses of other entries are not known to an entry and still pass: a request that goes there is served by that entry, which does not send it to itself.

--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -39,7 +39,9 @@
 	)
 }
 
-func newDirectory(s Settings) fleet.Directory { return platform.NewDirectory(s.Store) }
+func newDirectory(s Settings) fleet.Directory {
+	return platform.NewDirectory(s.Store, s.CallerAddress, s.ReadyAddress, s.MetricsAddress, s.RPCAddress)
+}
 
 func newTable(s Settings) store.Table { return platform.NewTable(s.Store) }
 
