Count servers of undeclared services under one label

What would be seen: a time series for each service name that another writer puts into an otherwise sound registration, in each entry and in what collects its metrics.

Cause: the label of peridotchute_servers was the service as registered.

Change: services that the configuration does not have count as '(undeclared)', also before the first configuration.

--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -102,11 +102,19 @@
 	daemon.Serve(lc, logger, daemon.Listener{Name: "metrics", Address: s.MetricsAddress, Handler: server.Router()})
 }
 
+// undeclaredService stands for all services in registrations that the configuration does not
+// have. Anybody may register under a new name, and each label value takes memory.
+const undeclaredService = "(undeclared)"
+
 func serverStates(v *fleet.View) map[metrics.ServerState]int {
 	states := map[metrics.ServerState]int{}
 	for i := range v.Servers {
 		s := &v.Servers[i]
-		states[metrics.ServerState{Service: s.Service, State: stateOf(s)}]++
+		service := s.Service
+		if v.Config == nil || v.Config.Services[service] == nil {
+			service = undeclaredService
+		}
+		states[metrics.ServerState{Service: service, State: stateOf(s)}]++
 	}
 	return states
 }
