--- a/common/decisionlog/encoder.go
+++ b/common/decisionlog/encoder.go
@@ -116,6 +116,19 @@
 
 func (e *encoder) errorIfSet(err error) {
 	if err != nil {
-		e.text("error", err.Error())
+		e.text("error", errorText(err))
 	}
 }
+
+// maxErrorBytes limits the text of an error in a line: errors of package json and others
+// quote what they could not decode.
+const maxErrorBytes = 1 << 10
+
+// errorText returns the text of an error, without its middle if it is too long.
+func errorText(err error) string {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return text
+	}
+	return text[:maxErrorBytes/2] + " ... " + text[len(text)-maxErrorBytes/2:]
+}
--- a/common/decisionlog/encoder_test.go
+++ b/common/decisionlog/encoder_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,3 +33,21 @@
 		"infinite": nil, "ms": 1.5, "by": map[string]any{"a": 1.0},
 	})
 }
+
+// TestErrorFillsLog writes errors that quote a long input.
+func TestErrorFillsLog(t *testing.T) {
+	var e encoder
+	long := errors.New("step: " + strings.Repeat("é", 30_000) + ": kind")
+	for _, write := range []func(){func() { e.errorIfSet(long) }, func() { e.any("error", long) }} {
+		e.begin()
+		write()
+		var got struct{ Error string }
+		line := e.end()
+		assert.Assert(t, len(line) <= 2*maxErrorBytes, "%d bytes", len(line))
+		assert.NilError(t, json.Unmarshal(line, &got))
+		assert.Assert(t, strings.HasPrefix(got.Error, "step: é") && strings.HasSuffix(got.Error, "é: kind"), got.Error)
+	}
+	e.begin()
+	e.any("error", errors.New("short"))
+	assert.Equal(t, string(e.end()), `{"error":"short"}`+"\n")
+}
--- a/common/decisionlog/logger.go
+++ b/common/decisionlog/logger.go
@@ -68,11 +68,14 @@
 
 // any writes an int64 as a number and other values as text.
 func (e *encoder) any(key string, value any) {
-	if n, ok := value.(int64); ok {
-		e.count(key, n)
-		return
+	switch v := value.(type) {
+	case int64:
+		e.count(key, v)
+	case error:
+		e.text(key, errorText(v))
+	default:
+		e.text(key, fmt.Sprint(v))
 	}
-	e.text(key, fmt.Sprint(value))
 }
 
 // discardFormatter writes nothing, since the Log formats the line.
