--- a/common/event/state.go
+++ b/common/event/state.go
@@ -9,7 +9,7 @@
 	ServerAppeared      = define(641, "server appeared", logrus.InfoLevel, "A backend server, or a new incarnation of one, was added to the list; row_version is the version of its registration.")
 	ServerLeft          = define(642, "server left", logrus.WarnLevel, "A backend server is no longer used; reason says how the process learned this.")
 	ServerDraining      = define(643, "server draining", logrus.InfoLevel, "A backend server accepts no new requests; remaining_ms, when known, is the time until it is removed. Without a reason its registration says so; reason names the answer in which it said so itself, or the entry that was told.")
-	ServerUnreadable    = define(644, "registration unreadable", logrus.WarnLevel, "A registration could not be parsed and is not used. Check the process that writes it.")
+	ServerUnreadable    = define(644, "registration unreadable", logrus.WarnLevel, "A registration is not one that a backend server writes, and is not used. Check the process that writes it.")
 	ServerSuspected     = define(645, "server suspected", logrus.WarnLevel, "A backend server could not be reached, for the given reason; this entry sends it no requests for a while.")
 	ModelLoaded         = define(647, "model held", logrus.InfoLevel, "A backend server has loaded a model.")
 	ModelUnloaded       = define(648, "model gone", logrus.InfoLevel, "A backend server no longer has a model loaded; look for an order to unload it, or for a restart under the same id.")
