--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -9,6 +9,9 @@
 	"peridotchute.example/fleet"
 )
 
+// maxUnreadable is how many keys of unreadable rows are remembered, so that each is logged once.
+const maxUnreadable = 10_000
+
 // RunServers reads the registrations repeatedly until ctx is done. next returns
 // the time of the next read, given the start of this entry's last attempt and
 // the time of the newest list read by any entry. These times are zero if there
@@ -136,10 +139,10 @@
 }
 
 // noteRegistered notes which servers are registered by a list that was requested at the given
-// time, and which registrations cannot be read. The caller holds mu.
+// time. The caller holds mu.
 func (w *Watcher) noteRegistered(reg fleet.Registry, requestedAt time.Time) {
 	before := w.registered
-	w.registered, w.unreadableNow = map[string]time.Time{}, map[string]bool{}
+	w.registered = map[string]time.Time{}
 	for i := range w.current.Load().Servers {
 		id := w.current.Load().Servers[i].ID
 		w.registered[id] = before[id]
@@ -149,9 +152,6 @@
 			w.registered[s.ID] = requestedAt
 		}
 	}
-	for _, id := range reg.Unreadable {
-		w.unreadableNow[id] = true
-	}
 }
 
 // describe adds to the record of a changed server who read the list, and for how long a
@@ -162,9 +162,6 @@
 		return
 	}
 	c.Reason, c.Keep = "outage of the store", time.Until(w.keepUntil(v.Server(c.Server)))
-	if w.unreadableNow[c.Server] {
-		c.Reason = "its registration cannot be read"
-	}
 }
 
 // ignoreServers logs the first of a series of lists that are not applied and that were read
@@ -177,12 +174,16 @@
 	w.log.Write(decisionlog.ServersIgnored{Version: position, Previous: w.position, ViewAge: time.Since(read), Source: source, Reason: reason})
 }
 
-// logUnreadable logs each undecodable registration when it is first seen.
+// logUnreadable logs each undecodable registration when it is first seen. The caller holds mu.
 func (w *Watcher) logUnreadable(keys []string) {
-	for _, k := range keys {
-		if !w.unreadable[k] {
-			w.log.Write(decisionlog.ServerChanged{Change: decisionlog.ServerUnreadable, Server: k})
+	for _, k := range keys[:min(len(keys), maxUnreadable)] {
+		if w.unreadable[k] {
+			continue
+		}
+		if len(w.unreadable) >= maxUnreadable {
+			w.unreadable = map[string]bool{}
 		}
 		w.unreadable[k] = true
+		w.log.Write(decisionlog.ServerChanged{Change: decisionlog.ServerUnreadable, Server: k})
 	}
 }
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -38,20 +38,19 @@
 	started      time.Time
 	configReadAt atomic.Int64 // when the store last answered a configuration request, in nanoseconds since started
 
-	mu            sync.Mutex
-	position      int64     // store position of the newest registrations
-	appliedAt     time.Time // when they were applied
-	wentBackAt    time.Time // start of the latest read that showed lower versions of the store than before; zero if none has
-	failingSince  time.Time // start of the store outage for this entry; zero while the store answers
-	reads         storeReads
-	unreadable    map[string]bool      // keys of registrations that could not be decoded and were logged
-	ignoring      bool                 // a list has been ignored since the last one that was applied
-	registered    map[string]time.Time // when the newest list with a readable registration of a server was requested, by ID
-	unreadableNow map[string]bool      // servers whose registrations in the newest list cannot be decoded, by ID
-	listeners     []func(*fleet.View)
-	share         func(Document)
-	leaving       leavingServers
-	shareLeaving  func(Leaving)
+	mu           sync.Mutex
+	position     int64     // store position of the newest registrations
+	appliedAt    time.Time // when they were applied
+	wentBackAt   time.Time // start of the latest read that showed lower versions of the store than before; zero if none has
+	failingSince time.Time // start of the store outage for this entry; zero while the store answers
+	reads        storeReads
+	unreadable   map[string]bool      // keys of registrations that could not be decoded and were logged
+	ignoring     bool                 // a list has been ignored since the last one that was applied
+	registered   map[string]time.Time // when the newest list with a readable registration of a server was requested, by ID
+	listeners    []func(*fleet.View)
+	share        func(Document)
+	leaving      leavingServers
+	shareLeaving func(Leaving)
 }
 
 // New returns a Watcher with an empty view. regions maps each availability zone
