Load a model at the software version to which resumed streams are bound

Callers saw: clients that resumed streams got 503 at once, with the third of their time as Retry-After, although servers of the streams' version served.

Cause: the lease holder's plan counted a model's replicas at all servers. A model that a server of another version had loaded was not missing, so nobody ordered its load at the stream's version, and an entry asked for none, since a load without a version might go to the other one.

Change: an entry asks the lease holder for the model at the version (EnsureRequest.Software, until now for adapters only), and the request waits for the load like any other, or is refused at once with the time of the load as Retry-After when it ends too late. Demand reports name the versions to which requests are bound (ModelDemand.Bound). While several versions are in use, the plan counts replicas by version too: a model that bound requests came for in the last 10 s and that no server of the version has is loaded at one of them, with the usual rules for memory, victims, copies and the rate of loads; the only replica at the version is not unloaded meanwhile. Without such requests it is the last choice as a victim while streams of its model may be resumed. Draining servers of the version get no loads; if no others are left the request is refused as before.

TestOrdersStayWithinLimits now draws versions and bound demand as well.

An older lease holder does not know the version and ignores it: during a rolling update such requests wait in vain until their deadlines.

--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -34,7 +34,7 @@
 // loadKey identifies a pending load.
 type loadKey struct {
 	artifact
-	software string // of the adapter's server, if only that version counts
+	software string // if set, only servers of this software version count
 }
 
 // pendingLoad is the load of an artifact that queued requests need.
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -80,16 +80,10 @@
 	if w.strict {
 		return admission.Offer{}, false
 	}
-	loadElsewhere := p.allFit(w) // else a load could be placed at a server of another version
 	if o, found := b.offerLeaving(p, w, now); found {
-		if loadElsewhere {
-			b.loadMissing(p, w, now)
-		}
+		b.loadMissing(p, w, now)
 		return o, true
 	}
-	if !loadElsewhere {
-		return admission.Offer{}, false
-	}
 	return b.offerMissing(p, w, now)
 }
 
@@ -172,10 +166,12 @@
 }
 
 // loadMissing starts the load of the request's model. It returns nil if the model is not
-// declared.
+// declared or no server that fits the request can load it.
 func (b *Balancer) loadMissing(p *pool, w *waiting, now time.Time) *pendingLoad {
-	if _, declared := p.engine.Models[w.artifact.model]; !declared {
+	_, declared := p.engine.Models[w.artifact.model]
+	software, loadable := p.loadSoftware(w)
+	if !declared || !loadable {
 		return nil
 	}
-	return b.startLoad(p, loadKey{artifact: artifact{model: w.artifact.model}}, nil, now)
+	return b.startLoad(p, loadKey{artifact{model: w.artifact.model}, software}, nil, now)
 }
--- a/entry/direct/balance/peers.go
+++ b/entry/direct/balance/peers.go
@@ -111,6 +111,7 @@
 	for w := range p.waiting {
 		if d := p.demand[w.artifact.model]; d != nil && b.replicas(p, w, now, true) == 0 {
 			d.Waiting++
+			w.countBound(d)
 		}
 	}
 }
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -240,6 +240,7 @@
 	}
 	if d := p.demand[w.artifact.model]; r.NotLoaded && !w.strict && d != nil {
 		d.Refused++
+		w.countBound(d)
 	}
 	return r
 }
@@ -257,4 +258,5 @@
 	d.Arrivals++
 	d.PrefillTokens += q.Request.TokensIn
 	d.Urgency = min(d.Urgency, w.priority)
+	w.countBound(d)
 }
--- a/entry/direct/orders/ensure.go
+++ b/entry/direct/orders/ensure.go
@@ -37,7 +37,7 @@
 	Service  string   `json:"service"`
 	Model    string   `json:"model"`
 	Adapter  string   `json:"adapter,omitempty"`  // empty for the model itself
-	Software string   `json:"software,omitempty"` // if set, an adapter must be on a server of this software version
+	Software string   `json:"software,omitempty"` // if set, only servers of this software version count
 	Prefer   []string `json:"prefer,omitempty"`   // server IDs, most preferred first
 }
 
@@ -140,7 +140,7 @@
 	case loadplan.ChoiceOrder:
 		return c, m.beginOrderLocked(ctx, fk.service, c.Server, c.Order, "on demand")
 	case loadplan.ChoiceNoModel:
-		b.Demand.MarkWanted(fk.key.Model, now)
+		b.Demand.MarkWanted(fk.key.Model, fk.software, now)
 		m.wakePlanner()
 	}
 	return c, m.changed
--- a/entry/direct/orders/ensure_test.go
+++ b/entry/direct/orders/ensure_test.go
@@ -80,15 +80,19 @@
 	r.manager.mu.Unlock()
 }
 
-// ensure calls Ensure and advances the clock until it returns.
 func (r *rig) ensure(model, adapter string) (string, error) {
+	return r.ensureFor(EnsureRequest{Service: "chat", Model: model, Adapter: adapter})
+}
+
+// ensureFor calls Ensure and advances the clock until it returns.
+func (r *rig) ensureFor(q EnsureRequest) (string, error) {
 	type answer struct {
 		server string
 		err    error
 	}
 	done := make(chan answer, 1)
 	go func() {
-		server, err := r.manager.Ensure(context.Background(), EnsureRequest{Service: "chat", Model: model, Adapter: adapter})
+		server, err := r.manager.Ensure(context.Background(), q)
 		done <- answer{server, err}
 	}()
 	var got answer
@@ -207,6 +211,26 @@
 	assert.DeepEqual(t, r.changes[server].Residents[1], fleet.Resident{Model: "m3", Adapters: []string{"a1"}})
 }
 
+// TestEnsureLoadsModelAtSoftwareVersion asks for a model that only a server of another
+// software version has loaded. The server of the version must unload a model for it.
+func TestEnsureLoadsModelAtSoftwareVersion(t *testing.T) {
+	servers := []fleet.Server{
+		serverWith("s1", fleet.Resident{Model: "m1"}, fleet.Resident{Model: "m2"}),
+		serverWith("s2", fleet.Resident{Model: "m2"}, fleet.Resident{Model: "m3"}),
+	}
+	servers[0].Software, servers[1].Software = "v2", "v1"
+	r := newRig(t, servers...)
+	r.control.engine = testEngine("m1", "m2", "m3")
+	r.start()
+	server, err := r.ensureFor(EnsureRequest{Service: "chat", Model: "m1", Software: "v1"})
+	assert.NilError(t, err)
+	assert.Equal(t, server, "s2")
+	assert.Assert(t, r.control.servers["s2"].models["m1"] != nil)
+	assert.Equal(t, len(r.control.accepted), 2) // unload m2, which s1 has too
+	assert.Assert(t, r.control.servers["s2"].models["m3"] != nil)
+	assert.Equal(t, len(r.control.violations), 0, "%v", r.control.violations)
+}
+
 func TestRestartedServerStartsWithSequenceZero(t *testing.T) {
 	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
 	r.start()
--- a/placement/loadplan/demand.go
+++ b/placement/loadplan/demand.go
@@ -35,6 +35,10 @@
 	Refused       int // requests rejected because no server has loaded the model
 	Urgency       int // priority of the most urgent request; 0 is the most urgent
 	Running       []Running
+
+	// Bound are the software versions whose servers alone may get some of the requests
+	// that arrived or wait.
+	Bound []string `json:",omitempty"`
 }
 
 // Running is the number of requests of an entry that run on one server.
@@ -106,9 +110,10 @@
 	lastRun      map[string]map[Key]time.Duration // by server: when an entry last reported a running request
 	pending      map[string]ModelDemand           // by model; arrivals since the last step
 	lastWanted   map[string]time.Duration         // by model; time of the last call of MarkWanted
-	started      time.Duration                    // time of the first step
-	backfilled   time.Duration                    // longest time covered by an entry's history
-	firstArrival time.Duration                    // time of the first arrival; 0 if there was none
+	bound        boundDemand
+	started      time.Duration // time of the first step
+	backfilled   time.Duration // longest time covered by an entry's history
+	firstArrival time.Duration // time of the first arrival; 0 if there was none
 	lastStep     time.Duration
 }
 
@@ -121,12 +126,17 @@
 		lastRun:    map[string]map[Key]time.Duration{},
 		pending:    map[string]ModelDemand{},
 		lastWanted: map[string]time.Duration{},
+		bound:      boundDemand{},
 	}
 }
 
-// MarkWanted records that a caller in this process waits for a model. The record is
-// valid for maxWantAge, so a caller that keeps waiting calls MarkWanted repeatedly.
-func (d *Demands) MarkWanted(model string, now time.Duration) {
+// MarkWanted records that a caller in this process waits for a model, on a server of the
+// software version unless that is empty. The record is valid for maxWantAge, so a caller
+// that keeps waiting calls MarkWanted repeatedly.
+func (d *Demands) MarkWanted(model, software string, now time.Duration) {
+	if software != "" {
+		d.bound[boundKey{model, software}] = now
+	}
 	d.lastWanted[model] = now
 	d.estimate(model).requested = now
 }
@@ -145,6 +155,9 @@
 			o.waiting = append(o.waiting, waitingRequests{model: m.Model, count: n, urgency: m.Urgency})
 			d.waitingSum[m.Model] += n
 		}
+		for _, software := range m.Bound {
+			d.bound[boundKey{m.Model, software}] = now
+		}
 		for _, r := range m.Running {
 			d.observeRunning(o, m.Model, r)
 		}
@@ -226,6 +239,7 @@
 		e.peak = max(d.work(model), e.peak*math.Exp(-seconds/slowTimeConstant.Seconds()))
 	}
 	d.pending = map[string]ModelDemand{}
+	d.bound.expire(now)
 	for entry, o := range d.entries {
 		if now-o.at > maxObservationAge {
 			d.forget(entry)
--- a/placement/loadplan/option.go
+++ b/placement/loadplan/option.go
@@ -15,18 +15,20 @@
 
 // placement is one search for a server for a replica of a model.
 type placement struct {
-	model      *modelPlan
+	need
 	reason     string
 	fromStore  bool // a load from the weight store is allowed now
 	evictLast  bool // the last replica of another model may be unloaded
 	keepOthers bool // nothing may be unloaded
 }
 
-// place selects a server for one more replica of a model and records the
-// intent. It returns false if no server can load the replica or none pays off.
-func (p *planning) place(m *modelPlan, reason string) bool {
+// place selects a server for one more replica of a model, of a software version if one is
+// needed, and records the intent. It returns false if no server can load the replica or
+// none pays off.
+func (p *planning) place(n need, reason string) bool {
+	m := n.model
 	pl := placement{
-		model:      m,
+		need:       n,
 		reason:     reason,
 		fromStore:  p.storeLoadAllowed(m, reason),
 		evictLast:  p.mayEvictLast(m, reason),
@@ -50,7 +52,7 @@
 // returns false if the server can't load the model or the load doesn't pay off.
 func (p *planning) option(pl *placement, sp *serverPlan) (option, bool) {
 	o := option{server: sp}
-	if !sp.open || sp.hasLoaded(pl.model) {
+	if !sp.open || !pl.fits(sp) || sp.hasLoaded(pl.model) {
 		return o, false
 	}
 	source, duration := sp.state.loadSource(pl.model.model)
@@ -72,6 +74,11 @@
 	return o, true
 }
 
+// fits reports whether the server has the software version that is needed.
+func (n need) fits(sp *serverPlan) bool {
+	return n.software == anySoftware || n.software == sp.software
+}
+
 // demandUnknown reports whether too little demand was observed to unload a
 // model for the reason. Until then the placement made by earlier lease holders
 // or the operator stays.
@@ -142,6 +149,9 @@
 	if v.recent || (v.model.count <= 1 && p.state.Demand.observedTime() < learningTime) {
 		cost += recentLoadCost
 	}
+	if v.mayBeResumed() {
+		cost += resumableCost
+	}
 	return cost
 }
 
@@ -166,10 +176,10 @@
 // evictable reports whether a model may be unloaded from a server. The last
 // replica stays unless evictLast is set and the model was not requested
 // recently. A replica that is still loading elsewhere doesn't replace one that
-// serves.
+// serves. One that requests are bound to stays.
 func (v *residentPlan) evictable(pl *placement) bool {
-	needed := pl.reason == ReasonWaiting || pl.reason == ReasonNotLoaded
-	if v.maybeOut || (!needed && v.recent) {
+	needed := pl.reason == ReasonWaiting || pl.reason == ReasonBound || pl.reason == ReasonNotLoaded
+	if v.maybeOut || v.boundHere() || (!needed && v.recent) {
 		return false
 	}
 	if v.model.count > 1 && (v.servedElsewhere() || !v.model.requested) {
@@ -193,7 +203,7 @@
 // overloaded and demand has been observed for learningTime.
 func (p *planning) mayEvictLast(m *modelPlan, reason string) bool {
 	switch reason {
-	case ReasonWaiting, ReasonNotLoaded:
+	case ReasonWaiting, ReasonBound, ReasonNotLoaded:
 		return true
 	case ReasonDemand:
 		contended := m.work > contendedWork*float64(m.count)
@@ -217,8 +227,7 @@
 	sp.state.intent, sp.open = intent, false
 	sp.replicas = append(sp.replicas, m.index)
 	slices.Sort(sp.replicas)
-	m.count++
-	m.inZone[sp.zone]++
+	m.countReplica(sp, 1)
 	p.spreadWork()
 }
 
@@ -229,9 +238,8 @@
 		return
 	}
 	sp.replicas = slices.Delete(sp.replicas, at, at+1)
-	v.model.count--
-	v.model.inZone[sp.zone]--
+	v.model.countReplica(sp, -1)
 	if v.serves {
-		v.model.serving--
+		v.model.countServing(sp, -1)
 	}
 }
--- a/placement/loadplan/plan.go
+++ b/placement/loadplan/plan.go
@@ -10,6 +10,7 @@
 // Reasons for model orders.
 const (
 	ReasonWaiting     = "requests wait and no server holds it"
+	ReasonBound       = "streams go on only at a software version of which no server holds it"
 	ReasonNotLoaded   = "asked for lately and no server holds it"
 	ReasonDemand      = "its replicas carry more than others"
 	ReasonUnrequested = "no server holds it"
@@ -90,8 +91,8 @@
 		if s.Models[victim] == nil {
 			continue
 		}
-		if m := p.model(victim); m != nil && m.serving == 0 && m.requested {
-			s.intent = nil // the victim's other replicas were lost, or it was requested meanwhile
+		if p.stillNeeded(victim, s) {
+			s.intent = nil
 			return Step{}, false
 		}
 		return p.newStep(s, fleet.OrderUnload, victim, ReasonFreeMemory+" for "+s.intent.Load), true
--- a/placement/loadplan/planning.go
+++ b/placement/loadplan/planning.go
@@ -21,24 +21,26 @@
 	byName       map[string]int
 	servers      []serverPlan // by ID
 	zones        map[string]int
-	loading      int // loads from the weight store in progress or ordered by this plan
-	loadsOrdered int // loads from the weight store ordered by this plan
-	loadsPlanned int // loads from the weight store planned but not yet ordered
+	software     map[string]int // index of each software version in use
+	loading      int            // loads from the weight store in progress or ordered by this plan
+	loadsOrdered int            // loads from the weight store ordered by this plan
+	loadsPlanned int            // loads from the weight store planned but not yet ordered
 }
 
 // modelPlan is the planning state of one declared model.
 type modelPlan struct {
-	index     int
-	model     fleet.Model
-	count     int     // replicas that serve or will serve, without those to be unloaded
-	serving   int     // replicas that serve now, without those to be unloaded
-	inZone    []int   // replicas in count, by zone
-	work      float64 // tokens per second
-	share     float64 // work as a multiple of the mean work per server
-	peak      float64 // decaying maximum of the work, same unit as share
-	waiting   int     // requests that wait because no server has loaded the model
-	urgency   int     // priority of the most urgent of them; math.MaxInt if none waits
-	requested bool    // requested within recentRequestTime
+	index      int
+	model      fleet.Model
+	count      int            // replicas that serve or will serve, without those to be unloaded
+	serving    int            // replicas that serve now, without those to be unloaded
+	inZone     []int          // replicas in count, by zone
+	bySoftware []softwarePlan // by software version; nil while one is in use
+	work       float64        // tokens per second
+	share      float64        // work as a multiple of the mean work per server
+	peak       float64        // decaying maximum of the work, same unit as share
+	waiting    int            // requests that wait because no server has loaded the model
+	urgency    int            // priority of the most urgent of them; math.MaxInt if none waits
+	requested  bool           // requested within recentRequestTime
 }
 
 // serverPlan is the planning state of one server.
@@ -46,6 +48,7 @@
 	id        string
 	state     *ServerState
 	zone      int            // index in inZone
+	software  int            // index in bySoftware
 	open      bool           // an intent may be recorded
 	freeMB    float64        // free memory; valid if no lost order may still load a model
 	residents []residentPlan // loaded models by name, without undeclared ones; only if open
@@ -56,15 +59,16 @@
 // residentPlan is a model that an open server has loaded.
 type residentPlan struct {
 	model    *modelPlan
-	weights  float64 // memory in MB, adapters included
-	running  int     // requests
-	serves   bool    // the server serves the model now, and it counts as a replica
-	recent   bool    // loaded within minStayTime
-	maybeOut bool    // a lost order may still unload it
+	software *softwarePlan // of the model at the server's software version; nil while one is in use
+	weights  float64       // memory in MB, adapters included
+	running  int           // requests
+	serves   bool          // the server serves the model now, and it counts as a replica
+	recent   bool          // loaded within minStayTime
+	maybeOut bool          // a lost order may still unload it
 }
 
 func newPlanning(ps *PlacementState, now time.Duration) *planning {
-	p := &planning{state: ps, now: now, byName: make(map[string]int, len(ps.Engine.Models)), zones: map[string]int{}}
+	p := &planning{state: ps, now: now, byName: make(map[string]int, len(ps.Engine.Models)), zones: map[string]int{}, software: map[string]int{}}
 	p.addModels()
 	p.addServers()
 	p.shareWork()
@@ -98,13 +102,14 @@
 	p.servers = make([]serverPlan, len(ids))
 	for i, id := range ids {
 		s := p.state.Servers[id]
-		zone, known := p.zones[s.Server.Zone]
-		if !known {
-			zone = len(p.zones)
-			p.zones[s.Server.Zone] = zone
+		p.servers[i] = serverPlan{
+			id:       id,
+			state:    s,
+			zone:     indexOf(p.zones, s.Server.Zone),
+			software: indexOf(p.software, s.Server.Software),
 		}
-		p.servers[i] = serverPlan{id: id, state: s, zone: zone}
 	}
+	p.addSoftware()
 	for i := range p.models {
 		p.models[i].inZone = make([]int, len(p.zones))
 	}
@@ -116,6 +121,16 @@
 	}
 }
 
+// indexOf returns the index of a name, and gives a new name the next index.
+func indexOf(indices map[string]int, name string) int {
+	index, known := indices[name]
+	if !known {
+		index = len(indices)
+		indices[name] = index
+	}
+	return index
+}
+
 // countReplicas counts the models that the server serves or will serve, without those to
 // be unloaded.
 func (p *planning) countReplicas(sp *serverPlan) {
@@ -125,15 +140,31 @@
 			continue
 		}
 		sp.replicas = append(sp.replicas, i)
-		p.models[i].count++
-		p.models[i].inZone[sp.zone]++
+		p.models[i].countReplica(sp, 1)
 		if p.servesAt(name, sp.state) {
-			p.models[i].serving++
+			p.models[i].countServing(sp, 1)
 		}
 	}
 	slices.Sort(sp.replicas)
 }
 
+// countReplica adds n replicas at a server.
+func (m *modelPlan) countReplica(sp *serverPlan, n int) {
+	m.count += n
+	m.inZone[sp.zone] += n
+	if m.bySoftware != nil {
+		m.bySoftware[sp.software].count += n
+	}
+}
+
+// countServing adds n replicas at a server that serve now.
+func (m *modelPlan) countServing(sp *serverPlan, n int) {
+	m.serving += n
+	if m.bySoftware != nil {
+		m.bySoftware[sp.software].serving += n
+	}
+}
+
 // openServer computes what a choice needs to know of a server on which a load may be
 // planned. A server with an undeclared model takes none: the model's size is unknown.
 func (p *planning) openServer(sp *serverPlan) {
@@ -150,6 +181,7 @@
 		m := &p.models[i]
 		sp.residents = append(sp.residents, residentPlan{
 			model:    m,
+			software: p.softwareAt(m, s),
 			weights:  m.model.WeightsMB + float64(len(resident.Adapters))*m.model.AdapterMB,
 			running:  running.ofModel(name),
 			serves:   slices.Contains(sp.replicas, i) && p.servesAt(name, s),
--- a/placement/loadplan/property_test.go
+++ b/placement/loadplan/property_test.go
@@ -20,7 +20,9 @@
 		m := newSim(fiveModels(), 5*time.Second)
 		m.refusesAdapters = rapid.Bool().Draw(t, "refuses adapters while busy")
 		for i := range 4 {
-			m.start(fmt.Sprintf("s%d", i), fmt.Sprintf("m%d", i), fmt.Sprintf("m%d", (i+1)%5))
+			s := m.start(fmt.Sprintf("s%d", i), fmt.Sprintf("m%d", i), fmt.Sprintf("m%d", (i+1)%5))
+			s.software = rapid.SampledFrom(testSoftware).Draw(t, "software")
+			m.snapshot(s)
 		}
 		m.update(func() int { return 0 })
 		for range rapid.IntRange(20, 150).Draw(t, "turns") {
@@ -53,8 +55,9 @@
 	}
 	model := fmt.Sprintf("m%d", rapid.IntRange(0, 4).Draw(t, "model"))
 	adapter := fmt.Sprintf("a%d", rapid.IntRange(1, 5).Draw(t, "adapter"))
+	software := rapid.SampledFrom([]string{"", oldSoftware, newSoftware}).Draw(t, "software of the adapter's server")
 	for range 3 {
-		c := m.placement.Choose(Key{Model: model, Adapter: adapter}, "", nil, m.now)
+		c := m.placement.Choose(Key{Model: model, Adapter: adapter}, software, nil, m.now)
 		if c.Outcome == ChoiceOrder {
 			sendOrder(t, m, c.Server, c.Order)
 		}
@@ -79,6 +82,7 @@
 			Arrivals:      rapid.IntRange(0, 9).Draw(t, "arrivals"),
 			PrefillTokens: 9000,
 			Waiting:       rapid.IntRange(0, 1).Draw(t, "waiting"),
+			Bound:         rapid.SliceOfN(rapid.SampledFrom(testSoftware), 0, 1).Draw(t, "bound"),
 		})
 	}
 	m.placement.Demand.Observe("a", demand, m.now)
--- a/placement/loadplan/replicas.go
+++ b/placement/loadplan/replicas.go
@@ -21,6 +21,9 @@
 	runningCost      = 0.02 // cost of each running request that an unload waits for
 	unresponsiveCost = 0.5  // cost of a server that recently lost an order
 	recentLoadCost   = 1.0  // extra cost of a victim that was loaded recently
+	// resumableCost is the extra cost of a victim whose software version would be left
+	// without the model while its streams may be resumed.
+	resumableCost = 3.0
 	// initialReplicaWork is the work assumed for a replica that was placed
 	// before the demand was known.
 	initialReplicaWork = 0.5
@@ -48,41 +51,51 @@
 	extraPlannedLoads = 2
 )
 
-// decide adds intents in order of priority: models that requests wait for,
-// recently requested models that no server has loaded, replicas in proportion
-// to work, and unrequested models that no server has loaded.
+// decide adds intents in order of priority: models that requests wait for anywhere or at
+// the software version to which they are bound, recently requested models that no server
+// has loaded, replicas in proportion to work, and unrequested models that no server has
+// loaded.
 func (p *planning) decide() {
-	var waiting, notLoaded, unrequested []*modelPlan
+	var waiting, notLoaded, unrequested []need
 	for i := range p.models {
 		m := &p.models[i]
+		waiting = m.appendBound(waiting)
+		anywhere := need{model: m, software: anySoftware}
 		switch {
 		case m.count > 0:
 		case m.waiting > 0:
-			waiting = append(waiting, m)
+			waiting = append(waiting, anywhere)
 		case m.requested:
-			notLoaded = append(notLoaded, m)
+			notLoaded = append(notLoaded, anywhere)
 		default:
-			unrequested = append(unrequested, m)
+			unrequested = append(unrequested, anywhere)
 		}
 	}
 	slices.SortStableFunc(waiting, compareWaiting)
-	slices.SortStableFunc(notLoaded, func(a, b *modelPlan) int { return cmp.Compare(b.share, a.share) })
+	slices.SortStableFunc(notLoaded, func(a, b need) int { return cmp.Compare(b.model.share, a.model.share) })
 	p.placeAll(waiting, ReasonWaiting)
 	p.placeAll(notLoaded, ReasonNotLoaded)
 	p.addReplicas()
 	p.placeAll(unrequested, ReasonUnrequested)
 }
 
-func (p *planning) placeAll(models []*modelPlan, reason string) {
-	for _, m := range models {
-		p.place(m, reason)
+// placeAll plans a replica for each need that an earlier one has not met.
+func (p *planning) placeAll(needs []need, reason string) {
+	for _, n := range needs {
+		switch {
+		case n.met():
+		case n.software != anySoftware:
+			p.place(n, ReasonBound)
+		default:
+			p.place(n, reason)
+		}
 	}
 }
 
 // compareWaiting orders models by their most urgent waiting request, then by the
 // number of waiting requests.
-func compareWaiting(a, b *modelPlan) int {
-	return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(b.waiting, a.waiting))
+func compareWaiting(a, b need) int {
+	return cmp.Or(cmp.Compare(a.model.urgency, b.model.urgency), cmp.Compare(b.model.waiting, a.model.waiting))
 }
 
 // addReplicas adds replicas, the highest gain first, until none pays off.
@@ -100,7 +113,7 @@
 				best = i
 			}
 		}
-		if !candidates[best].needsReplica() || !p.place(candidates[best], ReasonDemand) {
+		if !candidates[best].needsReplica() || !p.place(need{model: candidates[best], software: anySoftware}, ReasonDemand) {
 			candidates = slices.Delete(candidates, best, best+1)
 		}
 	}
--- a/placement/loadplan/sim_test.go
+++ b/placement/loadplan/sim_test.go
@@ -12,6 +12,7 @@
 // simServer is the actual state of a simulated model server.
 type simServer struct {
 	id            string
+	software      string
 	born          int64
 	seq           int64
 	version       int64
@@ -54,7 +55,7 @@
 func (m *sim) start(id string, models ...string) *simServer {
 	s := &simServer{id: id, models: map[string]map[string]time.Duration{}}
 	if old := m.servers[id]; old != nil {
-		s.born, s.version, s.onDisk = old.born+1, old.version, old.onDisk
+		s.born, s.version, s.onDisk, s.software = old.born+1, old.version, old.onDisk, old.software
 	}
 	for _, model := range models {
 		s.models[model] = map[string]time.Duration{}
@@ -66,7 +67,7 @@
 
 func (m *sim) snapshot(s *simServer) {
 	s.version++
-	sv := fleet.Server{ID: s.id, Born: s.born, Registration: s.version, InMemory: s.inMemory, OnDisk: s.onDisk}
+	sv := fleet.Server{ID: s.id, Software: s.software, Born: s.born, Registration: s.version, InMemory: s.inMemory, OnDisk: s.onDisk}
 	sv.Residents, sv.Fetching = m.residents(s)
 	s.registrations = append(s.registrations, sv)
 }
