Refuse a resumed stream at once when no server of its version has room

Cause: the entry waits for a load that the plan never places, since the servers' models are last replicas of requested models, and the lease holder's Ensure waits for it as well, up to 15 s.

Change: each plan records for which bound models no server of the version has room even after unloading others. Ensure then fails with ErrNoRoom, which the reply to other entries carries, and the entry offers no load for 1 s: requests that wait and that come are refused, with a third of their time as Retry-After, as without any server of the version. It asks again while requests come. A server that carries out an order may have room later, and a used-up rate of loads frees up; such requests wait as before.

Plan, Ensure and balancer have a test each.

An older lease holder answers neither; with it such requests wait until their deadlines.

--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"peridotchute.example/entry/direct/orders"
@@ -45,6 +46,8 @@
 	calls    int                   // consecutive calls to Ensure without a usable server
 	virtual  *routing.EngineServer // placeholder for the server that will load the artifact
 	expected time.Duration         // expected duration of the load
+
+	noRoomUntil time.Time // no server has room for the artifact until then; zero unless Ensure said so
 }
 
 const (
@@ -54,6 +57,7 @@
 	ensureBackoff    = 80 * time.Millisecond  // delay after a call without a usable server; doubles with each consecutive one
 	maxEnsureBackoff = 640 * time.Millisecond // upper bound of the delay; a change of the lease holder takes seconds
 	pendingLoadTTL   = 3 * time.Second        // time after nextCall until an unused pendingLoad is removed
+	noRoomTTL        = time.Second            // after a call to Ensure that found no server with room; a longer call found one
 	ensureTimeout    = 12 * time.Second       // for one call to Ensure
 )
 
@@ -96,6 +100,11 @@
 	m.calling = false
 	m.nextCall = now.Add(min(ensureBackoff<<min(m.calls, 4), maxEnsureBackoff))
 	m.calls++
+	if errors.Is(err, orders.ErrNoRoom) {
+		m.since, m.noRoomUntil = now, now.Add(noRoomTTL)
+		p.queue.ServersLost()
+		b.dispatch(p)
+	}
 	if err != nil {
 		return
 	}
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -152,7 +152,7 @@
 // that will load it.
 func (b *Balancer) offerMissing(p *pool, w *waiting, now time.Time) (admission.Offer, bool) {
 	m := b.loadMissing(p, w, now)
-	if m == nil {
+	if m == nil || now.Before(m.noRoomUntil) {
 		return admission.Offer{}, false
 	}
 	load := m.remaining(now)
--- a/entry/direct/balance/software_test.go
+++ b/entry/direct/balance/software_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/fleet"
 )
@@ -101,3 +104,34 @@
 	assert.Equal(t, (<-calls).Software, "")
 	ticket.End()
 }
+
+// TestBoundRequestIsRefusedOnceThereIsNoRoom has the lease holder find no room for the model
+// at the request's version. Requests that come then are refused, until Ensure returns s1.
+func TestBoundRequestIsRefusedOnceThereIsNoRoom(t *testing.T) {
+	b, _ := newSoftwareBalancer(t, oldSoftware)
+	var room atomic.Bool
+	b.opts.Ensure = func(context.Context, orders.EnsureRequest) (string, error) {
+		if room.Load() {
+			return "s1", nil
+		}
+		return "", fault.New(fault.KindRefused, "orders.ensure", "llm", orders.ErrNoRoom)
+	}
+	q := boundQuery(time.Minute)
+	q.Route.Objective = time.Second
+	go b.Run(t.Context())
+	for range 2 {
+		q.Arrived = time.Now()
+		ticket, rejected := b.Admit(t.Context(), q)
+		assert.Assert(t, ticket == nil && rejected.NotLoaded)
+		assert.Assert(t, time.Since(q.Arrived) < q.Route.Objective, "%v", time.Since(q.Arrived))
+	}
+	room.Store(true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		q.Arrived = time.Now()
+		if ticket, _ := b.Admit(t.Context(), q); ticket != nil {
+			ticket.End()
+			return poll.Success()
+		}
+		return poll.Continue("refused")
+	})
+}
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -64,7 +65,8 @@
 }
 
 type ensureReply struct {
-	Server string `json:"server"` // ID
+	Server string `json:"server"`            // ID
+	NoRoom bool   `json:"no_room,omitempty"` // orders.ErrNoRoom, which an error of the call would not preserve
 }
 
 func newCoordination(s Settings, table store.Table, control fleet.Control, w *view.Watcher, decisions *decisionlog.Log, log logrus.FieldLogger) *coordination {
@@ -108,6 +110,9 @@
 	w.OnRead(func(d view.Document) { c.mesh.Offer(mesh.Document(d)) })
 	mesh.Handle(c.mesh, methodEnsure, func(ctx context.Context, _ string, q orders.EnsureRequest) (ensureReply, error) {
 		id, err := c.manager.Ensure(ctx, q)
+		if errors.Is(err, orders.ErrNoRoom) {
+			return ensureReply{NoRoom: true}, nil
+		}
 		return ensureReply{Server: id}, err
 	})
 	mesh.Handle(c.mesh, methodDemand, func(_ context.Context, from string, d []loadplan.ModelDemand) (struct{}, error) {
@@ -201,6 +206,9 @@
 		return "", fault.Newf(fault.KindUnavailable, methodEnsure, holder, "no lease holder is known")
 	}
 	reply, err := mesh.Call[orders.EnsureRequest, ensureReply](ctx, c.mesh, holder, methodEnsure, q)
+	if reply.NoRoom {
+		return "", fault.New(fault.KindRefused, methodEnsure, holder, orders.ErrNoRoom)
+	}
 	return reply.Server, err
 }
 
--- a/entry/direct/orders/ensure.go
+++ b/entry/direct/orders/ensure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"peridotchute.example/common/fault"
@@ -12,6 +13,9 @@
 // deployments takes 6 s and may queue behind other loads.
 const ensureTimeout = 15 * time.Second
 
+// ErrNoRoom means that no server of the software version has room for the model.
+var ErrNoRoom = errors.New("no server of the software version has room for the model")
+
 // choiceRetryInterval is how long Ensure waits before it chooses again although
 // nothing has changed: an adapter may have become idle.
 const choiceRetryInterval = 100 * time.Millisecond
@@ -44,7 +48,8 @@
 // Ensure makes a model, or one of its adapters, resident on a server and returns
 // the ID of that server. On an entry
 // that does not hold the lease, Ensure fails at once with KindUnavailable. It fails
-// with KindNotFound if the model is not declared, and with KindCanceled when ctx ends.
+// with KindNotFound if the model is not declared, with ErrNoRoom if it cannot be loaded at the
+// software version, and with KindCanceled when ctx ends.
 func (m *Manager) Ensure(ctx context.Context, q EnsureRequest) (string, error) {
 	if _, left := m.lease.held(); left <= 0 {
 		holder, _ := m.lease.holder()
@@ -115,6 +120,8 @@
 			return c.Server, m.awaitReady(ctx, fk, c)
 		case loadplan.ChoiceUnknown:
 			return "", fault.Newf(fault.KindNotFound, "orders.ensure", fk.service, "model %q is not declared", fk.key.Model)
+		case loadplan.ChoiceNoRoom:
+			return "", fault.New(fault.KindRefused, "orders.ensure", fk.service, ErrNoRoom)
 		}
 		select {
 		case <-wait:
@@ -139,7 +146,7 @@
 	switch c.Outcome {
 	case loadplan.ChoiceOrder:
 		return c, m.beginOrderLocked(ctx, fk.service, c.Server, c.Order, "on demand")
-	case loadplan.ChoiceNoModel:
+	case loadplan.ChoiceNoModel, loadplan.ChoiceNoRoom:
 		b.Demand.MarkWanted(fk.key.Model, fk.software, now)
 		m.wakePlanner()
 	}
--- a/entry/direct/orders/ensure_test.go
+++ b/entry/direct/orders/ensure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/fleet"
+	"peridotchute.example/placement/loadplan"
 )
 
 func testEngine(models ...string) *fleet.Engine {
@@ -231,6 +233,26 @@
 	assert.Equal(t, len(r.control.violations), 0, "%v", r.control.violations)
 }
 
+// TestEnsureFailsWithoutRoomAtSoftwareVersion asks for a model whose only server of the
+// version has no memory beside models that are requested and loaded nowhere else.
+func TestEnsureFailsWithoutRoomAtSoftwareVersion(t *testing.T) {
+	servers := []fleet.Server{
+		serverWith("s1", fleet.Resident{Model: "m1"}),
+		serverWith("s2", fleet.Resident{Model: "m2"}, fleet.Resident{Model: "m3"}),
+	}
+	servers[0].Software, servers[1].Software = "v2", "v1"
+	r := newRig(t, servers...)
+	r.control.engine = testEngine("m1", "m2", "m3")
+	r.start()
+	r.manager.ObserveDemand("a", []loadplan.ModelDemand{
+		{Service: "chat", Model: "m2", Arrivals: 1},
+		{Service: "chat", Model: "m3", Arrivals: 1},
+	})
+	_, err := r.ensureFor(EnsureRequest{Service: "chat", Model: "m1", Software: "v1"})
+	assert.Assert(t, errors.Is(err, ErrNoRoom), "%v", err)
+	assert.Equal(t, len(r.control.accepted), 0)
+}
+
 func TestRestartedServerStartsWithSequenceZero(t *testing.T) {
 	r := newRig(t, serverWith("s1", fleet.Resident{Model: "m1"}))
 	r.start()
--- a/placement/loadplan/adapter.go
+++ b/placement/loadplan/adapter.go
@@ -20,6 +20,7 @@
 	ChoiceOrder                  // Order is to be sent to Server
 	ChoiceWait                   // no order is possible now; retry after a change
 	ChoiceNoModel                // no server has loaded the model
+	ChoiceNoRoom                 // no server of the software version has loaded the model or has room for it
 	ChoiceUnknown                // the model is not declared
 )
 
@@ -47,6 +48,9 @@
 		ps.Servers[c.Server].lastUsed[k] = now
 		return c
 	}
+	if len(hosts) == 0 && ps.noRoom[boundKey{k.Model, software}] {
+		return Choice{Outcome: ChoiceNoRoom}
+	}
 	if k.Adapter == "" || len(hosts) == 0 {
 		return Choice{Outcome: ChoiceNoModel}
 	}
--- a/placement/loadplan/option.go
+++ b/placement/loadplan/option.go
@@ -59,8 +59,7 @@
 	if source == SourceStore && !pl.fromStore {
 		return o, false
 	}
-	need := pl.model.model.WeightsMB - p.freeFor(sp, pl.model)
-	if !p.chooseVictims(&o, need, pl) {
+	if !p.chooseVictims(&o, p.missingMB(sp, pl.model), pl) {
 		return o, false
 	}
 	if (len(o.victims) > 0 && pl.keepOthers) || !pl.paysOff(&o) {
@@ -74,6 +73,11 @@
 	return o, true
 }
 
+// missingMB returns the memory in MB to be freed before the server can load the model.
+func (p *planning) missingMB(sp *serverPlan, m *modelPlan) float64 {
+	return m.model.WeightsMB - p.freeFor(sp, m)
+}
+
 // fits reports whether the server has the software version that is needed.
 func (n need) fits(sp *serverPlan) bool {
 	return n.software == anySoftware || n.software == sp.software
--- a/placement/loadplan/placement_state.go
+++ b/placement/loadplan/placement_state.go
@@ -18,6 +18,7 @@
 	down      map[string]outage    // unreachable servers
 	limits    map[string]float64   // requests per second that servers take, of those that limit them
 	inherited map[string]Inherited // by server, from the previous lease holder
+	noRoom    map[boundKey]bool    // bound models that the last plan found no room for; nil if there are none
 }
 
 // outage is a period in which a server was unreachable.
--- a/placement/loadplan/plan.go
+++ b/placement/loadplan/plan.go
@@ -43,6 +43,7 @@
 	ps.dropIntents()
 	p := newPlanning(ps, now)
 	p.decide()
+	p.recordRoom()
 	var steps []Step
 	for i := range p.servers {
 		if step, ok := p.nextOrder(p.servers[i].state); ok {
--- a/placement/loadplan/software.go
+++ b/placement/loadplan/software.go
@@ -87,6 +87,51 @@
 	return needs
 }
 
+// hasRoom reports whether some server that meets the need has room for the model, after
+// unloading others if necessary. A server that carries out an order may have room later.
+func (p *planning) hasRoom(n need) bool {
+	pl := placement{need: n, reason: ReasonBound, evictLast: p.mayEvictLast(n.model, ReasonBound)}
+	for i := range p.servers {
+		sp := &p.servers[i]
+		if !n.fits(sp) || !p.state.takesLoads(sp.state) {
+			continue
+		}
+		o := option{server: sp}
+		if !sp.open || sp.hasLoaded(n.model) || p.chooseVictims(&o, p.missingMB(sp, n.model), &pl) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordRoom records for which bound models no server has room.
+func (p *planning) recordRoom() {
+	p.state.noRoom = nil
+	var unmet []need
+	for i := range p.models {
+		unmet = p.models[i].appendBound(unmet)
+	}
+	for _, n := range unmet {
+		if p.hasRoom(n) {
+			continue
+		}
+		if p.state.noRoom == nil {
+			p.state.noRoom = map[boundKey]bool{}
+		}
+		p.state.noRoom[boundKey{n.model.model.Name, p.softwareName(n.software)}] = true
+	}
+}
+
+// softwareName returns the software version with an index.
+func (p *planning) softwareName(index int) string {
+	for name, i := range p.software {
+		if i == index {
+			return name
+		}
+	}
+	return ""
+}
+
 // lastOfSoftware reports whether no other server of the same software version serves the
 // model, while several versions are in use.
 func (v *residentPlan) lastOfSoftware() bool {
--- a/placement/loadplan/software_test.go
+++ b/placement/loadplan/software_test.go
@@ -88,6 +88,7 @@
 		servers   []softwareServer
 		requested []string
 		want      []string
+		noRoom    bool
 	}{
 		"free memory": {
 			servers: []softwareServer{fresh, {id: "o1", software: oldSoftware, models: []string{"m0"}}},
@@ -124,6 +125,7 @@
 			servers:   []softwareServer{fresh, {id: "o1", software: oldSoftware, models: []string{"m0", "m1"}}},
 			requested: []string{"m0", "m1"},
 			want:      []string{},
+			noRoom:    true,
 		},
 		"one of two servers leaves": {
 			servers: []softwareServer{
@@ -136,6 +138,7 @@
 		"only a draining server": {
 			servers: []softwareServer{fresh, {id: "o1", software: oldSoftware, models: []string{"m2"}, draining: true}},
 			want:    []string{},
+			noRoom:  true,
 		},
 		"loaded nowhere": {
 			servers: []softwareServer{
@@ -160,6 +163,8 @@
 			m := newSoftwareSim(c.servers...)
 			keepOnly(m.engine, c.servers)
 			assert.DeepEqual(t, m.planFor(boundTo("m2", c.requested...)), c.want)
+			choice := m.placement.Choose(Key{Model: "m2"}, oldSoftware, nil, m.now)
+			assert.Equal(t, choice.Outcome == ChoiceNoRoom, c.noRoom)
 		})
 	}
 }
@@ -198,6 +203,7 @@
 				return
 			}
 			assert.DeepEqual(t, orders, []string{})
+			assert.Equal(t, m.placement.Choose(Key{Model: "m2"}, oldSoftware, nil, m.now).Outcome, ChoiceNoModel)
 			m.now += m.placement.Rate.Window + time.Millisecond
 			assert.DeepEqual(t, m.planFor(boundTo("m2")), []string{"o1 load m2"})
 		})
@@ -275,3 +281,19 @@
 	assert.Equal(t, len(m.violations), 0, "%v", m.violations)
 	assert.Equal(t, len(m.loadStarts), 1)
 }
+
+// TestRoomIsFoundAgain has no room for bound requests until the server's models are no
+// longer requested.
+func TestRoomIsFoundAgain(t *testing.T) {
+	m := newSoftwareSim(
+		softwareServer{id: "n1", software: newSoftware, models: []string{"m2", "m3"}},
+		softwareServer{id: "o1", software: oldSoftware, models: []string{"m0", "m1"}},
+	)
+	key := Key{Model: "m2"}
+	assert.DeepEqual(t, m.planFor(boundTo("m2", "m0", "m1")), []string{})
+	assert.Equal(t, m.placement.Choose(key, oldSoftware, nil, m.now).Outcome, ChoiceNoRoom)
+	assert.Equal(t, m.placement.Choose(key, newSoftware, nil, m.now).Outcome, ChoiceLoaded)
+	m.now += recentRequestTime
+	assert.DeepEqual(t, m.planFor(boundTo("m2", "m0")), []string{"o1 unload m1"})
+	assert.Equal(t, m.placement.Choose(key, oldSoftware, nil, m.now).Outcome, ChoiceNoModel)
+}
