Follow configuration and servers after the store returned from an older copy

Callers saw: after the platform's store had come back from a copy some seconds old, requests ran as an older configuration says, for good. Servers that registered after the return got no requests until the store had assigned as many versions as it had lost.

Cause: nothing read Store-Era. RunConfig waited from its position of the old history, which the store had again; ApplyServers dropped lists with lower positions.

Lists of a later era replace those of the earlier one at once; late ones are dropped. Servers missing from the copy are kept as after an outage, and servers that were draining stay so for their incarnation. Between entries a list's version is one number, with the era in its high bits.

--- a/entry/direct/view/leaving_test.go
+++ b/entry/direct/view/leaving_test.go
@@ -13,7 +13,7 @@
 
 // listOf returns registrations as they are read at a position.
 func listOf(position int64, servers ...fleet.Server) fleet.Registry {
-	return fleet.Registry{Servers: servers, Position: position}
+	return fleet.Registry{Servers: servers, Position: fleet.Position{Version: position}}
 }
 
 // TestLapseOfRegistrationMakesLeavingServerLastResortAgain lets the registration of a server that said
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -119,9 +119,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.current.Load()
-	if reg.Position < w.position || reg.Position == w.position && requestedAt.Before(old.ServersRead) {
+	order := reg.Position.Compare(w.position)
+	if order < 0 || order == 0 && requestedAt.Before(old.ServersRead) {
 		return nil
 	}
+	if reg.Position.Era > w.position.Era && !old.ServersRead.IsZero() {
+		w.storeReturned(old)
+	}
+	w.era.observe(reg.Position.Era)
 	w.position = reg.Position
 	w.logUnreadable(reg.Unreadable)
 	next := *old
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -15,7 +15,7 @@
 // Kinds of shared documents.
 const (
 	KindConfig  = "config"  // Body is the raw configuration, Version is its version
-	KindServers = "servers" // Body is an encoded sharedServers, Version is the store position of the read
+	KindServers = "servers" // Body is an encoded sharedServers, Version is the encoded store position of the read
 )
 
 const (
@@ -83,7 +83,7 @@
 	if !w.recordPeerRead(read, list.outage(read)) {
 		return nil
 	}
-	w.ApplyServers(fleet.Registry{Servers: subtractAge(list.Servers, d.Age), Unreadable: list.Unreadable, Position: d.Version}, read)
+	w.ApplyServers(fleet.Registry{Servers: subtractAge(list.Servers, d.Age), Unreadable: list.Unreadable, Position: fleet.PositionOf(d.Version)}, read)
 	return nil
 }
 
@@ -127,7 +127,7 @@
 		event.Log(w.logger, event.DocumentFailed, event.Subject(KindServers), event.Err(err))
 		return
 	}
-	w.share(Document{Kind: KindServers, Version: reg.Position, Body: body, Age: time.Since(v.ServersRead)})
+	w.share(Document{Kind: KindServers, Version: reg.Position.Number(), Body: body, Age: time.Since(v.ServersRead)})
 }
 
 func encodeServers(list sharedServers) ([]byte, error) {
--- a/entry/direct/view/share_test.go
+++ b/entry/direct/view/share_test.go
@@ -46,7 +46,7 @@
 // the last document that it shared.
 func (r *testWatcher) refresh(t *testing.T, position int64, ids ...string) Document {
 	t.Helper()
-	r.store.reg, r.store.err = fleet.Registry{Position: position}, nil
+	r.store.reg, r.store.err = fleet.Registry{Position: fleet.Position{Version: position}}, nil
 	for _, id := range ids {
 		r.store.reg.Servers = append(r.store.reg.Servers, fleet.Server{ID: id, Residents: []fleet.Resident{{Model: "m"}}})
 	}
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -34,14 +34,15 @@
 	logger    logrus.FieldLogger // writes to the same log
 
 	current      atomic.Pointer[fleet.View]
+	era          *storeEra
 	started      time.Time
 	configReadAt atomic.Int64 // when the store last answered a configuration request, in nanoseconds since started
 
 	mu           sync.Mutex
-	position     int64     // store position of the newest registrations
-	failingSince time.Time // start of the store outage for this entry; zero while the store answers
-	unreadSince  time.Time // start of the time without reads by any entry; zero once this entry or a peer has read
-	outage       outage    // the last store outage; zero if there was none
+	position     fleet.Position // of the newest registrations in the store's history
+	failingSince time.Time      // start of the store outage for this entry; zero while the store answers
+	unreadSince  time.Time      // start of the time without reads by any entry; zero once this entry or a peer has read
+	outage       outage         // the last store outage; zero if there was none
 	unreadable   map[string]bool
 	listeners    []func(*fleet.View)
 	share        func(Document)
@@ -59,6 +60,7 @@
 		log:        log,
 		logger:     log.Logger(),
 		unreadable: map[string]bool{},
+		era:        newStoreEra(),
 		share:      func(Document) {},
 
 		leaving:      newLeavingServers(),
@@ -84,15 +86,15 @@
 // RunConfig reads the configuration and its changes until ctx is done.
 func (w *Watcher) RunConfig(ctx context.Context) {
 	pause := retryPause
-	var position int64
+	var position fleet.Position
 	known := false
 	for ctx.Err() == nil {
 		var s fleet.Snapshot
 		var err error
 		if known {
-			s, err = w.directory.NextConfig(ctx, position, configWait)
+			s, err = w.nextConfig(ctx, position)
 		} else {
-			s, err = w.directory.Config(ctx)
+			s, err = w.wholeConfig(ctx)
 		}
 		if fault.Is(err, fault.KindNotFound) {
 			err = nil
--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -12,8 +12,9 @@
 	Config(ctx context.Context) (Snapshot, error)
 	// NextConfig waits up to wait for a configuration that was written after the
 	// given position. KindConflict means that the history from that position is
-	// no longer available and the caller must use Config.
-	NextConfig(ctx context.Context, position int64, wait time.Duration) (Snapshot, error)
+	// no longer available and the caller must use Config. If the snapshot has another
+	// era than the position, it may lack configurations, and the caller must use Config.
+	NextConfig(ctx context.Context, position Position, wait time.Duration) (Snapshot, error)
 	// Servers reads all registrations. Rows that cannot be decoded are omitted
 	// and their keys listed in Unreadable.
 	Servers(ctx context.Context) (Registry, error)
@@ -26,14 +27,14 @@
 type Snapshot struct {
 	Config   *Config
 	Raw      []byte // encoded Config, as stored
-	Position int64
+	Position Position
 }
 
 // Registry is a snapshot of the registrations of the backend servers.
 type Registry struct {
 	Servers    []Server
 	Unreadable []string // keys of rows that cannot be decoded
-	Position   int64
+	Position   Position
 	StoreTime  time.Duration // reading of the store's monotonic clock
 }
 
