--- a/store/store.go
+++ b/store/store.go
@@ -13,13 +13,20 @@
 	Key     string
 	Value   []byte
 	Version string
+	// Era is the era of the table at the time of the call. It rises each time that the
+	// table returns from an older copy, without the writes since then. 0 if unknown.
+	Era int64
 }
 
 // Table is the platform's table service. Errors are *fault.Error with the kind
 // KindNotFound, KindConflict (condition not met), KindInvalid, KindUnavailable (a
 // write did not take effect) or KindUnknown (a write may have taken effect; read
 // the row to find out).
+//
+// A write that is in flight when the table returns from an older copy may meet its condition
+// with another row that has got the same version anew. The Era of the returned row tells.
 type Table interface {
+	// Get returns a row. With KindNotFound, the returned row has only Key and Era.
 	Get(ctx context.Context, key string) (Row, error)
 	Put(ctx context.Context, key string, value []byte) (Row, error)
 	PutIfAbsent(ctx context.Context, key string, value []byte) (Row, error)
