orders: fencing tokens rise after the store returned from an older copy

Cause: the lease took its row for the only truth about tokens and about who holds it.

Change: a row names the era in which its writer read it, so a row of an earlier era is recognised as outdated. Only the entry that still holds the lease goes on at once; any other waits for the lease duration and the gap. A write that the store performed in another era than it was meant for counts as nothing. A new token exceeds all that the process knows and, from the first return on, is at least the position in the store's history at which the row was read, so it also exceeds those that nobody knows of any more.

--- a/entry/direct/orders/fake_test.go
+++ b/entry/direct/orders/fake_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,6 +43,36 @@
 	lose    bool     // writes take effect, but their answers are lost
 	delay   bool     // writes take effect at deliver and return without an answer
 	delayed []func() // writes to carry out at deliver
+	era     int64    // rises with each return from an older copy
+	copies  []tableCopy
+}
+
+// tableCopy is the content of a fakeTable at some moment.
+type tableCopy struct {
+	rows    map[string]store.Row
+	version int
+}
+
+// backup keeps a copy of the table for rewind.
+func (t *fakeTable) backup() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.copies = append(t.copies, tableCopy{maps.Clone(t.rows), t.version})
+}
+
+// rewind makes the table return from a copy, in a new era. Versions are assigned again.
+func (t *fakeTable) rewind(c tableCopy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.version = maps.Clone(c.rows), c.version
+	t.era++
+}
+
+// inEra returns the row as a call returns it in the current era.
+func (t *fakeTable) inEra(row store.Row) store.Row {
+	row.Era, row.Latest = t.era, int64(t.version)
+	row.Version = fmt.Sprintf("%d.%s", t.era, row.Version)
+	return row
 }
 
 func newTable() *fakeTable { return &fakeTable{rows: map[string]store.Row{}} }
@@ -53,9 +85,9 @@
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return row, fault.Newf(fault.KindNotFound, "get", "", "absent")
+		return store.Row{Key: key, Era: t.era, Latest: int64(t.version)}, fault.Newf(fault.KindNotFound, "get", "", "absent")
 	}
-	return row, nil
+	return t.inEra(row), nil
 }
 
 func (t *fakeTable) PutIfAbsent(ctx context.Context, key string, value []byte) (store.Row, error) {
@@ -68,6 +100,9 @@
 	if err := errors.Join(t.fail, t.refuse); err != nil {
 		return store.Row{}, err
 	}
+	if _, withinEra, ok := strings.Cut(version, "."); ok {
+		version = withinEra // the store compares no eras
+	}
 	if t.delay {
 		t.delayed = append(t.delayed, func() { _, _ = t.set(key, version, value) })
 		return store.Row{}, fault.Newf(fault.KindUnknown, "cas", "", "no answer")
@@ -95,7 +130,7 @@
 	if t.lose {
 		return store.Row{}, fault.Newf(fault.KindUnknown, "cas", "", "answer lost")
 	}
-	return row, nil
+	return t.inEra(row), nil
 }
 
 // fakeServer is the state of one model server.
--- a/entry/direct/orders/lease.go
+++ b/entry/direct/orders/lease.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"peridotchute.example/common/fault"
 	"peridotchute.example/store"
 )
 
@@ -52,6 +51,9 @@
 	mu         sync.Mutex
 	row        store.Row
 	value      leaseRow
+	token      int64         // fencing token under which this process last held the lease
+	readToken  int64         // highest fencing token that this process has read
+	returned   bool          // this process has seen the store return from an older copy
 	firstSeen  time.Duration // when this version of the row was first seen
 	renewedAt  time.Duration // when the newest successful renewal was sent
 	mine       bool          // this process holds the lease until the row shows another holder
@@ -76,18 +78,28 @@
 func (l *lease) held() (token int64, left time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.mine || l.closed {
+	switch {
+	case !l.mine:
 		return l.value.FencingToken, 0
+	case l.closed:
+		return l.token, 0
+	default:
+		return l.token, l.left()
 	}
-	return l.value.FencingToken, max(leaseDuration-(l.clock()-l.renewedAt), 0)
 }
 
+// left returns how much longer this entry may issue orders under its newest renewal. l.mu is
+// held.
+func (l *lease) left() time.Duration { return max(leaseDuration-(l.clock()-l.renewedAt), 0) }
+
 // holder returns the lease holder's name and fencing token as last read or
 // announced; the name is empty when nobody holds the lease.
 func (l *lease) holder() (name string, token int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
+	case l.mine:
+		return l.self, l.token
 	case l.noticeToken > l.value.FencingToken:
 		return l.noticeHolder, l.noticeToken
 	case l.value.Released:
@@ -169,7 +181,7 @@
 		return 0, false
 	}
 	l.mine, l.stale = false, true
-	return l.value.FencingToken, true
+	return l.token, true
 }
 
 // yield gives up the lease, held for at least yieldAfter, if another entry should hold it.
@@ -183,7 +195,7 @@
 		return 0, false
 	}
 	l.mine, l.stale, l.yieldedAt = false, true, l.clock()
-	return l.value.FencingToken, true
+	return l.token, true
 }
 
 // endReason returns why this entry no longer holds the lease.
@@ -213,7 +225,7 @@
 	l.stepMu.Lock()
 	defer l.stepMu.Unlock()
 	l.mu.Lock()
-	renew, closed := l.mine && !l.stale, l.closed
+	renew, closed := l.mine && !l.stale && !l.outdated(), l.closed
 	recent := !l.mine && l.noticeAt != 0 && l.clock()-l.noticeAt < noticeValidity
 	l.mu.Unlock()
 	switch {
@@ -241,18 +253,10 @@
 
 // readOrAcquire reads the row and acquires the lease if that is allowed.
 func (l *lease) readOrAcquire(ctx context.Context) (time.Duration, error) {
-	row, err := l.table.Get(ctx, leaseKey)
-	if fault.Is(err, fault.KindNotFound) {
-		l.reset()
-		return renewInterval, l.write(ctx, leaseRow{Holder: l.self, FencingToken: 1})
-	}
+	changed, err := l.read(ctx)
 	if err != nil {
 		return fastPollInterval, err
 	}
-	changed, err := l.applyRow(row)
-	if err != nil {
-		return pollInterval, err
-	}
 	next, left := l.nextRow()
 	left = l.deferred(left)
 	switch {
--- a/entry/direct/orders/leaserow.go
+++ b/entry/direct/orders/leaserow.go
@@ -15,17 +15,12 @@
 	FencingToken int64  `json:"term"`               // increases each time the lease is acquired
 	Renewals     int64  `json:"beat"`               // increases with every renewal and acquisition
 	Released     bool   `json:"released,omitempty"` // the holder issues no more orders
+	Era          int64  `json:"era,omitempty"`      // of the store, when the writer read the row before
 
 	Handover  *Handover `json:"handover,omitempty"`  // set when Released, if known
 	Inherited *Handover `json:"inherited,omitempty"` // what the holder received from its predecessor
 }
 
-func (l *lease) reset() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.row, l.value, l.mine = store.Row{}, leaseRow{}, false
-}
-
 // applyRow records the row as read. A read never counts as a renewal, even of this
 // entry's own write: another entry may have seen that version long before.
 func (l *lease) applyRow(row store.Row) (changed bool, err error) {
@@ -39,8 +34,14 @@
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return false, fault.New(fault.KindInternal, "orders.lease", leaseKey, err)
 	}
-	l.mine = l.mine && value.Holder == l.self && value.FencingToken == l.value.FencingToken
+	l.noteEra(row.Era)
+	l.readToken = max(l.readToken, value.FencingToken)
 	l.row, l.value, l.firstSeen = row, value, l.clock()
+	if l.outdated() {
+		l.mine = l.mine && l.left() > 0 // no other entry may acquire the lease before
+	} else {
+		l.mine = l.mine && value.Holder == l.self && value.FencingToken == l.token
+	}
 	if row.Version == l.noticeVersion {
 		l.firstSeen = l.noticeVersionSeen
 	}
@@ -50,22 +51,26 @@
 // nextRow returns the row with which this entry would renew or acquire the lease,
 // and how long it must wait before writing it; a negative wait is over for that long.
 // There is no wait if the lease holder was an earlier process of this VM or has handed
-// over. After a release without
-// handover the wait is the gap, and otherwise the lease duration plus the gap. Waits
-// start when the row was first seen or announced, which is after the lease holder
-// sent its renewal.
+// over. After a release without handover the wait is the gap, and otherwise the lease
+// duration plus the gap. Waits start when the row was first seen or announced, which is
+// after the lease holder sent its renewal. A row of an earlier era does not show who holds
+// the lease: then only an entry that still holds it does not wait.
 func (l *lease) nextRow() (leaseRow, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := l.value
 	next.Renewals++
-	if l.mine {
+	if l.mine && !l.outdated() {
 		return next, 0
 	}
 	next.Holder, next.Released, next.Handover, next.Inherited = l.self, false, nil, l.inheritedHandover()
-	next.FencingToken++
+	next.FencingToken, next.Era = l.nextToken(), l.row.Era
 	unchanged := l.clock() - l.firstSeen
 	switch {
+	case l.mine, l.neverHeld():
+		return next, 0
+	case l.outdated():
+		return next, leaseDuration + l.gap - unchanged
 	case l.value.Holder == l.self, l.receivedHandover() != nil:
 		return next, l.freeSince() - l.clock() // Inherited lists the servers that are still fenced
 	case l.value.Released:
@@ -81,7 +86,7 @@
 	deferring := l.deferring()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.mine || !deferring {
+	if l.mine || l.neverHeld() || !deferring {
 		return left
 	}
 	return left + deference
@@ -115,7 +120,12 @@
 // lease now. If this VM held it already, the time at which the handover in the row
 // was received is lost, so its orders are assumed to have age 0. l.mu is held.
 func (l *lease) inheritedHandover() *Handover {
-	if l.value.Holder == l.self {
+	switch {
+	case l.mine: // acquires the lease again in a new era
+		return l.handover.withZeroAges()
+	case l.outdated():
+		return nil
+	case l.value.Holder == l.self:
 		return l.value.Inherited.withZeroAges()
 	}
 	return l.receivedHandover()
@@ -132,7 +142,7 @@
 	l.mu.Unlock()
 	sent := l.clock()
 	var row store.Row
-	if version == "" {
+	if version == "" { // the row does not exist
 		row, err = l.table.PutIfAbsent(ctx, leaseKey, raw)
 	} else {
 		row, err = l.table.CompareAndSet(ctx, leaseKey, version, raw)
@@ -143,11 +153,15 @@
 		l.writeFailed(err)
 		return err
 	}
-	if !l.mine {
-		l.previous, l.acquiredAt, l.handover = l.value.Holder, l.clock(), next.Inherited
+	if row.Era != next.Era {
+		l.stale = true // the store has returned since; it may have replaced another entry's row
+		return fault.Newf(fault.KindConflict, "orders.lease", leaseKey, "written in era %d, not %d", row.Era, next.Era)
+	}
+	if !l.mine || next.FencingToken != l.token {
+		l.previous, l.acquiredAt, l.handover = l.previousOwner(), l.clock(), next.Inherited
 	}
 	l.row, l.value, l.firstSeen, l.renewedAt = row, next, l.clock(), sent
-	l.mine = !next.Released
+	l.mine, l.token = !next.Released, next.FencingToken
 	return nil
 }
 
@@ -177,7 +191,7 @@
 		return err
 	}
 	l.mu.Lock()
-	next, mine := l.value, l.mine
+	next, mine := l.value, l.mine && !l.outdated()
 	l.mu.Unlock()
 	if !mine {
 		return nil
@@ -194,10 +208,6 @@
 	if !stale {
 		return nil
 	}
-	row, err := l.table.Get(ctx, leaseKey)
-	if err != nil {
-		return err
-	}
-	_, err = l.applyRow(row)
+	_, err := l.read(ctx)
 	return err
 }
--- a/store/store.go
+++ b/store/store.go
@@ -16,6 +16,9 @@
 	// Era is the era of the table at the time of the call. It rises each time that the
 	// table returns from an older copy, without the writes since then. 0 if unknown.
 	Era int64
+	// Latest counts the writes to the table in this era and before the copy, at the time of
+	// the call. 0 if unknown.
+	Latest int64
 }
 
 // Table is the platform's table service. Errors are *fault.Error with the kind
@@ -26,7 +29,7 @@
 // A write that is in flight when the table returns from an older copy may meet its condition
 // with another row that has got the same version anew. The Era of the returned row tells.
 type Table interface {
-	// Get returns a row. With KindNotFound, the returned row has only Key and Era.
+	// Get returns a row. With KindNotFound, the returned row has no Value and Version.
 	Get(ctx context.Context, key string) (Row, error)
 	Put(ctx context.Context, key string, value []byte) (Row, error)
 	PutIfAbsent(ctx context.Context, key string, value []byte) (Row, error)
