--- a/entry/direct/origins/announce.go
+++ b/entry/direct/origins/announce.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -85,8 +84,8 @@
 		g.applyRow(row, now)
 	}
 	for service, u := range g.usages {
-		if !found[service] && u.row > 0 {
-			u.lost(0)
+		if !found[service] && u.row != "" {
+			u.lost("")
 		}
 	}
 	g.usagesRead = gaps == g.gaps
@@ -114,17 +113,13 @@
 // cannot be decoded.
 func decodeUsage(row store.Row) (Usage, error) {
 	var u Usage
-	version, err := strconv.ParseInt(row.Version, 10, 64)
-	if err != nil {
-		return Usage{}, fault.New(fault.KindInvalid, stepUsage, row.Key, err)
-	}
 	if err := json.Unmarshal(row.Value, &u); err != nil {
-		return Usage{Row: version}, fault.New(fault.KindInvalid, stepUsage, row.Key, err)
+		return Usage{Row: row.Version}, fault.New(fault.KindInvalid, stepUsage, row.Key, err)
 	}
 	if u.Revision <= 0 {
-		return Usage{Row: version}, fault.Newf(fault.KindInvalid, stepUsage, row.Key, "revision %d", u.Revision)
+		return Usage{Row: row.Version}, fault.Newf(fault.KindInvalid, stepUsage, row.Key, "revision %d", u.Revision)
 	}
-	u.Row = version
+	u.Row = row.Version
 	return u, nil
 }
 
@@ -182,10 +177,10 @@
 	}
 	key := usagePrefix + service
 	var row store.Row
-	if known == 0 {
+	if known == "" {
 		row, err = g.opts.Table.PutIfAbsent(ctx, key, value)
 	} else {
-		row, err = g.opts.Table.CompareAndSet(ctx, key, strconv.FormatInt(known, 10), value)
+		row, err = g.opts.Table.CompareAndSet(ctx, key, known, value)
 	}
 	if fault.Is(err, fault.KindConflict) || fault.Is(err, fault.KindUnknown) {
 		return g.rereadUsage(ctx, key)
@@ -209,7 +204,7 @@
 	}
 	g.mu.Lock()
 	if missing {
-		g.usageOf(serviceOf(key)).lost(0) // the store came back from a copy without the row
+		g.usageOf(serviceOf(key)).lost("") // the store came back from a copy without the row
 	} else {
 		g.applyRow(row, time.Now())
 	}
@@ -248,7 +243,7 @@
 	defer g.mu.Unlock()
 	var out []Usage
 	for service, u := range g.usages {
-		if u.row > 0 {
+		if u.row != "" {
 			out = append(out, u.message(service))
 		}
 	}
--- a/entry/direct/origins/faults_test.go
+++ b/entry/direct/origins/faults_test.go
@@ -208,7 +208,7 @@
 	watched.Store(true)
 	go func() {
 		<-begun
-		g.ReceiveUsages([]Usage{{Service: service, Stages: map[string]stage{"v1": stageSettled, "v2": stageSettled}, Revision: 100, Row: 100}})
+		g.ReceiveUsages([]Usage{{Service: service, Stages: map[string]stage{"v1": stageSettled, "v2": stageSettled}, Revision: 100, Row: "100"}})
 		close(done)
 	}()
 	g.Update(viewOf("v1", "v2"))
--- a/entry/direct/origins/usage.go
+++ b/entry/direct/origins/usage.go
@@ -26,14 +26,14 @@
 	Service  string           `json:"service,omitempty"` // in messages
 	Stages   map[string]stage `json:"stages"`
 	Revision int64            `json:"revision"`      // counts the changes, also if the store came back from an older copy
-	Row      int64            `json:"row,omitempty"` // version of the row in the store; in messages
+	Row      string           `json:"row,omitempty"` // version of the row in the store; in messages
 }
 
 // usage is what an entry knows of the row of a service. It is not safe for concurrent use.
 type usage struct {
 	stages   map[string]stage
 	revision int64                // 0 until a row is known
-	row      int64                // version of the row in the store; 0 if there is none
+	row      string               // version of the row in the store; empty if there is none
 	stale    bool                 // the row in the store is of an earlier revision, or has other content
 	since    map[string]time.Time // when this entry learned of a version's stage
 }
@@ -47,6 +47,7 @@
 		u.row, u.stale = content.Row, content.Revision < u.revision
 	}
 	if content.Revision <= u.revision {
+		u.keepUnknown(content, stored, now)
 		return
 	}
 	since := map[string]time.Time{}
@@ -59,11 +60,25 @@
 	u.stages, u.revision, u.row, u.since, u.stale = maps.Clone(content.Stages), content.Revision, content.Row, since, false
 }
 
+// keepUnknown adds versions that only a row of no later revision has: the store came back from
+// an older copy, and another entry wrote the row since.
+func (u *usage) keepUnknown(content Usage, stored bool, now time.Time) {
+	if !stored || maps.Equal(content.Stages, u.stages) {
+		return
+	}
+	u.stale = true
+	for software, s := range content.Stages {
+		if _, known := u.stages[software]; !known {
+			u.stages[software], u.since[software] = s, now
+		}
+	}
+}
+
 // lost records that the store has no row, or one that cannot be read, with the given version.
 // What is known is written again; a version that is not known has to be announced.
-func (u *usage) lost(row int64) {
+func (u *usage) lost(row string) {
 	u.row, u.stale = row, true
-	if row > 0 {
+	if row != "" {
 		u.revision = max(u.revision, 1)
 	}
 }
@@ -74,7 +89,7 @@
 }
 
 // current reports whether the store has what this entry knows.
-func (u *usage) current() bool { return u.row > 0 && !u.stale }
+func (u *usage) current() bool { return u.row != "" && !u.stale }
 
 // settled reports whether the version may get streams. seen is when this entry first
 // saw it registered.
--- a/entry/direct/origins/usage_test.go
+++ b/entry/direct/origins/usage_test.go
@@ -11,7 +11,7 @@
 func step(t *testing.T, u *usage, registered []string, now time.Time) {
 	t.Helper()
 	if stages, change := u.next(registered, nil, true, now); change {
-		u.apply(Usage{Stages: stages, Revision: u.revision + 1, Row: u.row + 1}, true, now)
+		u.apply(Usage{Stages: stages, Revision: u.revision + 1, Row: "1"}, true, now)
 	}
 }
 
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -101,17 +101,22 @@
 	defer w.mu.Unlock()
 	old := w.current.Load()
 	if source == decisionlog.SourceStore {
-		w.followStoreBack(reg, requestedAt)
+		w.followStoreBack(reg, old, requestedAt)
 	}
-	if requestedAt.Before(w.wentBackAt) || reg.Position < w.position || reg.Position == w.position && requestedAt.Before(old.ServersRead) {
+	order := reg.Position.Compare(w.position)
+	if requestedAt.Before(w.wentBackAt) || order < 0 || order == 0 && requestedAt.Before(old.ServersRead) {
 		w.ignoreServers(reg.Position, requestedAt, source, "newer ones are in use")
 		return nil
 	}
+	if reg.Position.Era > w.position.Era && !old.ServersRead.IsZero() {
+		w.storeReturned(reg, old, requestedAt)
+	}
+	w.era.observe(reg.Position.Era)
 	w.position, w.appliedAt, w.ignoring = reg.Position, time.Now(), false
 	w.logUnreadable(reg.Unreadable)
 	w.noteRegistered(reg, requestedAt)
 	if w.reads.outage.position == 0 {
-		w.reads.outage.position = reg.Position
+		w.reads.outage.position = reg.Position.Version
 	}
 	next := *old
 	next.Servers = fleet.Merge(old.Servers, reg, w.keep)
@@ -128,14 +133,12 @@
 // written last. Otherwise all lists would be ignored until the versions have passed the earlier
 // ones. Registrations that were lost as well come back like those that expire in an outage. The
 // caller holds mu.
-func (w *Watcher) followStoreBack(reg fleet.Registry, requestedAt time.Time) {
-	if reg.Position >= w.position || !requestedAt.After(w.appliedAt) {
+func (w *Watcher) followStoreBack(reg fleet.Registry, old *fleet.View, requestedAt time.Time) {
+	if reg.Position.Compare(w.position) >= 0 || reg.Position.Era < w.position.Era || !requestedAt.After(w.appliedAt) {
 		return
 	}
-	w.log.Write(decisionlog.StoreWentBack{Version: reg.Position, Previous: w.position})
-	w.position, w.wentBackAt = 0, requestedAt
-	w.reads.begin(outage{start: requestedAt, end: time.Now()})
-	w.logOutage(decisionlog.SourceStore, "the store has lower versions than before")
+	w.storeReturned(reg, old, requestedAt)
+	w.position, w.wentBackAt = fleet.Position{Era: reg.Position.Era}, requestedAt
 }
 
 // noteRegistered notes which servers are registered by a list that was requested at the given
@@ -166,12 +169,12 @@
 
 // ignoreServers logs the first of a series of lists that are not applied and that were read
 // later than the list in use. Older ones are common. The caller holds mu.
-func (w *Watcher) ignoreServers(position int64, read time.Time, source, reason string) {
+func (w *Watcher) ignoreServers(position fleet.Position, read time.Time, source, reason string) {
 	if w.ignoring || !read.After(w.current.Load().ServersRead) {
 		return
 	}
 	w.ignoring = true
-	w.log.Write(decisionlog.ServersIgnored{Version: position, Previous: w.position, ViewAge: time.Since(read), Source: source, Reason: reason})
+	w.log.Write(decisionlog.ServersIgnored{Version: position.Version, Previous: w.position.Version, ViewAge: time.Since(read), Source: source, Reason: reason})
 }
 
 // logUnreadable logs each undecodable registration when it is first seen. The caller holds mu.
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -16,7 +16,7 @@
 // Kinds of shared documents.
 const (
 	KindConfig  = "config"  // Body is the raw configuration, Version is its version
-	KindServers = "servers" // Body is an encoded sharedServers, Version is the store position of the read
+	KindServers = "servers" // Body is an encoded sharedServers, Version is the encoded store position of the read
 )
 
 const (
@@ -88,7 +88,7 @@
 	read := time.Now().Add(-d.Age)
 	w.recordPeerRead(d.Peer, read, list.outage(read))
 	servers := subtractAge(list.registered(w.Current().ServersRead.IsZero()), d.Age)
-	w.ApplyServers(fleet.Registry{Servers: servers, Unreadable: list.Unreadable, Position: d.Version}, read, d.Peer)
+	w.ApplyServers(fleet.Registry{Servers: servers, Unreadable: list.Unreadable, Position: fleet.PositionOf(d.Version)}, read, d.Peer)
 	return nil
 }
 
@@ -144,7 +144,7 @@
 		event.Log(w.logger, event.DocumentFailed, event.Subject(KindServers), event.Err(err))
 		return
 	}
-	w.share(Document{Kind: KindServers, Version: reg.Position, Body: body, Age: time.Since(v.ServersRead)})
+	w.share(Document{Kind: KindServers, Version: reg.Position.Number(), Body: body, Age: time.Since(v.ServersRead)})
 }
 
 // encodeServers returns an error if the list is longer than decodeServers accepts. Each entry
--- a/entry/direct/view/share_test.go
+++ b/entry/direct/view/share_test.go
@@ -49,7 +49,7 @@
 // the last document that it shared.
 func (r *testWatcher) refresh(t *testing.T, position int64, ids ...string) Document {
 	t.Helper()
-	r.store.reg, r.store.err = fleet.Registry{Position: position}, nil
+	r.store.reg, r.store.err = fleet.Registry{Position: fleet.Position{Version: position}}, nil
 	for _, id := range ids {
 		r.store.reg.Servers = append(r.store.reg.Servers, fleet.Server{ID: id, Residents: []fleet.Resident{{Model: "m"}}})
 	}
@@ -162,7 +162,7 @@
 	a, b := newTestWatcher(), newTestWatcher()
 	b.apply(t, a.refresh(t, 1, "a", "b"))
 	b.assertServers(t, "a", "b")
-	a.store.reg = fleet.Registry{Position: 2, Servers: []fleet.Server{{ID: "b"}}, Unreadable: []string{"a"}}
+	a.store.reg = fleet.Registry{Position: fleet.Position{Version: 2}, Servers: []fleet.Server{{ID: "b"}}, Unreadable: []string{"a"}}
 	a.Refresh(t.Context())
 	a.assertServers(t, "b")
 	b.apply(t, a.shared)
@@ -170,7 +170,7 @@
 	b.apply(t, a.refresh(t, 3, "a", "b"))
 	b.assertServers(t, "a", "b")
 	a.failRefresh()
-	a.store.reg, a.store.err = fleet.Registry{Position: 4, Unreadable: []string{"a"}}, nil
+	a.store.reg, a.store.err = fleet.Registry{Position: fleet.Position{Version: 4}, Unreadable: []string{"a"}}, nil
 	a.Refresh(t.Context())
 	a.assertServers(t, "b") // the registration of b may have expired during the outage
 }
@@ -181,7 +181,7 @@
 func TestOddRowsMakeSharedListUnreadable(t *testing.T) {
 	const oddRows, keyBytes = 20_000, 200
 	a, b := newTestWatcher(), newTestWatcher()
-	a.store.reg = fleet.Registry{Position: 1, Servers: []fleet.Server{{ID: "a"}}}
+	a.store.reg = fleet.Registry{Position: fleet.Position{Version: 1}, Servers: []fleet.Server{{ID: "a"}}}
 	for i := range oddRows {
 		a.store.reg.Unreadable = append(a.store.reg.Unreadable, fmt.Sprintf("%0*d", keyBytes, i)+strings.Repeat("\x00", keyBytes))
 	}
@@ -189,7 +189,7 @@
 	b.apply(t, a.shared)
 	b.assertServers(t, "a")
 
-	a.store.reg = fleet.Registry{Position: 2}
+	a.store.reg = fleet.Registry{Position: fleet.Position{Version: 2}}
 	names := slices.Repeat([]string{strings.Repeat("m", 200)}, 300)
 	for i := range 200 {
 		a.store.reg.Servers = append(a.store.reg.Servers, fleet.Server{ID: fmt.Sprintf("i-%03d", i), OnDisk: names})
@@ -206,7 +206,7 @@
 func TestNamesOfOddRowsAreKept(t *testing.T) {
 	w := newTestWatcher()
 	for read := range 3 * maxUnreadable {
-		w.ApplyServers(fleet.Registry{Position: int64(read + 1), Unreadable: []string{fmt.Sprintf("i-%d", read), "stays"}}, time.Now(), "store")
+		w.ApplyServers(fleet.Registry{Position: fleet.Position{Version: int64(read + 1)}, Unreadable: []string{fmt.Sprintf("i-%d", read), "stays"}}, time.Now(), "store")
 		assert.Assert(t, len(w.unreadable) <= maxUnreadable, "%d names kept", len(w.unreadable))
 		assert.Assert(t, w.unreadable["stays"])
 	}
--- a/entry/direct/view/simulation_test.go
+++ b/entry/direct/view/simulation_test.go
@@ -160,7 +160,7 @@
 }
 
 func (s *simulation) registry() fleet.Registry {
-	reg := fleet.Registry{Position: s.position}
+	reg := fleet.Registry{Position: fleet.Position{Version: s.position}}
 	for _, v := range s.servers {
 		if v.listed {
 			reg.Servers = append(reg.Servers, v.Server)
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -35,14 +35,15 @@
 	logger    logrus.FieldLogger // writes to the same log
 
 	current      atomic.Pointer[fleet.View]
+	era          *storeEra
 	started      time.Time
 	configReadAt atomic.Int64 // when the store last answered a configuration request, in nanoseconds since started
 
 	mu           sync.Mutex
-	position     int64     // store position of the newest registrations
-	appliedAt    time.Time // when they were applied
-	wentBackAt   time.Time // start of the latest read that showed lower versions of the store than before; zero if none has
-	failingSince time.Time // start of the store outage for this entry; zero while the store answers
+	position     fleet.Position // of the newest registrations in the store's history
+	appliedAt    time.Time      // when they were applied
+	wentBackAt   time.Time      // start of the latest read that showed lower versions of the store than before; zero if none has
+	failingSince time.Time      // start of the store outage for this entry; zero while the store answers
 	reads        storeReads
 	unreadable   map[string]bool      // keys of registrations that could not be decoded and were logged
 	ignoring     bool                 // a list has been ignored since the last one that was applied
@@ -63,6 +64,7 @@
 		log:        log,
 		logger:     log.Logger(),
 		unreadable: map[string]bool{},
+		era:        newStoreEra(),
 		share:      func(Document) {},
 
 		leaving:      newLeavingServers(),
@@ -91,15 +93,15 @@
 // RunConfig reads the configuration and its changes until ctx is done.
 func (w *Watcher) RunConfig(ctx context.Context) {
 	pause := retryPause
-	var position int64
+	var position fleet.Position
 	known := false
 	for ctx.Err() == nil {
 		var s fleet.Snapshot
 		var err error
 		if known {
-			s, err = w.directory.NextConfig(ctx, position, configWait)
+			s, err = w.nextConfig(ctx, position)
 		} else {
-			s, err = w.directory.Config(ctx)
+			s, err = w.wholeConfig(ctx)
 		}
 		if fault.Is(err, fault.KindNotFound) {
 			err = nil
