Begin a wait for the next configuration anew when it may have been lost

Cause: an entry learns of a configuration by a call that waits at the store for 20 s. A call that is sent into the silence, or whose answer is due in it, is never answered, but its connection lives, so neither TCP keep-alive nor TCP_USER_TIMEOUT ends it; only its own timeout does, after 21.5 s. The entries' waits end together, so no entry could tell the others.

Change: entry/direct/view/waitcheck.go decides, without clock or I/O, when a wait may be lost. A read of the registrations by this entry that gets no answer puts it in doubt; a later one that is answered, by this entry or a peer, begins it anew, 5 ms apart by rank. The entry that reads the registrations for all waits for 4 s instead of 20 s, which bounds a loss that no read shows; one that takes the reads over begins its wait anew. Events 680 and 681, config_wait_doubted_seconds, and wait_doubted_ms in the state dump. RunConfig changes by one call.

Evidence: platformtest.StoreSilent and CallUnanswered lose calls and answers while connections stay open.

--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -139,6 +139,21 @@
 	Down time.Duration // length of the outage
 }
 
+// ConfigWaitDoubted records that the call that waits for the next configuration may be
+// lost, since another call to the store got no answer meanwhile.
+type ConfigWaitDoubted struct {
+	Waited time.Duration // since the call began
+}
+
+// ConfigWaitRenewed records that the call that waits for the next configuration is given
+// up and begun anew.
+type ConfigWaitRenewed struct {
+	Reason  string
+	Waited  time.Duration // since the call began
+	Doubted time.Duration // for how long it was in doubt; zero if it was not
+	Delay   time.Duration // until it is begun anew
+}
+
 // leftOut records how many lines were left out.
 type leftOut struct {
 	counts map[string]int64 // by event name
@@ -216,6 +231,12 @@
 // Event implements Record.
 func (StoreRecovered) Event() event.Event { return event.StoreRecovered }
 
+// Event implements Record.
+func (ConfigWaitDoubted) Event() event.Event { return event.ConfigWaitDoubted }
+
+// Event implements Record.
+func (ConfigWaitRenewed) Event() event.Event { return event.ConfigWaitRenewed }
+
 // Event implements Record.
 func (leftOut) Event() event.Event { return event.LogLinesLeftOut }
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -104,6 +104,15 @@
 	e.duration("down_ms", r.Down)
 }
 
+func (r ConfigWaitDoubted) encode(e *encoder) { e.duration("waited_ms", r.Waited) }
+
+func (r ConfigWaitRenewed) encode(e *encoder) {
+	e.text("reason", r.Reason)
+	e.duration("waited_ms", r.Waited)
+	e.duration("doubted_ms", r.Doubted)
+	e.duration("delay_ms", r.Delay)
+}
+
 func (r leftOut) encode(e *encoder) { e.counts("left_out", r.counts) }
 
 func (r truncated) encode(e *encoder) { e.count("count", int64(r.count)) }
--- a/common/event/state.go
+++ b/common/event/state.go
@@ -2,7 +2,7 @@
 
 import "github.com/sirupsen/logrus"
 
-// Events 640 to 679: the state of a deployment whose backend servers are
+// Events 640 to 689: the state of a deployment whose backend servers are
 // called directly, as a process sees it.
 var (
 	ConfigReplaced      = define(640, "configuration replaced", logrus.InfoLevel, "This process now uses another configuration version.")
@@ -26,4 +26,6 @@
 	RequestReleased     = define(659, "request released", logrus.WarnLevel, "The quarantine of a request ended early, since one with its digest was answered; source is the entry that told it, or answer.")
 	SettingsReloaded    = define(670, "settings reloaded", logrus.InfoLevel, "The settings file was read again; reason says what changed, or that nothing did.")
 	SettingsNotReloaded = define(671, "settings not reloaded", logrus.ErrorLevel, "The settings file cannot be used; the current settings stay active. Correct the file named in the error.")
+	ConfigWaitDoubted   = define(680, "configuration wait doubted", logrus.WarnLevel, "A read of the store got no answer while this process waited for the next configuration there, so that call may be lost as well; waited_ms is how long it has waited. It is begun anew (681) when the store answers this process or another entry.")
+	ConfigWaitRenewed   = define(681, "configuration wait begun anew", logrus.InfoLevel, "The call that waits for the next configuration is given up and begun anew after delay_ms, for the reason given: it may be lost, or this process now reads the registrations for all and waits for shorter times. doubted_ms is how long it was in doubt.")
 )
--- a/common/metrics/sources.go
+++ b/common/metrics/sources.go
@@ -25,6 +25,7 @@
 	Servers             func() map[ServerState]int
 	ConfigVersion       func() int64
 	ConfigAge           func() time.Duration
+	ConfigDoubt         func() time.Duration // for how long the call that waits for a configuration may have been lost
 	ServersAge          func() time.Duration
 	LeaseHeld           func() bool
 	QuarantinedParts    func() int              // prompt parts whose requests are refused
@@ -49,6 +50,7 @@
 	descServers             = newDesc("servers", "Backend servers by state.", labelService, labelState)
 	descConfigVersion       = newDesc("config_version", "Version of the configuration in force.")
 	descConfigAge           = newDesc("config_age_seconds", "Time since the store was last asked for the configuration with success.")
+	descConfigDoubt         = newDesc("config_wait_doubted_seconds", "Time for which the call that waits for the next configuration may have been lost; 0 while it is not in doubt.")
 	descServersAge          = newDesc("servers_age_seconds", "Time since the store was last asked for the backend servers with success.")
 	descServerCalls         = newDesc("server_calls_total", "Orders given to model servers and reports asked of them.", labelOutcome)
 	descQuarantinedParts    = newDesc("quarantined_prompt_parts", "Prompt parts whose requests are refused because servers crash on them.")
@@ -61,7 +63,7 @@
 func (s sourceCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		descWritten, descLeftOut, descWaiting, descInProgress, descBudget,
-		descServers, descConfigVersion, descConfigAge, descServersAge, descLeaseHeld, descServerCalls,
+		descServers, descConfigVersion, descConfigAge, descConfigDoubt, descServersAge, descLeaseHeld, descServerCalls,
 		descQuarantinedParts, descQuarantinedRequests, descLimited,
 	} {
 		out <- d
@@ -78,6 +80,7 @@
 	sendGauge(out, descLimited, s.Limited)
 	sendGauge(out, descConfigVersion, s.ConfigVersion)
 	sendAge(out, descConfigAge, s.ConfigAge)
+	sendAge(out, descConfigDoubt, s.ConfigDoubt)
 	sendAge(out, descServersAge, s.ServersAge)
 	s.collectByService(out)
 	if s.LeaseHeld != nil {
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -172,6 +172,12 @@
 // entries returns the number of entries and the rank of this one among them.
 func (c *coordination) entries() (n, rank int) { return c.mesh.Entries() }
 
+// rank returns the number of entries whose names sort before this one's; zero if unknown.
+func (c *coordination) rank() int {
+	_, rank := c.entries()
+	return rank
+}
+
 // strongerShare is by how much the processor of another VM must exceed this one's for the
 // orders lease to be better held there.
 const strongerShare = 1.5
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -72,6 +72,7 @@
 func startLoops(lc fx.Lifecycle, w *view.Watcher, b *balance.Balancer, c *coordination) {
 	w.OnChange(b.Update)
 	w.OnChange(c.origins.Update)
+	w.StaggerBy(c.rank)
 	daemon.Go(lc, b.Run)
 	daemon.Go(lc, w.RunConfig)
 	daemon.Go(lc, func(ctx context.Context) { w.RunServers(ctx, c.nextRead) })
--- a/entry/direct/state.go
+++ b/entry/direct/state.go
@@ -12,6 +12,8 @@
 	configState struct {
 		Version int64 `json:"version"`
 		AgeMS   int64 `json:"age_ms"` // since the store last confirmed it
+
+		DoubtedMS int64 `json:"wait_doubted_ms"` // for how long the call that waits for the next one may have been lost
 	}
 
 	serversState struct {
@@ -40,7 +42,11 @@
 // addSections adds the entry's state to the state dump.
 func addSections(server *admin.Server, w *view.Watcher, b *balance.Balancer, c *coordination) {
 	server.AddSection("config", admin.DumpFunc(func() any {
-		return configState{Version: configVersion(w.Current()), AgeMS: w.ConfigAge().Milliseconds()}
+		return configState{
+			Version:   configVersion(w.Current()),
+			AgeMS:     w.ConfigAge().Milliseconds(),
+			DoubtedMS: w.ConfigDoubt().Milliseconds(),
+		}
 	}))
 	server.AddSection("servers", admin.DumpFunc(func() any { return dumpServers(w.Current()) }))
 	server.AddSection("lease", admin.DumpFunc(func() any {
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -89,6 +89,7 @@
 		Servers:             func() map[metrics.ServerState]int { return serverStates(w.Current()) },
 		ConfigVersion:       func() int64 { return configVersion(w.Current()) },
 		ConfigAge:           w.ConfigAge,
+		ConfigDoubt:         w.ConfigDoubt,
 		LeaseHeld:           c.holdsLease,
 		QuarantinedParts:    func() int { return c.guard.Quarantined(quarantine.PromptPart) },
 		QuarantinedRequests: func() int { return c.guard.Quarantined(quarantine.WholeRequest) },
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -47,9 +47,11 @@
 	}
 	if err != nil {
 		w.recordStoreFailure(err, requestedAt)
+		w.checkWaitAfterFailure(requestedAt)
 		return
 	}
 	w.recordStoreAnswer()
+	w.checkWait(requestedAt, true)
 	if v := w.ApplyServers(reg, requestedAt); v != nil {
 		w.shareServers(v, reg)
 	}
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -80,6 +80,7 @@
 		return err
 	}
 	read := time.Now().Add(-d.Age)
+	w.checkWait(read, false)
 	if !w.recordPeerRead(read, list.outage(read)) {
 		return nil
 	}
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -18,10 +18,6 @@
 )
 
 const (
-	// configWait is how long one call waits for the next configuration. It also
-	// bounds the delay of a configuration when a call is lost unnoticed.
-	configWait = 20 * time.Second
-
 	retryPause    = 150 * time.Millisecond // delay after the first failed call
 	maxRetryPause = 600 * time.Millisecond // bounds the delay, which doubles with each consecutive failure
 )
@@ -47,6 +43,7 @@
 	share        func(Document)
 	leaving      leavingServers
 	shareLeaving func(Leaving)
+	wait         configWait
 }
 
 // New returns a Watcher with an empty view. regions maps each availability zone
@@ -63,6 +60,7 @@
 
 		leaving:      newLeavingServers(),
 		shareLeaving: func(Leaving) {},
+		wait:         configWait{rank: func() int { return 0 }},
 	}
 	w.current.Store(&fleet.View{Regions: regions})
 	return w
@@ -90,7 +88,7 @@
 		var s fleet.Snapshot
 		var err error
 		if known {
-			s, err = w.directory.NextConfig(ctx, position, configWait)
+			s, err = w.waitForConfig(ctx, position)
 		} else {
 			s, err = w.directory.Config(ctx)
 		}
--- a/operator/explain/timeline.go
+++ b/operator/explain/timeline.go
@@ -273,6 +273,7 @@
 		return true
 	case event.ConfigReplaced.ID, event.StoreLost.ID, event.StoreRecovered.ID,
 		event.EntryConnected.ID, event.EntryLost.ID, event.ConfigFailed.ID,
+		event.ConfigWaitDoubted.ID, event.ConfigWaitRenewed.ID,
 		event.SettingsReloaded.ID, event.SettingsNotReloaded.ID,
 		event.ProcessStarted.ID, event.ProcessStopping.ID, event.ProcessStopped.ID,
 		event.LogLinesLeftOut.ID, event.ListenerFailed.ID:
