--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -168,6 +168,21 @@
 	Reason   string
 }
 
+// ConfigWaitDoubted records that the call that waits for the next configuration may be
+// lost, since another call to the store got no answer meanwhile.
+type ConfigWaitDoubted struct {
+	Waited time.Duration // since the call began
+}
+
+// ConfigWaitRenewed records that the call that waits for the next configuration is given
+// up and begun anew.
+type ConfigWaitRenewed struct {
+	Reason  string
+	Waited  time.Duration // since the call began
+	Doubted time.Duration // for how long it was in doubt; zero if it was not
+	Delay   time.Duration // until it is begun anew
+}
+
 // leftOut records how many lines were left out.
 type leftOut struct {
 	counts map[string]int64 // by event name
@@ -254,6 +269,12 @@
 // Event implements Record.
 func (ServersIgnored) Event() event.Event { return event.ServersIgnored }
 
+// Event implements Record.
+func (ConfigWaitDoubted) Event() event.Event { return event.ConfigWaitDoubted }
+
+// Event implements Record.
+func (ConfigWaitRenewed) Event() event.Event { return event.ConfigWaitRenewed }
+
 // Event implements Record.
 func (leftOut) Event() event.Event { return event.LogLinesLeftOut }
 
--- a/common/event/state.go
+++ b/common/event/state.go
@@ -2,7 +2,7 @@
 
 import "github.com/sirupsen/logrus"
 
-// Events 640 to 679: the state of a deployment whose backend servers are
+// Events 640 to 689: the state of a deployment whose backend servers are
 // called directly, as a process sees it.
 var (
 	ConfigReplaced      = define(640, "configuration replaced", logrus.InfoLevel, "This process now uses another configuration version.")
@@ -37,4 +37,6 @@
 	ServerKept          = define(672, "server kept", logrus.WarnLevel, "A backend server has no registration in the newest list, and is used until keep_ms have passed; reason says why: an outage of the store, after which live servers register again.")
 	StoreOutage         = define(673, "store outage assumed", logrus.WarnLevel, "No entry is known to have read the registrations from start_ms ago to end_ms ago. Servers without a registration are kept for a while; see line 672. source says how this entry knows: store, for its own reads, or the entry whose list says so; reason says how it was concluded.")
 	ServersIgnored      = define(674, "server list ignored", logrus.WarnLevel, "A list of servers was not applied, for the given reason; row_version is its version in the store, previous that of the list in use, and source is store or the entry that sent it. Of a series only the first is written. If the store itself answers with lower versions, it has lost some.")
+	ConfigWaitDoubted   = define(680, "configuration wait doubted", logrus.WarnLevel, "A read of the store got no answer while this process waited for the next configuration there, so that call may be lost as well; waited_ms is how long it has waited. It is begun anew (681) when the store answers this process or another entry.")
+	ConfigWaitRenewed   = define(681, "configuration wait begun anew", logrus.InfoLevel, "The call that waits for the next configuration is given up and begun anew after delay_ms, for the reason given: it may be lost, or this process now reads the registrations for all and waits for shorter times. doubted_ms is how long it was in doubt.")
 )
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -76,6 +76,7 @@
 func startLoops(lc fx.Lifecycle, w *view.Watcher, b *balance.Balancer, c *coordination) {
 	w.OnChange(c.origins.Update) // first, so that the balancer knows which versions get no streams yet
 	w.OnChange(b.Update)
+	w.StaggerBy(c.rank)
 	daemon.Go(lc, b.Run)
 	daemon.Go(lc, w.RunConfig)
 	daemon.Go(lc, func(ctx context.Context) { w.RunServers(ctx, c.nextRead) })
--- a/entry/direct/view/era.go
+++ b/entry/direct/view/era.go
@@ -64,13 +64,13 @@
 	return watched, func() { cancel(nil) }
 }
 
-// nextConfig waits for a configuration written after the position. The error has
+// nextConfig waits up to wait for a configuration written after the position. The error has
 // KindConflict if the store has returned from an older copy since: what was written after
 // that may have an earlier version than the position, so that the wait misses it.
-func (w *Watcher) nextConfig(ctx context.Context, position fleet.Position) (fleet.Snapshot, error) {
+func (w *Watcher) nextConfig(ctx context.Context, position fleet.Position, wait time.Duration) (fleet.Snapshot, error) {
 	watched, stop := w.era.watch(ctx, position.Era)
 	defer stop()
-	s, err := w.directory.NextConfig(watched, position, configWait)
+	s, err := w.directory.NextConfig(watched, position, wait)
 	if err == nil {
 		w.era.observe(s.Position.Era)
 	}
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -50,9 +50,11 @@
 	}
 	if err != nil {
 		w.recordStoreFailure(err, requestedAt)
+		w.checkWaitAfterFailure(requestedAt)
 		return
 	}
 	w.recordStoreAnswer(requestedAt)
+	w.checkWait(requestedAt, true)
 	if v := w.ApplyServers(reg, requestedAt, decisionlog.SourceStore); v != nil {
 		w.shareServers(v, reg)
 	}
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -86,6 +86,7 @@
 		return err
 	}
 	read := time.Now().Add(-d.Age)
+	w.checkWait(read, false)
 	w.recordPeerRead(d.Peer, read, list.outage(read))
 	servers := subtractAge(list.registered(w.Current().ServersRead.IsZero()), d.Age)
 	w.ApplyServers(fleet.Registry{Servers: servers, Unreadable: list.Unreadable, Position: fleet.PositionOf(d.Version)}, read, d.Peer)
