A row of another writer in place of the orders lease ends no orders

Cause: a row that could not be decoded failed each step, and a token of 2^63-1 became negative.

Change: such a row counts as one of before the store returned from a copy: who holds the lease is not known, and the next token is above the position in the store's history, which is above every token, since each was written there. The holder goes on with a higher token; without one another entry waits for the lease's time and gap.

TestRowOfOtherWriterEndsOrders: ten cases.

--- a/entry/direct/orders/leaserow.go
+++ b/entry/direct/orders/leaserow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"peridotchute.example/common/fault"
@@ -30,10 +31,7 @@
 	if row.Version == l.row.Version {
 		return false, nil
 	}
-	var value leaseRow
-	if err := json.Unmarshal(row.Value, &value); err != nil {
-		return false, fault.New(fault.KindInternal, "orders.lease", leaseKey, err)
-	}
+	value, err := decodeLeaseRow(row)
 	l.noteEra(row.Era)
 	l.readToken = max(l.readToken, value.FencingToken)
 	l.row, l.value, l.firstSeen = row, value, l.clock()
@@ -45,7 +43,29 @@
 	if row.Version == l.noticeVersion {
 		l.firstSeen = l.noticeVersionSeen
 	}
-	return true, nil
+	return true, err
+}
+
+const (
+	// maxToken exceeds the tokens that entries write.
+	maxToken = 1 << 62
+
+	// noEra is the era of a row that no entry has written: it is before that of any store.
+	noEra = -1
+)
+
+// decodeLeaseRow decodes the row. One that no entry has written, as another writer may leave
+// it, becomes a row of an earlier era: what it replaced is not known.
+func decodeLeaseRow(row store.Row) (leaseRow, error) {
+	var value leaseRow
+	err := json.Unmarshal(row.Value, &value)
+	if err == nil && (value.FencingToken <= 0 || value.FencingToken > maxToken || value.Era < 0) {
+		err = fmt.Errorf("fencing token %d of era %d", value.FencingToken, value.Era)
+	}
+	if err != nil {
+		return leaseRow{Era: noEra}, fault.New(fault.KindInvalid, "orders.lease", leaseKey, err)
+	}
+	return value, nil
 }
 
 // nextRow returns the row with which this entry would renew or acquire the lease,
--- a/entry/direct/orders/rewind_test.go
+++ b/entry/direct/orders/rewind_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -266,3 +267,37 @@
 		table.rewind(table.copies[rapid.IntRange(0, len(table.copies)-1).Draw(t, "which")])
 	}
 }
+
+// TestRowOfOtherWriterEndsOrders has another writer replace the row of the lease. Its holder goes on
+// with a higher token; if it has ended, another entry takes over after the wait.
+func TestRowOfOtherWriterEndsOrders(t *testing.T) {
+	odd := []string{"", `{"holder":7}`, `{"holder":"c","term":9223372036854775807}`, `{"holder":"c","term":-1}`, `{"holder":"c","term":1,"era":-5}`}
+	for _, value := range odd {
+		for _, ended := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%q, holder ended %v", value, ended), func(t *testing.T) {
+				clock, table := &fakeClock{now: time.Hour}, newTable()
+				a, b := newLease(table, "a", clock), newLease(table, "b", clock)
+				step(t, a)
+				before := mustHold(t, a)
+				row, err := table.Get(context.Background(), leaseKey)
+				assert.NilError(t, err)
+				_, err = table.CompareAndSet(context.Background(), leaseKey, row.Version, []byte(value))
+				assert.NilError(t, err)
+				began := clock.now
+				for clock.now-began < 2*(leaseDuration+testGap) {
+					clock.add(renewInterval)
+					if !ended {
+						_, _ = a.step(context.Background()) // fails when it finds the row
+					}
+					_, _ = b.step(context.Background())
+					assert.Assert(t, !holds(b) || ended && clock.now-began >= leaseDuration+testGap)
+				}
+				next := a
+				if ended {
+					next = b
+				}
+				assert.Assert(t, mustHold(t, next) > before)
+			})
+		}
+	}
+}
