orders: a margin between the orders of two lease holders, and for orders without an answer

An order whose call was given up may still be delivered by the kernel for 2 s (TCP_USER_TIMEOUT), so it may arrive 1 s before one of the next holder.

Cause: the gap was exactly lease_ms, counted from the end of the order's call by two clocks, and a call without an answer counted like one that had ended at the server.

Change: 250 ms are added to the gap, and an order without an answer counts as sent 2 s after its call. A margin of a second was weighed: each handover would keep the servers that had orders lately without further ones for another second, which requests for adapters feel.

TestTakeoverAfterKillWithOrderInFlight waited for exactly the gap; it now checks that the lease is not taken then and is taken 250 ms later.

--- a/entry/direct/orders/ensure_test.go
+++ b/entry/direct/orders/ensure_test.go
@@ -187,6 +187,10 @@
 	r.clock.add(leaseDuration + testGap)
 	r.start()
 	_, mine := r.manager.LeaseHolder()
+	assert.Assert(t, !mine)
+	r.clock.add(gapMargin)
+	r.start()
+	_, mine = r.manager.LeaseHolder()
 	assert.Assert(t, mine)
 	for _, adapter := range []string{"a2", "a3"} {
 		_, err := r.ensure("m1", adapter)
--- a/entry/direct/orders/handover.go
+++ b/entry/direct/orders/handover.go
@@ -20,7 +20,7 @@
 // successor, so that the successor need not wait before it orders servers that
 // have had no order within the lease gap.
 type Handover struct {
-	Orders map[string]int64   `json:"orders,omitempty"` // by server: age in ms of the newest order, if within the lease gap
+	Orders map[string]int64   `json:"orders,omitempty"` // by server: age in ms of the newest order, if within the lease gap; negative if it may still arrive
 	Loads  map[string][]int64 `json:"loads,omitempty"`  // by service: age in ms of each load from the weight store
 
 	Work map[string]WorkInProgress `json:"work,omitempty"` // by server: the model order in progress
@@ -116,12 +116,14 @@
 }
 
 func (t *orderTimes) begin(server string, now time.Duration) {
-	t.last[server] = now
+	t.last[server] = max(t.last[server], now)
 	t.sending[server]++
 }
 
-func (t *orderTimes) end(server string, now time.Duration) {
-	t.last[server] = now
+// end records that the call of an order has returned. Until at, the order may still reach its
+// server.
+func (t *orderTimes) end(server string, at time.Duration) {
+	t.last[server] = max(t.last[server], at)
 	if t.sending[server]--; t.sending[server] <= 0 {
 		delete(t.sending, server)
 	}
@@ -136,7 +138,7 @@
 		out[server] = (now - at).Milliseconds()
 	}
 	for server := range t.sending {
-		out[server] = 0
+		out[server] = min(out[server], 0)
 	}
 	return out
 }
--- a/entry/direct/orders/issue.go
+++ b/entry/direct/orders/issue.go
@@ -96,8 +96,7 @@
 	if now := m.opts.Clock(); now < m.lease.fencedUntil()[c.server.ID] {
 		return 0, fault.Newf(fault.KindUnavailable, "orders.give", c.server.ID, "fenced after a recent order of an earlier lease holder")
 	}
-	m.recordSend(c.server.ID, true)
-	defer m.recordSend(c.server.ID, false)
+	m.beginSend(c.server.ID)
 	c.order.LeaseHolder, c.order.FencingToken = m.opts.Self, token
 	timeout := orderTimeout
 	if c.order.Adapter != "" {
@@ -105,19 +104,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(timeout, left))
 	defer cancel()
-	return m.opts.Control.Order(ctx, &c.server, c.order)
+	outcome, err := m.opts.Control.Order(ctx, &c.server, c.order)
+	m.endSend(c.server.ID, err)
+	return outcome, err
 }
 
-// recordSend records that an order to the server is being sent, or that its call has
-// returned.
-func (m *Manager) recordSend(server string, begins bool) {
+// beginSend records that an order to the server is being sent.
+func (m *Manager) beginSend(server string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if begins {
-		m.orderTimes.begin(server, m.opts.Clock())
-		return
+	m.orderTimes.begin(server, m.opts.Clock())
+}
+
+// endSend records that the call of an order has returned. One without an answer may still be
+// on its way.
+func (m *Manager) endSend(server string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := m.opts.Clock()
+	if err != nil && !notDelivered(err) {
+		at += lateArrival
 	}
-	m.orderTimes.end(server, m.opts.Clock())
+	m.orderTimes.end(server, at)
 }
 
 // notDelivered reports whether the failed order certainly did not reach its server.
--- a/entry/direct/orders/manager.go
+++ b/entry/direct/orders/manager.go
@@ -30,6 +30,13 @@
 	defaultLoadWindow = 5 * time.Second
 	// defaultLeaseGap is the default for Options.LeaseGap.
 	defaultLeaseGap = 3 * time.Second
+
+	// gapMargin is added to the gap: VMs measure it with clocks of slightly different speeds.
+	gapMargin = 250 * time.Millisecond
+
+	// lateArrival is how long the kernel may still deliver an order whose call has been given
+	// up: as long as it repeats data that is not acknowledged.
+	lateArrival = 2 * time.Second
 )
 
 // Options configure a Manager.
@@ -90,6 +97,7 @@
 	if opts.LeaseGap <= 0 {
 		opts.LeaseGap = defaultLeaseGap
 	}
+	opts.LeaseGap += gapMargin
 	if opts.LoadWindow <= 0 {
 		opts.LoadWindow = defaultLoadWindow
 	}
