A stream that goes on is not refused for the length of its whole answer

Cause: admission compared the time that was left with the first event and the whole answer, also where a client already had most of it. Evidence: lines 605 of such streams, for example 7,242 ms left, 495 expected, "expected after its deadline". Ruled out by 614 and 605: versions not known (2 of 99), no server with the model (38 of 83 refusals, which waited in vain for the same reason).

Change: a stream that goes on, taken up by its client or by the entry itself, is refused only if its next event can't come in time, and is queued by when that is due.

--- a/admission/flow.go
+++ b/admission/flow.go
@@ -41,7 +41,7 @@
 	batch             *routing.Batch // where work is reserved; may be nil
 	work              time.Duration  // reserved server time
 	timeToFirst       time.Duration  // from the start at a server to the first event
-	streamTime        time.Duration  // from the first event to the end of the answer
+	streamTime        time.Duration  // from the first event to the end of the answer; 0 for a broken stream, which goes on as far as it can
 }
 
 // maxAwaited is the maximum number of servers that a pass of Next leaves to
@@ -62,7 +62,9 @@
 // setEstimates sets the expected times from an offer.
 func (r *queuedRequest[T]) setEstimates(o *Offer) {
 	r.timeToFirst = max(o.Wait-o.Backlog-o.Load, 0)
-	r.streamTime = time.Duration(r.w.Tokens) * o.Step
+	if !r.w.Resumed {
+		r.streamTime = time.Duration(r.w.Tokens) * o.Step
+	}
 }
 
 // mayGetServer reports whether a request for which there is no server should
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -19,7 +19,7 @@
 	Deadline time.Time
 	Exclude  []string // IDs of servers that failed or declined the request; offered if there is no other
 	Gone     []string // IDs of servers that refused the connection; not offered
-	Resumed  bool     // a stream that continues after a failed attempt
+	Resumed  bool     // a stream that goes on after some of its events
 	Software string   // if set, only servers of this software version may get the request
 
 	// Successor seeks a server to replace that of an attempt in progress: no excluded
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -179,7 +179,7 @@
 		Deadline: r.req.deadline(),
 		Exclude:  r.exclude,
 		Gone:     r.gone,
-		Resumed:  r.stream != nil,
+		Resumed:  r.stream != nil || r.req.resumesStream(),
 		Software: r.software,
 	}
 }
