An answer that names no request is not taken for that of a later one

Cause: an answer without an ID was believed if it said "not run" or was no success, whatever the connection had carried; and an ID names a client attempt, so that the refusal of a first sending was taken for that of a second one on the same connection.

An answer that names an attempt must name this one, and no connection carries an attempt twice (Sendings; the connection is closed and another one used, nothing has been written). An answer that names none must be the first on its connection. Anything else counts as may have run.

--- a/entry/direct/exchange/conn.go
+++ b/entry/direct/exchange/conn.go
@@ -31,6 +31,20 @@
 // errCallerLeft means that the caller left before the request was written.
 var errCallerLeft = errors.New("the caller has left")
 
+// errCarriedBefore means that the connection has carried the client attempt before. Nothing
+// was written.
+var errCarriedBefore = errors.New("the connection has carried this request before")
+
+// withholding says why the next request must not be written to a connection.
+type withholding int32
+
+// The values of withholding.
+const (
+	notWithheld           withholding = iota
+	withheldCallerLeft                // its caller has left
+	withheldCarriedBefore             // the connection has carried its client attempt before
+)
+
 // IsStale reports whether an attempt failed before anything was written because its
 // reused connection had been idle for too long or was closed, which does not
 // indicate a server fault.
@@ -47,16 +61,32 @@
 	lastUsed atomic.Int64 // nanoseconds since processStart
 	maxIdle  atomic.Int64 // nanoseconds; 0 when the server set no limit
 	busy     atomic.Bool  // from the start of a request to the end of its response
-	withheld atomic.Bool  // the next request must not be written: its caller has left
-	onClose  func()       // may be called several times; nil for none
+	requests atomic.Int64 // begun, the current one included
+	withheld atomicWithholding
+	onClose  func() // may be called several times; nil for none
 }
 
 // processStart is the origin of lastUsed.
 var processStart = time.Now()
 
+// atomicWithholding is a withholding that goroutines share.
+type atomicWithholding struct{ v atomic.Int32 }
+
+func (a *atomicWithholding) Load() withholding   { return withholding(a.v.Load()) }
+func (a *atomicWithholding) Store(w withholding) { a.v.Store(int32(w)) }
+
+// beginRequest records that a request is about to be written, or withheld.
+func (c *conn) beginRequest(w withholding) {
+	c.requests.Add(1)
+	c.withheld.Store(w)
+}
+
 func (c *conn) Write(p []byte) (int, error) {
-	if c.withheld.Load() {
+	switch c.withheld.Load() {
+	case withheldCallerLeft:
 		return 0, errCallerLeft
+	case withheldCarriedBefore:
+		return 0, errCarriedBefore
 	}
 	now := int64(time.Since(processStart))
 	if idle := c.maxIdle.Load(); idle > 0 && now-c.lastUsed.Load() > idle && !c.busy.Load() {
--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -49,6 +49,10 @@
 	// CallerLeft reports whether the caller has closed its connection. It is asked once a
 	// connection to the server exists; nothing is sent then. It may be nil.
 	CallerLeft func() bool
+
+	// Sendings are those of the client attempt so far. None of their connections is used
+	// again. It may be nil.
+	Sendings *Sendings
 }
 
 // Response is a server's response whose body has not been read.
@@ -92,12 +96,23 @@
 // request. KindInvalid means that the response does not belong to the request, which
 // the server may have run.
 func (x *Exchanger) Send(ctx context.Context, call *Call) (*Response, error) {
+	for {
+		resp, err := x.sendOnce(ctx, call)
+		if !errors.Is(err, errCarriedBefore) {
+			return resp, err
+		}
+	}
+}
+
+// sendOnce is Send with one connection. The error is errCarriedBefore if that has carried
+// the client attempt before; it is closed then, and nothing has been sent.
+func (x *Exchanger) sendOnce(ctx context.Context, call *Call) (*Response, error) {
 	var used *conn
 	var writtenBefore int64
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			used, writtenBefore = c, c.written.Load()
-			c.withheld.Store(ctx.Err() != nil || call.CallerLeft != nil && call.CallerLeft())
+			c.beginRequest(call.withheld(ctx, c))
 		}
 	}}
 	req, err := x.request(httptrace.WithClientTrace(ctx, trace), call)
@@ -106,6 +121,9 @@
 	}
 	resp, err := x.transport.RoundTrip(req)
 	if err != nil {
+		if used != nil && used.withheld.Load() == withheldCarriedBefore {
+			return nil, errCarriedBefore
+		}
 		if showsEnd(err) {
 			x.connections.closeIdle(call.Address)
 		}
@@ -130,6 +148,18 @@
 	return response, nil
 }
 
+// withheld returns why the call must not be written to the connection, if it must not, and
+// otherwise counts the connection as one that has carried the client attempt.
+func (call *Call) withheld(ctx context.Context, c *conn) withholding {
+	switch {
+	case ctx.Err() != nil || call.CallerLeft != nil && call.CallerLeft():
+		return withheldCallerLeft
+	case call.Sendings != nil && !call.Sendings.add(c):
+		return withheldCarriedBefore
+	}
+	return notWithheld
+}
+
 // sendError classifies a failed round trip by whether anything was written. If the
 // connection was established but nothing was written, it was stale.
 func sendError(call *Call, used *conn, writtenBefore int64, err error) error {
@@ -142,23 +172,6 @@
 	return fault.New(fault.KindUnavailable, sendStep, call.Address, errors.Join(errStale, err))
 }
 
-// mismatch returns why a response cannot belong to the call, or "" if it can.
-func mismatch(call *Call, r *Response) string {
-	switch {
-	case r.Outcome.ID != "" && r.Outcome.ID != call.ID:
-		return "the response is for request " + r.Outcome.ID
-	case r.Outcome.NotRun:
-		return ""
-	case r.Status == http.StatusSwitchingProtocols:
-		return "unrequested switch of protocols"
-	case r.Status < 300 && (!r.Outcome.FromServer || r.Outcome.ID == ""):
-		return "successful response without a signature"
-	case r.Header.Get("Content-Encoding") != "":
-		return "response with an unrequested Content-Encoding"
-	}
-	return ""
-}
-
 // body marks its connection as idle at the end of the response.
 type body struct {
 	io.ReadCloser
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -40,9 +40,10 @@
 	mayHaveRun bool          // some server may have run the request
 	exclude    []string      // IDs of servers that failed or declined the request
 	gone       []string      // IDs of servers that refused the connection
-	software   string        // version that brought the stream's events; empty while there are none
-	recorded   string        // version last recorded as the stream's origin
-	begun      atomic.Bool   // the client has been sent an event
+	sendings   exchange.Sendings
+	software   string      // version that brought the stream's events; empty while there are none
+	recorded   string      // version last recorded as the stream's origin
+	begun      atomic.Bool // the client has been sent an event
 	record     *record
 }
 
@@ -211,6 +212,7 @@
 		Address: s.Address,
 
 		CallerLeft: func() bool { return callerLeft(r.r) },
+		Sendings:   &r.sendings,
 	}
 }
 
