An empty rest does not complete a stream that broke off

Cause: the next server's 200 without an event counted as the end of the stream, in every framing; an answer without a length counted so also for a client that had taken the stream up again; and one without events took over from a silent server.

Change: after an event, an answer without one proves nothing within the same response: the next server is asked, else the response is cut and the client takes the stream up again. The end of a connection alone proves nothing anywhere.

--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -107,17 +107,31 @@
 	return false
 }
 
-// awaitsFirstEvent reports whether the client has no event of the stream. A stream resumed
-// after its last event brings none.
-func (r *run) awaitsFirstEvent() bool { return r.lastEventID() == "" && r.req.LastEventID == "" }
-
 // endsWithConnection reports whether nothing but the end of its connection shows the end of
 // the response.
 func endsWithConnection(resp *exchange.Response) bool { return resp.Length < 0 && !resp.Chunked }
 
+// errNoEvent means that a server had no event of the rest of a stream.
+var errNoEvent = errors.New("the answer has no event of a stream that broke off")
+
+// checkEmpty returns why an answer without an event does not show that the stream is complete,
+// or nil if it does. A server that crashes closes its connections as well. A stream that broke
+// off within this answer has hardly lost its end alone; if it has, its client learns that when
+// it takes the stream up again.
+func checkEmpty(resp *exchange.Response, brokeOff bool) error {
+	switch {
+	case endsWithConnection(resp):
+		return io.ErrUnexpectedEOF
+	case brokeOff:
+		return errNoEvent
+	}
+	return nil
+}
+
 func (r *run) forwardStream(ctx context.Context, a *attempt) bool {
 	t, resp := a.ticket, a.answer
-	if r.stream == nil {
+	brokeOff := r.stream != nil
+	if !brokeOff {
 		relay.CopyHeader(r.w, resp)
 		r.f.closeAfterStop(r.w)
 		r.w.WriteHeader(resp.Status)
@@ -132,8 +146,8 @@
 		a.watch.recordEvent()
 		r.record.sentBytes()
 	})
-	if err == nil && !a.brought.Load() && endsWithConnection(resp) && r.awaitsFirstEvent() {
-		err = io.ErrUnexpectedEOF // a server that crashes closes its connections as well
+	if err == nil && !a.brought.Load() {
+		err = checkEmpty(resp, brokeOff)
 	}
 	if err == nil || errors.Is(err, relay.ErrClient) {
 		a.watch.stop()
--- a/entry/direct/relay/begin.go
+++ b/entry/direct/relay/begin.go
@@ -11,7 +11,7 @@
 
 // Begin waits for the start of an answer: the first whole event of a stream, and the
 // part of any other answer that Buffer keeps. The body can then still be read from its
-// start. An error means that the answer broke off before.
+// start. An error means that the answer broke off before, or is a stream without an event.
 func Begin(resp *exchange.Response, stream bool) error {
 	in := bufio.NewReader(resp.Body)
 	start, err := readStart(in, stream)
@@ -29,8 +29,6 @@
 	var s Stream
 	err := s.readEvent(in)
 	switch {
-	case errors.Is(err, io.EOF) && len(s.event) == 0:
-		return nil, nil // the stream had no further event
 	case errors.Is(err, io.EOF):
 		return nil, io.ErrUnexpectedEOF
 	}
