Bytes of something else within an event are not forwarded

Cause: an event was whatever ended with a blank line and had a line that begins with "id:". The takeover from a silent server looked for less: any lines up to a blank one.

Change: the lines of an event are fields of text/event-stream or of the platform, one of them the ID, and end alike (entry/direct/relay/event.go, used by both).

--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -107,6 +107,14 @@
 	return false
 }
 
+// eventFormat returns the format of the answer's events, or nil if it is no stream.
+func (r *run) eventFormat() *relay.Format {
+	if !r.req.route.Stream {
+		return nil
+	}
+	return &relay.Format{Fields: r.f.opts.Codec.EventFields()}
+}
+
 // endsWithConnection reports whether nothing but the end of its connection shows the end of
 // the response.
 func endsWithConnection(resp *exchange.Response) bool { return resp.Length < 0 && !resp.Chunked }
@@ -135,7 +143,7 @@
 		relay.CopyHeader(r.w, resp)
 		r.f.closeAfterStop(r.w)
 		r.w.WriteHeader(resp.Status)
-		r.stream = relay.NewStream(r.w)
+		r.stream = relay.NewStream(r.w, *r.eventFormat())
 	}
 	a.watch.recordEvent()
 	err := r.stream.Copy(resp.Body, a.watch.claim, func() {
--- a/entry/direct/front/quarantine.go
+++ b/entry/direct/front/quarantine.go
@@ -83,7 +83,8 @@
 // isInvalid reports whether the server sent something that is no answer, so that it is
 // running.
 func isInvalid(err error) bool {
-	return fault.Is(err, fault.KindInvalid) || errors.Is(err, relay.ErrEventTooLong) || errors.Is(err, relay.ErrNoEventID) || errors.Is(err, errNoEvent)
+	return fault.Is(err, fault.KindInvalid) || errors.Is(err, relay.ErrEventTooLong) ||
+		errors.Is(err, relay.ErrNoEventID) || errors.Is(err, relay.ErrForeignBytes) || errors.Is(err, errNoEvent)
 }
 
 // answered records that the server of the attempt has answered the request completely.
--- a/entry/direct/relay/begin.go
+++ b/entry/direct/relay/begin.go
@@ -11,10 +11,11 @@
 
 // Begin waits for the start of an answer: the first whole event of a stream, and the
 // part of any other answer that Buffer keeps. The body can then still be read from its
-// start. An error means that the answer broke off before, or is a stream without an event.
-func Begin(resp *exchange.Response, stream bool) error {
+// start. An error means that the answer broke off before, or is a stream without a valid event.
+// format is that of the stream, or nil for any other answer.
+func Begin(resp *exchange.Response, format *Format) error {
 	in := bufio.NewReader(resp.Body)
-	start, err := readStart(in, stream)
+	start, err := readStart(in, format)
 	if err != nil {
 		return err
 	}
@@ -22,16 +23,18 @@
 	return nil
 }
 
-func readStart(in *bufio.Reader, stream bool) ([]byte, error) {
-	if !stream {
+func readStart(in *bufio.Reader, format *Format) ([]byte, error) {
+	if format == nil {
 		return io.ReadAll(io.LimitReader(in, maxBufferedBytes))
 	}
 	var s Stream
 	err := s.readEvent(in)
-	switch {
-	case errors.Is(err, io.EOF):
+	if errors.Is(err, io.EOF) {
 		return nil, io.ErrUnexpectedEOF
 	}
+	if err == nil {
+		_, err = format.checkEvent(s.event)
+	}
 	return s.event, err
 }
 
--- a/entry/direct/relay/stream.go
+++ b/entry/direct/relay/stream.go
@@ -18,9 +18,6 @@
 // ErrEventTooLong means that a server sent an event of more than MaxEventBytes.
 var ErrEventTooLong = errors.New("the event is too long")
 
-// ErrNoEventID means that a server sent lines and a blank line without an event ID.
-var ErrNoEventID = errors.New("the event has no ID")
-
 // MaxEventBytes limits an event. A longer one counts as a fault of its server.
 const MaxEventBytes = 1 << 20
 
@@ -32,16 +29,17 @@
 type Stream struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	format  Format
 	event   []byte
 	lastID  string
 	Events  int   // written to the client
 	Bytes   int64 // written to the client
 }
 
-// NewStream returns a stream to the client behind w, whose header must already
-// be written.
-func NewStream(w http.ResponseWriter) *Stream {
-	return &Stream{w: w, control: http.NewResponseController(w)}
+// NewStream returns a stream of events of the format to the client behind w, whose header must
+// already be written.
+func NewStream(w http.ResponseWriter, format Format) *Stream {
+	return &Stream{w: w, control: http.NewResponseController(w), format: format}
 }
 
 // LastID returns the ID of the last event written, or "" if there is none.
@@ -51,7 +49,7 @@
 
 // Copy forwards events until the source ends. It returns nil if the source
 // ended after a whole event, io.ErrUnexpectedEOF if it ended within one,
-// ErrEventTooLong or ErrNoEventID if an event is invalid, ErrClient if writing to
+// ErrEventTooLong, ErrNoEventID or ErrForeignBytes if an event is invalid, ErrClient if writing to
 // the client failed, and the source's error otherwise. It calls claim before it
 // writes an event, and ends with its error if there is one, and progress after each
 // event.
@@ -73,10 +71,10 @@
 		if err != nil {
 			return err
 		}
-		id := eventID(s.event)
-		if id == "" {
+		id, err := s.format.checkEvent(s.event)
+		if err != nil {
 			_ = s.control.Flush() // write may have left this to the event; an error shows in the next write
-			return ErrNoEventID
+			return err
 		}
 		if err := claim(); err != nil {
 			return err
@@ -112,21 +110,7 @@
 	}
 }
 
-var (
-	fieldID  = []byte("id:")
-	eventEnd = []byte("\n\n")
-)
-
-// eventID returns the ID of an event, or "" if it has none.
-func eventID(event []byte) string {
-	id := ""
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, fieldID); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
+var eventEnd = []byte("\n\n")
 
 // write forwards the event. It flushes unless another whole event is already
 // buffered.
--- a/entry/direct/relay/stream_test.go
+++ b/entry/direct/relay/stream_test.go
@@ -11,6 +11,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// testFormat has one further field.
+var testFormat = Format{Fields: []string{"x-f"}}
+
 // TestOnlyWholeEventsAreForwarded ends the source at various positions.
 func TestOnlyWholeEventsAreForwarded(t *testing.T) {
 	const two = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -31,11 +34,17 @@
 		"no id":                    {strings.NewReader(two + "garbage\r\n\r\n" + two), two, "2", ErrNoEventID},
 		"no id at the start":       {strings.NewReader("garbage\n\n" + two), "", "", ErrNoEventID},
 		"blank lines":              {strings.NewReader(two + "\n\n"), two, "2", ErrNoEventID},
+		"further field":            {strings.NewReader("x-f: 1\nid: 1\ndata: a\n\n"), "x-f: 1\nid: 1\ndata: a\n\n", "1", nil},
+		"comment, event, retry":    {strings.NewReader(": c\nevent: e\nretry: 5\nid: 1\ndata\n\n"), ": c\nevent: e\nretry: 5\nid: 1\ndata\n\n", "1", nil},
+		"unknown field":            {strings.NewReader(two + "id: 3\nContent-Length: 0\n\n"), two, "2", ErrForeignBytes},
+		"line without a field":     {strings.NewReader(two + "id: 3\nHTTP/1.1 500 No\n\n"), two, "2", ErrForeignBytes},
+		"two ends of lines":        {strings.NewReader(two + "id: 3\ndata: cHTTP/1.1 500 No\r\n\r\n"), two, "2", ErrForeignBytes},
+		"two IDs":                  {strings.NewReader(two + "id: 3\ndata: c\nid: 5\n\n"), two, "2", ErrForeignBytes},
 		"lines end with CR LF":     {strings.NewReader("id: 1\r\ndata: a\r\n\r\n"), "id: 1\r\ndata: a\r\n\r\n", "1", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			client := httptest.NewRecorder()
-			s := NewStream(client)
+			s := NewStream(client, testFormat)
 			events := 0
 			err := s.Copy(c.source, func() error { return nil }, func() { events++ })
 			assert.Assert(t, errors.Is(err, c.err), "%v", err)
@@ -71,7 +80,7 @@
 		t.Run(name, func(t *testing.T) {
 			client := httptest.NewRecorder()
 			source := &endlessEvent{line: line, left: 4 * MaxEventBytes}
-			err := NewStream(client).Copy(source, func() error { return nil }, func() {})
+			err := NewStream(client, testFormat).Copy(source, func() error { return nil }, func() {})
 			assert.Assert(t, errors.Is(err, ErrEventTooLong), "%v after %d bytes", err, source.read)
 			assert.Assert(t, source.read <= MaxEventBytes+2*bufferBytes, "%d bytes", source.read)
 			assert.Equal(t, client.Body.Len(), 0)
@@ -86,6 +95,6 @@
 	event = strings.Repeat(":", MaxEventBytes-len(event)-1) + "\n" + event
 	assert.Equal(t, len(event), MaxEventBytes)
 	client := httptest.NewRecorder()
-	assert.NilError(t, NewStream(client).Copy(strings.NewReader(event), func() error { return nil }, func() {}))
+	assert.NilError(t, NewStream(client, testFormat).Copy(strings.NewReader(event), func() error { return nil }, func() {}))
 	assert.Equal(t, client.Body.Len(), MaxEventBytes)
 }
--- a/fleet/request.go
+++ b/fleet/request.go
@@ -72,6 +72,9 @@
 	Forward(h http.Header, a Attempt) http.Header
 	// Outcome decodes the status and headers of a server's response.
 	Outcome(status int, h http.Header) Outcome
+	// EventFields returns the names of the fields that servers write in the events of streams,
+	// beside those of text/event-stream.
+	EventFields() []string
 	// Refuse sets the headers of a response that the entry itself sends to reject
 	// the request with the given ID. The client may retry after the given time.
 	Refuse(h http.Header, id string, after time.Duration)
