Events that the client has are not forwarded again

What callers would see: a server that ignores Last-Event-Id begins the stream anew, and its events come twice (ORDER). Found while the reports on broken streams were tested, on all three paths: resumed, taken over, taken up again by the client.

Cause: nothing compared the IDs of events. Change: an event whose ID is a number must have a higher one than the event before it, of this request or the client's earlier one; else the server counts as failed (relay.ErrEventOrder).

--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -143,7 +143,7 @@
 		relay.CopyHeader(r.w, resp)
 		r.f.closeAfterStop(r.w)
 		r.w.WriteHeader(resp.Status)
-		r.stream = relay.NewStream(r.w, *r.eventFormat())
+		r.stream = relay.NewStream(r.w, *r.eventFormat(), r.req.LastEventID)
 	}
 	a.watch.recordEvent()
 	err := r.stream.Copy(resp.Body, a.watch.claim, func() {
--- a/entry/direct/front/quarantine.go
+++ b/entry/direct/front/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 
 	"peridotchute.example/admission/quarantine"
 	"peridotchute.example/common/decisionlog"
@@ -83,8 +84,8 @@
 // isInvalid reports whether the server sent something that is no answer, so that it is
 // running.
 func isInvalid(err error) bool {
-	return fault.Is(err, fault.KindInvalid) || errors.Is(err, relay.ErrEventTooLong) ||
-		errors.Is(err, relay.ErrNoEventID) || errors.Is(err, relay.ErrForeignBytes) || errors.Is(err, errNoEvent)
+	invalid := []error{relay.ErrEventTooLong, relay.ErrNoEventID, relay.ErrForeignBytes, relay.ErrEventOrder, errNoEvent}
+	return fault.Is(err, fault.KindInvalid) || slices.ContainsFunc(invalid, func(i error) bool { return errors.Is(err, i) })
 }
 
 // answered records that the server of the attempt has answered the request completely.
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -224,6 +225,10 @@
 	return r.stream.LastID()
 }
 
+// lastEventOfClient returns the ID of the last event that the client has, also from an earlier
+// request, or "".
+func (r *run) lastEventOfClient() string { return cmp.Or(r.lastEventID(), r.req.LastEventID) }
+
 // handleFailure handles an attempt without a complete answer and reports whether
 // to try again.
 func (r *run) handleFailure(ctx context.Context, a *attempt, err error) bool {
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -31,7 +31,7 @@
 		w.run.noteServerState(s)
 	}
 	if err == nil && w.run.continues(answer) {
-		err = relay.Begin(answer, w.run.eventFormat())
+		err = relay.Begin(answer, w.run.eventFormat(), w.run.lastEventOfClient())
 	}
 	w.finishSending(s, err)
 }
--- a/entry/direct/relay/begin.go
+++ b/entry/direct/relay/begin.go
@@ -12,10 +12,11 @@
 // Begin waits for the start of an answer: the first whole event of a stream, and the
 // part of any other answer that Buffer keeps. The body can then still be read from its
 // start. An error means that the answer broke off before, or is a stream without a valid event.
-// format is that of the stream, or nil for any other answer.
-func Begin(resp *exchange.Response, format *Format) error {
+// format is that of the stream, or nil for any other answer. after is the ID of the last event
+// that the client has, or "".
+func Begin(resp *exchange.Response, format *Format, after string) error {
 	in := bufio.NewReader(resp.Body)
-	start, err := readStart(in, format)
+	start, err := readStart(in, format, after)
 	if err != nil {
 		return err
 	}
@@ -23,7 +24,7 @@
 	return nil
 }
 
-func readStart(in *bufio.Reader, format *Format) ([]byte, error) {
+func readStart(in *bufio.Reader, format *Format, after string) ([]byte, error) {
 	if format == nil {
 		return io.ReadAll(io.LimitReader(in, maxBufferedBytes))
 	}
@@ -32,8 +33,12 @@
 	if errors.Is(err, io.EOF) {
 		return nil, io.ErrUnexpectedEOF
 	}
-	if err == nil {
-		_, err = format.checkEvent(s.event)
+	if err != nil {
+		return nil, err
+	}
+	id, err := format.checkEvent(s.event)
+	if err == nil && !follows(after, id) {
+		err = ErrEventOrder
 	}
 	return s.event, err
 }
--- a/entry/direct/relay/event.go
+++ b/entry/direct/relay/event.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"slices"
+	"strconv"
 )
 
 // ErrNoEventID means that a server sent lines and a blank line without an event ID.
@@ -13,6 +14,9 @@
 // it broke off within an event and wrote something else.
 var ErrForeignBytes = errors.New("the event holds bytes of something else")
 
+// ErrEventOrder means that a server sent an event that the client has, or one before it.
+var ErrEventOrder = errors.New("the event does not follow the one before it")
+
 // Format is the format of the events of a stream: that of text/event-stream, with further fields.
 type Format struct {
 	Fields []string // names of the further fields
@@ -50,6 +54,20 @@
 	return string(value), nil
 }
 
+// follows reports whether an event may follow another one, given their IDs. IDs that are
+// numbers rise. An empty after is no event.
+func follows(after, id string) bool {
+	if after == "" {
+		return true
+	}
+	before, err := strconv.ParseInt(after, 10, 64)
+	if err != nil {
+		return id != after
+	}
+	number, err := strconv.ParseInt(id, 10, 64)
+	return err != nil || number > before
+}
+
 // isField reports whether a line of an event may begin with the name. A comment and the blank
 // line have none.
 func (f *Format) isField(name []byte) bool {
--- a/entry/direct/relay/stream.go
+++ b/entry/direct/relay/stream.go
@@ -32,14 +32,15 @@
 	format  Format
 	event   []byte
 	lastID  string
-	Events  int   // written to the client
-	Bytes   int64 // written to the client
+	after   string // ID of the last event that the client has, from this stream or an earlier one
+	Events  int    // written to the client
+	Bytes   int64  // written to the client
 }
 
 // NewStream returns a stream of events of the format to the client behind w, whose header must
-// already be written.
-func NewStream(w http.ResponseWriter, format Format) *Stream {
-	return &Stream{w: w, control: http.NewResponseController(w), format: format}
+// already be written. after is the ID of the last event that the client has, or "".
+func NewStream(w http.ResponseWriter, format Format, after string) *Stream {
+	return &Stream{w: w, control: http.NewResponseController(w), format: format, after: after}
 }
 
 // LastID returns the ID of the last event written, or "" if there is none.
@@ -49,7 +50,7 @@
 
 // Copy forwards events until the source ends. It returns nil if the source
 // ended after a whole event, io.ErrUnexpectedEOF if it ended within one,
-// ErrEventTooLong, ErrNoEventID or ErrForeignBytes if an event is invalid, ErrClient if writing to
+// ErrEventTooLong, ErrNoEventID, ErrForeignBytes or ErrEventOrder if an event is invalid, ErrClient if writing to
 // the client failed, and the source's error otherwise. It calls claim before it
 // writes an event, and ends with its error if there is one, and progress after each
 // event.
@@ -76,10 +77,14 @@
 			_ = s.control.Flush() // write may have left this to the event; an error shows in the next write
 			return err
 		}
+		if !follows(s.after, id) {
+			_ = s.control.Flush()
+			return ErrEventOrder
+		}
 		if err := claim(); err != nil {
 			return err
 		}
-		s.lastID = id
+		s.lastID, s.after = id, id
 		if err := s.write(in); err != nil {
 			return ErrClient
 		}
--- a/entry/direct/relay/stream_test.go
+++ b/entry/direct/relay/stream_test.go
@@ -40,11 +40,14 @@
 		"line without a field":     {strings.NewReader(two + "id: 3\nHTTP/1.1 500 No\n\n"), two, "2", ErrForeignBytes},
 		"two ends of lines":        {strings.NewReader(two + "id: 3\ndata: cHTTP/1.1 500 No\r\n\r\n"), two, "2", ErrForeignBytes},
 		"two IDs":                  {strings.NewReader(two + "id: 3\ndata: c\nid: 5\n\n"), two, "2", ErrForeignBytes},
+		"event again":              {strings.NewReader(two + "id: 2\ndata: b\n\n"), two, "2", ErrEventOrder},
+		"earlier event":            {strings.NewReader(two + "id: 1\ndata: a\n\n"), two, "2", ErrEventOrder},
+		"IDs that are no numbers":  {strings.NewReader("id: b\ndata: a\n\nid: a\n\n"), "id: b\ndata: a\n\nid: a\n\n", "a", nil},
 		"lines end with CR LF":     {strings.NewReader("id: 1\r\ndata: a\r\n\r\n"), "id: 1\r\ndata: a\r\n\r\n", "1", nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			client := httptest.NewRecorder()
-			s := NewStream(client, testFormat)
+			s := NewStream(client, testFormat, "")
 			events := 0
 			err := s.Copy(c.source, func() error { return nil }, func() { events++ })
 			assert.Assert(t, errors.Is(err, c.err), "%v", err)
@@ -80,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			client := httptest.NewRecorder()
 			source := &endlessEvent{line: line, left: 4 * MaxEventBytes}
-			err := NewStream(client, testFormat).Copy(source, func() error { return nil }, func() {})
+			err := NewStream(client, testFormat, "").Copy(source, func() error { return nil }, func() {})
 			assert.Assert(t, errors.Is(err, ErrEventTooLong), "%v after %d bytes", err, source.read)
 			assert.Assert(t, source.read <= MaxEventBytes+2*bufferBytes, "%d bytes", source.read)
 			assert.Equal(t, client.Body.Len(), 0)
@@ -95,6 +98,6 @@
 	event = strings.Repeat(":", MaxEventBytes-len(event)-1) + "\n" + event
 	assert.Equal(t, len(event), MaxEventBytes)
 	client := httptest.NewRecorder()
-	assert.NilError(t, NewStream(client, testFormat).Copy(strings.NewReader(event), func() error { return nil }, func() {}))
+	assert.NilError(t, NewStream(client, testFormat, "").Copy(strings.NewReader(event), func() error { return nil }, func() {}))
 	assert.Equal(t, client.Body.Len(), MaxEventBytes)
 }
