A long body may meet a closed receive window for longer

Cause: with TCP_USER_TIMEOUT the kernel also gives up a connection whose remote end answers and has closed its receive window.

Change: while a body of more than 32 KiB is sent, the timeout is 3 s; shorter bodies fit into the window of a connection that is idle before them, so for these a dead server is noticed after 700 ms as before.

TestTimeoutOfLongBodyOutlastsIt checks that a connection gets its short timeout back.

--- a/entry/direct/exchange/conn.go
+++ b/entry/direct/exchange/conn.go
@@ -18,6 +18,12 @@
 	// after 200 ms.
 	userTimeout = 700 * time.Millisecond
 
+	// longBodyTimeout replaces userTimeout while a long body is sent: the kernel also gives up a
+	// connection whose remote end is reachable and has closed its receive window. A server may
+	// be silent for a second or so. A body of up to longBodyBytes fits into the window.
+	longBodyTimeout = 3 * time.Second
+	longBodyBytes   = 32 << 10
+
 	// TCP keep-alive probes detect idle connections whose remote end has vanished.
 	probeIdle     = time.Second
 	probeInterval = time.Second
@@ -58,10 +64,11 @@
 type conn struct {
 	net.Conn
 	written  atomic.Int64
-	lastUsed atomic.Int64 // nanoseconds since processStart
-	maxIdle  atomic.Int64 // nanoseconds; 0 when the server set no limit
-	busy     atomic.Bool  // from the start of a request to the end of its response
-	requests atomic.Int64 // begun, the current one included
+	lastUsed atomic.Int64  // nanoseconds since processStart
+	maxIdle  atomic.Int64  // nanoseconds; 0 when the server set no limit
+	busy     atomic.Bool   // from the start of a request to the end of its response
+	requests atomic.Int64  // begun, the current one included
+	timeout  time.Duration // TCP_USER_TIMEOUT; changed between requests only
 	withheld atomicWithholding
 	onClose  func() // may be called several times; nil for none
 }
@@ -75,10 +82,12 @@
 func (a *atomicWithholding) Load() withholding   { return withholding(a.v.Load()) }
 func (a *atomicWithholding) Store(w withholding) { a.v.Store(int32(w)) }
 
-// beginRequest records that a request is about to be written, or withheld.
-func (c *conn) beginRequest(w withholding) {
+// beginRequest records that a request with a body of the given length is about to be written,
+// or withheld.
+func (c *conn) beginRequest(w withholding, bodyBytes int) {
 	c.requests.Add(1)
 	c.withheld.Store(w)
+	_ = c.prepare(bodyBytes) // fails only if the connection is closed, which shows in the write
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -130,16 +139,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := setUserTimeout(c); err != nil {
+	if err := setUserTimeout(c, userTimeout); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
-	wrapped := &conn{Conn: c}
+	wrapped := &conn{Conn: c, timeout: userTimeout}
 	wrapped.markIdle()
 	return wrapped, nil
 }
 
-func setUserTimeout(c net.Conn) error {
+// prepare sets the timeout for a request with a body of the given length.
+func (c *conn) prepare(bodyBytes int) error {
+	timeout := userTimeout
+	if bodyBytes > longBodyBytes {
+		timeout = longBodyTimeout
+	}
+	if c.timeout == timeout {
+		return nil
+	}
+	c.timeout = timeout
+	return setUserTimeout(c.Conn, timeout)
+}
+
+func setUserTimeout(c net.Conn, timeout time.Duration) error {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return nil
@@ -150,7 +172,7 @@
 	}
 	var sockErr error
 	err = raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -112,7 +112,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			used, writtenBefore = c, c.written.Load()
-			c.beginRequest(call.withheld(ctx, c))
+			c.beginRequest(call.withheld(ctx, c), len(call.Body))
 		}
 	}}
 	req, err := x.request(httptrace.WithClientTrace(ctx, trace), call)
--- a/entry/direct/exchange/exchange_test.go
+++ b/entry/direct/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"peridotchute.example/fleet"
@@ -65,3 +66,33 @@
 	assert.Equal(t, response.Status, http.StatusOK)
 	assert.NilError(t, response.Body.Close())
 }
+
+// TestTimeoutOfLongBodyOutlastsIt sends a short body on a connection that has carried a long one.
+func TestTimeoutOfLongBodyOutlastsIt(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := dial(t.Context(), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	for _, step := range []struct {
+		body int
+		want time.Duration
+	}{{0, userTimeout}, {bodyBytes, longBodyTimeout}, {longBodyBytes, userTimeout}} {
+		assert.NilError(t, c.prepare(step.body))
+		assert.Equal(t, timeoutOf(t, c), step.want)
+	}
+}
+
+// timeoutOf returns the TCP_USER_TIMEOUT of a connection.
+func timeoutOf(t *testing.T, c *conn) time.Duration {
+	t.Helper()
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	var ms int
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	assert.NilError(t, err)
+	return time.Duration(ms) * time.Millisecond
+}
