--- a/entry/direct/mesh/mesh_test.go
+++ b/entry/direct/mesh/mesh_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,13 +26,30 @@
 	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(30*time.Second))
 }
 
+// Ports of the meshes of tests. They lie below those that the kernel gives to listeners without a
+// port and to outgoing connections, so that none is taken between the choice and the start.
+const (
+	lowestPort = 12000
+	ports      = 20000
+)
+
+// nextPort makes the ports of a test process unique.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(ports)) }
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for range ports {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+nextPort.Add(1)%ports)
+		if ln, err := net.Listen("tcp", address); err == nil {
+			_ = ln.Close()
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
 // entry is a running mesh.
