A server whose address another process answers gets no requests for a while

What callers saw: with the store away and all servers of a service replaced, each request went to all addresses, was answered 421 by the new processes each time, and was refused in the end, every 0.8 s anew.

Traced in the log of a run that failed here (1 of 6, beside four busy processes): three entries sent the request at the same moment, so all three servers crashed within 31 ms, in two steps of which the finding needs three; what arrived later were requests to the new processes at the old addresses, which answered 421 and ran nothing. Ruled out: a finding that came and was not used (no line 658 in any entry).

Change: after a 421 that names another server, the address is left alone until the registration changes, ten seconds at most.

--- a/entry/direct/balance/balance_test.go
+++ b/entry/direct/balance/balance_test.go
@@ -115,7 +115,7 @@
 func TestServerThatDeclinedForLackOfTheModelIsAvoided(t *testing.T) {
 	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}, "s2": {{Model: "m"}}}, "")
 	first := admitWhile(b, query(""), func() bool { return false })
-	first.Declined(true)
+	first.Declined(fleet.Outcome{Misdirected: true})
 	first.End()
 	for range 20 {
 		ticket := admitWhile(b, query(""), func() bool { return false })
@@ -124,6 +124,27 @@
 	}
 }
 
+// TestAddressOfAnotherServerIsTriedAgainAndAgain has another process answer at the address of the
+// only server, whose registration stays as it is and then changes.
+func TestAddressOfAnotherServerIsTriedAgainAndAgain(t *testing.T) {
+	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}}, "")
+	ticket := admitWhile(b, query(""), func() bool { return false })
+	ticket.Declined(fleet.Outcome{Misdirected: true, AnsweredBy: "s9"})
+	ticket.End()
+	b.mu.Lock()
+	p := b.pools["llm"]
+	s := p.servers["s1"]
+	later := time.Now().Add(replacedTTL - time.Second)
+	usable := s.usable(later)
+	registered := s.Server
+	registered.Registration++
+	s.applyRegistration(&registered, p.engine)
+	usableAgain := s.usable(time.Now())
+	b.mu.Unlock()
+	assert.Assert(t, !usable)
+	assert.Assert(t, usableAgain)
+}
+
 func TestDrainingServerGetsNoRequests(t *testing.T) {
 	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}, "s2": {{Model: "m"}}}, "")
 	b.mu.Lock()
--- a/entry/direct/balance/server.go
+++ b/entry/direct/balance/server.go
@@ -35,6 +35,7 @@
 	lastReceived  time.Time // when data was last received from the server
 	awaitingSince time.Time // since when an answer is pending
 	downUntil     time.Time // gets no requests until then
+	replaced      bool      // downUntil is set because another process answers at the address
 	failedDials   int       // consecutive
 	peers         peerLoad
 
@@ -55,6 +56,11 @@
 	notLoadedTTL = 700 * time.Millisecond // after the server declined for lack of the model; it may have loaded it by then
 	declinedTTL  = 150 * time.Millisecond // after the server declined because it was full or had an order for the model
 
+	// replacedTTL is the time after an answer of another process at the server's address, or
+	// until the registration changes. The process of the registration has ended by then, or
+	// the answer was wrong.
+	replacedTTL = 10 * time.Second
+
 	minDownTime = 700 * time.Millisecond // pause after the first failure to reach a server; doubles with each consecutive one
 	maxDownTime = 4 * time.Second
 )
@@ -140,6 +146,9 @@
 	if r.Born != s.Born {
 		s.reset()
 	}
+	if s.replaced && (r.Born != s.Born || r.Registration != s.Registration) {
+		s.replaced, s.downUntil = false, time.Time{}
+	}
 	s.Server = *r
 	if s.engine != nil && engine != nil {
 		s.engine.Slots, s.engine.KVTokens = engine.Slots, engine.KVTokens
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -134,15 +134,17 @@
 	return t.s.failedDials == 1
 }
 
-// Declined records that the server did not run the request. wrongServer means
-// that the server has not loaded the model or that another server runs at the
-// address.
-func (t *Ticket) Declined(wrongServer bool) {
+// Declined records that the server did not run the request, as its answer says: it was busy, it
+// has not loaded the model, or another process answered at its address.
+func (t *Ticket) Declined(o fleet.Outcome) {
 	t.b.mu.Lock()
 	defer t.b.mu.Unlock()
 	now := time.Now()
 	t.s.lastReceived, t.s.awaitingSince = now, now
+	wrongServer := o.Misdirected
 	switch {
+	case wrongServer && o.AnsweredBy != "" && o.AnsweredBy != t.s.ID:
+		t.s.replaced, t.s.downUntil = true, now.Add(replacedTTL)
 	case !wrongServer && t.artifact.model != "":
 		t.s.notLoadedUntil[t.artifact] = now.Add(declinedTTL)
 	case !wrongServer:
--- a/entry/direct/front/outcome.go
+++ b/entry/direct/front/outcome.go
@@ -32,7 +32,7 @@
 // request.
 func (r *run) recordDecline(a *attempt) {
 	r.record.attemptFailed(a, declineKind(a.answer.Outcome), a.answer.Status, true, nil)
-	a.ticket.Declined(a.answer.Outcome.Misdirected)
+	a.ticket.Declined(a.answer.Outcome)
 }
 
 // recordErrorStatus records an answer whose status says that the server failed.
