balance: the context of Run is read under the lock

go test -race ./entry/direct/balance found it: a load that an early request starts read the context while Run set it.

--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -67,7 +67,7 @@
 }
 
 // startLoad returns the pending load of an artifact. It calls Ensure in the
-// background unless a call is in progress or was made too recently.
+// background unless a call is in progress or was made too recently. The caller holds b.mu.
 func (b *Balancer) startLoad(p *pool, a loadKey, prefer []string, now time.Time) *pendingLoad {
 	m := p.loading[a]
 	if m == nil {
@@ -76,7 +76,7 @@
 	}
 	if !m.calling && !now.Before(m.nextCall) {
 		m.calling = true
-		go b.ensure(p, a, m, prefer)
+		go b.ensure(b.ctx, p, a, m, prefer)
 	}
 	return m
 }
@@ -90,8 +90,8 @@
 
 // ensure calls Ensure for the artifact and dispatches the requests that can be
 // sent once it is loaded.
-func (b *Balancer) ensure(p *pool, a loadKey, m *pendingLoad, prefer []string) {
-	ctx, cancel := context.WithTimeout(b.ctx, ensureTimeout)
+func (b *Balancer) ensure(ctx context.Context, p *pool, a loadKey, m *pendingLoad, prefer []string) {
+	ctx, cancel := context.WithTimeout(ctx, ensureTimeout)
 	defer cancel()
 	id, err := b.opts.Ensure(ctx, orders.EnsureRequest{Service: p.name, Model: a.model, Adapter: a.adapter, Software: a.software, Prefer: prefer})
 	b.mu.Lock()
