A broken stream whose next event is overdue goes before new requests

Cause: a stream that goes on is ordered by when its next event is due. That is over for one that its client takes up after a loss of power, so it counted as late, and late requests come after all that can still be on time.

Change: such a stream counts as late once it can't go on before its deadline.

Evidence: TestOverdueResumedStreamWaitsBehindNewRequests fails without the change.

--- a/admission/flow.go
+++ b/admission/flow.go
@@ -192,9 +192,18 @@
 	return 2*f.key.priority + 1
 }
 
+// isLate reports whether the request can no longer meet its objective. A broken stream whose next
+// event is overdue is not behind new requests for that, until it can't go on in time.
+func (r *queuedRequest[T]) isLate(now time.Time) bool {
+	if r.w.Resumed {
+		return r.startForDeadline.Before(now)
+	}
+	return r.startForObjective.Before(now)
+}
+
 // demote moves the requests that can no longer meet their objective to late.
 func (f *flow[T]) demote(now time.Time) {
-	for len(f.onTime) > 0 && f.onTime[0].startForObjective.Before(now) {
+	for len(f.onTime) > 0 && f.onTime[0].isLate(now) {
 		r := f.onTime[0]
 		f.onTime = f.onTime[1:]
 		f.late = insert(f.late, r, byDeadlineStart)
@@ -223,8 +232,8 @@
 	if c := cmp.Compare(a.w.Priority, b.w.Priority); c != 0 {
 		return c
 	}
-	switch late := a.startForObjective.Before(now); {
-	case late != b.startForObjective.Before(now):
+	switch late := a.isLate(now); {
+	case late != b.isLate(now):
 		if late {
 			return 1
 		}
--- a/admission/priority_queue_test.go
+++ b/admission/priority_queue_test.go
@@ -144,6 +144,24 @@
 	assert.Equal(t, ids(s.run(q))[0], 2)
 }
 
+// TestOverdueResumedStreamWaitsBehindNewRequests has a broken stream whose next event is overdue
+// when it is queued, behind requests that can still be on time.
+func TestOverdueResumedStreamWaitsBehindNewRequests(t *testing.T) {
+	s, q := newTestServers(1), NewPriorityQueue[job]()
+	s.servers[0].Server.Batch.Sent(routing.SentRequest{Work: time.Second}, s.now)
+	for i, resumed := range []bool{false, false, true} {
+		j := job{id: i, tokens: 4000}
+		w := s.waiter(j, 4*time.Second, 5*time.Second)
+		if w.Resumed = resumed; resumed {
+			w.Objective = s.now.Add(-ms)
+		}
+		assert.Equal(t, q.Enqueue(j, w, s.now, s.offers).Action, Queue)
+	}
+	s.now = s.now.Add(100 * ms)
+	s.finish(q, 0, time.Second)
+	assert.Equal(t, ids(s.run(q))[0], 2)
+}
+
 func TestRequestWaitsForModelThatLoadsInTime(t *testing.T) {
 	for load, want := range map[time.Duration]Action{2 * time.Second: Queue, 7 * time.Second: Reject} {
 		s, q := newTestServers(1), NewPriorityQueue[job]()
