--- a/common/decisionlog/state.go
+++ b/common/decisionlog/state.go
@@ -42,8 +42,13 @@
 	Previous int64
 	Routes   int
 	Services int
+	Source   string // SourceStore, SourceStoreCheck, or the entry that sent the configuration
 }
 
+// SourceStoreCheck is the source of a configuration that the process found in the store while
+// a call that waits there for the next one had not returned it.
+const SourceStoreCheck = "store check"
+
 // ServerChange is a kind of change in the state of a server.
 type ServerChange int
 
--- a/common/decisionlog/state_fields.go
+++ b/common/decisionlog/state_fields.go
@@ -35,6 +35,7 @@
 	e.countIfSet("previous", r.Previous)
 	e.count("routes", int64(r.Routes))
 	e.count("services", int64(r.Services))
+	e.textIfSet("source", r.Source)
 }
 
 func (r ServerChanged) encode(e *encoder) {
--- a/common/event/state.go
+++ b/common/event/state.go
@@ -5,7 +5,7 @@
 // Events 640 to 689: the state of a deployment whose backend servers are
 // called directly, as a process sees it.
 var (
-	ConfigReplaced      = define(640, "configuration replaced", logrus.InfoLevel, "This process now uses another configuration version.")
+	ConfigReplaced      = define(640, "configuration replaced", logrus.InfoLevel, "This process now uses another configuration version. source is store if its own waiting call returned it, store check if that call missed it, and else the entry that sent it.")
 	ServerAppeared      = define(641, "server appeared", logrus.InfoLevel, "A backend server, or a new incarnation of one, was added to the list; row_version is the version of its registration.")
 	ServerLeft          = define(642, "server left", logrus.WarnLevel, "A backend server is no longer used; source is store, if this entry read its list of servers itself, or the entry that sent the list; view_age_ms is the age of the list.")
 	ServerDraining      = define(643, "server draining", logrus.InfoLevel, "A backend server accepts no new requests; remaining_ms, when known, is the time until it is removed. Without a reason its registration says so, and source is as in line 642; reason names the answer in which it said so itself, or the entry that was told.")
--- a/entry/direct/view/changes.go
+++ b/entry/direct/view/changes.go
@@ -105,9 +105,9 @@
 }
 
 // configReplaced returns the log record of a configuration that replaces old,
-// which may be nil.
-func configReplaced(old, now *fleet.Config) decisionlog.ConfigReplaced {
-	r := decisionlog.ConfigReplaced{Version: now.Version, Routes: len(now.Routes), Services: len(now.Services)}
+// which may be nil. source is where it came from.
+func configReplaced(old, now *fleet.Config, source string) decisionlog.ConfigReplaced {
+	r := decisionlog.ConfigReplaced{Version: now.Version, Routes: len(now.Routes), Services: len(now.Services), Source: source}
 	if old != nil {
 		r.Previous = old.Version
 	}
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	w.Apply(c)
+	w.Apply(c, d.Peer)
 	return nil
 }
 
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -120,15 +120,16 @@
 		pause = retryPause
 		w.configReadAt.Store(int64(time.Since(w.started)))
 		known, position = true, s.Position
-		if s.Config != nil && w.Apply(s.Config) {
+		if s.Config != nil && w.Apply(s.Config, decisionlog.SourceStore) {
 			w.share(Document{Kind: KindConfig, Version: s.Config.Version, Body: s.Raw})
 		}
 	}
 }
 
 // Apply makes c the active configuration unless the active version is the same
-// or newer. It reports whether the configuration changed.
-func (w *Watcher) Apply(c *fleet.Config) bool {
+// or newer. It reports whether the configuration changed. source is where c came from, for
+// the log.
+func (w *Watcher) Apply(c *fleet.Config, source string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	old := w.current.Load()
@@ -138,7 +139,7 @@
 	next := *old
 	next.Config = c
 	w.setView(&next)
-	w.log.Write(configReplaced(old.Config, c))
+	w.log.Write(configReplaced(old.Config, c, source))
 	return true
 }
 
--- a/entry/direct/view/view_test.go
+++ b/entry/direct/view/view_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/fleet"
 )
 
@@ -13,7 +14,7 @@
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	w := New(nil, nil, nil)
 	for _, c := range []struct{ offered, active int64 }{{3, 3}, {2, 3}, {3, 3}, {7, 7}, {5, 7}} {
-		w.Apply(&fleet.Config{Version: c.offered})
+		w.Apply(&fleet.Config{Version: c.offered}, decisionlog.SourceStore)
 		assert.Equal(t, w.Current().Config.Version, c.active)
 	}
 }
