--- a/entry/direct/view/configwait.go
+++ b/entry/direct/view/configwait.go
@@ -10,18 +10,26 @@
 	"peridotchute.example/fleet"
 )
 
-// renewStagger is the delay of a renewed wait per entry of lower rank. All entries find
-// their waits in doubt at once, and the store limits the rate of all calls together.
-const renewStagger = 5 * time.Millisecond
+const (
+	// waitLength is how long one call waits for the next configuration.
+	waitLength = 20 * time.Second
+
+	// renewStagger is the delay of a renewed wait per entry of lower rank. All entries find
+	// their waits in doubt at once, and the store limits the rate of all calls together.
+	renewStagger = 5 * time.Millisecond
+)
 
 var errRenewed = errors.New("the wait is begun anew")
 
 // configWait is the state of the call that waits for the next configuration.
+//
+// Invariant: the configuration in use is the newest readable one up to position.
 type configWait struct {
-	mu    sync.Mutex
-	check waitCheck
-	renew func() // ends the call under way
-	rank  func() int
+	mu       sync.Mutex
+	check    waitCheck
+	position fleet.Position // in the history of the configuration, up to which it is known
+	renew    func()         // ends the call under way
+	rank     func() int
 }
 
 // StaggerBy sets the function that returns the rank of this entry among all, by which
@@ -36,13 +44,13 @@
 	return w.wait.check.doubted(time.Now())
 }
 
-// waitForConfig waits for a configuration written after position. It begins the call anew
-// when waitCheck finds that it may be lost.
-func (w *Watcher) waitForConfig(ctx context.Context, position fleet.Position) (fleet.Snapshot, error) {
+// waitForConfig waits for a configuration written after the known position. It begins the
+// call anew when that may be lost.
+func (w *Watcher) waitForConfig(ctx context.Context) (fleet.Snapshot, error) {
 	for {
 		callCtx, cancel := context.WithCancelCause(ctx)
-		length := w.wait.begin(func() { cancel(errRenewed) })
-		s, err := w.nextConfig(callCtx, position, length)
+		position := w.wait.begin(func() { cancel(errRenewed) })
+		s, err := w.nextConfig(callCtx, position, waitLength)
 		w.wait.end()
 		renewed := errors.Is(context.Cause(callCtx), errRenewed)
 		cancel(nil)
@@ -52,12 +60,13 @@
 	}
 }
 
-// begin starts a wait, which renew ends, and returns its length.
-func (c *configWait) begin(renew func()) time.Duration {
+// begin starts a wait, which renew ends, and returns the position to wait from.
+func (c *configWait) begin(renew func()) fleet.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.renew = renew
-	return c.check.begin(time.Now())
+	c.check.begin(time.Now())
+	return c.position
 }
 
 func (c *configWait) end() {
@@ -66,6 +75,31 @@
 	c.check.end()
 }
 
+// underWay returns the position up to which the configuration is known, and whether a call
+// waits for the next one.
+func (c *configWait) underWay() (fleet.Position, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.position, c.check.waiting()
+}
+
+// restart sets the position that a whole read of the configuration returned. The history
+// before it may be lost, so that it may be lower than the one before.
+func (c *configWait) restart(p fleet.Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.position = p
+}
+
+// advance records that the configuration is known up to a position.
+func (c *configWait) advance(p fleet.Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.Compare(c.position) > 0 {
+		c.position = p
+	}
+}
+
 // checkWaitAfterFailure puts the wait in doubt after a failed read of this entry.
 func (w *Watcher) checkWaitAfterFailure(requestedAt time.Time) {
 	w.wait.mu.Lock()
@@ -78,15 +112,21 @@
 
 // checkWait renews the wait if an answered read, of this entry or of a peer, shows that it
 // may be lost.
-func (w *Watcher) checkWait(requestedAt time.Time, own bool) {
+func (w *Watcher) checkWait(requestedAt time.Time) {
 	w.wait.mu.Lock()
 	defer w.wait.mu.Unlock()
-	reason := renewNone
-	if own {
-		reason = w.wait.check.readAnswered(requestedAt)
-	} else {
-		reason = w.wait.check.peerAnswered(requestedAt)
-	}
+	w.renewWait(w.wait.check.readAnswered(requestedAt))
+}
+
+// renewMissedWait renews the wait under way, which has not returned a change.
+func (w *Watcher) renewMissedWait() {
+	w.wait.mu.Lock()
+	defer w.wait.mu.Unlock()
+	w.renewWait(w.wait.check.missed())
+}
+
+// renewWait begins the wait anew if there is a reason. The caller holds wait.mu.
+func (w *Watcher) renewWait(reason renewal) {
 	if reason == renewNone {
 		return
 	}
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -18,6 +18,7 @@
 // is none.
 func (w *Watcher) RunServers(ctx context.Context, next func(attempted, asOf time.Time) time.Time) {
 	var attempted time.Time
+	defer func() { _ = w.checks.Wait() }()
 	for ctx.Err() == nil {
 		if left := time.Until(w.nextRead(attempted, next)); left > 0 {
 			_ = clock.Sleep(ctx, left) // check again, since a peer may have read meanwhile
@@ -54,7 +55,8 @@
 		return
 	}
 	w.recordStoreAnswer(requestedAt)
-	w.checkWait(requestedAt, true)
+	w.checkWait(requestedAt)
+	w.startConfigCheck(ctx)
 	if v := w.ApplyServers(reg, requestedAt, decisionlog.SourceStore); v != nil {
 		w.shareServers(v, reg)
 	}
--- a/entry/direct/view/share.go
+++ b/entry/direct/view/share.go
@@ -76,7 +76,9 @@
 	if err != nil {
 		return err
 	}
-	w.Apply(c, d.Peer)
+	if w.Apply(c, d.Peer) {
+		w.renewMissedWait()
+	}
 	return nil
 }
 
@@ -86,7 +88,7 @@
 		return err
 	}
 	read := time.Now().Add(-d.Age)
-	w.checkWait(read, false)
+	w.checkWait(read)
 	w.recordPeerRead(d.Peer, read, list.outage(read))
 	servers := subtractAge(list.registered(w.Current().ServersRead.IsZero()), d.Age)
 	w.ApplyServers(fleet.Registry{Servers: servers, Unreadable: list.Unreadable, Position: fleet.PositionOf(d.Version)}, read, d.Peer)
--- a/entry/direct/view/silence_size_test.go
+++ b/entry/direct/view/silence_size_test.go
@@ -177,7 +177,7 @@
 	t.Helper()
 	for _, w := range all {
 		for w.Current().Config == nil || w.Current().Config.Version < version {
-			if time.Since(start) > longWait+2*callMargin {
+			if time.Since(start) > waitLength+2*callMargin {
 				t.Fatalf("version %d is not in force", version)
 			}
 			time.Sleep(time.Millisecond)
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/decisionlog"
@@ -49,6 +50,7 @@
 	leaving      leavingServers
 	shareLeaving func(Leaving)
 	wait         configWait
+	checks       errgroup.Group // calls of checkConfig
 }
 
 // New returns a Watcher with an empty view. regions maps each availability zone
@@ -68,6 +70,7 @@
 		shareLeaving: func(Leaving) {},
 		wait:         configWait{rank: func() int { return 0 }},
 	}
+	w.checks.SetLimit(maxConfigChecks)
 	w.current.Store(&fleet.View{Regions: regions})
 	return w
 }
@@ -91,13 +94,12 @@
 // RunConfig reads the configuration and its changes until ctx is done.
 func (w *Watcher) RunConfig(ctx context.Context) {
 	pause := retryPause
-	var position fleet.Position
 	known := false
 	for ctx.Err() == nil {
 		var s fleet.Snapshot
 		var err error
 		if known {
-			s, err = w.waitForConfig(ctx, position)
+			s, err = w.waitForConfig(ctx)
 		} else {
 			s, err = w.wholeConfig(ctx)
 		}
@@ -118,14 +120,32 @@
 			event.Log(w.logger, event.ConfigFailed, event.Err(err))
 		}
 		pause = retryPause
-		w.configReadAt.Store(int64(time.Since(w.started)))
-		known, position = true, s.Position
-		if s.Config != nil && w.Apply(s.Config, decisionlog.SourceStore) {
-			w.share(Document{Kind: KindConfig, Version: s.Config.Version, Body: s.Raw})
+		w.recordConfigRead()
+		if s.Config != nil {
+			w.applyRead(s, decisionlog.SourceStore)
 		}
+		if known {
+			w.wait.advance(s.Position)
+		} else {
+			w.wait.restart(s.Position)
+		}
+		known = true
 	}
 }
 
+// recordConfigRead records that the store has answered a configuration request.
+func (w *Watcher) recordConfigRead() { w.configReadAt.Store(int64(time.Since(w.started))) }
+
+// applyRead applies a configuration that was read from the store and shares it. It reports
+// whether the configuration changed.
+func (w *Watcher) applyRead(s fleet.Snapshot, source string) bool {
+	if !w.Apply(s.Config, source) {
+		return false
+	}
+	w.share(Document{Kind: KindConfig, Version: s.Config.Version, Body: s.Raw})
+	return true
+}
+
 // Apply makes c the active configuration unless the active version is the same
 // or newer. It reports whether the configuration changed. source is where c came from, for
 // the log.
--- a/entry/direct/view/waitcheck_test.go
+++ b/entry/direct/view/waitcheck_test.go
@@ -13,7 +13,7 @@
 
 func TestWaitIsRenewedWhenStoreAnswersAgain(t *testing.T) {
 	c := waitCheck{}
-	assert.Equal(t, c.begin(at(0)), longWait)
+	c.begin(at(0))
 	assert.Equal(t, c.readAnswered(at(100)), renewNone)
 	assert.Assert(t, c.readFailed(at(5000), at(6500)))
 	assert.Assert(t, !c.readFailed(at(6500), at(8000)), "it is in doubt already")
@@ -22,7 +22,7 @@
 	assert.Equal(t, c.readAnswered(at(8600)), renewNone, "it is renewed once")
 	c.begin(at(8010))
 	assert.Equal(t, c.doubted(at(9000)), time.Duration(0))
-	assert.Equal(t, c.peerAnswered(at(9000)), renewNone)
+	assert.Equal(t, c.readAnswered(at(9000)), renewNone)
 }
 
 // TestPeerShowsThatStoreAnswersAgain has peers' reads before, during and after a read that
@@ -30,34 +30,31 @@
 func TestPeerShowsThatStoreAnswersAgain(t *testing.T) {
 	c := waitCheck{}
 	c.begin(at(0))
-	assert.Equal(t, c.peerAnswered(at(10)), renewNone)
+	assert.Equal(t, c.readAnswered(at(10)), renewNone)
 	c.readFailed(at(1000), at(2500))
-	assert.Equal(t, c.peerAnswered(at(900)), renewNone, "read before the silence")
-	assert.Equal(t, c.peerAnswered(at(2000)), renewLost)
+	assert.Equal(t, c.readAnswered(at(900)), renewNone, "read before the silence")
+	assert.Equal(t, c.readAnswered(at(2000)), renewLost)
 }
 
-// TestReadsInCalmRenewNothing has answered reads of peers, and one of this entry as when a
-// list is late.
+// TestReadsInCalmRenewNothing has answered reads, of this entry and of peers.
 func TestReadsInCalmRenewNothing(t *testing.T) {
 	c := waitCheck{}
 	c.begin(at(0))
 	for ms := 0; ms < 20_000; ms += 600 {
-		assert.Equal(t, c.peerAnswered(at(ms)), renewNone)
+		assert.Equal(t, c.readAnswered(at(ms)), renewNone)
 	}
-	assert.Equal(t, c.readAnswered(at(20_000)), renewNone)
-	assert.Equal(t, c.begin(at(20_010)), longWait)
 }
 
-func TestWaitOfRegularReaderIsShort(t *testing.T) {
+func TestWaitThatMissedChangeIsRenewedOnce(t *testing.T) {
 	c := waitCheck{}
+	assert.Equal(t, c.missed(), renewNone, "there is no wait")
 	c.begin(at(0))
-	assert.Equal(t, c.readAnswered(at(600)), renewNone)
-	assert.Equal(t, c.readAnswered(at(1200)), renewReader)
-	assert.Equal(t, c.begin(at(1210)), shortWait)
-	assert.Equal(t, c.readAnswered(at(1800)), renewNone, "it is short already")
-	assert.Equal(t, c.begin(at(1900)), shortWait)
-	c.end()
-	assert.Equal(t, c.begin(at(6000)), longWait, "it no longer reads")
+	assert.Equal(t, c.missed(), renewMissed)
+	assert.Equal(t, c.missed(), renewNone)
+	c.begin(at(10))
+	c.readFailed(at(20), at(1520))
+	assert.Equal(t, c.missed(), renewMissed)
+	assert.Equal(t, c.readAnswered(at(1530)), renewNone, "it is renewed already")
 }
 
 func TestFailureBetweenWaitsDoubtsNothing(t *testing.T) {
@@ -69,29 +66,30 @@
 	assert.Equal(t, c.readAnswered(at(2100)), renewNone)
 }
 
-// TestWaitCheckInvariant runs random sequences of waits and reads. A wait must be renewed
-// exactly if one of this entry's reads failed during it and a later read was answered, or
-// if it is long while this entry reads regularly.
+// TestWaitCheckInvariant runs random sequences of waits and reads. A wait must be renewed,
+// once, exactly if one of this entry's reads failed during it and a later read was answered,
+// or if it has missed a change.
 func TestWaitCheckInvariant(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c, m := waitCheck{}, waitModel{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			m.now += rapid.IntRange(1, 2000).Draw(t, "pause")
 			requested := m.now
-			switch rapid.SampledFrom([]string{"begin", "end", "failed", "own", "peer"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"begin", "end", "failed", "answered", "missed"}).Draw(t, "step") {
 			case "begin":
-				assert.Equal(t, c.begin(at(m.now)), m.begin())
+				c.begin(at(m.now))
+				m.waiting, m.inDoubt, m.renewed = true, false, false
 			case "end":
 				c.end()
 				m.waiting = false
 			case "failed":
 				m.now += rapid.IntRange(1, 1500).Draw(t, "timeout")
 				assert.Equal(t, c.readFailed(at(requested), at(m.now)), m.waiting && !m.inDoubt)
-				m.readFailed()
-			case "own":
-				assert.Equal(t, c.readAnswered(at(requested)), m.readAnswered(requested))
-			case "peer":
-				assert.Equal(t, c.peerAnswered(at(requested)), m.peerAnswered())
+				m.inDoubt = m.waiting
+			case "answered":
+				assert.Equal(t, c.readAnswered(at(requested)), m.renew(m.inDoubt, renewLost))
+			case "missed":
+				assert.Equal(t, c.missed(), m.renew(true, renewMissed))
 			}
 		}
 	})
@@ -99,40 +97,10 @@
 
 // waitModel restates the rules of waitCheck for reads that do not overlap, in milliseconds.
 type waitModel struct {
-	now       int
-	waiting   bool
-	short     bool
-	inDoubt   bool
-	renewed   bool
-	ownReads  []int // starts of the answered reads since the last failed one
-	regularAt int   // start of the last read that followed another soon; 0 if the last did not
-}
-
-func (m *waitModel) begin() time.Duration {
-	m.waiting, m.inDoubt, m.renewed = true, false, false
-	m.short = m.regularAt > 0 && m.now-m.regularAt <= int(regularGap.Milliseconds())
-	if m.short {
-		return shortWait
-	}
-	return longWait
-}
-
-func (m *waitModel) readFailed() {
-	m.ownReads, m.regularAt = nil, 0
-	m.inDoubt = m.waiting
-}
-
-func (m *waitModel) peerAnswered() renewal { return m.renew(m.inDoubt, renewLost) }
-
-func (m *waitModel) readAnswered(ms int) renewal {
-	m.ownReads, m.regularAt = append(m.ownReads, ms), 0
-	if n := len(m.ownReads); n > 1 && ms-m.ownReads[n-2] <= int(regularGap.Milliseconds()) {
-		m.regularAt = ms
-	}
-	if reason := m.peerAnswered(); reason != renewNone {
-		return reason
-	}
-	return m.renew(m.regularAt > 0 && !m.short, renewReader)
+	now     int
+	waiting bool
+	inDoubt bool
+	renewed bool
 }
 
 func (m *waitModel) renew(due bool, reason renewal) renewal {
