--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -53,6 +53,7 @@
 	Candidates int           // servers that could have been chosen
 	ViewAge    time.Duration // since the servers' registrations were read from the store
 	Kept       bool          // the server has no readable registration and is kept for a while
+	Stopping   time.Duration // since the process began to stop; 0 before
 	Reason     string        // why this server was chosen
 }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -66,6 +66,7 @@
 	if r.Kept {
 		e.boolean("kept", true)
 	}
+	e.durationIfSet("stopping_ms", r.Stopping)
 	e.textIfSet("reason", r.Reason)
 }
 
--- a/common/event/decision.go
+++ b/common/event/decision.go
@@ -5,7 +5,7 @@
 // Events 600 to 639: requests that are sent to backend servers directly.
 var (
 	RequestRouted   = define(600, "request routed", logrus.InfoLevel, "The route, service and model of a request, the IDs of its prompt's parts, and the configuration version that decided them. Written only if the request had a problem before its end, for example if an attempt failed.")
-	ServerChosen    = define(602, "server chosen", logrus.InfoLevel, "The backend server that a request was sent to, with the expected time to first token, the backlog and the age of the view used for the choice. kept means that the server has no readable registration; see line 672.")
+	ServerChosen    = define(602, "server chosen", logrus.InfoLevel, "The backend server that a request was sent to, with the expected time to first token, the backlog and the age of the view used for the choice. kept means that the server has no readable registration; see line 672. stopping_ms is the time since this process began to stop.")
 	RequestRetried  = define(603, "request retried", logrus.InfoLevel, "A failed attempt is retried; if a stream is resumed, resume_after is the last event that the caller has.")
 	RetryWithheld   = define(604, "retry withheld", logrus.WarnLevel, "A failed attempt was not retried; reason says why.")
 	RequestRefused  = define(605, "request refused", logrus.WarnLevel, "The entry answered without running the request. reason says why, retry_after_ms when the caller may retry.")
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -68,8 +68,9 @@
 	r.end.Backlog = a.ticket.Backlog
 }
 
-// chosen records the server of an attempt and the inputs of the choice.
-func (r *record) chosen(a *attempt) {
+// chosen records the server of an attempt and the inputs of the choice. stopping is the time
+// since the process began to stop, or 0.
+func (r *record) chosen(a *attempt, stopping time.Duration) {
 	t := a.ticket
 	r.trace.Add(decisionlog.Chosen{
 		Server:   t.Server.ID,
@@ -83,6 +84,7 @@
 		Cached:   t.Cached,
 		ViewAge:  a.viewAge,
 		Kept:     t.Server.Kept,
+		Stopping: stopping,
 
 		Candidates: t.Replicas,
 	})
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -133,7 +133,7 @@
 	r.record.end.Attempts++
 	a := newAttempt(ctx, ticket, r.record.end.Attempts, r.f.opts.Views.Current())
 	r.record.serverChanged(a)
-	r.record.chosen(a)
+	r.record.chosen(a, r.f.sinceStop())
 	r.recordOrigin(a)
 	return a, nil
 }
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -71,7 +71,7 @@
 	s := newAttempt(w.ctx, t, w.attempt.number+w.tried, r.f.opts.Views.Current())
 	w.phase, w.cancelPhase, w.retryTaken = phaseSending, s.cancel, taken
 	r.record.retried(r.lastEventID(), s.number, r.f.opts.Balancer.BudgetLeft(r.req.service))
-	r.record.chosen(s)
+	r.record.chosen(s, r.f.sinceStop())
 	r.recordOrigin(s)
 	return r.newCall(t.Server), s
 }
