A stopping entry answers what it has passed on

Cause: at the end of the stop the connections were closed under the handlers. A stream whose server had answered with a head and no event could not be answered either, since the head was written at once.

Change: the requests are aborted first. What has had no byte is answered, with 503 if no server may have run it and else with 504; an answer that has begun is cut, so that it does not look complete. The header of a stream is written with its first event. The lease is released meanwhile, so that the stop still ends in time.

--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -21,7 +21,7 @@
 		return r.handleDecline(ctx, a)
 	case isServerError(resp.Status):
 		return r.handleServerError(ctx, a)
-	case r.stream != nil && resp.Status != statusResumed:
+	case r.streamBegun() && resp.Status != statusResumed:
 		r.recordErrorStatus(a)
 		r.exclude = append(r.exclude, a.ticket.Server.ID)
 		return r.mayRetry(ctx) || r.finishWithError(ctx, refusal{status: http.StatusBadGateway})
@@ -71,7 +71,7 @@
 	if r.mayRetry(ctx) {
 		return true
 	}
-	if r.stream != nil {
+	if r.streamBegun() {
 		return r.finishWithError(ctx, refusal{status: http.StatusBadGateway})
 	}
 	if impliesNotRun(resp.Status) {
@@ -136,17 +136,25 @@
 	return nil
 }
 
+// writeHeader begins the client's answer with the header of a server's answer.
+func (r *run) writeHeader(resp *exchange.Response) {
+	relay.CopyHeader(r.w, resp)
+	r.f.closeAfterStop(r.w)
+	r.w.WriteHeader(resp.Status)
+}
+
+// streamBegun reports whether the client's answer has begun as a stream.
+func (r *run) streamBegun() bool { return r.stream != nil && r.stream.Begun() }
+
 func (r *run) forwardStream(ctx context.Context, a *attempt) bool {
 	t, resp := a.ticket, a.answer
 	brokeOff := r.stream != nil
 	if !brokeOff {
-		relay.CopyHeader(r.w, resp)
-		r.f.closeAfterStop(r.w)
-		r.w.WriteHeader(resp.Status)
 		r.stream = relay.NewStream(r.w, *r.eventFormat(), r.req.LastEventID)
 	}
+	writeHeader := func() { r.writeHeader(resp) }
 	a.watch.recordEvent()
-	err := r.stream.Copy(resp.Body, a.watch.claim, func() {
+	err := r.stream.Copy(resp.Body, a.watch.claim, writeHeader, func() {
 		t.Event()
 		a.brought.Store(true)
 		r.begun.Store(true)
@@ -164,6 +172,7 @@
 	r.record.end.Events, r.record.end.Bytes = r.stream.Events, r.stream.Bytes
 	switch {
 	case err == nil:
+		r.stream.Begin(writeHeader) // of a stream without an event
 		t.Succeeded()
 		r.answered(a)
 		r.record.finishServed(resp.Status, r.stream.Bytes)
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -66,17 +66,19 @@
 type Front struct {
 	opts           Options
 	stopping       atomic.Int64 // when Stop was called, in nanoseconds since start; 0 before
-	aborting       atomic.Bool  // set by SetAborting
 	active         atomic.Int64 // requests in progress, including those that are refused
 	activeRequests *activeRequests
 	queueCtx       context.Context // canceled AcceptAfterStop after Stop to end the wait of queued requests
 	cancelQueued   context.CancelFunc
+	abortCtx       context.Context // canceled by Abort
+	abort          context.CancelFunc
 }
 
 // New returns a Front without requests.
 func New(opts Options) *Front {
 	f := &Front{opts: opts, activeRequests: newActiveRequests()}
 	f.queueCtx, f.cancelQueued = context.WithCancel(context.Background())
+	f.abortCtx, f.abort = context.WithCancel(context.Background())
 	return f
 }
 
@@ -87,10 +89,14 @@
 	time.AfterFunc(AcceptAfterStop, f.cancelQueued)
 }
 
-// SetAborting announces that the process closes the connections of all requests in
-// progress, so that these are logged as cut rather than as left by their
-// callers.
-func (f *Front) SetAborting() { f.aborting.Store(true) }
+// Abort ends all requests in progress, shortly before the process closes their connections. A
+// request of whose answer the client has no byte is answered: with a refusal if no server may
+// have run it, and else with a status that does not say so. An answer that has begun is cut, so
+// that it does not look complete. Requests that arrive later must not be sent to a server.
+func (f *Front) Abort() { f.abort() }
+
+// aborting reports whether Abort was called.
+func (f *Front) aborting() bool { return f.abortCtx.Err() != nil }
 
 // start is the reference time of Front.stopping.
 var start = time.Now()
--- a/entry/direct/front/outcome.go
+++ b/entry/direct/front/outcome.go
@@ -89,7 +89,7 @@
 // process, the deadline or else the reason of cause. It is empty if the caller
 // disconnected.
 func (r *run) abortReason(ctx context.Context, cause refusal) decisionlog.RefusalReason {
-	if r.f.aborting.Load() {
+	if r.f.aborting() {
 		return stoppedReason
 	}
 	if r.callerDisconnected() {
@@ -105,7 +105,7 @@
 // left, or the entry cut the answer.
 func (r *run) abortOutcome(err error) decisionlog.Outcome {
 	left := errors.Is(err, relay.ErrClient) || r.callerDisconnected()
-	if left && !r.f.aborting.Load() {
+	if left && !r.f.aborting() {
 		return decisionlog.OutcomeCallerLeft
 	}
 	return decisionlog.OutcomeCut
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -34,7 +34,7 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	req        *request
-	stream     *relay.Stream // nil until a stream begins
+	stream     *relay.Stream // nil until a server's answer is a stream
 	next       *attempt      // has taken the request over from the current attempt; nil if none has
 	sent       int           // attempts that reached a server
 	unsent     int           // attempts that failed before anything was sent
@@ -52,6 +52,7 @@
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, req *request, v *fleet.View) {
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline())
 	defer cancel()
+	defer context.AfterFunc(f.abortCtx, cancel)()
 	f.opts.Balancer.CountRequest(req.service)
 	f.activeRequests.begin(req)
 	defer f.activeRequests.end(req)
@@ -181,7 +182,7 @@
 		Deadline: r.req.deadline(),
 		Exclude:  r.exclude,
 		Gone:     r.gone,
-		Resumed:  r.stream != nil || r.req.resumesStream(),
+		Resumed:  r.streamBegun() || r.req.resumesStream(),
 		Software: r.software,
 	}
 }
@@ -276,7 +277,10 @@
 	if quarantined := quarantinedCause(ctx); quarantined != nil {
 		cause = refusalOf(quarantined)
 	}
-	if r.stream != nil || r.callerDisconnected() {
+	if r.f.aborting() {
+		cause = refusal{status: http.StatusServiceUnavailable, retryAfter: stopRetryAfter, reason: decisionlog.RefusedStopping}
+	}
+	if r.streamBegun() || r.callerDisconnected() {
 		r.record.finishFailed(r.abortOutcome(ctx.Err()), 0, string(r.abortReason(ctx, cause)))
 		panic(http.ErrAbortHandler)
 	}
@@ -286,6 +290,9 @@
 	if r.mayHaveRun && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		cause = refusal{status: http.StatusGatewayTimeout, reason: deadlineReason}
 	}
+	if r.mayHaveRun && r.f.aborting() {
+		cause = refusal{status: http.StatusGatewayTimeout, reason: stoppedReason}
+	}
 	r.recordRefusal(cause)
 	r.f.closeAfterStop(r.w)
 	r.f.opts.Codec.Refuse(r.w.Header(), r.req.ID, cause.retryAfter)
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -104,7 +104,7 @@
 	if resp.Outcome.NotRun || isServerError(resp.Status) {
 		return false
 	}
-	return r.stream == nil || resp.Status == statusResumed
+	return !r.streamBegun() || resp.Status == statusResumed
 }
 
 // successorFailed records the failure of another server and reports whether the
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -102,14 +103,13 @@
 			ready.stopping.Store(true)
 			f.Stop()
 			drain(ctx, f)
-			logCutRequests(decisions, f)
-			c.release()
-			if err := server.Shutdown(ctx); err == nil {
-				return nil
-			}
-			err := server.Close()
+			logUnfinished(decisions, f)
+			var released sync.WaitGroup
+			released.Go(c.release)
+			defer released.Wait()
+			f.Abort()
 			awaitHandlers(f)
-			return err
+			return closeConnections(ctx, server)
 		},
 	})
 }
@@ -127,18 +127,16 @@
 	return nil
 }
 
-// maxLoggedCuts is how many of the requests cut off by a stop are logged by ID; the
-// oldest are chosen.
+// maxLoggedCuts is how many of the requests that a stop ends are logged by ID; the oldest are
+// chosen.
 const maxLoggedCuts = 8
 
-// logCutRequests logs the requests still in progress at the end of a stop, just before
-// their connections are closed.
-func logCutRequests(log *decisionlog.Log, f *front.Front) {
+// logUnfinished logs the requests still in progress at the end of a stop.
+func logUnfinished(log *decisionlog.Log, f *front.Front) {
 	oldest := f.Oldest(maxLoggedCuts)
 	if len(oldest) == 0 {
 		return
 	}
-	f.SetAborting()
 	cut := decisionlog.ShutdownTimedOut{InProgress: int(f.Active()), Oldest: map[string]time.Duration{}}
 	for _, r := range oldest {
 		cut.Oldest[r.ID] = r.Age
@@ -146,11 +144,17 @@
 	log.Write(cut)
 }
 
-// handlersTimeout bounds the wait for handlers whose connections have been closed.
-const handlersTimeout = 200 * time.Millisecond
+const (
+	// handlersTimeout bounds the wait for the answers of aborted requests.
+	handlersTimeout = 300 * time.Millisecond
+
+	// shutdownTimeout bounds the wait for connections whose requests have ended, once the time
+	// for the stop is over.
+	shutdownTimeout = 100 * time.Millisecond
+)
 
-// awaitHandlers waits until the handlers of requests that were cut off have ended, and with
-// them their log lines: http.Server.Close does not wait for handlers.
+// awaitHandlers waits until the handlers of aborted requests have ended, and with them their
+// answers and log lines.
 func awaitHandlers(f *front.Front) {
 	ctx, cancel := context.WithTimeout(context.Background(), handlersTimeout)
 	defer cancel()
@@ -158,6 +162,20 @@
 	}
 }
 
+// closeConnections closes the listener and all connections. Until ctx ends it waits for those
+// whose requests have not ended.
+func closeConnections(ctx context.Context, server *http.Server) error {
+	if ctx.Err() != nil {
+		last, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		ctx = last
+	}
+	if err := server.Shutdown(ctx); err == nil {
+		return nil
+	}
+	return server.Close()
+}
+
 // drain waits until no new connections arrive and no request is in progress, or
 // until ctx ends.
 func drain(ctx context.Context, f *front.Front) {
--- a/entry/direct/relay/stream.go
+++ b/entry/direct/relay/stream.go
@@ -33,16 +33,29 @@
 	event   []byte
 	lastID  string
 	after   string // ID of the last event that the client has, from this stream or an earlier one
+	begun   bool   // the header has been written
 	Events  int    // written to the client
 	Bytes   int64  // written to the client
 }
 
-// NewStream returns a stream of events of the format to the client behind w, whose header must
-// already be written. after is the ID of the last event that the client has, or "".
+// NewStream returns a stream of events of the format to the client behind w, whose header Copy
+// has its caller write. after is the ID of the last event that the client has, or "".
 func NewStream(w http.ResponseWriter, format Format, after string) *Stream {
 	return &Stream{w: w, control: http.NewResponseController(w), format: format, after: after}
 }
 
+// Begun reports whether the client's answer has begun, so that its status is fixed.
+func (s *Stream) Begun() bool { return s.begun }
+
+// Begin writes the header of the client's answer, by the given function, unless it has begun.
+func (s *Stream) Begin(writeHeader func()) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	writeHeader()
+}
+
 // LastID returns the ID of the last event written, or "" if there is none.
 func (s *Stream) LastID() string { return s.lastID }
 
@@ -52,9 +65,9 @@
 // ended after a whole event, io.ErrUnexpectedEOF if it ended within one,
 // ErrEventTooLong, ErrNoEventID, ErrForeignBytes or ErrEventOrder if an event is invalid, ErrClient if writing to
 // the client failed, and the source's error otherwise. It calls claim before it
-// writes an event, and ends with its error if there is one, and progress after each
-// event.
-func (s *Stream) Copy(source io.Reader, claim func() error, progress func()) error {
+// writes an event, and ends with its error if there is one, writeHeader before the first
+// event of the client's answer, and progress after each event.
+func (s *Stream) Copy(source io.Reader, claim func() error, writeHeader, progress func()) error {
 	in := readers.Get().(*bufio.Reader)
 	in.Reset(source)
 	defer func() {
@@ -74,16 +87,17 @@
 		}
 		id, err := s.format.checkEvent(s.event)
 		if err != nil {
-			_ = s.control.Flush() // write may have left this to the event; an error shows in the next write
+			s.flushBegun()
 			return err
 		}
 		if !follows(s.after, id) {
-			_ = s.control.Flush()
+			s.flushBegun()
 			return ErrEventOrder
 		}
 		if err := claim(); err != nil {
 			return err
 		}
+		s.Begin(writeHeader)
 		s.lastID, s.after = id, id
 		if err := s.write(in); err != nil {
 			return ErrClient
@@ -117,6 +131,14 @@
 
 var eventEnd = []byte("\n\n")
 
+// flushBegun sends the events that write has left to the next one, if there are any. An error
+// shows in the next write.
+func (s *Stream) flushBegun() {
+	if s.begun {
+		_ = s.control.Flush()
+	}
+}
+
 // write forwards the event. It flushes unless another whole event is already
 // buffered.
 func (s *Stream) write(in *bufio.Reader) error {
--- a/entry/direct/relay/stream_test.go
+++ b/entry/direct/relay/stream_test.go
@@ -49,7 +49,7 @@
 			client := httptest.NewRecorder()
 			s := NewStream(client, testFormat, "")
 			events := 0
-			err := s.Copy(c.source, func() error { return nil }, func() { events++ })
+			err := s.Copy(c.source, func() error { return nil }, func() {}, func() { events++ })
 			assert.Assert(t, errors.Is(err, c.err), "%v", err)
 			assert.Equal(t, client.Body.String(), c.forwarded)
 			assert.Equal(t, s.LastID(), c.lastID)
@@ -83,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			client := httptest.NewRecorder()
 			source := &endlessEvent{line: line, left: 4 * MaxEventBytes}
-			err := NewStream(client, testFormat, "").Copy(source, func() error { return nil }, func() {})
+			err := NewStream(client, testFormat, "").Copy(source, func() error { return nil }, func() {}, func() {})
 			assert.Assert(t, errors.Is(err, ErrEventTooLong), "%v after %d bytes", err, source.read)
 			assert.Assert(t, source.read <= MaxEventBytes+2*bufferBytes, "%d bytes", source.read)
 			assert.Equal(t, client.Body.Len(), 0)
@@ -98,6 +98,6 @@
 	event = strings.Repeat(":", MaxEventBytes-len(event)-1) + "\n" + event
 	assert.Equal(t, len(event), MaxEventBytes)
 	client := httptest.NewRecorder()
-	assert.NilError(t, NewStream(client, testFormat, "").Copy(strings.NewReader(event), func() error { return nil }, func() {}))
+	assert.NilError(t, NewStream(client, testFormat, "").Copy(strings.NewReader(event), func() error { return nil }, func() {}, func() {}))
 	assert.Equal(t, client.Body.Len(), MaxEventBytes)
 }
