A stopping entry asks whether a request can end whenever it sends one

What callers saw: requests whose head had been read before the limit of 2.8 s, and whose body came later, were passed on at any later moment and cut at the end; so were second attempts, takeovers of a silent server and streams that go on, if a server was free at once.

Cause: the limit was asked once, when the head had been read. Waits for a server were canceled then, but of a canceled wait and a free server the balancer chose at random.

Change: plannedStop decides, before each attempt, whether a request may still be sent: within the limit, or if its deadline ends before the requests in progress are aborted. A body that is late is not waited for: the client is told at once to go elsewhere, unless its request ends in time. A canceled wait gets no server.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -125,6 +125,7 @@
 	WithheldAttempts        WithheldReason = "no attempts left"
 	WithheldBudget          WithheldReason = "retry budget spent"
 	WithheldTime            WithheldReason = "no time left"
+	WithheldStopping        WithheldReason = "process is stopping"
 	WithheldNoServer        WithheldReason = "no other server"
 	WithheldPart            WithheldReason = "servers crash on a part of the prompt"
 	WithheldRequest         WithheldReason = "servers crash on the request"
--- a/entry/direct/balance/balance_test.go
+++ b/entry/direct/balance/balance_test.go
@@ -204,3 +204,19 @@
 	ticket, _ = b.Admit(ctx, q)
 	assert.Assert(t, ticket == nil)
 }
+
+// TestCanceledRequestIsNotDispatched admits requests whose wait has been canceled while a
+// server is free at once. Of the two, which are both ready, the end of the wait must count.
+func TestCanceledRequestIsNotDispatched(t *testing.T) {
+	b, _ := newTestBalancer(t, map[string][]fleet.Resident{"s1": {{Model: "m"}}}, "s1")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		ticket, rejected := b.Admit(ctx, query(""))
+		assert.Assert(t, ticket == nil)
+		assert.Assert(t, rejected.Canceled)
+	}
+	ticket, _ := b.Admit(t.Context(), query(""))
+	assert.Equal(t, ticket.Running, 0, "a ticket was not given back")
+	ticket.End()
+}
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -198,11 +198,16 @@
 	}
 }
 
-// await blocks until the queued request is dispatched, rejected or canceled.
+// await blocks until the queued request is dispatched, rejected or canceled. A request that was
+// canceled is not dispatched, even if a server is free at once.
 func (b *Balancer) await(ctx context.Context, p *pool, w *waiting) (*Ticket, *Rejection) {
 	select {
 	case t := <-w.decided:
-		return t.ticket, t.rejection
+		if ctx.Err() == nil || t.ticket == nil {
+			return t.ticket, t.rejection
+		}
+		t.ticket.End()
+		return nil, canceled()
 	case <-ctx.Done():
 	}
 	b.mu.Lock()
@@ -216,9 +221,11 @@
 		}
 	default:
 	}
-	return nil, &Rejection{Reason: "the wait ended first", Canceled: true}
+	return nil, canceled()
 }
 
+func canceled() *Rejection { return &Rejection{Reason: "the wait ended first", Canceled: true} }
+
 // dispatch admits or rejects the queued requests of the pool that can be decided
 // now. The caller holds b.mu.
 func (b *Balancer) dispatch(p *pool) {
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -58,6 +58,9 @@
 	if r.mayRetry(ctx) {
 		return true
 	}
+	if !r.f.mayBegin(r.req) {
+		return r.finishWithError(ctx, stoppingRefusal())
+	}
 	return r.finishWithError(ctx, refusal{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: decisionlog.RefusedByServers})
 }
 
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -26,12 +26,6 @@
 	// entries receive it within a few round trips after their start.
 	noConfigRetryAfter = 300 * time.Millisecond
 
-	// AcceptAfterStop is how long after Stop new requests are still accepted.
-	// Connections arrive for slightly more than 2 s: the platform checks once a
-	// second whether an entry is ready and acts on the second negative result.
-	AcceptAfterStop = 2800 * time.Millisecond
-	stopRetryAfter  = 50 * time.Millisecond // Retry-After of later requests, which another entry accepts
-
 	// defaultDeadline applies to requests without a deadline on routes without
 	// a timeout.
 	defaultDeadline = time.Minute
@@ -65,11 +59,11 @@
 // Front is the http.Handler for client requests.
 type Front struct {
 	opts           Options
-	stopping       atomic.Int64 // when Stop was called, in nanoseconds since start; 0 before
-	active         atomic.Int64 // requests in progress, including those that are refused
+	stop           atomic.Pointer[plannedStop] // nil before Stop
+	active         atomic.Int64                // requests in progress, including those that are refused
 	activeRequests *activeRequests
-	queueCtx       context.Context // canceled AcceptAfterStop after Stop to end the wait of queued requests
-	cancelQueued   context.CancelFunc
+	intakeCtx      context.Context // canceled once new requests are not accepted any more
+	closeIntake    context.CancelFunc
 	abortCtx       context.Context // canceled by Abort
 	abort          context.CancelFunc
 }
@@ -77,16 +71,18 @@
 // New returns a Front without requests.
 func New(opts Options) *Front {
 	f := &Front{opts: opts, activeRequests: newActiveRequests()}
-	f.queueCtx, f.cancelQueued = context.WithCancel(context.Background())
+	f.intakeCtx, f.closeIntake = context.WithCancel(context.Background())
 	f.abortCtx, f.abort = context.WithCancel(context.Background())
 	return f
 }
 
-// Stop makes every further answer close its connection. After AcceptAfterStop new and
-// queued requests are refused.
-func (f *Front) Stop() {
-	f.stopping.Store(int64(time.Since(start)))
-	time.AfterFunc(AcceptAfterStop, f.cancelQueued)
+// Stop makes every further answer close its connection. closesAt is when Abort will be called.
+// After AcceptAfterStop new requests are refused, and of those that wait for a server or for
+// their body all whose deadline is later than closesAt.
+func (f *Front) Stop(closesAt time.Time) {
+	s := newPlannedStop(time.Now(), closesAt)
+	f.stop.Store(s)
+	time.AfterFunc(time.Until(s.acceptUntil), f.closeIntake)
 }
 
 // Abort ends all requests in progress, shortly before the process closes their connections. A
@@ -98,9 +94,6 @@
 // aborting reports whether Abort was called.
 func (f *Front) aborting() bool { return f.abortCtx.Err() != nil }
 
-// start is the reference time of Front.stopping.
-var start = time.Now()
-
 // closeAfterStop makes the answer close its connection if Stop was called. It
 // must be called before the header is written.
 func (f *Front) closeAfterStop(w http.ResponseWriter) {
@@ -111,11 +104,11 @@
 
 // sinceStop returns the time since Stop was called, or 0 before.
 func (f *Front) sinceStop() time.Duration {
-	at := f.stopping.Load()
-	if at == 0 {
+	s := f.stop.Load()
+	if s == nil {
 		return 0
 	}
-	return time.Since(start) - time.Duration(at)
+	return time.Since(s.began)
 }
 
 // Active returns the number of requests in progress.
@@ -127,17 +120,14 @@
 	defer f.active.Add(-1)
 	defer f.logPanic(r)
 	arrived := time.Now()
-	stoppedFor := f.sinceStop()
-	if stoppedFor > 0 {
-		w.Header().Set("Connection", "close")
-	}
+	f.closeAfterStop(w)
 	if mayHideLength(r) {
 		// With two framings of one request, data after it on the connection may
 		// be a smuggled request, so nothing more is read.
 		w.Header().Set("Connection", "close")
 	}
-	if stoppedFor > AcceptAfterStop {
-		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, retryAfter: stopRetryAfter, reason: decisionlog.RefusedStopping})
+	if !f.stop.Load().accepts(arrived) {
+		f.refuse(w, r, stoppingRefusal())
 		return
 	}
 	view := f.opts.Views.Current()
@@ -150,13 +140,11 @@
 		f.refuse(w, r, refusal{status: http.StatusNotFound, reason: decisionlog.RefusedNoRoute})
 		return
 	}
-	req, refused := f.read(w, r, view.Config.Limits)
+	req, refused := f.read(w, r, route, arrived, view.Config.Limits)
 	if refused != nil {
 		f.refuse(w, r, *refused)
 		return
 	}
-	req.arrived, req.route = arrived, route
-	req.service = serviceOf(route, req.ID)
 	f.serve(w, r, req, view)
 }
 
@@ -206,6 +194,11 @@
 	replicas int           // usable servers that have loaded the model or adapter
 }
 
+// stoppingRefusal is the refusal of a request that another entry accepts.
+func stoppingRefusal() refusal {
+	return refusal{status: http.StatusServiceUnavailable, retryAfter: stopRetryAfter, reason: decisionlog.RefusedStopping}
+}
+
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, cause refusal) {
 	parsed, _ := f.opts.Codec.Request(r.Header) // fields may be missing if the header is invalid
 	f.opts.Log.Trace(parsed.ID).End(decisionlog.Refused{
--- a/entry/direct/front/request.go
+++ b/entry/direct/front/request.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -37,7 +38,7 @@
 
 // read checks a request against the limits and reads its body. It returns a
 // refusal for an invalid or too large request.
-func (f *Front) read(w http.ResponseWriter, r *http.Request, limits fleet.Limits) (*request, *refusal) {
+func (f *Front) read(w http.ResponseWriter, r *http.Request, route *fleet.Route, arrived time.Time, limits fleet.Limits) (*request, *refusal) {
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: decisionlog.RefusedTooLarge, detail: "header"}
 	}
@@ -48,22 +49,51 @@
 	if err != nil {
 		return nil, &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: err.Error()}
 	}
+	req := &request{
+		Request: parsed,
+		parts:   parsed.PartIDs(),
+		method:  r.Method,
+		host:    r.Host,
+		target:  originForm(r.RequestURI),
+		arrived: arrived,
+		route:   route,
+		service: serviceOf(route, parsed.ID),
+	}
+	if refused := f.readBody(w, r, req, limits); refused != nil {
+		return nil, refused
+	}
+	return req, nil
+}
+
+// readBody reads the body of a request. If it is still incomplete when no new request is
+// accepted any more, and the request may end too late, the client is told so at once.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, req *request, limits fleet.Limits) *refusal {
+	interrupted := func() bool { return !f.mayBegin(req) }
+	interrupt := context.AfterFunc(f.intakeCtx, func() {
+		if interrupted() {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only on a closed connection
+		}
+	})
 	body, err := readBody(w, r, limits.BodyBytes)
+	if !interrupt() && interrupted() {
+		refused := stoppingRefusal()
+		refused.detail = "its body is late"
+		return &refused
+	}
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: decisionlog.RefusedTooLarge, detail: "body"}
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: decisionlog.RefusedTooLarge, detail: "body"}
 	}
 	if err != nil {
-		return nil, &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: "body: " + err.Error()}
+		return &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: "body: " + err.Error()}
 	}
-	return &request{
-		Request: parsed,
-		parts:   parsed.PartIDs(),
-		method:  r.Method,
-		host:    r.Host,
-		target:  originForm(r.RequestURI),
-		body:    body,
-	}, nil
+	req.body = body
+	return nil
+}
+
+// mayBegin reports whether a request may be sent to a server now, which a planned stop limits.
+func (f *Front) mayBegin(req *request) bool {
+	return f.stop.Load().mayBegin(time.Now(), req.deadline())
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
--- a/entry/direct/front/retry.go
+++ b/entry/direct/front/retry.go
@@ -37,6 +37,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return decisionlog.WithheldTime
+	case !r.f.mayBegin(r.req):
+		return decisionlog.WithheldStopping
 	case r.mayHaveRun && r.req.route.RetryPolicy == fleet.RetryNever:
 		return decisionlog.WithheldMayHaveRun
 	case r.sent >= r.req.route.MaxAttempts:
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -117,6 +117,10 @@
 		r.record.serverChanged(next)
 		return next, nil
 	}
+	if !r.f.mayBegin(r.req) {
+		refused := stoppingRefusal()
+		return nil, &refused
+	}
 	if ctx.Err() != nil || r.callerDisconnected() || time.Until(r.req.deadline()) < minTimeLeft {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: decisionlog.RefusedTooLate}
 	}
@@ -144,7 +148,11 @@
 func (r *run) admit(ctx context.Context) (*balance.Ticket, *refusal) {
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(r.f.queueCtx, cancel)()
+	defer context.AfterFunc(r.f.intakeCtx, func() {
+		if !r.f.mayBegin(r.req) {
+			cancel()
+		}
+	})()
 	ticket, rejected := r.f.opts.Balancer.Admit(wait, r.query())
 	if rejected == nil {
 		return ticket, nil
@@ -278,7 +286,7 @@
 		cause = refusalOf(quarantined)
 	}
 	if r.f.aborting() {
-		cause = refusal{status: http.StatusServiceUnavailable, retryAfter: stopRetryAfter, reason: decisionlog.RefusedStopping}
+		cause = stoppingRefusal()
 	}
 	if r.streamBegun() || r.callerDisconnected() {
 		r.record.finishFailed(r.abortOutcome(ctx.Err()), 0, string(r.abortReason(ctx, cause)))
--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -216,7 +216,7 @@
 		return
 	}
 	w.timer.Reset(stallCheckInterval)
-	if w.phase != phaseIdle || w.left <= 0 || !w.isSilent() || w.budgetSpent() {
+	if w.phase != phaseIdle || w.left <= 0 || !w.isSilent() || w.stopping() || w.budgetSpent() {
 		return
 	}
 	ctx, cancel := context.WithCancel(w.ctx)
@@ -252,6 +252,16 @@
 	return true
 }
 
+// stopping reports whether a planned stop allows no further attempt, and records that. The
+// caller holds mu.
+func (w *stallWatch) stopping() bool {
+	if w.run.f.mayBegin(w.run.req) {
+		return false
+	}
+	w.recordWithheld(decisionlog.WithheldStopping)
+	return true
+}
+
 // budgetSpent reports whether the retry budget allows no further attempt, and
 // records that. The caller holds mu.
 func (w *stallWatch) budgetSpent() bool {
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -61,6 +61,10 @@
 		w.recordWithheld(withheldOf(q))
 		return nil, nil
 	}
+	if w.stopping() {
+		w.phase = phaseIdle
+		return nil, nil
+	}
 	taken := time.Now()
 	if !r.f.opts.Balancer.TakeRetry(r.req.service, taken) {
 		w.phase = phaseIdle
--- a/entry/direct/listen.go
+++ b/entry/direct/listen.go
@@ -101,7 +101,8 @@
 			ctx, cancel := context.WithTimeout(ctx, seconds(s.GraceS)-stopMargin)
 			defer cancel()
 			ready.stopping.Store(true)
-			f.Stop()
+			closesAt, _ := ctx.Deadline()
+			f.Stop(closesAt)
 			drain(ctx, f)
 			logUnfinished(decisions, f)
 			var released sync.WaitGroup
