A stopping entry knows how long each kind of request takes

Cause: nothing weighed the time that is left against what requests of the kind take.

Change: the entry keeps the latest 64 durations of each kind, named by its route. A new request is refused at once if nine of ten took longer than what is left; one that was sent before is sent again if twice the longest of them fits. A kind of which fewer than ten are known is accepted until the limit, and not sent again after it.

--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/entry/direct/exchange"
@@ -58,7 +59,7 @@
 	if r.mayRetry(ctx) {
 		return true
 	}
-	if !r.f.mayBegin(r.req) {
+	if !r.f.mayBegin(r.req, true) {
 		return r.finishWithError(ctx, stoppingRefusal())
 	}
 	return r.finishWithError(ctx, refusal{status: http.StatusServiceUnavailable, retryAfter: busyRetryAfter, reason: decisionlog.RefusedByServers})
@@ -99,6 +100,7 @@
 	if resp.Status < http.StatusMultipleChoices {
 		a.brought.Store(true)
 		r.answered(a)
+		r.observeDuration(a)
 	}
 	r.f.closeAfterStop(r.w)
 	if err := relay.Forward(r.w, r.r.Method, resp, buffered); err != nil {
@@ -139,6 +141,14 @@
 	return nil
 }
 
+// observeDuration records how long the request took at the server of its first attempt, if that
+// has served all of it.
+func (r *run) observeDuration(a *attempt) {
+	if a.number == 1 && !r.req.resumesStream() {
+		r.f.durations.observe(r.req.route.Name, time.Since(a.begun))
+	}
+}
+
 // writeHeader begins the client's answer with the header of a server's answer.
 func (r *run) writeHeader(resp *exchange.Response) {
 	relay.CopyHeader(r.w, resp)
@@ -178,6 +188,7 @@
 		r.stream.Begin(writeHeader) // of a stream without an event
 		t.Succeeded()
 		r.answered(a)
+		r.observeDuration(a)
 		r.record.finishServed(resp.Status, r.stream.Bytes)
 		return false
 	case errors.Is(err, relay.ErrClient):
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -62,6 +62,7 @@
 	stop           atomic.Pointer[plannedStop] // nil before Stop
 	active         atomic.Int64                // requests in progress, including those that are refused
 	activeRequests *activeRequests
+	durations      *durations
 	intakeCtx      context.Context // canceled once new requests are not accepted any more
 	closeIntake    context.CancelFunc
 	abortCtx       context.Context // canceled by Abort
@@ -70,7 +71,7 @@
 
 // New returns a Front without requests.
 func New(opts Options) *Front {
-	f := &Front{opts: opts, activeRequests: newActiveRequests()}
+	f := &Front{opts: opts, activeRequests: newActiveRequests(), durations: newDurations()}
 	f.intakeCtx, f.closeIntake = context.WithCancel(context.Background())
 	f.abortCtx, f.abort = context.WithCancel(context.Background())
 	return f
--- a/entry/direct/front/request.go
+++ b/entry/direct/front/request.go
@@ -68,7 +68,7 @@
 // readBody reads the body of a request. If it is still incomplete when no new request is
 // accepted any more, and the request may end too late, the client is told so at once.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, req *request, limits fleet.Limits) *refusal {
-	interrupted := func() bool { return !f.mayBegin(req) }
+	interrupted := func() bool { return !f.mayBegin(req, false) }
 	interrupt := context.AfterFunc(f.intakeCtx, func() {
 		if interrupted() {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only on a closed connection
@@ -92,8 +92,13 @@
 }
 
 // mayBegin reports whether a request may be sent to a server now, which a planned stop limits.
-func (f *Front) mayBegin(req *request) bool {
-	return f.stop.Load().mayBegin(time.Now(), req.deadline())
+// repeated says that a server has been sent it before.
+func (f *Front) mayBegin(req *request, repeated bool) bool {
+	s := f.stop.Load()
+	if s == nil {
+		return true
+	}
+	return s.mayBegin(time.Now(), sending{deadline: req.deadline(), kind: f.durations.of(req.route.Name), repeated: repeated})
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
--- a/entry/direct/front/retry.go
+++ b/entry/direct/front/retry.go
@@ -37,7 +37,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return decisionlog.WithheldTime
-	case !r.f.mayBegin(r.req):
+	case !r.f.mayBegin(r.req, true):
 		return decisionlog.WithheldStopping
 	case r.mayHaveRun && r.req.route.RetryPolicy == fleet.RetryNever:
 		return decisionlog.WithheldMayHaveRun
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -117,7 +117,7 @@
 		r.record.serverChanged(next)
 		return next, nil
 	}
-	if !r.f.mayBegin(r.req) {
+	if !r.mayBegin() {
 		refused := stoppingRefusal()
 		return nil, &refused
 	}
@@ -143,13 +143,16 @@
 	return a, nil
 }
 
+// mayBegin reports whether the request may be sent to a server now, which a planned stop limits.
+func (r *run) mayBegin() bool { return r.f.mayBegin(r.req, r.sent > 0) }
+
 // admit waits until the request may be sent to a server and returns the ticket for
 // it, or a refusal.
 func (r *run) admit(ctx context.Context) (*balance.Ticket, *refusal) {
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.f.intakeCtx, func() {
-		if !r.f.mayBegin(r.req) {
+		if !r.mayBegin() {
 			cancel()
 		}
 	})()
--- a/entry/direct/front/stall.go
+++ b/entry/direct/front/stall.go
@@ -255,7 +255,7 @@
 // stopping reports whether a planned stop allows no further attempt, and records that. The
 // caller holds mu.
 func (w *stallWatch) stopping() bool {
-	if w.run.f.mayBegin(w.run.req) {
+	if w.run.f.mayBegin(w.run.req, true) {
 		return false
 	}
 	w.recordWithheld(decisionlog.WithheldStopping)
