front: whether a request is repeated is read before its wait

What callers saw: nothing known. The function that ends a wait when no new request is accepted any more read a field that the request's goroutine writes.

--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -151,8 +151,9 @@
 func (r *run) admit(ctx context.Context) (*balance.Ticket, *refusal) {
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
+	repeated := r.sent > 0
 	defer context.AfterFunc(r.f.intakeCtx, func() {
-		if !r.mayBegin() {
+		if !r.f.mayBegin(r.req, repeated) {
 			cancel()
 		}
 	})()
