A stopping entry or side process of one's own deployment answers what it has passed on

What callers saw: in a deployment of one's own, a request that was still in progress when the time for a graceful shutdown (drain_s) was over ended with its connection and no answer; a client's HTTP library may then send an action with a key again by itself. An action at a side process that stopped was reported by its entry a minute later.

Cause: http.Server.Close under the handlers. Actions outlast the context of their caller's request, so that ending that would not have been enough.

Change: the contexts of requests are canceled with daemon.ErrStopping, and handlers have half a second to answer. Actions go on after their callers have left, but not beyond the process: the entry answers 504 and outcome unknown, the side process 502 and unknown, and any entry settles the action from its row.

--- a/common/daemon/listen.go
+++ b/common/daemon/listen.go
@@ -15,7 +15,37 @@
 	"peridotchute.example/common/fault"
 )
 
-const readHeaderTimeout = 10 * time.Second
+const (
+	readHeaderTimeout = 10 * time.Second
+
+	// abortTimeout bounds the wait for the answers of requests that were still in progress when
+	// the time for a graceful shutdown was over.
+	abortTimeout = 500 * time.Millisecond
+)
+
+// ErrStopping is the cause with which the contexts of requests are canceled that are still in
+// progress when the time for a graceful shutdown is over. Their handlers have half a second to
+// answer, before their connections are closed.
+var ErrStopping = errors.New("the process stops")
+
+// UntilStopping returns a context that outlasts ctx, the context of a request, unless that is
+// canceled with ErrStopping: for work that goes on after its caller has disconnected. The caller
+// must call cancel.
+func UntilStopping(ctx context.Context) (outlasting context.Context, cancel context.CancelFunc) {
+	outlasting, cancelCause := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if Stopping(ctx) {
+			cancelCause(ErrStopping)
+		}
+	})
+	return outlasting, func() {
+		stop()
+		cancelCause(nil)
+	}
+}
+
+// Stopping reports whether ctx was canceled with ErrStopping.
+func Stopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
 
 // Listener is one HTTP listener of a process.
 type Listener struct {
@@ -29,7 +59,13 @@
 // Serve opens the listener when the application starts and shuts it down
 // gracefully when the application stops.
 func Serve(lc fx.Lifecycle, log logrus.FieldLogger, l Listener) {
-	server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: l.TLS}
+	requests, abort := context.WithCancelCause(context.Background())
+	server := &http.Server{
+		Handler:           l.Handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		TLSConfig:         l.TLS,
+		BaseContext:       func(net.Listener) context.Context { return requests },
+	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			ln, err := net.Listen("tcp", l.Address)
@@ -40,16 +76,26 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, max(l.Drain, time.Second))
-			defer cancel()
-			if err := server.Shutdown(ctx); err != nil {
-				return server.Close()
+			if shutdown(ctx, server, max(l.Drain, time.Second)) {
+				return nil
 			}
-			return nil
+			abort(ErrStopping)
+			if shutdown(context.Background(), server, abortTimeout) {
+				return nil
+			}
+			return server.Close()
 		},
 	})
 }
 
+// shutdown closes the listener and waits for requests in progress. It reports whether they ended
+// in time.
+func shutdown(ctx context.Context, server *http.Server, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return server.Shutdown(ctx) == nil
+}
+
 func serve(server *http.Server, ln net.Listener, log logrus.FieldLogger, l Listener) {
 	var err error
 	if l.TLS != nil {
--- a/entry/serving/action/runner.go
+++ b/entry/serving/action/runner.go
@@ -8,8 +8,10 @@
 	"github.com/sirupsen/logrus"
 
 	"peridotchute.example/common/clock"
+	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/fault"
+	"peridotchute.example/common/wire"
 	"peridotchute.example/entry/serving/answer"
 	"peridotchute.example/idempotency"
 	"peridotchute.example/store"
@@ -55,7 +57,8 @@
 
 // drive runs the state machine of the action until it replies. ctx is not the
 // context of the caller's request: an action continues after its caller has
-// disconnected.
+// disconnected. If this process ends first, the outcome is unknown here, and any entry settles
+// the action from its row.
 func (r *Runner) drive(ctx context.Context, a idempotency.Action, pool string, sender Sender) (idempotency.Action, idempotency.Reply) {
 	var ev idempotency.Event = idempotency.Begin{}
 	for {
@@ -65,6 +68,9 @@
 			return a, reply
 		}
 		ev = r.execute(ctx, &a, effect, pool, sender)
+		if daemon.Stopping(ctx) {
+			return a, idempotency.Reply{Outcome: wire.OutcomeUnknown, Code: idempotency.CodeRunning, Reason: "this process stops"}
+		}
 	}
 }
 
--- a/entry/serving/action/serve.go
+++ b/entry/serving/action/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/config"
 	"peridotchute.example/entry/serving/dispatch"
@@ -50,7 +51,9 @@
 	w.Header().Set(wire.HeaderIdempotency, a.Key)
 	out := &sink{w: w}
 	sender := &sender{server: s, req: req, out: out}
-	_, reply := s.opts.Runner.run(context.WithoutCancel(ctx), a, req.Pool, sender)
+	ctx, cancel := daemon.UntilStopping(ctx)
+	defer cancel()
+	_, reply := s.opts.Runner.run(ctx, a, req.Pool, sender)
 	if reply.Answer != nil {
 		out.writeWhole(reply.Answer)
 		return nil
--- a/integration/cluster/configure.go
+++ b/integration/cluster/configure.go
@@ -108,6 +108,11 @@
 			c.opts.EditSide(i+1, &s.Settings)
 		}
 	}
+	for i, s := range c.plain {
+		if c.opts.EditPlain != nil {
+			c.opts.EditPlain(i+1, &s.Settings)
+		}
+	}
 	for _, s := range c.Sides() {
 		if err := c.link(&s.Settings.Backend.URL, s.Name, Backend, s.backend); err != nil {
 			return err
--- a/integration/cluster/options.go
+++ b/integration/cluster/options.go
@@ -53,6 +53,7 @@
 
 	EditEntry   func(i int, s *entry.Settings) // edits the settings before the start; i starts at 1
 	EditSide    func(i int, s *side.Settings)  // as EditEntry, for model servers
+	EditPlain   func(i int, s *side.Settings)  // as EditEntry, for servers of the plain service
 	EditStandIn func(s *server.Settings)
 }
 
--- a/side/action/run.go
+++ b/side/action/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"peridotchute.example/common/daemon"
 	"peridotchute.example/common/event"
 	"peridotchute.example/common/wire"
 	"peridotchute.example/idempotency"
@@ -38,7 +39,8 @@
 // Run calls serve for the attempt if the register admits it, or else responds with
 // a failure. It reads the complete request first, so that a truncated request
 // starts nothing. A started attempt continues if the entry disconnects, for at
-// most maxRunTime.
+// most maxRunTime, but not beyond the end of this process: the entry is then answered that the
+// outcome is unknown.
 func (runner *Runner) Run(w http.ResponseWriter, r *http.Request, claim wire.Claim, serve http.HandlerFunc) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
@@ -49,8 +51,10 @@
 		runner.reject(w, claim, refusal)
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), maxRunTime)
+	ctx, cancel := daemon.UntilStopping(r.Context())
 	defer cancel()
+	ctx, cancelTimeout := context.WithTimeout(ctx, maxRunTime)
+	defer cancelTimeout()
 	r = r.WithContext(ctx)
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	runner.perform(w, r, claim, serve)
