--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -98,7 +98,7 @@
 // closeAfterStop makes the answer close its connection if Stop was called. It
 // must be called before the header is written.
 func (f *Front) closeAfterStop(w http.ResponseWriter) {
-	if f.sinceStop() > 0 {
+	if f.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 }
--- a/entry/direct/front/request.go
+++ b/entry/direct/front/request.go
@@ -68,14 +68,14 @@
 // readBody reads the body of a request. If it is still incomplete when no new request is
 // accepted any more, and the request may end too late, the client is told so at once.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, req *request, limits fleet.Limits) *refusal {
-	interrupted := func() bool { return !f.mayBegin(req, false) }
-	interrupt := context.AfterFunc(f.intakeCtx, func() {
-		if interrupted() {
+	tooLate := func() bool { return !f.mayBegin(req, false) }
+	inTime := context.AfterFunc(f.intakeCtx, func() {
+		if tooLate() {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only on a closed connection
 		}
 	})
 	body, err := readBody(w, r, limits.BodyBytes)
-	if !interrupt() && interrupted() {
+	if !inTime() && tooLate() {
 		refused := stoppingRefusal()
 		refused.detail = "its body is late"
 		return &refused
--- a/entry/direct/front/stopping.go
+++ b/entry/direct/front/stopping.go
@@ -1,8 +1,6 @@
 package front
 
-import (
-	"time"
-)
+import "time"
 
 // AcceptAfterStop is how long after Stop new requests are still accepted. Connections arrive
 // for slightly more than 2 s: the platform checks once a second whether an entry is ready and
