--- a/entry/direct/orders/lease_history_test.go
+++ b/entry/direct/orders/lease_history_test.go
@@ -16,33 +16,38 @@
 // writes. Between two lease holders must be at least the lease gap, and the fencing
 // token must increase with every change of lease holder.
 func TestLeaseHoldersNeverOverlap(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		clock, table := &fakeClock{now: time.Hour}, newTable()
-		names := []string{"a", "b", "c"}
-		leases := make([]*lease, len(names))
-		for i, name := range names {
-			leases[i] = newLease(table, name, clock)
+	rapid.Check(t, func(t *rapid.T) { playLeaseHistory(t, newTable(), func() {}) })
+}
+
+// playLeaseHistory plays one history and asserts that no two entries hold the lease too close to
+// each other. It calls disturb before each step of an entry.
+func playLeaseHistory(t *rapid.T, table *fakeTable, disturb func()) {
+	clock := &fakeClock{now: time.Hour}
+	names := []string{"a", "b", "c"}
+	leases := make([]*lease, len(names))
+	for i, name := range names {
+		leases[i] = newLease(table, name, clock)
+	}
+	h := history{t: t, lastHeld: map[string]time.Duration{}}
+	for range rapid.IntRange(50, 300).Draw(t, "turns") {
+		i := rapid.IntRange(0, len(names)-1).Draw(t, "entry")
+		injectFaults(t, table)
+		disturb()
+		switch rapid.IntRange(0, 40).Draw(t, "what") {
+		case 0:
+			leases[i] = newLease(table, names[i], clock)
+		case 1:
+			leases[i].close()
+			_ = leases[i].release(context.Background(), nil) // may fail; the others then wait longer
+			leases[i] = newLease(table, names[i], clock)
+		default:
+			_, _ = leases[i].step(context.Background()) // may fail
 		}
-		h := history{t: t, lastHeld: map[string]time.Duration{}}
-		for range rapid.IntRange(50, 300).Draw(t, "turns") {
-			i := rapid.IntRange(0, len(names)-1).Draw(t, "entry")
-			injectFaults(t, table)
-			switch rapid.IntRange(0, 40).Draw(t, "what") {
-			case 0:
-				leases[i] = newLease(table, names[i], clock)
-			case 1:
-				leases[i].close()
-				_ = leases[i].release(context.Background(), nil) // may fail; the others then wait longer
-				leases[i] = newLease(table, names[i], clock)
-			default:
-				_, _ = leases[i].step(context.Background()) // may fail
-			}
-			clock.add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
-			for _, l := range leases {
-				h.check(l, clock.read())
-			}
+		clock.add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+		for _, l := range leases {
+			h.check(l, clock.read())
 		}
-	})
+	}
 }
 
 // history records when each entry last held the lease, and the newest lease holder
--- a/entry/direct/orders/rewind_test.go
+++ b/entry/direct/orders/rewind_test.go
@@ -227,34 +227,10 @@
 // beside a table that returns from older copies, again and again.
 func TestLeaseHistoriesAcrossReturns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		clock, table := &fakeClock{now: time.Hour}, newTable()
+		table := newTable()
 		table.era = firstEra
 		table.backup()
-		names := []string{"a", "b", "c"}
-		leases := make([]*lease, len(names))
-		for i, name := range names {
-			leases[i] = newLease(table, name, clock)
-		}
-		h := history{t: t, lastHeld: map[string]time.Duration{}}
-		for range rapid.IntRange(50, 300).Draw(t, "turns") {
-			i := rapid.IntRange(0, len(names)-1).Draw(t, "entry")
-			injectFaults(t, table)
-			copyOrReturn(t, table)
-			switch rapid.IntRange(0, 40).Draw(t, "what") {
-			case 0:
-				leases[i] = newLease(table, names[i], clock)
-			case 1:
-				leases[i].close()
-				_ = leases[i].release(context.Background(), nil) // may fail; the others then wait longer
-				leases[i] = newLease(table, names[i], clock)
-			default:
-				_, _ = leases[i].step(context.Background()) // may fail
-			}
-			clock.add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
-			for _, l := range leases {
-				h.check(l, clock.read())
-			}
-		}
+		playLeaseHistory(t, table, func() { copyOrReturn(t, table) })
 	})
 }
 
