A choice of a server costs the pauses of the streams that run there

Prompts came as by chance, or worse: servers with the same model read 22,000 and 6,000 tokens in the same second. Routing knew the work not yet read, which a server does in 24 ms and other entries hear of after 60 to 180, and a utilization averaged over 2 s, whose weight was the largest of all costs: the least used server drew all entries until the average had followed.

Change: instead of the utilization, a choice costs what this entry sent to the server lately (half-life 150 ms, a chunk of a prompt at most) and the delay of the requests in progress there by the prompt.

--- a/routing/batch.go
+++ b/routing/batch.go
@@ -106,6 +106,7 @@
 	utilization   float64             // share of the last seconds in which there was work
 	utilizationAt time.Time           // when utilization was computed
 	share         float64             // smoothed share of this entry in the server's requests; 0 if unknown
+	recent        recentWork          // of own requests
 	peers         map[string]peerLoad // by entry
 	nextExpiry    time.Time           // when the oldest load in peers expires
 }
@@ -126,6 +127,7 @@
 	b.own.Urgent += s.urgent()
 	b.own.Work += s.Work
 	b.own.Tokens += s.Tokens
+	b.recent.add(s.Work, now)
 }
 
 // Started counts the first event of a request.
--- a/routing/compare.go
+++ b/routing/compare.go
@@ -11,7 +11,6 @@
 	overflowCost   = 4 * time.Second // a preempted request is prefilled again, and its stream pauses
 	probeCost      = 4 * time.Second // cost of a second request at a server that is being probed
 	workWeight     = 1.0             // weight of the added work, which delays later requests
-	finishWeight   = 0.1             // weight of the delay of an answer by other requests' prefill
 	homeHitChance  = 0.5             // probability that another entry has sent the shared parts to the home
 )
 
@@ -126,14 +125,14 @@
 }
 
 // costOf returns the expected wait at a replica plus other costs: the added
-// work, delays of the answer, memory overflow and recent failures.
+// work, pauses of the streams there, memory overflow and recent failures.
 func (c *comparison) costOf(r *Replica) time.Duration {
 	s := r.Server
 	cached := s.cached
 	load := s.Batch.Load(c.now)
 	cost := s.estimate(&load, s.workAhead(&load, c.p, c.now), c.p, cached, c.now) + r.Load
-	cost += time.Duration(float64(c.p.Work(cached)) * workWeight)
-	cost += time.Duration(finishWeight * float64(c.p.Out) * s.Batch.utilization * float64(chunkTokens*c.p.PerToken))
+	work := c.p.Work(cached)
+	cost += time.Duration(float64(work)*workWeight) + s.pauseCost(&load, work, c.now)
 	if s.overflows(&load, c.p) {
 		cost += overflowCost
 	}
--- a/standin/batch/client.go
+++ b/standin/batch/client.go
@@ -19,6 +19,7 @@
 	gotEvent    bool // the client has received an event
 	lastEventAt time.Time
 	late        bool // an event exceeded Objective or MaxGap
+	firstLate   bool // the first event exceeded Objective
 	generated   int  // answer tokens received by the entry
 	rejections  int
 	completed   bool // its outcome has been counted
@@ -56,7 +57,11 @@
 
 // recordEvent records that the client receives an event at a time.
 func (r *request) recordEvent(at time.Time) {
-	if r.gotEvent && at.Sub(r.lastEventAt) > r.kind.MaxGap || !r.gotEvent && at.Sub(r.created) > r.kind.Objective {
+	switch {
+	case !r.gotEvent:
+		r.firstLate = at.Sub(r.created) > r.kind.Objective
+		r.late = r.firstLate
+	case at.Sub(r.lastEventAt) > r.kind.MaxGap:
 		r.late = true
 	}
 	r.gotEvent, r.lastEventAt = true, at
@@ -71,6 +76,9 @@
 	r.completed, r.served = true, true
 	if r.late {
 		t.Late++
+		if !r.firstLate {
+			t.Paused++
+		}
 		t.Value += r.kind.LateValue * r.size()
 		return
 	}
--- a/standin/batch/result.go
+++ b/standin/batch/result.go
@@ -12,6 +12,7 @@
 	Arrived       int
 	OnTime        int
 	Late          int
+	Paused        int     // of Late, those whose first event was on time
 	Rejected      int     // finally, without retries left
 	Failed        int     // broken, or incomplete at the deadline
 	RejectedTwice int     // of Rejected, those rejected more than once
@@ -31,6 +32,7 @@
 	t.Arrived += o.Arrived
 	t.OnTime += o.OnTime
 	t.Late += o.Late
+	t.Paused += o.Paused
 	t.Rejected += o.Rejected
 	t.Failed += o.Failed
 	t.RejectedTwice += o.RejectedTwice
@@ -110,8 +112,8 @@
 	fmt.Fprintf(&b, "value %.3f, prefilled %d tokens, preempted %d\n", r.Value(), r.PrefilledTokens, r.Preempted)
 	for _, name := range r.names {
 		t := r.Kinds[name]
-		fmt.Fprintf(&b, "  %-14s arrived %5d  on time %5d  late %5d  rejected %4d (twice %4d)  failed %4d  value %.3f\n",
-			name, t.Arrived, t.OnTime, t.Late, t.Rejected, t.RejectedTwice, t.Failed, t.ValueShare())
+		fmt.Fprintf(&b, "  %-14s arrived %5d  on time %5d  late %5d (paused %5d)  rejected %4d (twice %4d)  failed %4d  value %.3f\n",
+			name, t.Arrived, t.OnTime, t.Late, t.Paused, t.Rejected, t.RejectedTwice, t.Failed, t.ValueShare())
 	}
 	return b.String()
 }
