A stream's time is judged by how long streams took

Cause: the time of an answer is its expected tokens times a step with fixed parts (5 ms, a share of a chunk by the server's utilization), 13.6 ms a token at a busy server; 4,000 streams there took 9 ms a token, and the client's estimates of long answers are too long as often as too short. Change: the median ratio of the time that streams took to what was expected is learned (a step up or down for each stream, within 4 and 1/4), and scales the step of every offer. A stream that is cut early teaches nothing, one that took longer does.

--- a/entry/direct/balance/models.go
+++ b/entry/direct/balance/models.go
@@ -14,6 +14,7 @@
 type models struct {
 	prefixes     *routing.PrefixCaches
 	prefillTimes map[string]*routing.PrefillTime
+	streamTime   routing.StreamTime
 	replicas     []routing.Replica      // candidates for the current offer; reused between offers
 	plains       []*routing.PlainServer // the same for plain services
 	chosen       []*server              // server of each element of replicas or plains
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -115,7 +115,9 @@
 func (p *pool) acceptChoice(w *waiting, choice *routing.EngineChoice) admission.Offer {
 	w.server = p.models.chosen[choice.Index]
 	w.cached = choice.Cached
-	return admission.EngineOffer(choice)
+	o := admission.EngineOffer(choice)
+	o.Step = p.models.streamTime.Scale(o.Step)
+	return o
 }
 
 // withoutExclusions returns a copy of the request that may also go to servers
@@ -171,7 +173,7 @@
 	w.server = nil
 	load = max(load, minSleep) // an offer without a server is never ready
 	work := w.prompt.Work(0)
-	return admission.Offer{Batch: &m.virtual.Batch, Load: load, Wait: load + work, Work: work, Step: timePerToken}, true
+	return admission.Offer{Batch: &m.virtual.Batch, Load: load, Wait: load + work, Work: work, Step: p.models.streamTime.Scale(timePerToken)}, true
 }
 
 // loadMissing starts the load of the request's model. It returns nil if the model is not
--- a/entry/direct/balance/ticket.go
+++ b/entry/direct/balance/ticket.go
@@ -26,6 +26,10 @@
 	sentAt   time.Time
 	started  bool
 	ended    bool
+
+	streamTime time.Duration // expected time after the first event; 0 if it is not measured
+	startedAt  time.Time     // of the first event
+	succeeded  bool
 }
 
 // begin creates the ticket of a request that is sent and counts it at its
@@ -51,6 +55,7 @@
 	}
 	if s.engine != nil {
 		t.sent = routing.SentRequest{Priority: w.priority, Work: o.Work, Tokens: w.prompt.Memory()}
+		t.streamTime = time.Duration(w.newTokens) * o.Step
 	}
 	if s.inFlight == 0 {
 		s.awaitingSince = now
@@ -92,7 +97,7 @@
 	if t.started || t.s.engine == nil {
 		return
 	}
-	t.started = true
+	t.started, t.startedAt = true, now
 	took := now.Sub(t.sentAt)
 	t.s.engine.Started(t.sent, t.p.models.prefillTime(t.artifact.model), t.Expected, took, now)
 	t.redispatch()
@@ -110,6 +115,7 @@
 	defer t.b.mu.Unlock()
 	now := time.Now()
 	t.recordEvent(now)
+	t.succeeded = true
 	if t.s.plain == nil {
 		return
 	}
@@ -182,6 +188,7 @@
 		return
 	}
 	t.ended = true
+	t.recordStreamTime(time.Now())
 	t.s.inFlight--
 	if t.s.running[t.artifact]--; t.s.running[t.artifact] <= 0 {
 		delete(t.s.running, t.artifact)
@@ -189,3 +196,11 @@
 	t.s.batch().Ended(t.sent, t.started, time.Now())
 	t.redispatch()
 }
+
+// recordStreamTime learns from how long a stream took, unless it is resumed: how much of
+// its answer was left is not known.
+func (t *Ticket) recordStreamTime(now time.Time) {
+	if t.started && t.streamTime > 0 {
+		t.p.models.streamTime.Ended(t.streamTime, now.Sub(t.startedAt), t.succeeded)
+	}
+}
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -55,6 +55,8 @@
 
 	lastResort bool // only leaving servers are offered, to a request that has no other
 
+	newTokens int // expected tokens of the answer; 0 for a stream that goes on
+
 	server *server // of the latest offer; nil while the model is not loaded
 	cached int     // tokens of the prompt in the server's prefix cache
 	plain  routing.PlainChoice
@@ -118,6 +120,9 @@
 		}
 		w.prompt = routing.NewPrompt(r.Model+"/"+r.Adapter, parts, r.TokensIn, r.TokensOut, p.models.prefillTime(r.Model).PerToken())
 		w.prompt.Priority = w.priority
+		if !q.Resumed {
+			w.newTokens = expectedOutputTokens(r)
+		}
 	}
 	return w
 }
