An entry's buffers take a bounded part of its memory together

Callers saw (users' report): a faulty worker sent bytes without end, the machine that had called it ran out of memory, and the requests of others there ended with it.

Cause: limits for one buffer, none for all of them. Change: entry/direct/membudget, a budget of a quarter of the VM's memory that buffers ask from 16 KiB on: events, buffered answers, the start of a second server's answer, bodies of requests. A server's answers get a tenth at most, all bodies a half. What may not grow ends as an answer that broke off; a body is refused with a true not-run.

Tokens allocate nothing more (TestBuffersOfUsualSizeAllocateNothing).

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -154,6 +154,7 @@
 	RefusedBadRequest       RefusalReason = "request is malformed"
 	RefusedTooLarge         RefusalReason = "request is too large"
 	RefusedUnreachable      RefusalReason = "no server could be reached"
+	RefusedMemory           RefusalReason = "no memory for its body"
 )
 
 // Refused records the end of a request that was not run.
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -87,7 +87,8 @@
 func (r *run) forwardWhole(ctx context.Context, a *attempt) bool {
 	t, resp := a.ticket, a.answer
 	a.watch.recordEvent()
-	buffered, err := relay.Buffer(resp, t.Server.ID)
+	buffered, err := relay.Buffer(resp, t.Server.ID, r.f.opts.Memory.Server(t.Server.ID))
+	defer buffered.Release()
 	if err == nil {
 		err = a.watch.claim()
 	}
@@ -165,6 +166,8 @@
 	if !brokeOff {
 		r.stream = relay.NewStream(r.w, *r.eventFormat(), r.req.LastEventID)
 	}
+	r.stream.Charge(r.f.opts.Memory.Server(t.Server.ID))
+	defer r.stream.Release()
 	writeHeader := func() { r.writeHeader(resp) }
 	a.watch.recordEvent()
 	err := r.stream.Copy(resp.Body, a.watch.claim, writeHeader, func() {
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -17,6 +17,7 @@
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/membudget"
 	"peridotchute.example/entry/direct/origins"
 	"peridotchute.example/fleet"
 )
@@ -54,6 +55,7 @@
 	Origins   Origins
 	Guard     Guard
 	Log       *decisionlog.Log
+	Memory    *membudget.Budget // of buffered requests and answers; nil for no limit
 }
 
 // Front is the http.Handler for client requests.
@@ -146,6 +148,7 @@
 		f.refuse(w, r, *refused)
 		return
 	}
+	defer req.memory.Release()
 	f.serve(w, r, req, view)
 }
 
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -208,7 +208,7 @@
 
 // finishWhole completes the record of an answer that is not a stream, which may
 // be an error of the server.
-func (r *record) finishWhole(resp *exchange.Response, buffered relay.Buffered) {
+func (r *record) finishWhole(resp *exchange.Response, buffered *relay.Buffered) {
 	if resp.Status >= http.StatusInternalServerError {
 		r.finishFailed(decisionlog.OutcomeFailed, resp.Status, "the server's own answer")
 		return
--- a/entry/direct/front/request.go
+++ b/entry/direct/front/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"peridotchute.example/common/decisionlog"
+	"peridotchute.example/entry/direct/membudget"
 	"peridotchute.example/fleet"
 )
 
@@ -22,6 +23,7 @@
 	host    string
 	target  string // path and query as sent by the client
 	body    []byte
+	memory  membudget.Account // of body
 	arrived time.Time
 	route   *fleet.Route
 	service string
@@ -74,16 +76,23 @@
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // fails only on a closed connection
 		}
 	})
-	body, err := readBody(w, r, limits.BodyBytes)
+	req.memory = f.opts.Memory.RequestBody()
+	body, err := readBody(w, r, limits.BodyBytes, &req.memory)
 	if !inTime() && tooLate() {
 		refused := stoppingRefusal()
 		refused.detail = "its body is late"
+		req.memory.Release()
 		return &refused
 	}
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: decisionlog.RefusedTooLarge, detail: "body"}
 	}
+	var short *membudget.ShortError
+	if errors.As(err, &short) {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		return &refusal{status: http.StatusServiceUnavailable, retryAfter: memoryRetryAfter, reason: decisionlog.RefusedMemory, detail: short.Error()}
+	}
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: decisionlog.RefusedBadRequest, detail: "body: " + err.Error()}
 	}
@@ -101,7 +110,11 @@
 	return s.mayBegin(time.Now(), sending{deadline: req.deadline(), kind: f.durations.of(req.route.Name), repeated: repeated})
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// memoryRetryAfter is the Retry-After of a request for whose body there is no memory: long
+// bodies arrive and are passed on within seconds.
+const memoryRetryAfter = time.Second
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, memory *membudget.Account) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
@@ -109,12 +122,12 @@
 	if limit > 0 {
 		source = http.MaxBytesReader(w, r.Body, limit)
 	}
-	if r.ContentLength > 0 {
+	if r.ContentLength > 0 && r.ContentLength <= membudget.FreeBytes {
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(source, body)
 		return body, err
 	}
-	return io.ReadAll(source)
+	return membudget.ReadAll(source, max(r.ContentLength, 0), memory)
 }
 
 // headerBytes returns the approximate size of the request line and header on
--- a/entry/direct/front/successor.go
+++ b/entry/direct/front/successor.go
@@ -31,7 +31,7 @@
 		w.run.noteServerState(s)
 	}
 	if err == nil && w.run.continues(answer) {
-		err = relay.Begin(answer, w.run.eventFormat(), w.run.lastEventOfClient())
+		err = relay.Begin(answer, w.run.f.opts.Memory.Server(ticket.Server.ID), w.run.eventFormat(), w.run.lastEventOfClient())
 	}
 	w.finishSending(s, err)
 }
--- a/entry/direct/module.go
+++ b/entry/direct/module.go
@@ -15,6 +15,7 @@
 	"peridotchute.example/entry/direct/crashguard"
 	"peridotchute.example/entry/direct/exchange"
 	"peridotchute.example/entry/direct/front"
+	"peridotchute.example/entry/direct/membudget"
 	"peridotchute.example/entry/direct/origins"
 	"peridotchute.example/entry/direct/view"
 	"peridotchute.example/fleet"
@@ -33,7 +34,7 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(s.Cores)), 1))
 	return fx.Module("direct",
 		fx.Supply(s),
-		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newOrigins, newGuard, newFront, newReadiness),
+		fx.Provide(metrics.New, newLog, newDirectory, newTable, newControl, newCodec, newWatcher, newExchanger, newCoordination, newBalancer, newOrigins, newGuard, newFront, newReadiness, newMemory),
 		fx.Decorate(decorateLogger),
 		fx.Invoke(startLog, startMetrics, startLoops, startListeners, startReload, logLifecycle),
 	)
@@ -69,10 +70,12 @@
 	return balance.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindowS)}
 }
 
-func newFront(codec fleet.Codec, w *view.Watcher, x *exchange.Exchanger, b *balance.Balancer, o *origins.Registry, g *crashguard.Guard, log *decisionlog.Log) *front.Front {
-	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Origins: o, Guard: g, Log: log})
+func newFront(codec fleet.Codec, w *view.Watcher, x *exchange.Exchanger, b *balance.Balancer, o *origins.Registry, g *crashguard.Guard, log *decisionlog.Log, m *membudget.Budget) *front.Front {
+	return front.New(front.Options{Codec: codec, Views: w, Exchanger: x, Balancer: b, Origins: o, Guard: g, Log: log, Memory: m})
 }
 
+func newMemory(s Settings) *membudget.Budget { return membudget.New(int64(s.MemoryMB * (1 << 20))) }
+
 func startLoops(lc fx.Lifecycle, w *view.Watcher, b *balance.Balancer, c *coordination) {
 	w.OnChange(c.origins.Update) // first, so that the balancer knows which versions get no streams yet
 	w.OnChange(b.Update)
--- a/entry/direct/relay/stream.go
+++ b/entry/direct/relay/stream.go
@@ -10,6 +10,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"peridotchute.example/entry/direct/membudget"
 )
 
 // ErrClient means that writing to the client failed.
@@ -21,6 +23,10 @@
 // MaxEventBytes limits an event. A longer one counts as a fault of its server.
 const MaxEventBytes = 1 << 20
 
+// maxKeptEventBytes is the capacity above which the buffer of an event is not kept for the
+// next one.
+const maxKeptEventBytes = membudget.FreeBytes
+
 // Stream forwards a stream of events to one client, possibly from several
 // servers in turn.
 //
@@ -31,6 +37,7 @@
 	control *http.ResponseController
 	format  Format
 	event   []byte
+	memory  membudget.Account // of event
 	lastID  string
 	after   string // ID of the last event that the client has, from this stream or an earlier one
 	begun   bool   // the header has been written
@@ -61,6 +68,19 @@
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4096) }}
 
+// Charge makes the account hold the events that are read from now on, of another server. Call
+// Release at the end.
+func (s *Stream) Charge(memory membudget.Account) {
+	s.Release()
+	s.memory = memory
+}
+
+// Release drops the buffered event, if any.
+func (s *Stream) Release() {
+	s.event = nil
+	s.memory.Release()
+}
+
 // Copy forwards events until the source ends. It returns nil if the source
 // ended after a whole event, io.ErrUnexpectedEOF if it ended within one,
 // ErrEventTooLong, ErrNoEventID, ErrForeignBytes or ErrEventOrder if an event is invalid, ErrClient if writing to
@@ -106,8 +126,12 @@
 	}
 }
 
-// readEvent reads one event up to and including its blank line.
+// readEvent reads one event up to and including its blank line. It returns a
+// membudget.ShortError if there is no memory for it.
 func (s *Stream) readEvent(in *bufio.Reader) error {
+	if cap(s.event) > maxKeptEventBytes {
+		s.Release()
+	}
 	s.event = s.event[:0]
 	lineStart := 0
 	for {
@@ -116,6 +140,9 @@
 		if len(s.event) > MaxEventBytes {
 			return ErrEventTooLong
 		}
+		if err := s.memory.Resize(cap(s.event)); err != nil {
+			return err
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/entry/direct/relay/whole.go
+++ b/entry/direct/relay/whole.go
@@ -9,6 +9,7 @@
 
 	"peridotchute.example/common/fault"
 	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/membudget"
 )
 
 // maxBufferedBytes limits how much of an answer is buffered. Shorter answers
@@ -41,27 +42,37 @@
 // Buffered is the buffered start of an answer, or all of it.
 type Buffered struct {
 	bytes    []byte
+	length   int
 	complete bool
+	memory   membudget.Account
 }
 
-// Len returns the number of buffered bytes.
-func (h Buffered) Len() int { return len(h.bytes) }
+// Len returns the number of bytes that were buffered.
+func (h *Buffered) Len() int { return h.length }
+
+// Release drops the buffered bytes. Further calls have no effect.
+func (h *Buffered) Release() {
+	h.bytes = nil
+	h.memory.Release()
+}
 
 // Buffer reads an answer until it is complete or maxBufferedBytes are read. It
 // returns an error of KindUnknown if reading fails. peer names the server in
-// the error.
-func Buffer(resp *exchange.Response, peer string) (Buffered, error) {
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+// the error. memory holds the bytes until Release.
+func Buffer(resp *exchange.Response, peer string, memory membudget.Account) (*Buffered, error) {
+	h := &Buffered{memory: memory}
+	raw, err := membudget.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes), min(resp.Length, maxBufferedBytes), &h.memory)
 	if err != nil {
-		return Buffered{}, fault.New(fault.KindUnknown, "relay.hold", peer, err)
+		return h, fault.New(fault.KindUnknown, "relay.hold", peer, err)
 	}
-	return Buffered{bytes: raw, complete: len(raw) < maxBufferedBytes}, nil
+	h.bytes, h.length, h.complete = raw, len(raw), len(raw) < maxBufferedBytes
+	return h, nil
 }
 
-// Forward writes the answer to the client. It returns ErrClient if writing the
+// Forward writes the answer to the client and releases what was buffered once it is written. It returns ErrClient if writing the
 // buffered part fails, and the copy's error if the rest cannot be read or
 // written; the client's connection must then be aborted.
-func Forward(w http.ResponseWriter, method string, resp *exchange.Response, buffered Buffered) error {
+func Forward(w http.ResponseWriter, method string, resp *exchange.Response, buffered *Buffered) error {
 	CopyHeader(w, resp)
 	switch {
 	case method == http.MethodHead:
@@ -75,6 +86,7 @@
 	if _, err := w.Write(buffered.bytes); err != nil {
 		return ErrClient
 	}
+	buffered.Release()
 	if buffered.complete {
 		return nil
 	}
--- a/entry/direct/telemetry.go
+++ b/entry/direct/telemetry.go
@@ -18,6 +18,7 @@
 	"peridotchute.example/common/metrics"
 	"peridotchute.example/entry/direct/balance"
 	"peridotchute.example/entry/direct/front"
+	"peridotchute.example/entry/direct/membudget"
 	"peridotchute.example/entry/direct/orders"
 	"peridotchute.example/entry/direct/view"
 	"peridotchute.example/fleet"
@@ -80,7 +81,7 @@
 func decorateLogger(log *decisionlog.Log) logrus.FieldLogger { return log.Logger() }
 
 func startMetrics(lc fx.Lifecycle, s Settings, m *metrics.Metrics, log *decisionlog.Log, logger logrus.FieldLogger,
-	w *view.Watcher, b *balance.Balancer, f *front.Front, c *coordination) {
+	w *view.Watcher, b *balance.Balancer, f *front.Front, c *coordination, memory *membudget.Budget) {
 	m.RegisterSources(metrics.Sources{
 		Log:                 log.Counts,
 		Waiting:             b.Waiting,
@@ -100,6 +101,7 @@
 	server := admin.NewServer()
 	server.Router().Handle("/metrics", m.Handler()).Methods(http.MethodGet)
 	addSections(server, w, b, c)
+	server.AddSection("memory", admin.DumpFunc(func() any { return memory.State() }))
 	daemon.Serve(lc, logger, daemon.Listener{Name: "metrics", Address: s.MetricsAddress, Handler: server.Router()})
 }
 
