--- a/common/metrics/metrics.go
+++ b/common/metrics/metrics.go
@@ -41,6 +41,7 @@
 	firstByte *prometheus.HistogramVec
 	duration  *prometheus.HistogramVec
 	wait      *prometheus.HistogramVec
+	pause     *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
 	silences  prometheus.Counter
 	resumed   prometheus.Counter
@@ -61,6 +62,7 @@
 		firstByte: newHistogramVec("request_first_byte_seconds", "Time from a request's arrival to the first byte of its answer.", latencyBuckets, labelService),
 		duration:  newHistogramVec("request_duration_seconds", "Time from a request's arrival to the end of its answer.", latencyBuckets, labelService),
 		wait:      newHistogramVec("request_wait_seconds", "Time that a request waited at the entry.", latencyBuckets, labelService),
+		pause:     newHistogramVec("stream_longest_pause_seconds", "Longest time between two events of a stream, as sent to its client.", latencyBuckets, labelService),
 		attempts:  newCounterVec("attempts_failed_total", "Attempts that brought no whole answer.", labelKind, labelNotRun),
 		silences:  newCounter("attempts_silent_total", "Times that the server of an attempt sent nothing for a while on any connection of this entry."),
 		resumed:   newCounter("streams_resumed_by_client_total", "Requests that resume a stream of an earlier request."),
@@ -70,7 +72,7 @@
 		withheld:  newCounterVec("retries_withheld_total", "Failed attempts without another one.", labelReason),
 	}
 	m.registry.MustRegister(
-		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.attempts, m.silences, m.resumed, m.origins, m.retries, m.withheld,
+		m.requests, m.refused, m.firstByte, m.duration, m.wait, m.pause, m.attempts, m.silences, m.resumed, m.origins, m.retries, m.withheld,
 		m.events, collectors.NewGoCollector(),
 	)
 	return m
@@ -119,6 +121,9 @@
 	if r.FirstByte > 0 {
 		m.firstByte.WithLabelValues(service).Observe(r.FirstByte.Seconds())
 	}
+	if r.LongestPause > 0 {
+		m.pause.WithLabelValues(service).Observe(r.LongestPause.Seconds())
+	}
 }
 
 func (m *Metrics) observeRefused(r decisionlog.Refused) {
--- a/common/metrics/metrics_test.go
+++ b/common/metrics/metrics_test.go
@@ -43,7 +43,7 @@
 		ServerCalls:   func() map[string]int64 { return map[string]int64{"report": 9} },
 	})
 	for _, r := range []decisionlog.Record{
-		decisionlog.Finished{Service: "llm", Outcome: decisionlog.OutcomeLate, FirstByte: time.Second, Total: 2 * time.Second, Waited: time.Millisecond},
+		decisionlog.Finished{Service: "llm", Outcome: decisionlog.OutcomeLate, FirstByte: time.Second, Total: 2 * time.Second, Waited: time.Millisecond, LongestPause: 300 * time.Millisecond},
 		decisionlog.Refused{Service: "llm", Reason: decisionlog.RefusedModelNotLoaded},
 		decisionlog.Refused{Reason: decisionlog.RefusedNoRoute},
 		decisionlog.AttemptFailed{Kind: decisionlog.FailureReset},
@@ -72,6 +72,7 @@
 		`peridotchute_request_first_byte_seconds_bucket{service="llm",le="0.8"} 0`,
 		`peridotchute_request_first_byte_seconds_bucket{service="llm",le="1.5"} 1`,
 		`peridotchute_request_wait_seconds_count{service="llm"} 2`,
+		`peridotchute_stream_longest_pause_seconds_sum{service="llm"} 0.3`,
 		`peridotchute_request_duration_seconds_sum{service="llm"} 2`,
 		`peridotchute_attempts_failed_total{kind="reset",not_run="false"} 1`,
 		`peridotchute_attempts_silent_total 1`,
