--- a/entry/direct/orders/manager.go
+++ b/entry/direct/orders/manager.go
@@ -13,7 +13,6 @@
 
 	"peridotchute.example/common/clock"
 	"peridotchute.example/common/event"
-	"peridotchute.example/common/fault"
 	"peridotchute.example/fleet"
 	"peridotchute.example/placement/loadplan"
 	"peridotchute.example/store"
@@ -176,133 +175,6 @@
 	return m.lease.release(ctx, h)
 }
 
-// LeaseHolder returns the name of the VM that holds the lease, empty when unknown,
-// and whether this entry may issue orders now.
-func (m *Manager) LeaseHolder() (name string, mine bool) {
-	_, left := m.lease.held()
-	name, _ = m.lease.holder()
-	return name, left > 0
-}
-
-// Lease returns the lease holder and its fencing token, as last read or announced.
-func (m *Manager) Lease() (holder string, token int64) { return m.lease.holder() }
-
-// FencingToken returns the fencing token of the lease as last read.
-func (m *Manager) FencingToken() int64 {
-	token, _ := m.lease.held()
-	return token
-}
-
-// HandleLeaseNotice processes a notice from the named entry. While notices
-// announce that the lease is held, this entry does not read the lease row; a notice
-// that it was given up triggers a lease step.
-func (m *Manager) HandleLeaseNotice(holder string, n LeaseNotice) {
-	m.lease.handleNotice(holder, n)
-	if n.Held {
-		return
-	}
-	select {
-	case m.leaseWake <- struct{}{}:
-	default:
-	}
-}
-
-// ObserveDemand records the demand that an entry has seen since its previous report.
-func (m *Manager) ObserveDemand(from string, seen []loadplan.ModelDemand) {
-	byService := map[string][]loadplan.ModelDemand{}
-	urgent := false
-	for _, d := range seen {
-		byService[d.Service] = append(byService[d.Service], d)
-		urgent = urgent || d.Waiting+d.Refused > 0
-	}
-	m.mu.Lock()
-	for service, demand := range byService {
-		if ps := m.placements[service]; ps != nil {
-			ps.Demand.Observe(from, demand, m.opts.Clock())
-		}
-	}
-	m.mu.Unlock()
-	if urgent {
-		m.wakePlanner()
-	}
-}
-
-// Backfill records the demand that an entry saw before this entry acquired the
-// lease. It fails with KindUnavailable while this entry does not issue the orders.
-func (m *Manager) Backfill(history loadplan.HistorySnapshot) error {
-	token, left := m.lease.held()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if left <= 0 || m.placementsToken != token {
-		return fault.Newf(fault.KindUnavailable, "orders.backfill", "", "this entry does not issue the orders yet")
-	}
-	byService := map[string][]loadplan.PastDemand{}
-	for _, p := range history.Models {
-		byService[p.Service] = append(byService[p.Service], p)
-	}
-	for service, seen := range byService {
-		if ps := m.placements[service]; ps != nil {
-			ps.Demand.Backfill(seen, time.Duration(history.SinceMS)*time.Millisecond, m.opts.Clock())
-		}
-	}
-	return nil
-}
-
-func (m *Manager) runLease(ctx context.Context) {
-	held := false
-	for {
-		wait := m.stepLease(ctx)
-		held = m.logLease(held)
-		timer := time.NewTimer(wait)
-		select {
-		case <-timer.C:
-		case <-m.leaseWake:
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		}
-		timer.Stop()
-	}
-}
-
-// stepLease renews, reads or acquires the lease and returns the time until the
-// next step.
-func (m *Manager) stepLease(ctx context.Context) time.Duration {
-	stepCtx, cancel := context.WithTimeout(ctx, store.DefaultTimeout)
-	defer cancel()
-	wait, err := m.lease.step(stepCtx)
-	if err != nil && ctx.Err() == nil {
-		event.Log(m.opts.Log, event.OrdersLeaseError, event.Err(err))
-		m.resign()
-	}
-	if err == nil {
-		m.yield()
-		m.announceLease()
-	}
-	return wait
-}
-
-// announceLease notifies the other entries that this one holds the lease.
-func (m *Manager) announceLease() {
-	if token, left := m.lease.held(); left > 0 && m.opts.OnLease != nil {
-		m.opts.OnLease(LeaseNotice{FencingToken: token, Held: true, Version: m.lease.version()})
-	}
-}
-
-// logLease logs the lease as acquired or ended if it changed since the previous
-// step, and returns whether it is held now.
-func (m *Manager) logLease(wasHeld bool) (isHeld bool) {
-	token, left := m.lease.held()
-	switch {
-	case left > 0 && !wasHeld:
-		event.Log(m.opts.Log, event.OrdersLeaseTaken, event.Count(token), event.Peer(m.lease.previousHolder()))
-		m.wakePlanner()
-	case left <= 0 && wasHeld:
-		event.Log(m.opts.Log, event.OrdersLeaseEnded, event.Reason(m.lease.endReason()))
-	}
-	return left > 0
-}
-
 func (m *Manager) wakePlanner() {
 	select {
 	case m.planWake <- struct{}{}:
@@ -310,43 +182,6 @@
 	}
 }
 
-// notifyInterval is the least time between two wake-ups of the goroutines that wait for
-// a change: each of them searches all servers again.
-const notifyInterval = 20 * time.Millisecond
-
-// runNotifier wakes the goroutines that wait for a change of the placement state, until
-// ctx ends.
-func (m *Manager) runNotifier(ctx context.Context) {
-	for {
-		select {
-		case <-m.notify:
-		case <-ctx.Done():
-			return
-		}
-		m.mu.Lock()
-		m.notifyChangedLocked()
-		m.mu.Unlock()
-		if !sleep(ctx, notifyInterval) {
-			return
-		}
-	}
-}
-
-// markChanged has the goroutines that wait for a change of the placement state woken soon.
-func (m *Manager) markChanged() {
-	select {
-	case m.notify <- struct{}{}:
-	default:
-	}
-}
-
-// notifyChangedLocked wakes the goroutines that wait for a change of the placement
-// state. m.mu is held.
-func (m *Manager) notifyChangedLocked() {
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
-
 // sleep waits for d and reports false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
