Streams of a draining server are bound to its software version

Cause: the planner loads a model at a software version once a request is bound to it, which is when a client returns; by then the last server of the version that had the model is gone. Change: streams that run on a draining server count as requests bound to its version, so that another server of the version gets the model while they still run. TestStreamsLoseTheLastServerOfTheirVersion fails without it.

--- a/placement/loadplan/software.go
+++ b/placement/loadplan/software.go
@@ -66,6 +66,7 @@
 	if len(p.software) < 2 {
 		return
 	}
+	p.bindStreamsOfLeaving()
 	counts := make([]softwarePlan, len(p.models)*len(p.software))
 	for i := range p.models {
 		m := &p.models[i]
@@ -76,6 +77,23 @@
 	}
 }
 
+// bindStreamsOfLeaving records the streams that run on draining servers as requests bound to
+// their software version: if they don't end in time, their clients take them up again there,
+// and have no time for a load that begins only then.
+func (p *planning) bindStreamsOfLeaving() {
+	for i := range p.servers {
+		s := p.servers[i].state.Server
+		if !s.Draining {
+			continue
+		}
+		for key, count := range p.state.Demand.running[s.ID] {
+			if count > 0 {
+				p.state.Demand.bound[boundKey{key.Model, s.Software}] = p.now
+			}
+		}
+	}
+}
+
 // appendBound appends the software versions at which a model has no replica although
 // requests are bound to them.
 func (m *modelPlan) appendBound(needs []need) []need {
--- a/placement/loadplan/software_test.go
+++ b/placement/loadplan/software_test.go
@@ -297,3 +297,30 @@
 	assert.DeepEqual(t, m.planFor(boundTo("m2", "m0")), []string{"o1 unload m1"})
 	assert.Equal(t, m.placement.Choose(key, oldSoftware, nil, m.now).Outcome, ChoiceNoModel)
 }
+
+// TestStreamsLoseTheLastServerOfTheirVersion has the only server of oldSoftware with m2
+// drain while streams run there. Another server of that version gets m2 before clients take
+// the streams up again.
+func TestStreamsLoseTheLastServerOfTheirVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		draining bool
+		running  int
+		want     []string
+	}{
+		"streams of a draining server": {true, 3, []string{"o2 load m2"}},
+		"no streams":                   {true, 0, []string{}},
+		"server stays":                 {false, 3, []string{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			servers := []softwareServer{
+				{id: "n1", software: newSoftware, models: []string{"m2"}},
+				{id: "o1", software: oldSoftware, models: []string{"m2"}, draining: c.draining},
+				{id: "o2", software: oldSoftware, models: []string{"m0"}},
+			}
+			m := newSoftwareSim(servers...)
+			keepOnly(m.engine, servers)
+			demand := []ModelDemand{{Model: "m2", Arrivals: 1, Running: []Running{{Server: "o1", Count: c.running}}}}
+			assert.DeepEqual(t, m.planFor(demand), c.want)
+		})
+	}
+}
