--- /dev/null
+++ b/review/standins-2/heads.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+func init() { cases["heads"] = playHeads }
+
+// crowdHead is the head of a request of legal size that is made of very many short fields, with a
+// body that lacks its last byte.
+func crowdHead(id string) string {
+	q := request{id: id, method: http.MethodPost, path: bookPath + "2f", body: callerBody, deadline: callerDeadline}
+	var fields strings.Builder
+	for i := 0; ; i++ {
+		line := shortName(i) + ": 1\r\n"
+		if len(q.head())+fields.Len()+len(line) > maxHeaderBytes {
+			break
+		}
+		fields.WriteString(line)
+	}
+	q.header = fields.String()
+	whole := q.head() + q.body
+	return whole[:len(whole)-1]
+}
+
+func shortName(i int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	name := "a"
+	for ; i > 0; i /= len(letters) {
+		name += string(letters[i%len(letters)])
+	}
+	return name
+}
+
+// playHeads has a crowd send requests of legal size that stop just short of their end and stay
+// open.
+func playHeads(p *play) int {
+	const (
+		memoryMB = 284
+		ordinary = 24
+		crowd    = 2000
+	)
+	d := p.startDeployment(1, memoryMB)
+	if !p.startEntries() {
+		return couldNot
+	}
+	e := p.entries[0]
+	stopWatch := make(chan struct{})
+	kills := p.watchMemory(stopWatch)
+	c := p.startCallers(ordinary)
+	time.Sleep(2 * time.Second)
+	opened := 0
+	for i := 0; p.trouble && i < crowd && e.starts.Load() == 1; i++ {
+		conn, err := net.DialTimeout("tcp", e.caller, time.Second)
+		if err != nil {
+			continue // refused, which is allowed
+		}
+		opened++
+		defer func() { _ = conn.Close() }()
+		head := crowdHead(newID())
+		go func() { _, _ = io.WriteString(conn, head) }()
+		if i%20 == 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	p.log.printf("the crowd has opened %d connections", opened)
+	time.Sleep(8 * time.Second)
+	close(stopWatch)
+	return p.judgeLost(c, d, kills())
+}
