Review case 10: streams are not resumed after an outage of the store and a kill of all entries

Seen: 40 streams of two software versions begin while the store is down; all entries are killed 2 s later and start again, and the store is back. With all of it undisturbed for 4 s, none of the 40 goes on, and 40 of 40 new streams begin.

Cause: records of a stream's version are in the memory of three entries and in the store; with the store away they end with the entries.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/peridotchute-entry && test -x target/review-2/standins-2 || exit 2
-exec target/review-2/standins-2 prompts "review/10"
+exec target/review-2/standins-2 streams "review/10"
--- a/review/standins-2/config.go
+++ b/review/standins-2/config.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// startVersions starts n model workers, in turn of two software versions.
+func (d *deployment) startVersions(log *record, n, events int, work time.Duration) {
+	for i := range n {
+		version := fmt.Sprintf("v%d", 1+i%2)
+		d.engines = append(d.engines, startWorker(d.store, log, workerSpec{id: fmt.Sprintf("i-llm%d", i+1), service: engine, slots: 64, work: work, model: model, events: events, version: version}))
+	}
+}
+
 // startEntries starts the entries and reports whether all became ready in time.
 func (p *play) startEntries() bool {
 	for _, e := range p.entries {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -34,6 +34,32 @@
 	history []storeRow
 	ver     int64
 	changed chan struct{}
+	down    bool // calls of the entries are rejected with 503, and nothing is done
+}
+
+// setDown begins or ends an outage.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// rejecting rejects the calls during an outage.
+func (s *store) rejecting(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDown() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func startStore() *store {
@@ -46,7 +72,7 @@
 	mux.HandleFunc("GET "+wire.Calls["read"], s.serveGet)
 	mux.HandleFunc("GET "+wire.Calls["parts"], s.serveParts)
 	mux.HandleFunc("GET "+wire.Calls["changes"], s.serveFeed)
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = http.Serve(l, s.rejecting(mux)) }()
 	return s
 }
 
@@ -198,6 +224,10 @@
 		}
 		ver, changed := s.ver, s.changed
 		s.mu.Unlock()
+		if s.isDown() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(rows) > 0 || last {
 			s.respond(w, http.StatusOK, map[string]any{"rows": rows, "ver": ver})
 			return
