--- a/review/standins-2/heads.go
+++ b/review/standins-2/heads.go
@@ -43,6 +43,7 @@
 		memoryMB = 284
 		ordinary = 24
 		crowd    = 2000
+		rounds   = 2 // of the crowd, each until the process ends
 	)
 	d := p.startDeployment(1, memoryMB)
 	if !p.startEntries() {
@@ -53,22 +54,37 @@
 	kills := p.watchMemory(stopWatch)
 	c := p.startCallers(ordinary)
 	time.Sleep(2 * time.Second)
-	opened := 0
-	for i := 0; p.trouble && i < crowd && e.starts.Load() == 1; i++ {
+	for round := 1; p.trouble && round <= rounds; round++ {
+		defer closeAll(p.openCrowd(e, crowd, int32(round)))
+		waitFor(8*time.Second, func() bool { return e.starts.Load() > int32(round) && e.isReady() })
+		time.Sleep(time.Second)
+	}
+	time.Sleep(2 * time.Second)
+	close(stopWatch)
+	return p.judgeLost(c, d, kills())
+}
+
+// openCrowd opens up to n connections to an entry, each with an unfinished request, while the
+// entry has been started the given number of times.
+func (p *play) openCrowd(e *entry, n int, starts int32) (conns []net.Conn) {
+	for i := 0; i < n && e.starts.Load() == starts; i++ {
 		conn, err := net.DialTimeout("tcp", e.caller, time.Second)
 		if err != nil {
 			continue // refused, which is allowed
 		}
-		opened++
-		defer func() { _ = conn.Close() }()
+		conns = append(conns, conn)
 		head := crowdHead(newID())
 		go func() { _, _ = io.WriteString(conn, head) }()
 		if i%20 == 0 {
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
-	p.log.printf("the crowd has opened %d connections", opened)
-	time.Sleep(8 * time.Second)
-	close(stopWatch)
-	return p.judgeLost(c, d, kills())
+	p.log.printf("the crowd has opened %d connections", len(conns))
+	return conns
+}
+
+func closeAll(conns []net.Conn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
 }
--- a/review/standins-2/models.go
+++ b/review/standins-2/models.go
@@ -18,6 +18,7 @@
 		ordinary = 24
 		crowd    = 200 // clients that do not behave
 		length   = 70 * time.Second
+		rounds   = 2 // ends of the process after which they stop
 		nameSize = maxHeaderBytes - 500
 	)
 	d := p.startDeployment(1, memoryMB)
@@ -40,7 +41,7 @@
 		wait.Go(func() {
 			conn := &client{address: p.entries[0].caller}
 			defer conn.close()
-			for i := 0; time.Now().Before(ends) && p.entries[0].starts.Load() == 1; i++ {
+			for i := 0; time.Now().Before(ends) && p.entries[0].starts.Load() <= rounds; i++ {
 				name := fmt.Sprintf("m%d-%d-", n, i)
 				q := request{id: newID(), method: http.MethodPost, path: chatPath + "2f", deadline: time.Second}
 				q.header = headerLine("model", name+strings.Repeat("x", nameSize-len(name))) + headerLine("tokens", "826,292")
