--- a/review/standins-2/entry.go
+++ b/review/standins-2/entry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,20 +32,38 @@
 	closed bool // it is not started again
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// Ports of the entries, below those that the kernel gives to outgoing connections: an entry that is
+// started again finds its own still free.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+)
+
+// freeAddress returns a loopback address that nobody listens at, other than those returned before.
+func freeAddress(taken map[string]bool) string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if taken[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		taken[address] = true
+		check(l.Close())
+		return address
+	}
 }
 
 // newEntries writes the settings of entries, from the template of the deploy file.
 func newEntries(n int, s *store, log *record, folder string, memoryMB int) []*entry {
 	var out []*entry
 	var seeds []string
+	taken := map[string]bool{}
 	for i := range n {
 		e := &entry{
-			name: fmt.Sprintf("edge-tweed-a-%d", i+1), caller: freeAddress(), ready: freeAddress(), metrics: freeAddress(), rpc: freeAddress(),
+			name: fmt.Sprintf("edge-tweed-a-%d", i+1), caller: freeAddress(taken), ready: freeAddress(taken), metrics: freeAddress(taken), rpc: freeAddress(taken),
 			memoryMB: memoryMB, log: log, settings: filepath.Join(folder, fmt.Sprintf("entry-%d.settings", i+1)),
 		}
 		out = append(out, e)
--- a/review/standins-2/unread.go
+++ b/review/standins-2/unread.go
@@ -37,10 +37,10 @@
 func playUnread(p *play) int {
 	const (
 		memoryMB = 284
-		crowd    = 440 // at each entry
+		crowd    = 520 // at each entry
 		step     = 20  // of these are opened at a time
 		stepTime = 500 * time.Millisecond
-		ahead    = 60               // requests on each connection
+		ahead    = 200              // requests on each connection, some of which are refused
 		asked    = 20               // ordinary requests in each round
 		settle   = 75 * time.Second // at most
 		still    = 16 * time.Second // longer than the deadline of the crowd's requests
