A response with an invalid status counts as a fault of its server

What callers saw: a server answered with status 000, and the client got a closed connection without an answer; the entry logged a panic (612, "invalid WriteHeader code 0") and beside it 606, "request served". With 600 to 999 the client got that status. An engine that answered an order with 000 counted as having executed it, and a side process panicked.

Cause: net/http reads any status of three digits, and its server writes only 100 to 999. Every reader of responses took what the client returned. RFC 9110, section 15: values outside 100 to 599 are invalid, and a final response to a request that asks for no other protocol has none below 200.

Change: common/httpstrict checks the heads of responses, and a Transport does so for the clients of the platform's store and of backend servers' control calls, of side processes, backend servers, engines, the table service, object store and VM list, and of the administration API; entry/direct/exchange calls the check itself. The error is KindUnknown (KindInvalid in exchange, logged as "malformed"): a request that must not be repeated gets 502, others go to another server. A connection with such a response carries no further request.

--- a/engine/client.go
+++ b/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/common/model"
 
 	"peridotchute.example/common/fault"
+	"peridotchute.example/common/httpstrict"
 	"peridotchute.example/common/wire"
 )
 
@@ -34,7 +35,7 @@
 // are disabled because the transport repeats a request after a failure on a
 // reused connection, and an order must be sent only once.
 func NewHTTPClient(base string) *HTTPClient {
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := httpstrict.NewTransport(&http.Transport{DisableKeepAlives: true})
 	return &HTTPClient{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
 }
 
--- a/entry/direct/exchange/conn.go
+++ b/entry/direct/exchange/conn.go
@@ -37,18 +37,18 @@
 // errCallerLeft means that the caller left before the request was written.
 var errCallerLeft = errors.New("the caller has left")
 
-// errCarriedBefore means that the connection has carried the client attempt before. Nothing
-// was written.
-var errCarriedBefore = errors.New("the connection has carried this request before")
+// errUnusable means that the connection must not carry the client attempt: it has carried it
+// before, or it has been retired. Nothing was written.
+var errUnusable = errors.New("the connection must not carry this request")
 
 // withholding says why the next request must not be written to a connection.
 type withholding int32
 
 // The values of withholding.
 const (
-	notWithheld           withholding = iota
-	withheldCallerLeft                // its caller has left
-	withheldCarriedBefore             // the connection has carried its client attempt before
+	notWithheld        withholding = iota
+	withheldCallerLeft             // its caller has left
+	withheldUnusable               // the connection must not carry its client attempt
 )
 
 // IsStale reports whether an attempt failed before anything was written because its
@@ -70,7 +70,8 @@
 	requests atomic.Int64  // begun, the current one included
 	timeout  time.Duration // TCP_USER_TIMEOUT; changed between requests only
 	withheld atomicWithholding
-	onClose  func() // may be called several times; nil for none
+	retired  atomic.Bool // carries no further request
+	onClose  func()      // may be called several times; nil for none
 }
 
 // processStart is the origin of lastUsed.
@@ -94,8 +95,8 @@
 	switch c.withheld.Load() {
 	case withheldCallerLeft:
 		return 0, errCallerLeft
-	case withheldCarriedBefore:
-		return 0, errCarriedBefore
+	case withheldUnusable:
+		return 0, errUnusable
 	}
 	now := int64(time.Since(processStart))
 	if idle := c.maxIdle.Load(); idle > 0 && now-c.lastUsed.Load() > idle && !c.busy.Load() {
@@ -116,6 +117,10 @@
 // setMaxIdle sets how long the connection may be idle before a new request.
 func (c *conn) setMaxIdle(d time.Duration) { c.maxIdle.Store(int64(d)) }
 
+// retire keeps further requests off the connection, after a response that does not show where
+// the next one begins.
+func (c *conn) retire() { c.retired.Store(true) }
+
 // markIdle records that the response has ended.
 func (c *conn) markIdle() {
 	c.lastUsed.Store(int64(time.Since(processStart)))
--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"peridotchute.example/common/fault"
+	"peridotchute.example/common/httpstrict"
 	"peridotchute.example/fleet"
 )
 
@@ -93,19 +94,19 @@
 
 // Send sends the call and returns the response. Errors have KindUnavailable when
 // nothing reached the server and KindUnknown when the server may be running the
-// request. KindInvalid means that the response does not belong to the request, which
-// the server may have run.
+// request. KindInvalid means that the response is malformed or does not belong to the
+// request, which the server may have run.
 func (x *Exchanger) Send(ctx context.Context, call *Call) (*Response, error) {
 	for {
 		resp, err := x.sendOnce(ctx, call)
-		if !errors.Is(err, errCarriedBefore) {
+		if !errors.Is(err, errUnusable) {
 			return resp, err
 		}
 	}
 }
 
-// sendOnce is Send with one connection. The error is errCarriedBefore if that has carried
-// the client attempt before; it is closed then, and nothing has been sent.
+// sendOnce is Send with one connection. The error is errUnusable if that must not carry the
+// client attempt; it is closed then, and nothing has been sent.
 func (x *Exchanger) sendOnce(ctx context.Context, call *Call) (*Response, error) {
 	var used *conn
 	var writtenBefore int64
@@ -121,14 +122,21 @@
 	}
 	resp, err := x.transport.RoundTrip(req)
 	if err != nil {
-		if used != nil && used.withheld.Load() == withheldCarriedBefore {
-			return nil, errCarriedBefore
+		if used != nil && used.withheld.Load() == withheldUnusable {
+			return nil, errUnusable
 		}
 		if showsEnd(err) {
 			x.connections.closeIdle(call.Address)
 		}
 		return nil, sendError(call, used, writtenBefore, err)
 	}
+	if err := httpstrict.CheckHead(resp); err != nil {
+		if used != nil {
+			used.retire()
+		}
+		_ = resp.Body.Close()
+		return nil, fault.New(fault.KindInvalid, sendStep, call.Address, err)
+	}
 	response := &Response{
 		Status:  resp.StatusCode,
 		Header:  resp.Header,
@@ -154,8 +162,8 @@
 	switch {
 	case ctx.Err() != nil || call.CallerLeft != nil && call.CallerLeft():
 		return withheldCallerLeft
-	case call.Sendings != nil && !call.Sendings.add(c):
-		return withheldCarriedBefore
+	case c.retired.Load(), call.Sendings != nil && !call.Sendings.add(c):
+		return withheldUnusable
 	}
 	return notWithheld
 }
--- a/entry/serving/forward/forward.go
+++ b/entry/serving/forward/forward.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"peridotchute.example/common/fault"
+	"peridotchute.example/common/httpstrict"
 	"peridotchute.example/common/wire"
 )
 
@@ -73,8 +74,8 @@
 	return &Forwarder{
 		key:              key,
 		scheme:           scheme,
-		idempotentClient: &http.Client{Transport: keepAlive, CheckRedirect: noRedirect},
-		actionClient:     &http.Client{Transport: singleUse, CheckRedirect: noRedirect},
+		idempotentClient: &http.Client{Transport: httpstrict.NewTransport(keepAlive), CheckRedirect: noRedirect},
+		actionClient:     &http.Client{Transport: httpstrict.NewTransport(singleUse), CheckRedirect: noRedirect},
 	}
 }
 
--- /dev/null
+++ b/entry/serving/forward/malformed_test.go
@@ -0,0 +1,30 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotchute.example/common/fault"
+	"peridotchute.example/common/httpstrict/httpstricttest"
+	"peridotchute.example/common/wire"
+)
+
+// TestMalformedResponseOfSideProcessIsUnknown has a side process answer with heads that HTTP does
+// not allow. Whether the request has run must count as unknown.
+func TestMalformedResponseOfSideProcessIsUnknown(t *testing.T) {
+	for name, response := range httpstricttest.Malformed {
+		for kind, claim := range map[string]*wire.Claim{"idempotent": nil, "action": {}} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				call := Call{Method: http.MethodPost, Path: "/x", Body: []byte("{}"), Deadline: time.Now().Add(time.Minute), Claim: claim}
+				resp, err := New("key", nil).Send(t.Context(), httpstricttest.Serve(t, response), call)
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+				assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
+			})
+		}
+	}
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -17,6 +17,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"peridotchute.example/common/fault"
+	"peridotchute.example/common/httpstrict"
 	"peridotchute.example/common/keyfile"
 	"peridotchute.example/common/tlsfile"
 	"peridotchute.example/config"
@@ -84,7 +85,7 @@
 		key:  key,
 		http: &http.Client{
 			Timeout:       opts.Timeout,
-			Transport:     &http.Transport{TLSClientConfig: tlsConfig},
+			Transport:     httpstrict.NewTransport(&http.Transport{TLSClientConfig: tlsConfig}),
 			CheckRedirect: noRedirect,
 		},
 	}, nil
--- a/side/gate/backend.go
+++ b/side/gate/backend.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"peridotchute.example/common/fault"
+	"peridotchute.example/common/httpstrict"
 	"peridotchute.example/common/wire"
 )
 
@@ -45,8 +46,8 @@
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &backend{
 		url:    strings.TrimSuffix(url, "/"),
-		pooled: &http.Client{Transport: transport, CheckRedirect: noRedirect},
-		action: &http.Client{Transport: noReuse, CheckRedirect: noRedirect},
+		pooled: &http.Client{Transport: httpstrict.NewTransport(transport), CheckRedirect: noRedirect},
+		action: &http.Client{Transport: httpstrict.NewTransport(noReuse), CheckRedirect: noRedirect},
 	}
 }
 
--- a/store/aws.go
+++ b/store/aws.go
@@ -14,6 +14,7 @@
 	"github.com/aws/smithy-go"
 
 	"peridotchute.example/common/fault"
+	"peridotchute.example/common/httpstrict"
 )
 
 // The platform authorizes clients by network, but the SDK requires credentials to
@@ -31,11 +32,11 @@
 // maxIdleConnsPerHost is large enough to reuse connections in bursts of claims.
 const maxIdleConnsPerHost = 64
 
-func newTransport() *http.Transport {
+func newTransport() http.RoundTripper {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
 	t.MaxIdleConnsPerHost = maxIdleConnsPerHost
-	return t
+	return httpstrict.NewTransport(t)
 }
 
 // awsConfig returns a configuration without the SDK's own retries. If the response
