--- a/common/httpstrict/httpstricttest/httpstricttest.go
+++ b/common/httpstrict/httpstricttest/httpstricttest.go
@@ -18,6 +18,11 @@
 	"status 101": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n{}",
 	"status 600": "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}",
 	"status 999": "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\n{}",
+
+	"blank in a name":                "HTTP/1.1 200 OK\r\nX Kept: a\r\nContent-Length: 2\r\n\r\n{}",
+	"blank before a colon":           "HTTP/1.1 200 OK\r\nX-Kept : a\r\nContent-Length: 2\r\n\r\n{}",
+	"blank before colon of length":   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}surplus",
+	"blank before colon of encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 }
 
 // Serve starts a server on a loopback address that reads each request, writes the response and
--- a/common/httpstrict/transport_test.go
+++ b/common/httpstrict/transport_test.go
@@ -29,6 +29,18 @@
 	}
 }
 
+// TestOtherInvalidNamesAreRejected has servers answer with names of fields that net/http rejects
+// itself.
+func TestOtherInvalidNamesAreRejected(t *testing.T) {
+	for _, name := range []string{"", "X\x00", "X\x01Y", "X\tY", "X\t", "X\x7f", "X\x80", "X\xff", "X(Y)", "X/Y", "X[", "X\"Y\"", "X\rY", " X"} {
+		resp, err := get(t, "HTTP/1.1 200 OK\r\n"+name+": a\r\nContent-Length: 2\r\n\r\n{}")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		assert.ErrorContains(t, err, "malformed", "%q", name)
+	}
+}
+
 // TestOutermostStatusesAreAccepted has servers answer with statuses at the ends of the range.
 func TestOutermostStatusesAreAccepted(t *testing.T) {
 	for _, status := range []string{"200", "204", "301", "418", "599"} {
--- a/entry/direct/exchange/malformed_test.go
+++ b/entry/direct/exchange/malformed_test.go
@@ -64,7 +64,8 @@
 
 // malformedHeads are heads of responses without a body, by name, that HTTP does not allow.
 var malformedHeads = map[string]string{
-	"status": "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
+	"status":     "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
+	"field name": "HTTP/1.1 200 OK\r\nX Kept: a\r\nContent-Length: 0\r\n\r\n",
 }
 
 // TestConnectionIsUsedAfterMalformedResponse has a server answer with a malformed head and keep the
