An answer that is cut during its upload no longer looks complete

What callers saw: a server answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. The client got the part as a complete answer.

Cause: the kernel reports a reset to one call only. When the write of the upload gets it, the read finds the plain end of the data, which is how such a body ends.

Change: httpstrict.Conn counts what has been written of a request. If the connection ends within a response and before the request was written whole, Read returns ErrCutRequest in place of io.EOF. It waits for a Write in progress first: a server that has read all may answer and close before the last Write has returned. A connection that ends before a response has begun is as before.

This holds also for a server that ends its answer in order and reads the upload no further: such an answer can't be told from one of a server that crashed between two reads.

--- a/common/httpstrict/httpstricttest/httpstricttest.go
+++ b/common/httpstrict/httpstricttest/httpstricttest.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 )
 
 // Malformed are whole responses, by name, that HTTP/1.1 does not allow. Their bodies end with
@@ -25,15 +27,41 @@
 	"blank before colon of encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 }
 
+// UploadBytes is the length of a request body that the buffers of both kernels can't hold.
+const UploadBytes = 16 << 20
+
+// CutDuringUpload is the start of a response that ends with its connection, for ServeCut.
+var CutDuringUpload = "HTTP/1.1 200 OK\r\n\r\n{}" + strings.Repeat(" ", 200<<10)
+
+// cutDelay is the time between a response and the reset of its connection. The client can receive
+// the response meanwhile.
+const cutDelay = 20 * time.Millisecond
+
 // Serve starts a server on a loopback address that reads each request, writes the response and
 // closes the connection, until the end of the test. It returns the server's address.
 func Serve(t *testing.T, response string) string {
 	t.Helper()
-	return ServeFunc(t, func(*http.Request) string { return response })
+	return serve(t, func(conn *net.TCPConn, req *http.Request) {
+		if _, err := io.Copy(io.Discard, req.Body); err == nil {
+			_, _ = io.WriteString(conn, response) // an error shows in the client's result
+		}
+	})
 }
 
-// ServeFunc is Serve with a response that depends on the request, whose body has been read.
-func ServeFunc(t *testing.T, response func(*http.Request) string) string {
+// ServeCut starts a server that reads the head of each request, writes the response and resets the
+// connection after a moment, without reading the request's body.
+func ServeCut(t *testing.T, response string) string {
+	t.Helper()
+	return serve(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, response) // an error shows in the client's result
+		time.Sleep(cutDelay)
+		_ = conn.SetLinger(0)
+	})
+}
+
+// serve starts a server that calls handle with the first request of each connection, whose body is
+// unread, and then closes the connection.
+func serve(t *testing.T, handle func(*net.TCPConn, *http.Request)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,21 +74,15 @@
 			if err != nil {
 				return
 			}
-			go serveConn(conn, response)
+			go serveConn(conn.(*net.TCPConn), handle)
 		}
 	}()
 	return l.Addr().String()
 }
 
-// serveConn serves one request. An error shows in the client's result.
-func serveConn(conn net.Conn, response func(*http.Request) string) {
+func serveConn(conn *net.TCPConn, handle func(*net.TCPConn, *http.Request)) {
 	defer func() { _ = conn.Close() }()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return
+	if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+		handle(conn, req)
 	}
-	_, _ = io.WriteString(conn, response(req))
 }
--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -32,3 +32,11 @@
 		}
 	}
 }
+
+// TestResponseCutDuringUploadLooksComplete has an engine answer during an upload, without a length,
+// and reset the connection within the answer.
+func TestResponseCutDuringUploadLooksComplete(t *testing.T) {
+	c := NewHTTPClient("http://" + httpstricttest.ServeCut(t, httpstricttest.CutDuringUpload))
+	err := c.ImportKV(t.Context(), 1, make([]byte, httpstricttest.UploadBytes))
+	assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
+}
--- a/entry/direct/exchange/conn.go
+++ b/entry/direct/exchange/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"peridotchute.example/common/httpstrict"
 )
 
 const (
@@ -62,7 +64,7 @@
 // conn is a connection to a backend server. It counts the bytes written and refuses
 // a new request after being idle for longer than the server allows.
 type conn struct {
-	net.Conn
+	*httpstrict.Conn
 	written  atomic.Int64
 	lastUsed atomic.Int64  // nanoseconds since processStart
 	maxIdle  atomic.Int64  // nanoseconds; 0 when the server set no limit
@@ -88,6 +90,7 @@
 func (c *conn) beginRequest(w withholding, bodyBytes int) {
 	c.requests.Add(1)
 	c.withheld.Store(w)
+	c.BeginRequest(int64(bodyBytes))
 	_ = c.prepare(bodyBytes) // fails only if the connection is closed, which shows in the write
 }
 
@@ -148,7 +151,7 @@
 		_ = c.Close()
 		return nil, err
 	}
-	wrapped := &conn{Conn: c, timeout: userTimeout}
+	wrapped := &conn{Conn: httpstrict.NewConn(c), timeout: userTimeout}
 	wrapped.markIdle()
 	return wrapped, nil
 }
@@ -163,7 +166,7 @@
 		return nil
 	}
 	c.timeout = timeout
-	return setUserTimeout(c.Conn, timeout)
+	return setUserTimeout(c.Conn.Conn, timeout)
 }
 
 func setUserTimeout(c net.Conn, timeout time.Duration) error {
--- a/entry/direct/exchange/exchange_test.go
+++ b/entry/direct/exchange/exchange_test.go
@@ -87,7 +87,7 @@
 // timeoutOf returns the TCP_USER_TIMEOUT of a connection.
 func timeoutOf(t *testing.T, c *conn) time.Duration {
 	t.Helper()
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.Conn.Conn.(*net.TCPConn).SyscallConn()
 	assert.NilError(t, err)
 	var ms int
 	assert.NilError(t, raw.Control(func(fd uintptr) {
--- a/entry/serving/forward/malformed_test.go
+++ b/entry/serving/forward/malformed_test.go
@@ -28,3 +28,20 @@
 		}
 	}
 }
+
+// TestResponseCutDuringUploadLooksComplete has a side process answer during an upload, without a
+// length, and reset the connection within the answer.
+func TestResponseCutDuringUploadLooksComplete(t *testing.T) {
+	address := httpstricttest.ServeCut(t, httpstricttest.CutDuringUpload)
+	for kind, claim := range map[string]*wire.Claim{"idempotent": nil, "action": {}} {
+		t.Run(kind, func(t *testing.T) {
+			body := make([]byte, httpstricttest.UploadBytes)
+			call := Call{Method: http.MethodPost, Path: "/x", Body: body, Deadline: time.Now().Add(time.Minute), Claim: claim}
+			resp, err := New("key", nil).Send(t.Context(), address, call)
+			if err == nil {
+				_, err = ReadResponse(resp, address)
+			}
+			assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
+		})
+	}
+}
--- a/side/gate/malformed_test.go
+++ b/side/gate/malformed_test.go
@@ -53,3 +53,14 @@
 		})
 	}
 }
+
+// TestResponseCutDuringUploadLooksComplete has a backend server answer during an upload, without a
+// length, and reset the connection within the answer.
+func TestResponseCutDuringUploadLooksComplete(t *testing.T) {
+	url := startGateOf(t, httpstricttest.ServeCut(t, httpstricttest.CutDuringUpload))
+	resp, err := send(t, url, strings.NewReader(strings.Repeat("b", httpstricttest.UploadBytes)))
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.ReadAll(resp.Body)
+	assert.Assert(t, err != nil || resp.StatusCode == http.StatusBadGateway, "status %d", resp.StatusCode)
+}
--- a/store/malformed_test.go
+++ b/store/malformed_test.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -22,3 +24,16 @@
 		})
 	}
 }
+
+// TestResponseCutDuringUploadLooksComplete has a store answer during an upload, without a length,
+// and reset the connection within the answer.
+func TestResponseCutDuringUploadLooksComplete(t *testing.T) {
+	client := &http.Client{Transport: bufferedBodyTransport{next: newTransport()}}
+	body := strings.NewReader(strings.Repeat("b", httpstricttest.UploadBytes))
+	resp, err := client.Post("http://"+httpstricttest.ServeCut(t, httpstricttest.CutDuringUpload), "text/plain", body)
+	if err == nil {
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.ReadAll(resp.Body)
+	}
+	assert.Assert(t, err != nil)
+}
