A transfer coding in a response of HTTP/1.0 counts as a fault of its server

What callers saw: a server's answer of HTTP/1.0 with a transfer coding reached the client as 200 with the lines of the chunks in its body. An answer of "HTTP/2.0" or "HTTP/0.9" as text was passed on as well.

Cause: net/http ignores and drops a transfer coding in HTTP/1.0, and reads a head of any version that has the form of one. RFC 9112, section 6.1: a client must treat the framing of such a message as faulty.

Change: httpstrict.Conn keeps the start of a response whose version is HTTP/1.0 until its head is checked, as net/http does not show the coding; CheckHead reads it with net/textproto. Without TLS a response must be of HTTP/1, and one of HTTP/1.0 must have neither a transfer coding nor an interim response before it. Other responses of HTTP/1.0 are as before.

--- a/common/httpstrict/conn.go
+++ b/common/httpstrict/conn.go
@@ -26,6 +26,7 @@
 	writing  sync.Mutex  // held during a Write
 	request  progress    // guarded by writing
 	answered atomic.Bool // data has been received since the request began
+	response recorder
 }
 
 // NewConn returns a Conn that uses c.
@@ -38,6 +39,7 @@
 	defer c.writing.Unlock()
 	c.request = progress{begun: true, bodyLeft: bodyBytes}
 	c.answered.Store(false)
+	c.response.begin()
 }
 
 func (c *Conn) Write(p []byte) (int, error) {
@@ -52,6 +54,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.answered.Store(true)
+		c.response.record(p[:n])
 	}
 	if errors.Is(err, io.EOF) && c.answered.Load() && !c.requestWritten() {
 		return n, ErrCutRequest
@@ -59,6 +62,9 @@
 	return n, err
 }
 
+// endRecording returns the response as far as it has been received, if its version is HTTP/1.0.
+func (c *Conn) endRecording() []byte { return c.response.end() }
+
 // requestWritten reports whether the current request has been written whole. It waits for a Write
 // in progress: one that has written the last bytes may not have returned yet.
 func (c *Conn) requestWritten() bool {
--- a/common/httpstrict/head.go
+++ b/common/httpstrict/head.go
@@ -3,8 +3,13 @@
 package httpstrict
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -39,9 +44,22 @@
 	return fmt.Sprintf("response with invalid field name %q", e.Name)
 }
 
-// CheckHead returns an error if the head of a final response is invalid: a StatusError or a
-// FieldNameError. The server may have acted on the request.
-func CheckHead(resp *http.Response) error {
+// VersionError means that a response without TLS is not of HTTP/1, or is of HTTP/1.0 and has a
+// transfer coding or an interim response before it, which HTTP/1.0 does not know. net/http ignores
+// such a coding and takes it for part of the body (RFC 9112, section 6.1).
+type VersionError struct {
+	Version string
+}
+
+// Error returns the version.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("response that is invalid in version %q", e.Version)
+}
+
+// CheckHead returns an error if the head of a final response is invalid: a StatusError, a
+// FieldNameError or a VersionError. The server may have acted on the request. c is the connection
+// of the response, or nil if that uses TLS.
+func CheckHead(resp *http.Response, c *Conn) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return &StatusError{Status: resp.StatusCode}
 	}
@@ -50,5 +68,33 @@
 			return &FieldNameError{Name: name}
 		}
 	}
+	if !validVersion(resp, c) {
+		return &VersionError{Version: resp.Proto}
+	}
 	return nil
 }
+
+// validVersion reports whether the head of a response is valid in its version of HTTP.
+func validVersion(resp *http.Response, c *Conn) bool {
+	if c == nil {
+		return true
+	}
+	start := c.endRecording()
+	return resp.ProtoMajor == 1 && (resp.ProtoMinor > 0 || validOldHead(start, resp.StatusCode))
+}
+
+// validOldHead reports whether the start of a response of HTTP/1.0 is the head of a final response
+// with the status and without a transfer coding.
+func validOldHead(start []byte, status int) bool {
+	in := textproto.NewReader(bufio.NewReader(bytes.NewReader(start)))
+	line, err := in.ReadLine()
+	if err != nil {
+		return false
+	}
+	statusLine := strings.Fields(line)
+	if len(statusLine) < 2 || statusLine[1] != strconv.Itoa(status) {
+		return false
+	}
+	header, err := in.ReadMIMEHeader()
+	return err == nil && len(header["Transfer-Encoding"]) == 0
+}
--- a/common/httpstrict/httpstricttest/httpstricttest.go
+++ b/common/httpstrict/httpstricttest/httpstricttest.go
@@ -25,6 +25,12 @@
 	"blank before a colon":           "HTTP/1.1 200 OK\r\nX-Kept : a\r\nContent-Length: 2\r\n\r\n{}",
 	"blank before colon of length":   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}surplus",
 	"blank before colon of encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+
+	"version 0.9":          "HTTP/0.9 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"version 2.0":          "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"encoding in 1.0":      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	"encoding in 1.0, 100": "HTTP/1.0 100 OK\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	"1.0 after 1.1":        "HTTP/1.1 100 OK\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 }
 
 // UploadBytes is the length of a request body that the buffers of both kernels can't hold.
--- a/common/httpstrict/transport.go
+++ b/common/httpstrict/transport.go
@@ -34,17 +34,19 @@
 // where the next response on it begins is not known.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var used net.Conn
+	var plain *Conn // nil with TLS, which shows a cut by itself
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn
-		if c, ok := used.(*Conn); ok { // not with TLS, which shows a cut by itself
-			c.BeginRequest(bodyLength(req))
+		plain, _ = used.(*Conn)
+		if plain != nil {
+			plain.BeginRequest(bodyLength(req))
 		}
 	}}
 	resp, err := t.next.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(resp); err != nil {
+	if err := CheckHead(resp, plain); err != nil {
 		_ = resp.Body.Close()
 		_ = used.Close()
 		return nil, err
--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -130,10 +130,7 @@
 		}
 		return nil, sendError(call, used, writtenBefore, err)
 	}
-	if err := httpstrict.CheckHead(resp); err != nil {
-		if used != nil {
-			used.retire()
-		}
+	if err := checkHead(resp, used); err != nil {
 		_ = resp.Body.Close()
 		return nil, fault.New(fault.KindInvalid, sendStep, call.Address, err)
 	}
@@ -156,6 +153,19 @@
 	return response, nil
 }
 
+// checkHead returns an error if the head of a response is invalid, and then keeps further requests
+// off its connection.
+func checkHead(resp *http.Response, used *conn) error {
+	if used == nil {
+		return httpstrict.CheckHead(resp, nil)
+	}
+	err := httpstrict.CheckHead(resp, used.Conn)
+	if err != nil {
+		used.retire()
+	}
+	return err
+}
+
 // withheld returns why the call must not be written to the connection, if it must not, and
 // otherwise counts the connection as one that has carried the client attempt.
 func (call *Call) withheld(ctx context.Context, c *conn) withholding {
--- a/entry/direct/exchange/malformed_test.go
+++ b/entry/direct/exchange/malformed_test.go
@@ -66,6 +66,7 @@
 var malformedHeads = map[string]string{
 	"status":     "HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
 	"field name": "HTTP/1.1 200 OK\r\nX Kept: a\r\nContent-Length: 0\r\n\r\n",
+	"version":    "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n",
 }
 
 // TestConnectionIsUsedAfterMalformedResponse has a server answer with a malformed head and keep the
