A request whose handling panics is not logged as served

The metrics counted it as served too.

Cause: served is the zero value of the outcome, and the record of a request is closed in a deferred call that runs during a panic as well.

Change: a record begins as cut, with the reason "the handling ended without an answer", until the request ends otherwise.

Evidence: TestPanickedRequestIsLoggedAsServed fails without the change in record.go ("served != cut") and passes with it.

--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -30,6 +30,7 @@
 
 func newRecord(log *decisionlog.Log, req *request, v *fleet.View) *record {
 	r := &record{trace: log.Trace(req.ID), req: req, version: v.Config.Version}
+	r.finishFailed(decisionlog.OutcomeCut, 0, unfinishedReason) // until the request has ended otherwise
 	r.trace.Add(decisionlog.Routed{
 		Route:         req.route.Name,
 		Service:       req.service,
@@ -222,7 +223,7 @@
 // of its body.
 func (r *record) finishServed(status int, bytes int64) {
 	r.end.Status, r.end.Bytes = status, bytes
-	r.end.Outcome = decisionlog.OutcomeServed
+	r.end.Outcome, r.end.Reason = decisionlog.OutcomeServed, ""
 	if r.missedObjective() {
 		r.end.Outcome = decisionlog.OutcomeLate
 	}
