The end of an idle connection stays plain while a request begins

Found by reading: if a server closed an idle connection in the moment in which the next request began, Conn.Read could look at the response before and at the request after and return ErrCutRequest in place of io.EOF, which net/http takes for something else. Both are now read under one lock. Bytes written outside of a request, as with TLS, are no longer searched for the end of a head.

--- a/common/httpstrict/conn.go
+++ b/common/httpstrict/conn.go
@@ -56,7 +56,7 @@
 		c.answered.Store(true)
 		c.response.record(p[:n])
 	}
-	if errors.Is(err, io.EOF) && c.answered.Load() && !c.requestWritten() {
+	if errors.Is(err, io.EOF) && c.answered.Load() && c.cut() {
 		return n, ErrCutRequest
 	}
 	return n, err
@@ -65,12 +65,13 @@
 // endRecording returns the response as far as it has been received, if its version is HTTP/1.0.
 func (c *Conn) endRecording() []byte { return c.response.end() }
 
-// requestWritten reports whether the current request has been written whole. It waits for a Write
-// in progress: one that has written the last bytes may not have returned yet.
-func (c *Conn) requestWritten() bool {
+// cut reports whether the connection has ended within a response whose request has not been written
+// whole. It waits for a Write in progress: one that has written the last bytes may not have returned
+// yet.
+func (c *Conn) cut() bool {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.request.whole()
+	return c.answered.Load() && !c.request.whole() // a request that begins meanwhile has no response yet
 }
 
 // headEnd is how the head of a request ends.
@@ -86,6 +87,9 @@
 
 // wrote records the bytes that a Write has written, and its error.
 func (p *progress) wrote(b []byte, err error) {
+	if !p.begun {
+		return
+	}
 	p.failed = p.failed || err != nil
 	for len(b) > 0 && p.headEnded < len(headEnd) {
 		switch b[0] {
--- a/common/httpstrict/conn_test.go
+++ b/common/httpstrict/conn_test.go
@@ -102,6 +102,23 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+// TestEndOfIdleConnectionIsPlain has a server close an idle connection when the next request begins.
+func TestEndOfIdleConnectionIsPlain(t *testing.T) {
+	tcp, server := connect(t)
+	c := NewConn(tcp)
+	c.BeginRequest(0)
+	_, err := io.WriteString(c, head("0"))
+	assert.NilError(t, err)
+	_, err = io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = c.Read(make([]byte, 1000))
+	assert.NilError(t, err)
+	c.BeginRequest(uploadBytes)
+	assert.NilError(t, server.Close())
+	_, err = c.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+}
+
 // TestProgressOfRequest writes requests in pieces of each length.
 func TestProgressOfRequest(t *testing.T) {
 	for name, c := range map[string]struct {
