--- a/common/httpstrict/transport_test.go
+++ b/common/httpstrict/transport_test.go
@@ -41,6 +41,23 @@
 	}
 }
 
+// TestOtherInvalidFieldsAreRejected has servers answer with fields that net/http rejects itself.
+func TestOtherInvalidFieldsAreRejected(t *testing.T) {
+	for _, line := range []string{
+		"no colon", "X: \x00", "X: a\x01", "X: \x7f", "X: a\rb",
+		"Content-Length: ", "Content-Length: +2", "Content-Length: -2", "Content-Length: 0x2", "Content-Length: 2 2", "Content-Length: 2, 2",
+		"Content-Length: 2\r\nContent-Length: 3", "Content-Length: 99999999999999999999",
+		"Transfer-Encoding: gzip", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding: identity", "Transfer-Encoding: xchunked",
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+	} {
+		resp, err := get(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n{}")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		assert.Assert(t, err != nil, "%q", line)
+	}
+}
+
 // TestOutermostStatusesAreAccepted has servers answer with statuses at the ends of the range.
 func TestOutermostStatusesAreAccepted(t *testing.T) {
 	for _, status := range []string{"200", "204", "301", "418", "599"} {
