A proxy's port is kept while its link is cut

No program code is concerned.

Cause: the proxy listened on a port that the kernel chose, gave it up in Cut and listened on it again in Restore. In between the kernel may give the port to any listener without a fixed port; the packages' tests run beside each other and open many. In a trial that opened and closed such listeners while a link was cut, 5 of 5 runs ended with the same error, after 113 to 19,488 listeners. Outgoing connections did not take it in 5 trials of 100,000 connections each: the kernel prefers the even ports for them.

Change: proxies get their ports as the cluster's processes do, below the kernel's ephemeral range and locked against other test processes. The allocation moves from integration/cluster to a package of its own, integration/port.

Ruled out: the workers of platformtest, which also listen again, wait for their port.

TestAddressIsKeptWhileCut failed before, 3 of 3 (port 39845 lies in 32768 to 60999), and passes now. TestRegionsPartitioned 10 of 10, the proxy's tests 5 of 5 with the race detector, the short soak of platform/pathtest once.

--- a/integration/cluster/configure.go
+++ b/integration/cluster/configure.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 
 	"peridotchute.example/entry"
+	"peridotchute.example/integration/port"
 	"peridotchute.example/side"
 	"peridotchute.example/standin/server"
 	"peridotchute.example/store"
@@ -33,7 +34,7 @@
 		return ""
 	}
 	var address string
-	address, a.err = FreeAddress()
+	address, a.err = port.FreeAddress()
 	return address
 }
 
--- a/integration/cluster/ports.go
+++ b/integration/port/port.go
@@ -1,4 +1,5 @@
-package cluster
+// Package port allocates listening ports to processes under test.
+package port
 
 import (
 	"fmt"
@@ -11,8 +12,9 @@
 	"syscall"
 )
 
-// Listening ports are allocated below the kernel's ephemeral port range, so that
-// no outgoing connection takes the port of a process that restarts.
+// Ports are allocated below the kernel's ephemeral port range, so that neither an
+// outgoing connection nor a listener without a fixed port takes a port while its
+// listener is down.
 const (
 	firstPort = 12000
 	lastPort  = 32000
--- a/integration/proxy/proxy.go
+++ b/integration/proxy/proxy.go
@@ -13,6 +13,8 @@
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"peridotchute.example/integration/port"
 )
 
 // Server manages the proxies of one test.
@@ -43,7 +45,11 @@
 	if p, ok := s.proxies[k]; ok {
 		return p.Listen, nil
 	}
-	p := toxiproxy.NewProxy(s.api, from+">"+to+"/"+channel, "127.0.0.1:0", upstream)
+	address, err := port.FreeAddress()
+	if err != nil {
+		return "", err
+	}
+	p := toxiproxy.NewProxy(s.api, from+">"+to+"/"+channel, address, upstream)
 	if err := p.Start(); err != nil {
 		return "", fmt.Errorf("proxy from %s to %s in front of %s: %w", from, to, upstream, err)
 	}
--- a/integration/proxy/proxy_test.go
+++ b/integration/proxy/proxy_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -65,3 +69,26 @@
 	assert.ErrorContains(t, s.Between("b", "a").Cut(), "no proxy")
 	assert.NilError(t, s.LinksOf("b").Cut())
 }
+
+// ephemeralRange is the file with the ports that the kernel gives to outgoing
+// connections and to listeners without a fixed port.
+const ephemeralRange = "/proc/sys/net/ipv4/ip_local_port_range"
+
+// TestAddressIsKeptWhileCut checks that the kernel gives a proxy's port to nobody
+// else while the link is cut.
+func TestAddressIsKeptWhileCut(t *testing.T) {
+	s := NewServer()
+	defer s.Close()
+	address, err := s.Open("a", "b", "data", "127.0.0.1:1")
+	assert.NilError(t, err)
+	_, text, err := net.SplitHostPort(address)
+	assert.NilError(t, err)
+	port, err := strconv.Atoi(text)
+	assert.NilError(t, err)
+	content, err := os.ReadFile(ephemeralRange)
+	assert.NilError(t, err)
+	var first, last int
+	_, err = fmt.Sscan(string(content), &first, &last)
+	assert.NilError(t, err)
+	assert.Assert(t, port < first || port > last, "port %d lies in %d to %d", port, first, last)
+}
