A free address stays free while other processes are started

Cause: FreeAddress listens on a port to see whether it is free, and closes the listener. A process that is started at that moment by another test has a copy of it between fork and exec, so that the port stays in use a little longer. The cluster's processes listen on theirs much later; the proxies do at once.

Change: no process is started while the probing listener exists (syscall.ForkLock). Rejected: another try with other ports, since on a busy machine each try may fail alike.

--- a/integration/port/port.go
+++ b/integration/port/port.go
@@ -63,12 +63,23 @@
 			continue
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if isFree(address) {
+			return address, nil
 		}
-		_ = ln.Close()
-		return address, nil
 	}
 	return "", fmt.Errorf("no free port between %d and %d", firstPort, lastPort)
 }
+
+// isFree reports whether nothing listens on the address. No process is started
+// meanwhile: it would hold a copy of the listener until its program is executed, and
+// the address would be in use for as long.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = ln.Close()
+	return true
+}
