--- a/common/httpstrict/httpstricttest/httpstricttest.go
+++ b/common/httpstrict/httpstricttest/httpstricttest.go
@@ -12,9 +12,9 @@
 	"time"
 )
 
-// Malformed are whole responses, by name, that HTTP/1.1 does not allow. Their bodies end with
+// malformed are whole responses, by name, that HTTP/1.1 does not allow. Their bodies end with
 // their connections unless they say otherwise.
-var Malformed = map[string]string{
+var malformed = map[string]string{
 	"status 000": "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
 	"status 099": "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\n{}",
 	"status 101": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n{}",
@@ -33,6 +33,15 @@
 	"1.0 after 1.1":        "HTTP/1.1 100 OK\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 }
 
+// EachMalformed runs check as a subtest for each of a number of malformed responses, with the
+// address of a server that answers with it.
+func EachMalformed(t *testing.T, check func(t *testing.T, address string)) {
+	t.Helper()
+	for name, response := range malformed {
+		t.Run(name, func(t *testing.T) { check(t, Serve(t, response)) })
+	}
+}
+
 // UploadBytes is the length of a request body that the buffers of both kernels can't hold.
 const UploadBytes = 16 << 20
 
--- a/common/httpstrict/transport_test.go
+++ b/common/httpstrict/transport_test.go
@@ -9,31 +9,29 @@
 	"peridotchute.example/common/httpstrict/httpstricttest"
 )
 
-// get sends a request to a server that answers with the given bytes.
-func get(t *testing.T, response string) (*http.Response, error) {
+// get sends a request to a server.
+func get(t *testing.T, address string) (*http.Response, error) {
 	t.Helper()
 	client := &http.Client{Transport: NewTransport(&http.Transport{})}
 	t.Cleanup(client.CloseIdleConnections)
-	return client.Get("http://" + httpstricttest.Serve(t, response))
+	return client.Get("http://" + address)
 }
 
 func TestMalformedResponseIsRejected(t *testing.T) {
-	for name, response := range httpstricttest.Malformed {
-		t.Run(name, func(t *testing.T) {
-			resp, err := get(t, response)
-			if err == nil {
-				_ = resp.Body.Close()
-			}
-			assert.ErrorContains(t, err, "invalid")
-		})
-	}
+	httpstricttest.EachMalformed(t, func(t *testing.T, address string) {
+		resp, err := get(t, address)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		assert.ErrorContains(t, err, "invalid")
+	})
 }
 
 // TestOtherInvalidNamesAreRejected has servers answer with names of fields that net/http rejects
 // itself.
 func TestOtherInvalidNamesAreRejected(t *testing.T) {
 	for _, name := range []string{"", "X\x00", "X\x01Y", "X\tY", "X\t", "X\x7f", "X\x80", "X\xff", "X(Y)", "X/Y", "X[", "X\"Y\"", "X\rY", " X"} {
-		resp, err := get(t, "HTTP/1.1 200 OK\r\n"+name+": a\r\nContent-Length: 2\r\n\r\n{}")
+		resp, err := get(t, httpstricttest.Serve(t, "HTTP/1.1 200 OK\r\n"+name+": a\r\nContent-Length: 2\r\n\r\n{}"))
 		if err == nil {
 			_ = resp.Body.Close()
 		}
@@ -50,7 +48,7 @@
 		"Transfer-Encoding: gzip", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding: identity", "Transfer-Encoding: xchunked",
 		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
 	} {
-		resp, err := get(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n{}")
+		resp, err := get(t, httpstricttest.Serve(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n{}"))
 		if err == nil {
 			_ = resp.Body.Close()
 		}
@@ -61,7 +59,7 @@
 // TestOutermostStatusesAreAccepted has servers answer with statuses at the ends of the range.
 func TestOutermostStatusesAreAccepted(t *testing.T) {
 	for _, status := range []string{"200", "204", "301", "418", "599"} {
-		resp, err := get(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+		resp, err := get(t, httpstricttest.Serve(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n"))
 		assert.NilError(t, err, status)
 		assert.NilError(t, resp.Body.Close())
 	}
--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,23 +13,13 @@
 // TestMalformedResponseOfEngineIsUnknown has an engine answer with heads that HTTP does not allow.
 // An order must not count as executed.
 func TestMalformedResponseOfEngineIsUnknown(t *testing.T) {
-	for name, response := range httpstricttest.Malformed {
-		c := NewHTTPClient("http://" + httpstricttest.Serve(t, response))
-		for call, do := range map[string]func(context.Context) error{
-			"order": func(ctx context.Context) error {
-				return c.Order(ctx, Order{Verb: VerbLoad, Artifact: wire.Artifact{Kind: wire.KindModel, Name: "m"}})
-			},
-			"inventory": func(ctx context.Context) error {
-				_, err := c.Inventory(ctx)
-				return err
-			},
-		} {
-			t.Run(name+" "+call, func(t *testing.T) {
-				err := do(t.Context())
-				assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
-			})
-		}
-	}
+	httpstricttest.EachMalformed(t, func(t *testing.T, address string) {
+		c := NewHTTPClient("http://" + address)
+		err := c.Order(t.Context(), Order{Verb: VerbLoad, Artifact: wire.Artifact{Kind: wire.KindModel, Name: "m"}})
+		assert.Check(t, fault.Is(err, fault.KindUnknown), "order: %v", err)
+		_, err = c.Inventory(t.Context())
+		assert.Check(t, fault.Is(err, fault.KindUnknown), "inventory: %v", err)
+	})
 }
 
 // TestResponseCutDuringUploadLooksComplete has an engine answer during an upload, without a length,
--- a/entry/serving/forward/malformed_test.go
+++ b/entry/serving/forward/malformed_test.go
@@ -15,18 +15,16 @@
 // TestMalformedResponseOfSideProcessIsUnknown has a side process answer with heads that HTTP does
 // not allow. Whether the request has run must count as unknown.
 func TestMalformedResponseOfSideProcessIsUnknown(t *testing.T) {
-	for name, response := range httpstricttest.Malformed {
+	httpstricttest.EachMalformed(t, func(t *testing.T, address string) {
 		for kind, claim := range map[string]*wire.Claim{"idempotent": nil, "action": {}} {
-			t.Run(name+" "+kind, func(t *testing.T) {
-				call := Call{Method: http.MethodPost, Path: "/x", Body: []byte("{}"), Deadline: time.Now().Add(time.Minute), Claim: claim}
-				resp, err := New("key", nil).Send(t.Context(), httpstricttest.Serve(t, response), call)
-				if err == nil {
-					_ = resp.Body.Close()
-				}
-				assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
-			})
+			call := Call{Method: http.MethodPost, Path: "/x", Body: []byte("{}"), Deadline: time.Now().Add(time.Minute), Claim: claim}
+			resp, err := New("key", nil).Send(t.Context(), address, call)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			assert.Check(t, fault.Is(err, fault.KindUnknown), "%s: %v", kind, err)
 		}
-	}
+	})
 }
 
 // TestResponseCutDuringUploadLooksComplete has a side process answer during an upload, without a
--- a/operator/malformed_test.go
+++ b/operator/malformed_test.go
@@ -25,12 +25,10 @@
 // TestMalformedResponseOfAdministrationAPIIsUnknown has an entry answer with heads that HTTP does
 // not allow.
 func TestMalformedResponseOfAdministrationAPIIsUnknown(t *testing.T) {
-	for name, response := range httpstricttest.Malformed {
-		t.Run(name, func(t *testing.T) {
-			_, err := newClientOf(t, httpstricttest.Serve(t, response)).Settle(t.Context(), api.SettleRequest{})
-			assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
-		})
-	}
+	httpstricttest.EachMalformed(t, func(t *testing.T, address string) {
+		_, err := newClientOf(t, address).Settle(t.Context(), api.SettleRequest{})
+		assert.Assert(t, fault.Is(err, fault.KindUnknown), "%v", err)
+	})
 }
 
 // TestResponseCutDuringUploadLooksComplete has an entry answer during an upload, without a length,
--- a/side/gate/malformed_test.go
+++ b/side/gate/malformed_test.go
@@ -27,31 +27,27 @@
 // TestMalformedResponseOfBackendServerIsUnknown has a backend server answer with heads that HTTP
 // does not allow. The entry must learn that the outcome of the request is unknown.
 func TestMalformedResponseOfBackendServerIsUnknown(t *testing.T) {
-	for name, response := range httpstricttest.Malformed {
-		t.Run(name, func(t *testing.T) {
-			resp, err := send(t, startGateOf(t, httpstricttest.Serve(t, response)), strings.NewReader("prompt"))
-			assert.NilError(t, err)
-			defer func() { _ = resp.Body.Close() }()
-			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
-			assert.Equal(t, resp.Header.Get(wire.HeaderOutcome), string(wire.OutcomeUnknown))
-		})
-	}
+	httpstricttest.EachMalformed(t, func(t *testing.T, address string) {
+		resp, err := send(t, startGateOf(t, address), strings.NewReader("prompt"))
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		assert.Equal(t, resp.Header.Get(wire.HeaderOutcome), string(wire.OutcomeUnknown))
+	})
 }
 
 // TestMalformedResponseToActionIsRejected does the same on a connection for an action.
 func TestMalformedResponseToActionIsRejected(t *testing.T) {
 	claim := wire.Claim{Key: "k", Attempt: 1, Incarnation: "i"}
-	for name, response := range httpstricttest.Malformed {
-		t.Run(name, func(t *testing.T) {
-			r := httptest.NewRequest(http.MethodPost, "/pay", nil)
-			r.Header.Set(wire.HeaderClaim, claim.String())
-			resp, err := newBackend("http://"+httpstricttest.Serve(t, response)).call(r, []byte("{}"))
-			if err == nil {
-				_ = resp.Body.Close()
-			}
-			assert.ErrorContains(t, err, "invalid")
-		})
-	}
+	httpstricttest.EachMalformed(t, func(t *testing.T, address string) {
+		r := httptest.NewRequest(http.MethodPost, "/pay", nil)
+		r.Header.Set(wire.HeaderClaim, claim.String())
+		resp, err := newBackend("http://"+address).call(r, []byte("{}"))
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		assert.ErrorContains(t, err, "invalid")
+	})
 }
 
 // TestResponseCutDuringUploadLooksComplete has a backend server answer during an upload, without a
--- a/store/malformed_test.go
+++ b/store/malformed_test.go
@@ -13,16 +13,14 @@
 
 // TestMalformedResponseOfStoreIsRejected has a store answer with heads that HTTP does not allow.
 func TestMalformedResponseOfStoreIsRejected(t *testing.T) {
-	for name, response := range httpstricttest.Malformed {
-		t.Run(name, func(t *testing.T) {
-			client := &http.Client{Transport: newTransport()}
-			resp, err := client.Get("http://" + httpstricttest.Serve(t, response))
-			if err == nil {
-				_ = resp.Body.Close()
-			}
-			assert.ErrorContains(t, err, "invalid")
-		})
-	}
+	httpstricttest.EachMalformed(t, func(t *testing.T, address string) {
+		client := &http.Client{Transport: newTransport()}
+		resp, err := client.Get("http://" + address)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		assert.ErrorContains(t, err, "invalid")
+	})
 }
 
 // TestResponseCutDuringUploadLooksComplete has a store answer during an upload, without a length,
