A free address stays free also while the first process is started

Cause: before a process starts its first child, package os checks whether pidfds work, and forks for that once, without syscall.ForkLock. That child has a copy of the probing listener, too, until it has exited.

Change: FreeAddress has that check done, or waits for its end, before it listens for the first time. Rejected: tries with other ports in the proxy alone, which leaves the fault to the next caller of FreeAddress.

--- a/integration/port/port.go
+++ b/integration/port/port.go
@@ -74,6 +74,7 @@
 // meanwhile: it would hold a copy of the listener until its program is executed, and
 // the address would be in use for as long.
 func isFree(address string) bool {
+	awaitFirstFork()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	ln, err := net.Listen("tcp", address)
@@ -83,3 +84,11 @@
 	_ = ln.Close()
 	return true
 }
+
+// awaitFirstFork has package os check its use of pidfds, or waits for the end of that check. It
+// forks once in a process, without syscall.ForkLock.
+var awaitFirstFork = sync.OnceFunc(func() {
+	if p, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = p.Release()
+	}
+})
