Log whether the store's records were read for a resumed stream

The logs of the search could not tell apart: records that were never stored, stored but not read, and peers that did not answer.

"stream's version sought" now says whether the records in the store were read, kept from a read less than a second before or could not be read, and how many are known; "stream records not stored" says how many wait.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -36,6 +36,8 @@
 	Source     string // where the record was found; empty without one
 	Versions   string // versions of the service in use lately, joined by spaces
 	Unanswered int    // other entries that were asked and did not answer
+	Store      string // whether the records in the store were read: not needed, read, failed or kept from an earlier read
+	Records    int    // read from the store
 	ServersAge time.Duration
 }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -49,6 +49,8 @@
 	e.textIfSet("source", r.Source)
 	e.textIfSet("versions", r.Versions)
 	e.countIfSet("unanswered", int64(r.Unanswered))
+	e.textIfSet("store", r.Store)
+	e.countIfSet("records", int64(r.Records))
 	e.duration("servers_age_ms", r.ServersAge)
 }
 
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -58,6 +58,8 @@
 		Source:     f.Source,
 		Versions:   strings.Join(f.Versions, " "),
 		Unanswered: f.Unanswered,
+		Store:      f.Store.String(),
+		Records:    f.Records,
 		ServersAge: f.ServersAge,
 	})
 }
--- a/entry/direct/origins/find.go
+++ b/entry/direct/origins/find.go
@@ -29,6 +29,8 @@
 	Source     string        // where the record was found
 	Versions   []string      // of the service, in use lately
 	Unanswered int           // entries that were asked and did not answer
+	Store      StoreRead     // whether the records in the store were read
+	Records    int           // known from the store
 	ServersAge time.Duration // age of the registrations
 
 	revision int // of the record
@@ -67,7 +69,9 @@
 	case found.Origin == Unknown && one && !answers.several:
 		return found.anyVersion()
 	}
-	if r, ok := g.load(ctx, s); ok { // it may be newer than a copy
+	r, ok, read := g.load(ctx, s)
+	found.Store, found.Records = read, g.storedCount()
+	if ok { // it may be newer than a copy
 		found.improve(reply{Record: r, source: sourceStore})
 	}
 	return found
--- a/entry/direct/origins/load.go
+++ b/entry/direct/origins/load.go
@@ -23,6 +23,20 @@
 	minLoadInterval = time.Second
 )
 
+// StoreRead says whether the records in the store were read for a search.
+type StoreRead int
+
+// The values of StoreRead.
+const (
+	StoreNotNeeded StoreRead = iota
+	StoreWasRead
+	StoreFailed
+	StoreKept // read less than minLoadInterval before, and not again
+)
+
+// String returns the name of the value in logs.
+func (r StoreRead) String() string { return [...]string{"not needed", "read", "failed", "kept"}[r] }
+
 // storedRecords is the state of the records in the store, as this entry knows it.
 type storedRecords struct {
 	services map[string]bool // whose records are written to the store
@@ -49,9 +63,20 @@
 	return newest, found
 }
 
+// storedCount returns how many records are known from the store.
+func (g *Registry) storedCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, records := range g.stored.records {
+		n += len(records)
+	}
+	return n
+}
+
 // load finds the record of a stream in the store. It reads all records, unless that was
 // tried less than minLoadInterval ago.
-func (g *Registry) load(ctx context.Context, s Stream) (Record, bool) {
+func (g *Registry) load(ctx context.Context, s Stream) (newest Record, found bool, read StoreRead) {
 	done := g.loads.DoChan("", func() (any, error) {
 		g.mu.Lock()
 		recent := time.Since(g.stored.loaded) < minLoadInterval
@@ -59,23 +84,26 @@
 			g.stored.loaded = time.Now()
 		}
 		g.mu.Unlock()
-		if !recent {
-			g.loadAll()
+		if recent {
+			return StoreKept, nil
 		}
-		return nil, nil
+		return g.loadAll(), nil
 	})
+	read = StoreFailed
 	select {
-	case <-done:
+	case result := <-done:
+		read = result.Val.(StoreRead)
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stored.find(s)
+	newest, found = g.stored.find(s)
+	return newest, found, read
 }
 
 // loadAll reads all records in the store. What is known of a partition that cannot be read
 // is kept.
-func (g *Registry) loadAll() {
+func (g *Registry) loadAll() StoreRead {
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
@@ -100,6 +128,10 @@
 	if err != nil && !failedBefore {
 		event.Log(g.opts.Log, event.StreamRecordsNotRead, event.Err(err))
 	}
+	if err != nil {
+		return StoreFailed
+	}
+	return StoreWasRead
 }
 
 // loadPartition reads the records in one partition. It removes abandoned rows.
--- a/entry/direct/origins/rows.go
+++ b/entry/direct/origins/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -91,8 +92,9 @@
 			g.unsaved[r.Stream] = true
 		}
 		wake(g.saveWake)
+		return fmt.Errorf("%d records wait: %w", len(g.unsaved), failed)
 	}
-	return failed
+	return nil
 }
 
 // takeUnsaved returns the unsaved records and counts them as being written.
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -233,6 +234,9 @@
 	if source := l.Text("source"); source != "" {
 		text += ", from " + source
 	}
+	if store := l.Text("store"); store != "" {
+		text += fmt.Sprintf("; the store's records: %s, %s known", store, cmp.Or(l.Text("records"), "0"))
+	}
 	return fmt.Sprintf("%s; in use lately: %s; the list of servers was %v old.", text, l.Text("versions"), l.Duration("servers_age_ms"))
 }
 
