Streams that begin without the store go on after all entries are killed

Cause: which version began a stream was known from records alone, and with the store away these lived in the memories of the entries. Evidence in the commit before: entries answered each other, the store was read and had no record, the killed entries had logged 40 records waiting. Ruled out: failed or skipped reads, entries that did not answer, expired records.

Change: the row of a service also holds splits, which give each stream of a loaded artifact to a version by a hash of its ID. An entry that finds no record in the store takes the version that all live splits give to the stream ("derived"). That is right since no first event is forwarded before the stream either is at that version or has its record stored. An earlier split stays live until all entries have adopted the later one with their records stored; a process that follows another of its name counts as able to after 20 s. The balancer counts the hold as wait; with the store away new streams begin at the version of the split.

--- a/common/decisionlog/request.go
+++ b/common/decisionlog/request.go
@@ -38,6 +38,7 @@
 	Unanswered int    // other entries that were asked and did not answer
 	Store      string // whether the records in the store were read: not needed, read, failed or kept from an earlier read
 	Records    int    // read from the store
+	Splits     int    // that divide the service's streams among versions and of which some may be in progress
 	ServersAge time.Duration
 }
 
@@ -65,17 +66,18 @@
 
 // The kinds of failed attempts.
 const (
-	FailureConnect     FailureKind = "connect"     // no connection, so nothing was sent
-	FailureReset       FailureKind = "reset"       // the connection broke
-	FailureTruncated   FailureKind = "truncated"   // the response ended early
-	FailureMalformed   FailureKind = "malformed"   // not a valid response to this request
-	FailureTimeout     FailureKind = "timeout"     // no response in time
-	FailureSilent      FailureKind = "silent"      // the server stopped sending anything
-	FailureWithdrawn   FailureKind = "withdrawn"   // the entry gave it up because an earlier attempt went on
-	FailureQuarantined FailureKind = "quarantined" // the entry gave it up because of a part of its prompt
-	FailureStatus      FailureKind = "status"      // the server responded with an error status
-	FailureRejected    FailureKind = "turned away" // the server rejected the request without running it
-	FailureWrongServer FailureKind = "misdirected" // the address belongs to another server, or the model is not loaded
+	FailureConnect     FailureKind = "connect"      // no connection, so nothing was sent
+	FailureReset       FailureKind = "reset"        // the connection broke
+	FailureTruncated   FailureKind = "truncated"    // the response ended early
+	FailureMalformed   FailureKind = "malformed"    // not a valid response to this request
+	FailureTimeout     FailureKind = "timeout"      // no response in time
+	FailureSilent      FailureKind = "silent"       // the server stopped sending anything
+	FailureWithdrawn   FailureKind = "withdrawn"    // the entry gave it up because an earlier attempt went on
+	FailureQuarantined FailureKind = "quarantined"  // the entry gave it up because of a part of its prompt
+	FailureNotDurable  FailureKind = "not recorded" // the version of the stream could not be recorded in time
+	FailureStatus      FailureKind = "status"       // the server responded with an error status
+	FailureRejected    FailureKind = "turned away"  // the server rejected the request without running it
+	FailureWrongServer FailureKind = "misdirected"  // the address belongs to another server, or the model is not loaded
 )
 
 // AttemptFailed records an attempt without a complete response.
@@ -228,6 +230,7 @@
 	Bytes         int64
 	Events        int
 	LongestPause  time.Duration // between two events
+	Held          time.Duration // for which the first event waited until the stream's version was recorded
 	ConfigVersion int64
 }
 
--- a/common/decisionlog/request_fields.go
+++ b/common/decisionlog/request_fields.go
@@ -51,6 +51,7 @@
 	e.countIfSet("unanswered", int64(r.Unanswered))
 	e.textIfSet("store", r.Store)
 	e.countIfSet("records", int64(r.Records))
+	e.countIfSet("splits", int64(r.Splits))
 	e.duration("servers_age_ms", r.ServersAge)
 }
 
@@ -157,5 +158,6 @@
 	e.count("bytes", r.Bytes)
 	e.countIfSet("events", int64(r.Events))
 	e.durationIfSet("longest_pause_ms", r.LongestPause)
+	e.durationIfSet("held_ms", r.Held)
 	e.countIfSet("config_version", r.ConfigVersion)
 }
--- a/entry/direct/balance/offer.go
+++ b/entry/direct/balance/offer.go
@@ -112,6 +112,14 @@
 	return !w.resumable || !s.unsettled
 }
 
+// holdAt returns for how long the first event of a server would be held back.
+func (w *waiting) holdAt(s *server) time.Duration {
+	if w.preferred == "" || w.preferred == s.Software {
+		return 0
+	}
+	return w.hold
+}
+
 func (p *pool) acceptChoice(w *waiting, choice *routing.EngineChoice) admission.Offer {
 	w.server = p.models.chosen[choice.Index]
 	w.cached = choice.Cached
@@ -153,7 +161,7 @@
 		}
 		usable++
 		s.engine.Usable = true
-		m.replicas = append(m.replicas, routing.Replica{Server: s.engine, Load: load})
+		m.replicas = append(m.replicas, routing.Replica{Server: s.engine, Load: load, Hold: w.holdAt(s)})
 		m.chosen = append(m.chosen, s)
 	}
 	return usable
--- a/entry/direct/balance/wait.go
+++ b/entry/direct/balance/wait.go
@@ -22,6 +22,10 @@
 	Gone     []string // IDs of servers that refused the connection; not offered
 	Resumed  bool     // a stream that goes on after some of its events
 	Software string   // if set, only servers of this software version may get the request
+	// Preferred is the software version, if not empty, at whose servers the first event of the
+	// stream is not held back. At others it is held back for the time Hold.
+	Preferred string
+	Hold      time.Duration
 
 	// Successor seeks a server to replace that of an attempt in progress: no excluded
 	// server is offered, no model is loaded and no demand is counted.
@@ -47,6 +51,9 @@
 	gone     []string
 	strict   bool   // no excluded server is offered, and no model is loaded
 	software string // if set, only servers of this software version are offered
+	// preferred is the version, if not empty, at whose servers no first event is held back.
+	preferred string
+	hold      time.Duration // elsewhere
 	// resumable is set for a stream that may go on in a later request: no server is offered
 	// whose version is new, unless software names it.
 	resumable bool
@@ -109,6 +116,8 @@
 		strict:   q.Successor,
 		software: q.Software,
 
+		preferred: q.Preferred,
+		hold:      q.Hold,
 		resumable: q.Route.RetryPolicy == fleet.RetryResume,
 		priority:  q.Priority,
 		draw:      b.rnd.Uint64(),
--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -36,6 +36,7 @@
 	methodLease    = "orders.lease"
 	methodRecords  = "streams.records"
 	methodUsages   = "streams.versions"
+	methodProgress = "streams.progress"
 	methodOrigin   = "streams.origin"
 	methodCrash    = "crashes.report"
 	methodCleared  = "crashes.cleared"
--- a/entry/direct/front/answer.go
+++ b/entry/direct/front/answer.go
@@ -9,6 +9,7 @@
 
 	"peridotchute.example/common/decisionlog"
 	"peridotchute.example/entry/direct/exchange"
+	"peridotchute.example/entry/direct/origins"
 	"peridotchute.example/entry/direct/relay"
 	"peridotchute.example/fleet"
 )
@@ -170,7 +171,13 @@
 	defer r.stream.Release()
 	writeHeader := func() { r.writeHeader(resp) }
 	a.watch.recordEvent()
-	err := r.stream.Copy(resp.Body, a.watch.claim, writeHeader, func() {
+	claim := func() error {
+		if err := a.watch.claim(); err != nil {
+			return err
+		}
+		return r.awaitDurable(ctx, a)
+	}
+	err := r.stream.Copy(resp.Body, claim, writeHeader, func() {
 		t.Event()
 		a.brought.Store(true)
 		r.begun.Store(true)
@@ -199,6 +206,8 @@
 		panic(http.ErrAbortHandler)
 	case successor != nil:
 		return r.handOver(ctx, a, successor, err)
+	case errors.Is(err, origins.ErrNotDurable):
+		return r.beginElsewhere(ctx, a, err)
 	}
 	if ctx.Err() == nil {
 		t.Failed()
--- a/entry/direct/front/front.go
+++ b/entry/direct/front/front.go
@@ -43,8 +43,12 @@
 
 // Origins knows which software version of a service began each resumable stream.
 type Origins interface {
-	Began(service, id, software string)
-	Find(ctx context.Context, service, id string) origins.Finding
+	Began(service, artifact, id, software string)
+	Find(ctx context.Context, service, artifact, id string) origins.Finding
+	// AwaitDurable blocks until a stream may bring its first event.
+	AwaitDurable(ctx context.Context, service, artifact, id, software string) error
+	// Assigned returns the version at which a new stream needs no record.
+	Assigned(service, artifact, id string) origins.Assignment
 }
 
 // Quotas decides whether client accounts may send requests.
--- a/entry/direct/front/outcome.go
+++ b/entry/direct/front/outcome.go
@@ -16,6 +16,7 @@
 	unknownOutcomeReason = "the server does not say that it did not run the request"
 	deadlineReason       = "no answer in time"
 	stoppedReason        = "the process stopped before its end"
+	notDurableReason     = "the version of the stream could not be recorded"
 	unfinishedReason     = "the handling ended without an answer"
 )
 
--- a/entry/direct/front/record.go
+++ b/entry/direct/front/record.go
@@ -60,6 +60,7 @@
 		Unanswered: f.Unanswered,
 		Store:      f.Store.String(),
 		Records:    f.Records,
+		Splits:     f.Splits,
 		ServersAge: f.ServersAge,
 	})
 }
@@ -145,6 +146,8 @@
 		return decisionlog.FailureTimeout
 	case errors.Is(err, context.Canceled) || errors.Is(err, errSuperseded):
 		return decisionlog.FailureSilent
+	case errors.Is(err, origins.ErrNotDurable):
+		return decisionlog.FailureNotDurable
 	case fault.Is(err, fault.KindUnavailable):
 		return decisionlog.FailureConnect
 	case fault.Is(err, fault.KindInvalid):
--- a/entry/direct/front/serve.go
+++ b/entry/direct/front/serve.go
@@ -172,7 +172,8 @@
 			cancel()
 		}
 	})()
-	ticket, rejected := r.f.opts.Balancer.Admit(wait, r.query())
+	q := r.query()
+	ticket, rejected := r.f.opts.Balancer.Admit(wait, q)
 	if rejected == nil {
 		return ticket, nil
 	}
@@ -191,7 +192,7 @@
 		cause.reason, cause.retryAfter = decisionlog.RefusedStopping, stopRetryAfter
 	case rejected.Canceled:
 		cause.reason = decisionlog.RefusedTooLate
-	case rejected.NotLoaded && r.software != "":
+	case rejected.NotLoaded && q.Software != "":
 		cause.reason = decisionlog.RefusedVersionGone
 	case rejected.NotLoaded:
 		cause.reason = r.notLoadedReason()
@@ -201,7 +202,7 @@
 
 // query returns the query for a server that may get the request now.
 func (r *run) query() balance.Query {
-	return balance.Query{
+	q := balance.Query{
 		Service:  r.req.service,
 		Request:  &r.req.Request,
 		Route:    r.req.route,
@@ -211,8 +212,9 @@
 		Exclude:  r.exclude,
 		Gone:     r.gone,
 		Resumed:  r.streamBegun() || r.req.resumesStream(),
-		Software: r.software,
 	}
+	r.restrict(&q)
+	return q
 }
 
 // notLoadedReason returns the refusal reason for an adapter or model that no
--- a/entry/direct/mesh/mesh.go
+++ b/entry/direct/mesh/mesh.go
@@ -88,6 +88,8 @@
 	loadLinks      int       // peers with which load is exchanged, at the last pass
 	aggregator     string    // name of the entry that this one tells its load to; its own if it tells all
 	rowsRead       bool      // all rows have been read once
+	rowsReadAt     time.Time // when the last complete read of the rows began
+	former         formerRow // whether an earlier process of this entry left its row
 	firstConnected time.Time // of any peer
 }
 
--- a/entry/direct/mesh/rows.go
+++ b/entry/direct/mesh/rows.go
@@ -100,11 +100,15 @@
 // it during a partition, or a late write of the previous incarnation may have
 // overwritten it.
 func (m *Mesh) syncRows(ctx context.Context, written bool) (bool, error) {
+	if err := m.findFormer(ctx); err != nil {
+		return false, err
+	}
 	if !written {
 		if err := m.writeRow(ctx); err != nil {
 			return false, err
 		}
 	}
+	began := time.Now()
 	rows, err := m.readRows(ctx)
 	if err != nil {
 		return written, err
@@ -114,6 +118,9 @@
 			return true, err
 		}
 	}
+	m.mu.Lock()
+	m.rowsReadAt = began
+	m.mu.Unlock()
 	return rows[m.self.Name].id == m.self, nil
 }
 
--- a/entry/direct/originpeers.go
+++ b/entry/direct/originpeers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -27,6 +28,20 @@
 	p.mesh.Send(peer, methodUsages, u)
 }
 
+// SendProgress implements origins.Peers.
+func (p originPeers) SendProgress(peer string, progress origins.Progress) {
+	p.mesh.Send(peer, methodProgress, progress)
+}
+
+// Members implements origins.Peers.
+func (p originPeers) Members() (names []string, read time.Time) { return p.mesh.Members() }
+
+// RefreshMembers implements origins.Peers.
+func (p originPeers) RefreshMembers() { p.mesh.RefreshMembers() }
+
+// Restarted implements origins.Peers.
+func (p originPeers) Restarted() bool { return p.mesh.Restarted() }
+
 // Ask implements origins.Peers and logs a failure.
 func (p originPeers) Ask(ctx context.Context, peer string, s origins.Stream) (origins.Answer, error) {
 	a, err := mesh.Call[origins.Stream, origins.Answer](ctx, p.mesh, peer, methodOrigin, s)
@@ -40,6 +55,7 @@
 func (c *coordination) handleOrigins() {
 	mesh.HandleBroadcast(c.mesh, methodRecords, func(from string, m origins.Records) { c.origins.Receive(from, m) })
 	mesh.HandleBroadcast(c.mesh, methodUsages, func(_ string, u []origins.Usage) { c.origins.ReceiveUsages(u) })
+	mesh.HandleBroadcast(c.mesh, methodProgress, func(from string, p origins.Progress) { c.origins.ReceiveProgress(from, p) })
 	mesh.Handle(c.mesh, methodOrigin, func(_ context.Context, _ string, s origins.Stream) (origins.Answer, error) {
 		return c.origins.Lookup(s), nil
 	})
--- a/entry/direct/origins/announce.go
+++ b/entry/direct/origins/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -72,6 +73,7 @@
 	g.mu.Lock()
 	gaps := g.gaps
 	g.mu.Unlock()
+	began := time.Now()
 	rows, err := g.opts.Table.List(ctx, usagePrefix, "", maxUsages)
 	if err != nil {
 		return err
@@ -89,6 +91,7 @@
 		}
 	}
 	g.usagesRead = gaps == g.gaps
+	g.usagesReadAt = began
 	g.mu.Unlock()
 	g.review(now)
 	return nil
@@ -123,15 +126,17 @@
 	return u, nil
 }
 
-// nextUsage returns the stages that the row of a service should have, and whether they
-// differ from those that it has. The caller holds mu.
-func (g *Registry) nextUsage(service string, now time.Time) (map[string]stage, bool) {
+// nextUsage returns the content that the row of a service should have, and whether it
+// differs from what the row has. The caller holds mu.
+func (g *Registry) nextUsage(service string, now time.Time) (Usage, bool) {
 	registered, recent := g.versions.registered(service), g.versions.recent(service, now)
 	u := g.usageOf(service)
 	if len(recent) == 0 && len(u.stages) == 0 {
-		return nil, false
+		return Usage{}, false
 	}
-	return u.next(registered, recent, g.fresh(now), now)
+	stages, change := u.next(registered, recent, g.fresh(now), now)
+	splits := g.nextSplits(service, len(stages), now)
+	return Usage{Stages: stages, Splits: splits, Revision: u.revision + 1}, change || !equalSplits(splits, u.splits)
 }
 
 // dueUsages returns the services whose rows this entry should write now. The caller does
@@ -167,9 +172,8 @@
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	g.mu.Lock()
-	stages, _ := g.nextUsage(service, time.Now())
+	content, _ := g.nextUsage(service, time.Now())
 	known := g.usageOf(service).row
-	content := Usage{Stages: stages, Revision: g.usageOf(service).revision + 1}
 	g.mu.Unlock()
 	value, err := json.Marshal(content)
 	if err != nil {
@@ -220,20 +224,23 @@
 	delete(g.noticed, service)
 	m := []Usage{u.message(service)}
 	g.mu.Unlock()
-	event.Log(g.opts.Log, event.VersionsChanged, event.Subject(service), event.Reason(describe(m[0].Stages)))
+	event.Log(g.opts.Log, event.VersionsChanged, event.Subject(service), event.Reason(describe(&m[0])))
 	for _, peer := range g.opts.Peers.Connected() {
 		g.opts.Peers.SendUsages(peer, m)
 	}
 	g.review(time.Now())
 }
 
-// describe returns the stages in order of the versions' names.
-func describe(stages map[string]stage) string {
+// describe returns the stages in order of the versions' names, and the numbers of the splits.
+func describe(u *Usage) string {
 	var out []string
-	for software, s := range stages {
+	for software, s := range u.Stages {
 		out = append(out, software+" "+string(s))
 	}
 	slices.Sort(out)
+	for _, s := range u.Splits {
+		out = append(out, "split "+strconv.FormatInt(s.Number, 10))
+	}
 	return strings.Join(out, ", ")
 }
 
--- a/entry/direct/origins/copies.go
+++ b/entry/direct/origins/copies.go
@@ -32,6 +32,7 @@
 		select {
 		case <-tick.C:
 			g.review(time.Now())
+			g.tellProgress(time.Now())
 			continue
 		case <-g.copyWake:
 		case <-ctx.Done():
@@ -66,12 +67,14 @@
 	}
 }
 
-// PeerConnected sends an entry what it should know: the stages of the versions, and the
+// PeerConnected sends an entry what it should know: the stages and splits of the versions, this
+// entry's progress with them, and the
 // copies of this entry's records that it is to hold. It may have been restarted.
 func (g *Registry) PeerConnected(peer string) {
 	if u := g.allUsages(); len(u) > 0 {
 		g.opts.Peers.SendUsages(peer, u)
 	}
+	g.opts.Peers.SendProgress(peer, g.ownProgress(time.Now()))
 	if m, found := g.copiesFor(peer); found {
 		g.opts.Peers.Send(peer, m)
 	}
--- /dev/null
+++ b/entry/direct/origins/durable.go
@@ -0,0 +1,120 @@
+package origins
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// maxSaveFailures is the number of consecutive failed writes after which a stream is not held
+// back any longer for its record to be stored.
+const maxSaveFailures = 2
+
+// ErrNotDurable means that the record of a stream cannot be stored now.
+var ErrNotDurable = errors.New("the store does not take the record of the stream's version")
+
+// durability is the state of the writes of records.
+type durability struct {
+	failures int           // consecutive
+	since    time.Time     // when the write in progress began; zero if there is none
+	took     time.Duration // by the last write
+	ended    chan struct{} // closed at the end of the next write
+	held     int           // streams whose first event waits
+	hurry    bool          // a record to write is of a stream that may be held
+}
+
+func newDurability() durability { return durability{ended: make(chan struct{})} }
+
+// Invariant: no event of a resumable stream reaches its client before an entry that knows the
+// store's content alone can tell the stream's version. Either the record is stored, or the
+// version is the one that the newest split gives to the stream and no other version was recorded
+// before. Without it, the split would say nothing of a stream that has no record.
+
+// AwaitDurable blocks until a stream that a server of the version has begun may bring its first
+// event. It returns ErrNotDurable if the stream should begin anew at the version that Assigned
+// returns, or the error of ctx.
+func (g *Registry) AwaitDurable(ctx context.Context, service, artifact, id, software string) error {
+	s := Stream{Service: service, ID: id}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for !g.isDurable(s, artifact, software) {
+		if g.durability.failures >= maxSaveFailures {
+			return ErrNotDurable
+		}
+		ended := g.durability.ended
+		g.durability.held++
+		g.mu.Unlock()
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		}
+		g.mu.Lock()
+		g.durability.held--
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// isDurable reports whether a stream may bring its first event. The caller holds mu.
+func (g *Registry) isDurable(s Stream, artifact, software string) bool {
+	if !g.stored.services[s.Service] {
+		return true // one version is in use
+	}
+	if u := g.usageOf(s.Service); u.revision > 0 {
+		if len(u.splits) == 0 {
+			return true // no other entry relies on a split
+		}
+		r, _ := g.table.find(s, time.Now())
+		if version := u.splits[len(u.splits)-1].version(artifact, s.ID); version == "" || version == software && r.revision == 0 {
+			return true
+		}
+	}
+	return !g.unsaved[s] && !g.stored.writing[s]
+}
+
+// Assignment is what follows from the newest split for a new stream.
+type Assignment struct {
+	Software string        // the version at which the stream needs no record; empty if there is none
+	Required bool          // the store takes no records now, so that the stream has to begin there
+	Hold     time.Duration // for which the first event of another version would be held back
+}
+
+// Assigned returns the version that the newest split gives to a new stream.
+func (g *Registry) Assigned(service, artifact, id string) Assignment {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := g.usageOf(service)
+	if len(u.splits) == 0 || !g.stored.services[service] {
+		return Assignment{}
+	}
+	now := time.Now()
+	return Assignment{
+		Software: u.splits[len(u.splits)-1].version(artifact, id),
+		Required: g.durability.failures >= maxSaveFailures || !g.fresh(now),
+		Hold:     heldSaveInterval + g.durability.writeTime(now),
+	}
+}
+
+// writeTime returns how long a write of records takes now. The caller holds mu.
+func (d *durability) writeTime(now time.Time) time.Duration {
+	if d.since.IsZero() {
+		return d.took
+	}
+	return max(d.took, now.Sub(d.since))
+}
+
+// beginWrite records that a write of records begins. The caller holds mu.
+func (d *durability) beginWrite(now time.Time) { d.since, d.hurry = now, false }
+
+// endWrite records the end of a write. The caller holds mu.
+func (d *durability) endWrite(err error) {
+	d.took, d.since = time.Since(d.since), time.Time{}
+	d.failures++
+	if err == nil {
+		d.failures = 0
+	}
+	close(d.ended)
+	d.ended = make(chan struct{})
+}
--- a/entry/direct/origins/faults_test.go
+++ b/entry/direct/origins/faults_test.go
@@ -70,7 +70,7 @@
 	if len(a.State().Unsettled) > 0 {
 		return // no resumable stream begins at v2
 	}
-	a.Began(service, "s", "v2")
+	a.Began(service, model, "s", "v2")
 	assert.Assert(t, !joins(b, "s"), "a stream of v2 goes on at v1; the versions in the store: %v", a.State().Stages)
 }
 
@@ -80,7 +80,7 @@
 	n := newNetwork(3, "v1")
 	rows, version := n.table.copyOf()
 	n.update("v1", "v2")
-	n.entry("entry-0").Began(service, "s", "v2")
+	n.entry("entry-0").Began(service, model, "s", "v2")
 	n.table.comeBack(rows, version)
 	for range 3 {
 		n.update("v1")
@@ -117,7 +117,7 @@
 	}
 	n.update("v1", "v2")
 	assert.Equal(t, len(n.entry("entry-0").State().Unsettled), 0, "v2 is used though it cannot be announced")
-	n.entry("entry-0").Began(service, "s", "v2")
+	n.entry("entry-0").Began(service, model, "s", "v2")
 	n.update("v1")
 	n.table.setDown(false)
 	for range 3 {
@@ -145,7 +145,7 @@
 	if len(cut.State().Unsettled) > 0 {
 		return // no resumable stream begins at v2
 	}
-	cut.Began(service, "s", "v2")
+	cut.Began(service, model, "s", "v2")
 	assert.Assert(t, !joins(other, "s"), "a stream of v2 goes on at v1")
 }
 
@@ -159,10 +159,10 @@
 		maker := n.entry("entry-0")
 		id := fmt.Sprint(i)
 		s := Stream{Service: service, ID: id}
-		maker.Began(service, id, "v1")
+		maker.Began(service, model, id, "v1")
 		maker.copyPending()
 		kept := holders(s, maker.opts.Peers.Connected(), copies)
-		maker.Began(service, id, "v2")
+		maker.Began(service, model, id, "v2")
 		maker.copyPending()
 		save(t, maker)
 		missed := n.entry(kept[0])
@@ -262,7 +262,7 @@
 // all.
 func TestIncompleteReadDropsRecordsOfCompleteOne(t *testing.T) {
 	n := newNetwork(2, "v1", "v2")
-	n.entry("entry-0").Began(service, "s", "v1")
+	n.entry("entry-0").Began(service, model, "s", "v1")
 	save(t, n.entry("entry-0"))
 	part := partitionOf("entry-0")
 	n.remove("entry-0")
@@ -304,9 +304,9 @@
 	g := n.entry("entry-0")
 	var held func()
 	g.opts.Table = late{n.table, &held}
-	g.Began(service, "s", "v1")
+	g.Began(service, model, "s", "v1")
 	assert.Assert(t, g.save(context.Background()) != nil)
-	g.Began(service, "s", "v2") // the attempt at v1 failed without an event
+	g.Began(service, model, "s", "v2") // the attempt at v1 failed without an event
 	assert.NilError(t, g.save(context.Background()))
 	held()
 	n.killAll("v1", "v2")
@@ -324,7 +324,7 @@
 			updateEntry(g, v)
 		}
 	}
-	n.entry("entry-0").Began(service, "s", "v1")
+	n.entry("entry-0").Began(service, model, "s", "v1")
 	n.remove("entry-0")
 	_, origin := find(n.entry("entry-1"), "s")
 	assert.Assert(t, origin != Unknown)
@@ -367,7 +367,7 @@
 func TestRepeatedCopiesDropOtherRecords(t *testing.T) {
 	n := newNetwork(2, "v1", "v2")
 	g := n.entry("entry-0")
-	g.Began(service, "s", "v1")
+	g.Began(service, model, "s", "v1")
 	var m Records
 	for i := range 10_000 {
 		m.add(Record{Stream: Stream{Service: service, ID: fmt.Sprint(i)}, Software: "v1"})
@@ -394,6 +394,6 @@
 	if len(a.State().Unsettled) > 0 {
 		return // no resumable stream begins at v2
 	}
-	a.Began(service, "s", "v2")
+	a.Began(service, model, "s", "v2")
 	assert.Assert(t, !joins(b, "s"), "a stream of v2 goes on at v1")
 }
--- a/entry/direct/origins/find.go
+++ b/entry/direct/origins/find.go
@@ -17,16 +17,18 @@
 	Unknown    Origin = iota // several versions are in use, or may be, and no record was found
 	Known                    // the record was found
 	AnyVersion               // no record is needed, as one version is in use
+	Derived                  // no record exists, so that the stream began at the version that the splits give to it
 )
 
 // String returns the name of the origin in logs and metrics.
-func (o Origin) String() string { return [...]string{"unknown", "known", "any"}[o] }
+func (o Origin) String() string { return [...]string{"unknown", "known", "any", "derived"}[o] }
 
 // Finding is the result of a search for the version that began a stream.
 type Finding struct {
 	Origin     Origin
 	Software   string        // the version; for AnyVersion the one in use, or "" if none is
 	Source     string        // where the record was found
+	Splits     int           // of which streams may be in progress
 	Versions   []string      // of the service, in use lately
 	Unanswered int           // entries that were asked and did not answer
 	Store      StoreRead     // whether the records in the store were read
@@ -40,14 +42,17 @@
 const (
 	sourceOwn   = "own record"
 	sourceStore = "store"
+	sourceSplit = "split"
 )
 
-// Find returns which software version began the stream of the request id. If several
-// versions are in use, or may be, and this entry has not made the record itself, it asks
-// other entries, and reads the records in the store if they have none.
+// Find returns which software version began the stream of the request id with a model. If
+// several versions are in use, or may be, and this entry has not made the record itself, it asks
+// other entries, and reads the records in the store if they have none. If the store has none
+// either, the version follows from the splits.
 // With AnyVersion another version may appear before the stream goes on.
-func (g *Registry) Find(ctx context.Context, service, id string) Finding {
+func (g *Registry) Find(ctx context.Context, service, artifact, id string) Finding {
 	s := Stream{Service: service, ID: id}
+	began := time.Now()
 	found, known, one := g.beginFinding(s)
 	if found.Origin == Known && (known.own() || one) {
 		return found
@@ -74,6 +79,9 @@
 	if ok { // it may be newer than a copy
 		found.improve(reply{Record: r, source: sourceStore})
 	}
+	if found.Origin == Unknown && read != StoreFailed {
+		g.derive(ctx, s, artifact, began, &found)
+	}
 	return found
 }
 
@@ -101,6 +109,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	found = Finding{Versions: g.inUse(s.Service, now), ServersAge: g.list.of(now, suspendedTime())}
+	found.Splits = len(g.usageOf(s.Service).splits)
 	known, ok := g.table.find(s, now)
 	if ok {
 		found.improve(reply{Record: Record{Software: known.software, Revision: known.revision}, source: sourceOwn})
--- a/entry/direct/origins/load.go
+++ b/entry/direct/origins/load.go
@@ -20,7 +20,7 @@
 
 	maxLoadedRows   = 10_000 // in one partition
 	maxRemovedRows  = 50     // abandoned ones, in one read
-	minLoadInterval = time.Second
+	minLoadInterval = 500 * time.Millisecond
 )
 
 // StoreRead says whether the records in the store were read for a search.
@@ -40,9 +40,10 @@
 // storedRecords is the state of the records in the store, as this entry knows it.
 type storedRecords struct {
 	services map[string]bool // whose records are written to the store
-	writing  int             // records being written
+	writing  map[Stream]bool // records being written
 	records  [partitions]map[Stream]Record
 	loaded   time.Time // when the last read of records began
+	read     time.Time // when the last one began that read all records
 	failing  bool      // it failed
 }
 
@@ -104,6 +105,7 @@
 // loadAll reads all records in the store. What is known of a partition that cannot be read
 // is kept.
 func (g *Registry) loadAll() StoreRead {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
@@ -124,6 +126,9 @@
 	g.mu.Lock()
 	failedBefore := g.stored.failing
 	g.stored.failing = err != nil
+	if err == nil {
+		g.stored.read = began
+	}
 	g.mu.Unlock()
 	if err != nil && !failedBefore {
 		event.Log(g.opts.Log, event.StreamRecordsNotRead, event.Err(err))
--- a/entry/direct/origins/origins_test.go
+++ b/entry/direct/origins/origins_test.go
@@ -19,13 +19,19 @@
 	"peridotchute.example/fleet"
 )
 
-const service = "llm"
+const (
+	service = "llm"
+	model   = "base"
+)
 
 // network connects the registries of several entries within the test.
 type network struct {
 	table   *memory
 	mu      sync.Mutex
 	entries map[string]*Registry
+
+	restarted map[string]bool // entries that an earlier process of the same name preceded
+	apart     map[string]bool // entries that are connected to no other
 }
 
 // link implements Peers for one entry of a network.
@@ -39,7 +45,7 @@
 	defer l.net.mu.Unlock()
 	var names []string
 	for name := range l.net.entries {
-		if name != l.self {
+		if name != l.self && !l.net.apart[name] && !l.net.apart[l.self] {
 			names = append(names, name)
 		}
 	}
@@ -51,6 +57,27 @@
 
 func (l link) SendUsages(peer string, u []Usage) { l.net.entry(peer).ReceiveUsages(u) }
 
+func (l link) SendProgress(peer string, p Progress) { l.net.entry(peer).ReceiveProgress(l.self, p) }
+
+func (l link) Members() (names []string, read time.Time) {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	for name := range l.net.entries {
+		if name != l.self {
+			names = append(names, name)
+		}
+	}
+	return names, time.Now()
+}
+
+func (l link) RefreshMembers() {}
+
+func (l link) Restarted() bool {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	return l.net.restarted[l.self]
+}
+
 func (l link) Ask(_ context.Context, peer string, s Stream) (Answer, error) {
 	entry := l.net.entry(peer)
 	if entry == nil {
@@ -113,7 +140,7 @@
 }
 
 func find(g *Registry, id string) (string, Origin) {
-	f := g.Find(context.Background(), service, id)
+	f := g.Find(context.Background(), service, model, id)
 	return f.Software, f.Origin
 }
 
@@ -121,7 +148,7 @@
 	for entries := 2; entries <= 8; entries++ {
 		n := newNetwork(entries, "v1", "v2")
 		first := n.entry("entry-0")
-		first.Began(service, "a", "v1")
+		first.Began(service, model, "a", "v1")
 		first.copyPending()
 		n.remove("entry-0")
 		for name, g := range n.entries {
@@ -135,7 +162,7 @@
 func TestRecordSurvivesItsEntryAndOneHolder(t *testing.T) {
 	n := newNetwork(6, "v1", "v2")
 	first := n.entry("entry-0")
-	first.Began(service, "a", "v1")
+	first.Began(service, model, "a", "v1")
 	first.copyPending()
 	kept := holders(Stream{Service: service, ID: "a"}, first.opts.Peers.Connected(), copies)
 	n.remove("entry-0")
@@ -149,7 +176,7 @@
 func TestRecordsAreCopiedWhenSecondVersionAppears(t *testing.T) {
 	n := newNetwork(3, "v1")
 	first := n.entry("entry-0")
-	first.Began(service, "a", "v1")
+	first.Began(service, model, "a", "v1")
 	assert.Equal(t, len(first.pending), 0)
 	n.update("v1", "v2")
 	first.copyPending()
@@ -183,8 +210,8 @@
 func TestLaterRecordReplacesEarlierOne(t *testing.T) {
 	n := newNetwork(2, "v1", "v2")
 	g := n.entry("entry-0")
-	g.Began(service, "a", "v1")
-	g.Began(service, "a", "v2")
+	g.Began(service, model, "a", "v1")
+	g.Began(service, model, "a", "v2")
 	g.copyPending()
 	for name, g := range n.entries {
 		software, origin := find(g, "a")
@@ -236,7 +263,7 @@
 func TestRestartedEntryAssumesOneVersion(t *testing.T) {
 	n := newNetwork(3, "v1", "v2")
 	first := n.entry("entry-0")
-	first.Began(service, "a", "v1")
+	first.Began(service, model, "a", "v1")
 	first.copyPending()
 	n.update("v2")
 	restarted := n.restart("entry-1", "v2")
@@ -251,7 +278,7 @@
 // has been in use all along.
 func TestRestartedEntryRefusesStreamsOfOnlyVersion(t *testing.T) {
 	n := newNetwork(3, "v1")
-	n.entry("entry-0").Began(service, "a", "v1")
+	n.entry("entry-0").Began(service, model, "a", "v1")
 	restarted := n.restart("entry-1", "v1")
 	software, origin := find(restarted, "a")
 	assert.Equal(t, origin, Known)
@@ -331,12 +358,12 @@
 func TestHolderWithoutLaterRecordNamesOtherVersion(t *testing.T) {
 	n := newNetwork(5, "v1", "v2")
 	first := n.entry("entry-0")
-	first.Began(service, "a", "v1")
+	first.Began(service, model, "a", "v1")
 	first.copyPending()
 	holder := holders(Stream{Service: service, ID: "a"}, first.opts.Peers.Connected(), copies)[0]
 	kept := n.entry(holder)
 	n.remove(holder)
-	first.Began(service, "a", "v2")
+	first.Began(service, model, "a", "v2")
 	first.copyPending()
 	n.mu.Lock()
 	n.entries[holder] = kept
@@ -357,7 +384,7 @@
 	for _, name := range []string{"entry-0", "entry-2"} {
 		n.entry(name).Update(viewOf("v1", "v2"))
 	}
-	n.entry("entry-0").Began(service, "a", "v2")
+	n.entry("entry-0").Began(service, model, "a", "v2")
 	software, origin := find(late, "a")
 	assert.Assert(t, origin == Unknown || software == "v2", "%s %s", origin, software)
 }
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -36,6 +36,17 @@
 	Send(peer string, m Records)
 	// SendUsages sends the stages of versions to an entry without waiting for delivery.
 	SendUsages(peer string, u []Usage)
+	// SendProgress sends this entry's progress with the splits to an entry without waiting for
+	// delivery.
+	SendProgress(peer string, p Progress)
+	// Members returns the other entries of the deployment, those out of reach included, and when
+	// the store's list of them was last read, zero if it was not.
+	Members() (names []string, read time.Time)
+	// RefreshMembers has the list read soon.
+	RefreshMembers()
+	// Restarted reports whether an earlier process of this entry may have served less than a
+	// minute before this one.
+	Restarted() bool
 	// Ask asks an entry for a record.
 	Ask(ctx context.Context, peer string, s Stream) (Answer, error)
 }
@@ -77,16 +88,25 @@
 	mu         sync.Mutex
 	table      *table
 	versions   versions
-	usages     map[string]*usage    // by service
-	usagesRead bool                 // the rows of all services have been read since the list of servers was last old
-	gaps       int                  // times at which the list of servers was old
-	noticed    map[string]time.Time // since when the row of a service has to change
-	list       listAge
-	unsettled  map[string][]string // as last passed to OnUnsettled
-	copying    map[string]bool     // services whose records are copied to other entries
-	pending    map[Stream]bool     // records to copy
-	unsaved    map[Stream]bool     // records to write to the store
-	stored     storedRecords
+	usages     map[string]*usage // by service
+	usagesRead bool              // the rows of all services have been read since the list of servers was last old
+	// usagesReadAt is when the last read of the rows of all services began.
+	usagesReadAt time.Time
+	gaps         int                  // times at which the list of servers was old
+	noticed      map[string]time.Time // since when the row of a service has to change
+	list         listAge
+	unsettled    map[string][]string // as last passed to OnUnsettled
+	copying      map[string]bool     // services whose records are copied to other entries
+	pending      map[Stream]bool     // records to copy
+	unsaved      map[Stream]bool     // records to write to the store
+	stored       storedRecords
+	servers      []fleet.Server      // as of the latest view
+	shares       map[string][]Share  // of the services with several versions, by their servers
+	adopted      map[string]int64    // numbers of the splits that this entry has adopted, by service
+	progress     map[string]Progress // of the other entries
+	told         toldProgress
+	members      memberList
+	durability   durability
 }
 
 // New returns an empty registry.
@@ -108,6 +128,10 @@
 		copying:      map[string]bool{},
 		pending:      map[Stream]bool{},
 		unsaved:      map[Stream]bool{},
+		shares:       map[string][]Share{},
+		adopted:      map[string]int64{},
+		progress:     map[string]Progress{},
+		durability:   newDurability(),
 	}
 }
 
@@ -121,12 +145,14 @@
 		g.gaps++
 	}
 	g.versions.observe(v.Servers, now)
+	g.servers = v.Servers
 	g.mu.Unlock()
 	g.review(now)
 }
 
 // review derives what follows from the versions in use and the age of the list.
 func (g *Registry) review(now time.Time) {
+	g.updateMembers()
 	g.reviewMu.Lock()
 	defer g.reviewMu.Unlock()
 	g.mu.Lock()
@@ -146,6 +172,10 @@
 // RunUsages if a row has to change. The caller holds mu.
 func (g *Registry) reviewService(service string, now time.Time) {
 	several := len(g.inUse(service, now)) > 1
+	if several {
+		u := g.usageOf(service)
+		g.shares[service] = sharesOf(g.servers, service, func(software string) bool { return u.stages[software] == stageSettled })
+	}
 	copied := several || !g.certain(service, now)
 	if copied != g.copying[service] {
 		g.copying[service] = copied
@@ -166,6 +196,9 @@
 	if _, change := g.nextUsage(service, now); change || !g.usagesRead {
 		wake(g.announceWake)
 	}
+	if several && g.usageOf(service).newestSplit() > g.adopted[service] {
+		wake(g.saveWake)
+	}
 }
 
 // usageOf returns what is known of the row of a service. The caller holds mu.
@@ -223,12 +256,16 @@
 
 // Began records that the stream of the request id is sent to a server of the given
 // software version. A later call replaces the record.
-func (g *Registry) Began(service, id, software string) {
+func (g *Registry) Began(service, artifact, id, software string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	s := Stream{Service: service, ID: id}
 	g.table.put(s, software, now)
+	if g.stored.services[service] && !g.unsaved[s] {
+		g.unsaved[s] = true // for isDurable
+		g.durability.hurry = g.durability.hurry || !g.isDurable(s, artifact, software)
+	}
 	if g.copying[service] {
 		g.copyLater(s)
 	}
--- a/entry/direct/origins/rows.go
+++ b/entry/direct/origins/rows.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strconv"
 	"time"
 
@@ -27,6 +28,10 @@
 	// longer, so that their writes together do not grow.
 	saveInterval       = 250 * time.Millisecond
 	maxFrequentWriters = 100
+
+	// heldSaveInterval replaces saveInterval while a stream's first event may have to wait for
+	// the write.
+	heldSaveInterval = 100 * time.Millisecond
 )
 
 // rowValue is the value of a row with records.
@@ -70,12 +75,18 @@
 // saveDelay returns for how long records are gathered before they are written.
 func (g *Registry) saveDelay() time.Duration {
 	entries := len(g.opts.Peers.Connected()) + 1
-	return max(saveInterval, saveInterval*time.Duration(entries)/maxFrequentWriters)
+	g.mu.Lock()
+	interval := saveInterval
+	if g.durability.hurry || g.durability.held > 0 {
+		interval = heldSaveInterval
+	}
+	g.mu.Unlock()
+	return max(interval, saveInterval*time.Duration(entries)/maxFrequentWriters)
 }
 
 // save writes the unsaved records. Those that could not be written remain unsaved.
 func (g *Registry) save(ctx context.Context) error {
-	records := g.takeUnsaved()
+	records, followed := g.takeUnsaved()
 	table := g.opts.Table.Partition(partitionOf(g.opts.Self))
 	var failed error
 	for _, row := range g.writer.add(records, time.Now()) {
@@ -86,7 +97,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stored.writing = 0
+	g.stored.writing = map[Stream]bool{}
+	g.durability.endWrite(failed)
 	if failed != nil {
 		for _, r := range records {
 			g.unsaved[r.Stream] = true
@@ -94,23 +106,27 @@
 		wake(g.saveWake)
 		return fmt.Errorf("%d records wait: %w", len(g.unsaved), failed)
 	}
+	maps.Copy(g.adopted, followed)
 	return nil
 }
 
-// takeUnsaved returns the unsaved records and counts them as being written.
-func (g *Registry) takeUnsaved() []Record {
+// takeUnsaved returns the unsaved records and counts them as being written. followed has the
+// numbers of the splits, by service, that this entry has adopted once all are written.
+func (g *Registry) takeUnsaved() (records []Record, followed map[string]int64) {
+	restarted := g.opts.Peers.Restarted()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	records := make([]Record, 0, len(g.unsaved))
+	g.durability.beginWrite(now)
+	followed = g.followed(restarted, now)
+	records = make([]Record, 0, len(g.unsaved))
 	for s := range g.unsaved {
 		if r, found := g.table.record(s, now); found {
 			records = append(records, r)
 		}
 	}
-	g.unsaved = map[Stream]bool{}
-	g.stored.writing = len(records)
-	return records
+	g.unsaved, g.stored.writing = map[Stream]bool{}, g.unsaved
+	return records, followed
 }
 
 func writeRow(ctx context.Context, table store.Table, row *recordRow) error {
--- a/entry/direct/origins/rows_test.go
+++ b/entry/direct/origins/rows_test.go
@@ -31,10 +31,10 @@
 	for _, entries := range []int{1, 5, 18, 103} {
 		n := newNetwork(entries, "v1", "v2")
 		maker := n.entry("entry-0")
-		maker.Began(service, "a", "v1")
+		maker.Began(service, model, "a", "v1")
 		save(t, maker)
 		n.killAll("v1", "v2")
-		f := n.entry("entry-0").Find(context.Background(), service, "a")
+		f := n.entry("entry-0").Find(context.Background(), service, model, "a")
 		assert.Equal(t, f.Origin, Known, "%d entries", entries)
 		assert.Equal(t, f.Software, "v1")
 		assert.Equal(t, f.Source, sourceStore)
@@ -46,7 +46,7 @@
 func TestRecordsOfBeforeSecondVersionEndWithAllEntries(t *testing.T) {
 	n := newNetwork(3, "v1")
 	maker := n.entry("entry-0")
-	maker.Began(service, "a", "v1")
+	maker.Began(service, model, "a", "v1")
 	assert.Equal(t, maker.State().Unsaved, 0)
 	n.update("v1", "v2")
 	save(t, maker)
@@ -60,7 +60,7 @@
 // while no entry runs.
 func TestVersionThatLeftWithAllEntriesIsUnknown(t *testing.T) {
 	n := newNetwork(3, "v1")
-	n.entry("entry-0").Began(service, "a", "v1")
+	n.entry("entry-0").Began(service, model, "a", "v1")
 	n.killAll("v2")
 	_, origin := find(n.entry("entry-1"), "a")
 	assert.Equal(t, origin, Unknown)
@@ -69,7 +69,7 @@
 // TestVersionsThatCannotBeReadAreRuledOut has the store be away when all entries start anew.
 func TestVersionsThatCannotBeReadAreRuledOut(t *testing.T) {
 	n := newNetwork(3, "v1")
-	n.entry("entry-0").Began(service, "a", "v1")
+	n.entry("entry-0").Began(service, model, "a", "v1")
 	n.table.down = true
 	n.killAll("v2")
 	_, origin := find(n.entry("entry-1"), "a")
@@ -79,9 +79,9 @@
 func TestStreamIsNamedAfterFailedAttemptFromStore(t *testing.T) {
 	n := newNetwork(3, "v1", "v2")
 	maker := n.entry("entry-0")
-	maker.Began(service, "a", "v1")
+	maker.Began(service, model, "a", "v1")
 	save(t, maker)
-	maker.Began(service, "a", "v2")
+	maker.Began(service, model, "a", "v2")
 	save(t, maker)
 	n.killAll("v1", "v2")
 	software, origin := find(n.entry("entry-2"), "a")
@@ -94,7 +94,7 @@
 	n := newNetwork(3, "v1", "v2")
 	maker := n.entry("entry-0")
 	n.table.down = true
-	maker.Began(service, "a", "v1")
+	maker.Began(service, model, "a", "v1")
 	assert.Assert(t, maker.save(context.Background()) != nil)
 	assert.Equal(t, maker.State().Unsaved, 1)
 	maker.copyPending()
@@ -113,14 +113,14 @@
 func TestStreamsOfOnlyVersionAreLostWhileStoreIsDown(t *testing.T) {
 	n := newNetwork(3, "v1")
 	first := n.entry("entry-0")
-	first.Began(service, "a", "v1")
+	first.Began(service, model, "a", "v1")
 	old := viewOf("v1")
 	old.ServersRead = time.Now().Add(-2 * freshFor)
 	for _, g := range n.entries {
 		g.list.read = time.Time{}
 		updateEntry(g, old)
 	}
-	first.Began(service, "b", "v1")
+	first.Began(service, model, "b", "v1")
 	first.copyPending()
 	n.remove("entry-0")
 	for _, id := range []string{"a", "b"} {
@@ -135,7 +135,7 @@
 func TestRestartedHolderGetsNoCopies(t *testing.T) {
 	n := newNetwork(3, "v1", "v2")
 	first := n.entry("entry-0")
-	first.Began(service, "a", "v1")
+	first.Began(service, model, "a", "v1")
 	first.copyPending()
 	for _, name := range []string{"entry-1", "entry-2"} {
 		n.restart(name, "v1", "v2")
@@ -154,7 +154,7 @@
 	n := newNetwork(3, "v1")
 	before := n.table.writes
 	for i := range 100 {
-		n.entry("entry-0").Began(service, fmt.Sprint(i), "v1")
+		n.entry("entry-0").Began(service, model, fmt.Sprint(i), "v1")
 	}
 	save(t, n.entry("entry-0"))
 	assert.Equal(t, n.table.writes, before)
--- a/entry/direct/origins/table.go
+++ b/entry/direct/origins/table.go
@@ -6,6 +6,11 @@
 	// recordTTL is longer than clients wait for a stream, over all their requests.
 	recordTTL = time.Minute
 
+	// MaxSplitTimeout is the longest time that a request for a stream may take to which splits
+	// apply: one that lasts longer may outlive its record before its client resumes it, and then
+	// nothing would tell it from a stream that never needed a record.
+	MaxSplitTimeout = recordTTL - resumeTime
+
 	maxRecords = 1 << 16 // of one entry; the oldest are dropped
 )
 
--- a/entry/direct/origins/usage.go
+++ b/entry/direct/origins/usage.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -25,8 +26,9 @@
 type Usage struct {
 	Service  string           `json:"service,omitempty"` // in messages
 	Stages   map[string]stage `json:"stages"`
-	Revision int64            `json:"revision"`      // counts the changes, also if the store came back from an older copy
-	Row      string           `json:"row,omitempty"` // version of the row in the store; in messages
+	Splits   []Split          `json:"splits,omitempty"` // of which streams may be in progress, the newest last
+	Revision int64            `json:"revision"`         // counts the changes, also if the store came back from an older copy
+	Row      string           `json:"row,omitempty"`    // version of the row in the store; in messages
 }
 
 // usage is what an entry knows of the row of a service. It is not safe for concurrent use.
@@ -36,6 +38,9 @@
 	row      string               // version of the row in the store; empty if there is none
 	stale    bool                 // the row in the store is of an earlier revision, or has other content
 	since    map[string]time.Time // when this entry learned of a version's stage
+
+	splits   []Split
+	newestAt time.Time // when this entry learned of the last of splits
 }
 
 func newUsage() *usage { return &usage{stages: map[string]stage{}, since: map[string]time.Time{}} }
@@ -58,15 +63,61 @@
 		}
 	}
 	u.stages, u.revision, u.row, u.since, u.stale = maps.Clone(content.Stages), content.Revision, content.Row, since, false
+	u.applySplits(content.Splits, now)
+}
+
+// applySplits takes over the splits of a row of a later revision. If an earlier one than this
+// entry's newest is the last of them, the store came back from an older copy.
+func (u *usage) applySplits(splits []Split, now time.Time) {
+	if known := u.newestSplit(); known > newestOf(splits) && len(u.stages) > 1 {
+		splits = mergeSplits(splits, u.splits)
+		u.stale = true
+	}
+	u.setSplits(splits, now)
+}
+
+func (u *usage) setSplits(splits []Split, now time.Time) {
+	known := u.newestSplit()
+	u.splits = splits
+	if u.newestSplit() != known {
+		u.newestAt = now
+	}
+}
+
+// newestSplit returns the number of the split that new streams follow, 0 if there is none.
+func (u *usage) newestSplit() int64 { return newestOf(u.splits) }
+
+func newestOf(splits []Split) int64 {
+	if len(splits) == 0 {
+		return 0
+	}
+	return splits[len(splits)-1].Number
+}
+
+func equalSplits(a, b []Split) bool {
+	return slices.EqualFunc(a, b, func(x, y Split) bool { return x.Number == y.Number })
+}
+
+// mergeSplits returns the splits of two rows in order.
+func mergeSplits(a, b []Split) []Split {
+	out := slices.Clone(a)
+	for _, s := range b {
+		if !slices.ContainsFunc(out, func(known Split) bool { return known.Number == s.Number }) {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(x, y Split) int { return cmp.Compare(x.Number, y.Number) })
+	return out
 }
 
 // keepUnknown adds versions that only a row of no later revision has: the store came back from
 // an older copy, and another entry wrote the row since.
 func (u *usage) keepUnknown(content Usage, stored bool, now time.Time) {
-	if !stored || maps.Equal(content.Stages, u.stages) {
+	if !stored || maps.Equal(content.Stages, u.stages) && equalSplits(content.Splits, u.splits) {
 		return
 	}
 	u.stale = true
+	u.setSplits(mergeSplits(u.splits, content.Splits), now)
 	for software, s := range content.Stages {
 		if _, known := u.stages[software]; !known {
 			u.stages[software], u.since[software] = s, now
@@ -85,7 +136,7 @@
 
 // message returns the content in the form for messages.
 func (u *usage) message(service string) Usage {
-	return Usage{Service: service, Stages: maps.Clone(u.stages), Revision: u.revision, Row: u.row}
+	return Usage{Service: service, Stages: maps.Clone(u.stages), Splits: u.splits, Revision: u.revision, Row: u.row}
 }
 
 // current reports whether the store has what this entry knows.
--- a/operator/explain/cause.go
+++ b/operator/explain/cause.go
@@ -235,7 +235,7 @@
 		text += ", from " + source
 	}
 	if store := l.Text("store"); store != "" {
-		text += fmt.Sprintf("; the store's records: %s, %s known", store, cmp.Or(l.Text("records"), "0"))
+		text += fmt.Sprintf("; the store's records: %s, %s known; splits: %s", store, cmp.Or(l.Text("records"), "0"), cmp.Or(l.Text("splits"), "0"))
 	}
 	return fmt.Sprintf("%s; in use lately: %s; the list of servers was %v old.", text, l.Text("versions"), l.Duration("servers_age_ms"))
 }
--- a/routing/compare.go
+++ b/routing/compare.go
@@ -124,13 +124,13 @@
 	}
 }
 
-// costOf returns the expected wait at a replica plus other costs: the added
-// work, pauses of the streams there, memory overflow and recent failures.
+// costOf returns the expected wait at a replica plus other costs: the
+// added work, pauses of the streams there, memory overflow and recent failures.
 func (c *comparison) costOf(r *Replica) time.Duration {
 	s := r.Server
 	cached := s.cached
 	load := s.Batch.Load(c.now)
-	cost := s.estimate(&load, s.workAhead(&load, c.p, c.now), c.p, cached, c.now) + r.Load
+	cost := max(r.Hold, s.estimate(&load, s.workAhead(&load, c.p, c.now), c.p, cached, c.now)+r.Load)
 	work := c.p.Work(cached)
 	cost += time.Duration(float64(work)*workWeight) + s.pauseCost(&load, work, c.now)
 	if s.overflows(&load, c.p) {
