A chunked answer with an invalid trailer name is not whole

Cause: net/http reads trailers like heads, and httpstrict checked heads alone.

Change: httpstrict.CheckTrailer stands under each response body with a transfer coding. It returns an error in place of the end, and the connection carries no further request. An answer that is buffered becomes a 502 or goes to another server, one that has begun is cut; the log says "malformed".

Left: between the end of the body and its check another request may already have taken the connection from the pool.

--- a/common/httpstrict/head.go
+++ b/common/httpstrict/head.go
@@ -32,7 +32,8 @@
 	return fmt.Sprintf("response with invalid status %03d", e.Status)
 }
 
-// FieldNameError means that the name of a header field is not a token (RFC 9110, section 5.1).
+// FieldNameError means that the name of a header or trailer field is not a token (RFC 9110,
+// section 5.1).
 // net/http accepts blanks in a name and before its colon, and does not recognize the field then,
 // such as one that says how the body ends.
 type FieldNameError struct {
--- a/common/httpstrict/httpstricttest/httpstricttest.go
+++ b/common/httpstrict/httpstricttest/httpstricttest.go
@@ -33,6 +33,11 @@
 	"1.0 after 1.1":        "HTTP/1.1 100 OK\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 }
 
+// MalformedTrailer returns a whole response whose trailer has a field of the given name.
+func MalformedTrailer(name string) string {
+	return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n" + name + ": a\r\n\r\n"
+}
+
 // EachMalformed runs check as a subtest for each of a number of malformed responses, with the
 // address of a server that answers with it.
 func EachMalformed(t *testing.T, check func(t *testing.T, address string)) {
@@ -63,6 +68,26 @@
 	})
 }
 
+// ServeKept starts a server that answers each request of a connection with the response. It calls
+// connected for each connection, before it reads from it.
+func ServeKept(t *testing.T, response string, connected func()) string {
+	t.Helper()
+	return listen(t, func(conn *net.TCPConn) {
+		connected()
+		in := bufio.NewReader(conn)
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, response) // an error shows in the client's result
+		}
+	})
+}
+
 // ServeCut starts a server that reads the head of each request, writes the response and resets the
 // connection after a moment, without reading the request's body.
 func ServeCut(t *testing.T, response string) string {
@@ -77,6 +102,17 @@
 // serve starts a server that calls handle with the first request of each connection, whose body is
 // unread, and then closes the connection.
 func serve(t *testing.T, handle func(*net.TCPConn, *http.Request)) string {
+	t.Helper()
+	return listen(t, func(conn *net.TCPConn) {
+		if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			handle(conn, req)
+		}
+	})
+}
+
+// listen starts a server that calls handle with each connection and then closes it, until the end of
+// the test. It returns the server's address.
+func listen(t *testing.T, handle func(*net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -89,15 +125,11 @@
 			if err != nil {
 				return
 			}
-			go serveConn(conn.(*net.TCPConn), handle)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				handle(conn.(*net.TCPConn))
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
-
-func serveConn(conn *net.TCPConn, handle func(*net.TCPConn, *http.Request)) {
-	defer func() { _ = conn.Close() }()
-	if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-		handle(conn, req)
-	}
-}
--- a/common/httpstrict/transport.go
+++ b/common/httpstrict/transport.go
@@ -51,6 +51,7 @@
 		_ = used.Close()
 		return nil, err
 	}
+	resp.Body = CheckTrailer(resp, func() { _ = used.Close() })
 	return resp, nil
 }
 
--- a/common/httpstrict/transport_test.go
+++ b/common/httpstrict/transport_test.go
@@ -1,7 +1,9 @@
 package httpstrict
 
 import (
+	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -27,6 +29,31 @@
 	})
 }
 
+// TestInvalidNameOfTrailerIsAccepted has servers end responses with names of trailer fields that
+// net/http accepts, and keep their connections, which must carry no other request.
+func TestInvalidNameOfTrailerIsAccepted(t *testing.T) {
+	for _, name := range []string{"X Kept", "X-Kept ", "X  Kept", "Content-Length "} {
+		var connections atomic.Int32
+		address := httpstricttest.ServeKept(t, httpstricttest.MalformedTrailer(name), func() { connections.Add(1) })
+		client := &http.Client{Transport: NewTransport(&http.Transport{})}
+		t.Cleanup(client.CloseIdleConnections)
+		for i := range 2 {
+			resp, err := client.Get("http://" + address)
+			assert.NilError(t, err, "%q", name)
+			_, err = io.ReadAll(resp.Body)
+			assert.ErrorContains(t, err, "invalid field name", "%q", name)
+			assert.NilError(t, resp.Body.Close())
+			assert.Equal(t, connections.Load(), int32(i+1), "%q", name)
+		}
+	}
+	address := httpstricttest.Serve(t, httpstricttest.MalformedTrailer("X-Sound"))
+	resp, err := get(t, address)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+}
+
 // TestOtherInvalidNamesAreRejected has servers answer with names of fields that net/http rejects
 // itself.
 func TestOtherInvalidNamesAreRejected(t *testing.T) {
--- a/entry/direct/exchange/exchange.go
+++ b/entry/direct/exchange/exchange.go
@@ -144,7 +144,7 @@
 	}
 	if used != nil {
 		used.setMaxIdle(keepAliveTimeout(resp.Header))
-		response.Body, response.conn = &body{ReadCloser: resp.Body, conn: used, ends: func() { x.connections.closeIdle(call.Address) }}, used
+		response.Body, response.conn = &body{ReadCloser: httpstrict.CheckTrailer(resp, used.retire), conn: used, ends: func() { x.connections.closeIdle(call.Address) }}, used
 	}
 	if reason := mismatch(call, response); reason != "" {
 		_ = resp.Body.Close()
@@ -202,12 +202,20 @@
 	switch {
 	case err == io.EOF:
 		b.conn.markIdle()
+	case isMalformed(err):
+		return n, fault.New(fault.KindInvalid, sendStep, b.conn.RemoteAddr().String(), err)
 	case err != nil && showsEnd(err):
 		b.ends()
 	}
 	return n, err
 }
 
+// isMalformed reports whether an error of a body says that the end of the response is invalid.
+func isMalformed(err error) bool {
+	var name *httpstrict.FieldNameError
+	return errors.As(err, &name)
+}
+
 // request builds a request whose method, path, query, host and body reach the
 // server as the client sent them.
 func (x *Exchanger) request(ctx context.Context, call *Call) (*http.Request, error) {
