A stream that begins anew while the store is away brings its events

Cause: a stream was taken to need its record as soon as another version had been recorded for it, though the write of that record had certainly failed. And the hold counted only as far as it exceeds the wait, so that in a busy moment streams went to the other version for nothing.

Change: only a record that the store may have counts: one written, being written, or whose write ended without a certain failure. The hold is added to a server's cost in full.

--- a/entry/direct/origins/durable.go
+++ b/entry/direct/origins/durable.go
@@ -27,8 +27,8 @@
 
 // Invariant: no event of a resumable stream reaches its client before an entry that knows the
 // store's content alone can tell the stream's version. Either the record is stored, or the
-// version is the one that the newest split gives to the stream and no other version was recorded
-// before. Without it, the split would say nothing of a stream that has no record.
+// version is the one that the newest split gives to the stream and the store has no record of
+// another version. Without it, the split would say nothing of a stream that has no record.
 
 // AwaitDurable blocks until a stream that a server of the version has begun may bring its first
 // event. It returns ErrNotDurable if the stream should begin anew at the version that Assigned
@@ -67,7 +67,7 @@
 			return true // no other entry relies on a split
 		}
 		r, _ := g.table.find(s, time.Now())
-		if version := u.splits[len(u.splits)-1].version(artifact, s.ID); version == "" || version == software && r.revision == 0 {
+		if version := u.splits[len(u.splits)-1].version(artifact, s.ID); version == "" || version == software && !r.other {
 			return true
 		}
 	}
--- a/entry/direct/origins/durable_test.go
+++ b/entry/direct/origins/durable_test.go
@@ -128,6 +128,35 @@
 	assert.Assert(t, !g.Assigned(service, model, id).Required)
 }
 
+// TestStreamThatBeginsAnewIsHeld has a stream begin anew at the version of its split, after its
+// record of another version could not be stored. It waits for the store only if the store may have
+// that record.
+func TestStreamThatBeginsAnewIsHeld(t *testing.T) {
+	n := splitNetwork(t, 1)
+	g := n.entry("entry-0")
+	isDurable := func(id string) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.isDurable(Stream{Service: service, ID: id}, model, "v1")
+	}
+	refused, stored := idOf(g, "v1", "a"), idOf(g, "v1", "b")
+	g.Began(service, model, stored, "v2")
+	save(t, g)
+	n.table.setDown(true)
+	g.Began(service, model, refused, "v2")
+	assert.Assert(t, g.save(context.Background()) != nil)
+	for _, id := range []string{refused, stored} {
+		g.Began(service, model, id, "v1")
+	}
+	assert.Assert(t, isDurable(refused))
+	assert.Assert(t, !isDurable(stored))
+	g.Began(service, model, stored, "v1")
+	assert.Assert(t, !isDurable(stored))
+	n.table.setDown(false)
+	save(t, g)
+	assert.Assert(t, isDurable(stored))
+}
+
 func TestStreamsAreHeldWithoutNeed(t *testing.T) {
 	n := newNetwork(1, "v1")
 	g := n.entry("entry-0")
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -261,7 +261,11 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	s := Stream{Service: service, ID: id}
+	old, replaces := g.table.find(s, now)
 	g.table.put(s, software, now)
+	if replaces {
+		g.table.replaced(s, old, g.stored.writing[s])
+	}
 	if g.stored.services[service] && !g.unsaved[s] {
 		g.unsaved[s] = true // for isDurable
 		g.durability.hurry = g.durability.hurry || !g.isDurable(s, artifact, software)
--- a/entry/direct/origins/rows.go
+++ b/entry/direct/origins/rows.go
@@ -89,14 +89,20 @@
 	records, followed := g.takeUnsaved()
 	table := g.opts.Table.Partition(partitionOf(g.opts.Self))
 	var failed error
+	exposed := false
 	for _, row := range g.writer.add(records, time.Now()) {
-		if err := writeRow(ctx, table, row); err != nil {
+		err := writeRow(ctx, table, row)
+		if err != nil {
 			failed = err
 			g.writer.close() // the write may be applied later, and must not replace a newer one
 		}
+		exposed = exposed || !fault.Is(err, fault.KindUnavailable)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if exposed {
+		g.table.markExposed(records)
+	}
 	g.stored.writing = map[Stream]bool{}
 	g.durability.endWrite(failed)
 	if failed != nil {
--- a/entry/direct/origins/table.go
+++ b/entry/direct/origins/table.go
@@ -20,6 +20,9 @@
 	revision int
 	maker    string    // entry whose record this is a copy of; empty for a record of this entry
 	at       time.Time // when it was written
+
+	exposed bool // the store may have it
+	other   bool // the store may have one of another version, which this one replaced
 }
 
 // own reports whether this entry made the record, so that no other is newer.
@@ -53,6 +56,29 @@
 	t.write(s, record{software: software, revision: revision, at: now})
 }
 
+// replaced takes over from the record that the latest one replaced what the store may have of it.
+// writing says that it was being written to the store.
+func (t *table) replaced(s Stream, old record, writing bool) {
+	r := t.records[s]
+	if r.software == old.software {
+		r.exposed, r.other = old.exposed, old.other
+	} else {
+		r.other = old.other || old.exposed || writing
+	}
+	t.records[s] = r
+}
+
+// markExposed records that the store may have the records, as far as they have not been replaced.
+func (t *table) markExposed(records []Record) {
+	for _, written := range records {
+		r, known := t.records[written.Stream]
+		if known && r.own() && r.software == written.Software {
+			r.exposed = true
+			t.records[written.Stream] = r
+		}
+	}
+}
+
 // putCopy writes a copy of another entry's record unless a newer record is known.
 func (t *table) putCopy(r Record, maker string, now time.Time) {
 	old, found := t.find(r.Stream, now)
--- a/routing/compare.go
+++ b/routing/compare.go
@@ -130,7 +130,7 @@
 	s := r.Server
 	cached := s.cached
 	load := s.Batch.Load(c.now)
-	cost := max(r.Hold, s.estimate(&load, s.workAhead(&load, c.p, c.now), c.p, cached, c.now)+r.Load)
+	cost := s.estimate(&load, s.workAhead(&load, c.p, c.now), c.p, cached, c.now) + r.Load + r.Hold
 	work := c.p.Work(cached)
 	cost += time.Duration(float64(work)*workWeight) + s.pauseCost(&load, work, c.now)
 	if s.overflows(&load, c.p) {
--- a/routing/engine.go
+++ b/routing/engine.go
@@ -56,7 +56,7 @@
 type Replica struct {
 	Server *EngineServer
 	Load   time.Duration // time until they are resident; 0 if they are
-	Hold   time.Duration // until the caller may forward the first event, if it comes earlier
+	Hold   time.Duration // for which the caller may have to hold the first event back
 }
 
 // EngineChoice is the choice of a model server, with its reason.
