Log which entries hold up a split of streams

Change: the entries that write a service's row say what a change of its splits waits for, and which entries hold it up and why (line 665, and "waits" in the state dump). A line is written when that changes, every five seconds at most.

--- a/common/event/state.go
+++ b/common/event/state.go
@@ -30,6 +30,7 @@
 
 	StreamRecordsNotStored = define(663, "stream records not stored", logrus.WarnLevel, "The records of which software version began which stream could not be written to the store, which is tried again. Until then only running entries have them.")
 	StreamRecordsNotRead   = define(664, "stream records not read", logrus.WarnLevel, "The records of which software version began which stream could not be read from the store, or the row named by subject not parsed. Streams without a record elsewhere are refused while several versions are in use.")
+	SplitHeldUp            = define(665, "split held up", logrus.InfoLevel, "The split of the streams of a service, named by subject, among its software versions cannot change yet: reason says what is waited for, and which entries hold it up and why; count is their number. Meanwhile streams of some versions need records in the store. Written by the entries that write the row, when it changes, every five seconds at most.")
 
 	StoreWentBack       = define(675, "store went back", logrus.ErrorLevel, "The platform's store answered with a lower version than before: it lost what was written last. row_version is the version of the list of servers, which is used, and previous that of the one before. Other entries read the list themselves until the versions have passed the earlier ones.")
 	SettingsReloaded    = define(670, "settings reloaded", logrus.InfoLevel, "The settings file was read again; reason says what changed, or that nothing did.")
--- a/entry/direct/origins/copies.go
+++ b/entry/direct/origins/copies.go
@@ -33,6 +33,7 @@
 		case <-tick.C:
 			g.review(time.Now())
 			g.tellProgress(time.Now())
+			g.reviewSplitWaits(time.Now())
 			continue
 		case <-g.copyWake:
 		case <-ctx.Done():
--- a/entry/direct/origins/progress.go
+++ b/entry/direct/origins/progress.go
@@ -101,12 +101,12 @@
 	g.review(time.Now())
 }
 
-// nextSplits returns the splits that the row of a service with a number of versions should have.
-// The caller holds mu.
-func (g *Registry) nextSplits(service string, versions int, now time.Time) []Split {
+// nextSplits returns the splits that the row of a service with a number of versions should have, and
+// what holds a change of them up. The caller holds mu.
+func (g *Registry) nextSplits(service string, versions int, now time.Time) ([]Split, splitWait) {
 	u := g.usageOf(service)
 	if versions <= 1 {
-		return nil // no other has streams that can be resumed
+		return nil, splitWait{} // no other has streams that can be resumed
 	}
 	return nextSplits(splitInputs{
 		splits:      u.splits,
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -105,6 +105,7 @@
 	adopted      map[string]int64    // numbers of the splits that this entry has adopted, by service
 	progress     map[string]Progress // of the other entries
 	told         toldProgress
+	splitWaits   map[string]*waitState // changes of splits that are held up, by service
 	members      memberList
 	durability   durability
 }
@@ -131,6 +132,7 @@
 		shares:       map[string][]Share{},
 		adopted:      map[string]int64{},
 		progress:     map[string]Progress{},
+		splitWaits:   map[string]*waitState{},
 		durability:   newDurability(),
 	}
 }
--- a/entry/direct/origins/splits.go
+++ b/entry/direct/origins/splits.go
@@ -33,29 +33,35 @@
 	isConnected func(entry string) bool
 }
 
-// nextSplits returns the splits of a service that has several versions. Of two splits the earlier
-// one is dropped once all entries have adopted the later: then each stream that began under the
-// earlier one, and that the later one gives to another version, has its record in the store. A
-// split is added only while all entries can adopt it.
-func nextSplits(in splitInputs) []Split {
+// nextSplits returns the splits of a service that has several versions, and what holds a change of
+// them up. Of two splits the earlier one is dropped once all entries have adopted the later: then
+// each stream that began under the earlier one, and that the later one gives to another version, has
+// its record in the store. A split is added only while all entries can adopt it.
+func nextSplits(in splitInputs) ([]Split, splitWait) {
 	n := len(in.splits)
+	if n > 1 {
+		wait := in.adoption(in.splits[n-1].Number)
+		if wait.over() {
+			return in.splits[n-1:], wait
+		}
+		return in.splits, wait
+	}
 	switch {
-	case n > 1 && in.allAdopted(in.splits[n-1].Number):
-		return in.splits[n-1:]
-	case n > 1, len(in.shares) == 0:
-		return in.splits
+	case len(in.shares) == 0:
+		return in.splits, splitWait{}
 	case n == 1 && equalShares(in.splits[0].Shares, in.shares):
-		return in.splits
+		return in.splits, splitWait{}
 	case n == 1 && in.newestAge < minSplitInterval && slices.Equal(versionsOf(in.splits[0].Shares), versionsOf(in.shares)):
-		return in.splits
-	case !in.allReady():
-		return in.splits
+		return in.splits, splitWait{}
+	}
+	if wait := in.readiness(); !wait.over() {
+		return in.splits, wait
 	}
 	next := Split{Number: in.nextNumber, Shares: in.shares}
 	if n == 0 {
-		return []Split{{}, next} // streams that began before it fall to no version
+		return []Split{{}, next}, splitWait{} // streams that began before it fall to no version
 	}
-	return append(slices.Clone(in.splits), next)
+	return append(slices.Clone(in.splits), next), splitWait{}
 }
 
 // versionsOf returns the software versions among which shares divide streams, in order.
@@ -70,22 +76,48 @@
 	return slices.Compact(out)
 }
 
-// allAdopted reports whether all entries have adopted a split. The list of entries has to be
+// adoption returns which entries have not adopted a split. The list of entries has to be
 // newer than the split: an entry that starts later adopts it at once.
-func (in *splitInputs) allAdopted(number int64) bool {
-	if in.own.Adopted[in.service] < number || in.membersAge > in.newestAge {
-		return false
+func (in *splitInputs) adoption(number int64) splitWait {
+	wait := splitWait{For: waitAdoption}
+	if in.own.Adopted[in.service] < number {
+		wait.add(thisEntry, holdupNotAdopted)
+	}
+	if in.membersAge > in.newestAge {
+		wait.add(thisEntry, holdupOldList)
 	}
-	return !slices.ContainsFunc(in.members, func(entry string) bool {
-		return in.progress[entry].Adopted[in.service] < number
-	})
+	for _, entry := range in.members {
+		if in.progress[entry].Adopted[in.service] < number {
+			wait.add(entry, in.holdup(entry, holdupNotAdopted))
+		}
+	}
+	return wait
 }
 
-// allReady reports whether all entries are known to be able to adopt a split soon.
-func (in *splitInputs) allReady() bool {
-	return in.own.Ready && !slices.ContainsFunc(in.members, func(entry string) bool {
-		return !in.progress[entry].Ready || !in.isConnected(entry)
-	})
+// readiness returns which entries are not known to be able to adopt a split soon.
+func (in *splitInputs) readiness() splitWait {
+	wait := splitWait{For: waitReadiness}
+	if !in.own.Ready {
+		wait.add(thisEntry, holdupRestarted)
+	}
+	for _, entry := range in.members {
+		if !in.progress[entry].Ready || !in.isConnected(entry) {
+			wait.add(entry, in.holdup(entry, holdupRestarted))
+		}
+	}
+	return wait
+}
+
+// holdup returns why an entry that is in reach, and has told its progress, holds a change up, or
+// that it is not or has not.
+func (in *splitInputs) holdup(entry string, otherwise holdup) holdup {
+	if !in.isConnected(entry) {
+		return holdupNotConnected
+	}
+	if _, told := in.progress[entry]; !told {
+		return holdupNotTold
+	}
+	return otherwise
 }
 
 // assigned returns the software version to which all of the splits give a stream. It returns ""
--- a/entry/direct/origins/splits_test.go
+++ b/entry/direct/origins/splits_test.go
@@ -27,6 +27,12 @@
 	}
 }
 
+// splitsAfter returns the splits that a service should have.
+func splitsAfter(in splitInputs) []Split {
+	splits, _ := nextSplits(in)
+	return splits
+}
+
 func numbers(splits []Split) (out []int64) {
 	for _, s := range splits {
 		out = append(out, s.Number)
@@ -36,9 +42,9 @@
 
 func TestSplitIsAddedBesideTheEarlierOne(t *testing.T) {
 	in := readyInputs()
-	assert.DeepEqual(t, numbers(nextSplits(in)), []int64{3, 5})
+	assert.DeepEqual(t, numbers(splitsAfter(in)), []int64{3, 5})
 	in.splits = nil
-	got := nextSplits(in)
+	got := splitsAfter(in)
 	assert.DeepEqual(t, numbers(got), []int64{0, 5})
 	assert.Equal(t, assigned(got, model, "x"), "", "streams that began before the first split fall to no version")
 }
@@ -61,7 +67,7 @@
 		t.Run(name, func(t *testing.T) {
 			in := readyInputs()
 			change(&in)
-			assert.DeepEqual(t, nextSplits(in), in.splits)
+			assert.DeepEqual(t, splitsAfter(in), in.splits)
 		})
 	}
 }
@@ -74,7 +80,7 @@
 	in.splits = append(in.splits, Split{Number: 5, Shares: in.shares})
 	in.own = adopted
 	in.progress = map[string]Progress{"a": adopted, "b": adopted}
-	assert.DeepEqual(t, numbers(nextSplits(in)), []int64{5})
+	assert.DeepEqual(t, numbers(splitsAfter(in)), []int64{5})
 	for name, change := range map[string]func(*splitInputs){
 		"an entry has not":               func(in *splitInputs) { in.progress["b"] = readyInputs().own },
 		"this entry has not":             func(in *splitInputs) { in.own = readyInputs().own },
@@ -86,7 +92,7 @@
 			in := in
 			in.progress = map[string]Progress{"a": adopted, "b": adopted}
 			change(&in)
-			assert.DeepEqual(t, numbers(nextSplits(in)), []int64{3, 5})
+			assert.DeepEqual(t, numbers(splitsAfter(in)), []int64{3, 5})
 		})
 	}
 }
--- a/entry/direct/origins/state.go
+++ b/entry/direct/origins/state.go
@@ -14,6 +14,7 @@
 	Stages    map[string]map[string]stage `json:"stages"`              // of the versions, by service, as in the store
 	Splits    map[string][]Split          `json:"splits,omitempty"`    // those of which streams may be in progress, by service
 	Adopted   map[string]int64            `json:"adopted,omitempty"`   // number of the split that this entry has adopted, by service
+	Waits     map[string]splitWait        `json:"waits,omitempty"`     // what holds a change of the splits up, by service, if this entry writes its row
 	Held      int                         `json:"held,omitempty"`      // streams whose first event waits for its record to be stored
 	Unsettled map[string][]string         `json:"unsettled,omitempty"` // versions that may not get streams yet, by service
 	Certain   map[string]bool             `json:"certain"`             // whether other versions can be ruled out, by service
@@ -33,11 +34,15 @@
 		Stages:    map[string]map[string]stage{},
 		Splits:    map[string][]Split{},
 		Adopted:   maps.Clone(g.adopted),
+		Waits:     map[string]splitWait{},
 		Held:      g.durability.held,
 		Unsettled: maps.Clone(g.unsettled),
 		Certain:   map[string]bool{},
 		ListAgeMS: g.list.of(now, suspendedTime()).Milliseconds(),
 	}
+	for service, held := range g.splitWaits {
+		s.Waits[service] = held.wait
+	}
 	for service := range g.versions.seen {
 		s.Versions[service] = g.inUse(service, now)
 		s.Stages[service] = maps.Clone(g.usageOf(service).stages)
