New streams keep to their split as soon as the store is known to fail

Cause, from its log: the entry had logged that the store fails (650) 0.5 s before, but new streams kept to the version of their split only after two failed writes of records. 14 streams that came at once chose freely; those at the other version were held back and had to begin anew, for which a young entry has few retries.

Change: a read of the list of servers that failed, with no newer list from another entry, counts like two failed writes.

Test: TestStreamIsHeldThoughStoreIsKnownToFail, fails without the condition.

--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -107,7 +107,14 @@
 		},
 		PullDelay: map[string]time.Duration{view.KindConfig: configFetchDelay},
 	})
-	c.origins = origins.New(origins.Options{Self: s.Name, Peers: originPeers{mesh: c.mesh, log: log}, Table: table, Log: log, OnUnsettled: c.balancer.SetUnsettled})
+	c.origins = origins.New(origins.Options{
+		Self:              s.Name,
+		Peers:             originPeers{mesh: c.mesh, log: log},
+		Table:             table,
+		Log:               log,
+		OnUnsettled:       c.balancer.SetUnsettled,
+		StoreFailingSince: w.StoreFailingSince,
+	})
 	c.handleOrigins()
 	c.guard = crashguard.New(crashguard.Options{Self: s.Name, Peers: guardPeers{c.mesh}, Table: table, Log: decisions, Events: log})
 	c.handleCrashes()
--- a/entry/direct/origins/durable.go
+++ b/entry/direct/origins/durable.go
@@ -81,6 +81,7 @@
 
 // Assigned returns the version that the newest split gives to a new stream.
 func (g *Registry) Assigned(service, artifact, id string) Assignment {
+	failingSince := g.opts.StoreFailingSince()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	division, found := g.usageOf(service).division()
@@ -90,7 +91,7 @@
 	now := time.Now()
 	return Assignment{
 		Software: division.version(artifact, id),
-		Required: g.durability.failures >= maxSaveFailures || !g.fresh(now),
+		Required: g.durability.failures >= maxSaveFailures || !g.fresh(now) || failingSince.After(g.list.read),
 		Hold:     heldSaveInterval + g.durability.writeTime(now),
 	}
 }
--- a/entry/direct/origins/durable_test.go
+++ b/entry/direct/origins/durable_test.go
@@ -128,6 +128,20 @@
 	assert.Assert(t, !g.Assigned(service, model, id).Required)
 }
 
+// TestStreamIsHeldThoughStoreIsKnownToFail has a stream begin after a read of the store failed, before
+// any record could not be written. Held back, it would begin anew at the cost of a retry.
+func TestStreamIsHeldThoughStoreIsKnownToFail(t *testing.T) {
+	n := splitNetwork(t, 1)
+	g := n.entry("entry-0")
+	failing := time.Time{}
+	g.opts.StoreFailingSince = func() time.Time { return failing }
+	assert.Assert(t, !g.Assigned(service, model, "a").Required)
+	failing = time.Now()
+	assert.Assert(t, g.Assigned(service, model, "a").Required)
+	n.updateServers(g.servers)
+	assert.Assert(t, !g.Assigned(service, model, "a").Required, "another entry reads the store")
+}
+
 // TestStreamThatBeginsAnewIsHeld has a stream begin anew at the version of its split, after its
 // record of another version could not be stored. It waits for the store only if the store may have
 // that record.
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -70,6 +70,10 @@
 	// OnUnsettled is called with the versions of each service that may not get streams yet,
 	// when they change. It must not block.
 	OnUnsettled func(map[string][]string)
+
+	// StoreFailingSince returns when the first read of the store began that failed since one of
+	// this entry succeeded, zero if the last one did.
+	StoreFailingSince func() time.Time
 }
 
 // Registry records and finds the software versions that began streams. It is safe
@@ -116,6 +120,9 @@
 	if opts.OnUnsettled == nil {
 		opts.OnUnsettled = func(map[string][]string) {}
 	}
+	if opts.StoreFailingSince == nil {
+		opts.StoreFailingSince = func() time.Time { return time.Time{} }
+	}
 	return &Registry{
 		opts:         opts,
 		started:      time.Now(),
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -87,6 +87,14 @@
 	return time.Since(w.started) - time.Duration(w.configReadAt.Load())
 }
 
+// StoreFailingSince returns when the read of the store began that was the first of this entry to fail
+// since one succeeded, zero if the last one succeeded.
+func (w *Watcher) StoreFailingSince() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failingSince
+}
+
 // OnChange adds a function that is called after each change of the view. It
 // must be called before the Run methods, and f must not block.
 func (w *Watcher) OnChange(f func(*fleet.View)) { w.listeners = append(w.listeners, f) }
