--- a/entry/direct/coordination.go
+++ b/entry/direct/coordination.go
@@ -37,6 +37,7 @@
 	methodRecords  = "streams.records"
 	methodUsages   = "streams.versions"
 	methodProgress = "streams.progress"
+	methodFailure  = "store.failure"
 	methodOrigin   = "streams.origin"
 	methodCrash    = "crashes.report"
 	methodCleared  = "crashes.cleared"
@@ -107,15 +108,9 @@
 		},
 		PullDelay: map[string]time.Duration{view.KindConfig: configFetchDelay},
 	})
-	c.origins = origins.New(origins.Options{
-		Self:              s.Name,
-		Peers:             originPeers{mesh: c.mesh, log: log},
-		Table:             table,
-		Log:               log,
-		OnUnsettled:       c.balancer.SetUnsettled,
-		StoreFailingSince: w.StoreFailingSince,
-	})
+	c.origins = origins.New(origins.Options{Self: s.Name, Peers: originPeers{mesh: c.mesh, log: log}, Table: table, Log: log, OnUnsettled: c.balancer.SetUnsettled})
 	c.handleOrigins()
+	c.handleStoreFailures()
 	c.guard = crashguard.New(crashguard.Options{Self: s.Name, Peers: guardPeers{c.mesh}, Table: table, Log: decisions, Events: log})
 	c.handleCrashes()
 	c.quotas = quotas.New(quotas.Options{Bounds: quotaBounds(s), Peers: quotaPeers{c}, Self: s.Name, Clock: clock.Boottime})
--- a/entry/direct/originpeers.go
+++ b/entry/direct/originpeers.go
@@ -60,3 +60,15 @@
 		return c.origins.Lookup(s), nil
 	})
 }
+
+// handleStoreFailures notes reads of the store that fail. The entry that reads the registrations for
+// all tells the others at once: they would notice when their list is older than usual.
+func (c *coordination) handleStoreFailures() {
+	c.watcher.OnReadFailure(func(began time.Time, first bool) {
+		c.origins.StoreFailed(began)
+		if first && mesh.RegistryReader(c.name, c.mesh.Connected()) == c.name {
+			c.mesh.Broadcast(methodFailure, struct{}{})
+		}
+	})
+	mesh.HandleBroadcast(c.mesh, methodFailure, func(string, struct{}) { c.origins.StoreFailed(time.Now()) })
+}
--- a/entry/direct/origins/durable.go
+++ b/entry/direct/origins/durable.go
@@ -81,7 +81,6 @@
 
 // Assigned returns the version that the newest split gives to a new stream.
 func (g *Registry) Assigned(service, artifact, id string) Assignment {
-	failingSince := g.opts.StoreFailingSince()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	division, found := g.usageOf(service).division()
@@ -91,11 +90,19 @@
 	now := time.Now()
 	return Assignment{
 		Software: division.version(artifact, id),
-		Required: g.durability.failures >= maxSaveFailures || !g.fresh(now) || failingSince.After(g.list.read),
+		Required: g.durability.failures >= maxSaveFailures || !g.fresh(now) || g.readFailedAt.After(g.list.read),
 		Hold:     heldSaveInterval + g.durability.writeTime(now),
 	}
 }
 
+// StoreFailed records that a read of the list of servers, of this entry or another, failed. It began at
+// the given time. New streams keep to their split until a list is read after that.
+func (g *Registry) StoreFailed(began time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.readFailedAt = began
+}
+
 // writeTime returns how long a write of records takes now. The caller holds mu.
 func (d *durability) writeTime(now time.Time) time.Duration {
 	if d.since.IsZero() {
--- a/entry/direct/origins/durable_test.go
+++ b/entry/direct/origins/durable_test.go
@@ -133,10 +133,8 @@
 func TestStreamIsHeldThoughStoreIsKnownToFail(t *testing.T) {
 	n := splitNetwork(t, 1)
 	g := n.entry("entry-0")
-	failing := time.Time{}
-	g.opts.StoreFailingSince = func() time.Time { return failing }
 	assert.Assert(t, !g.Assigned(service, model, "a").Required)
-	failing = time.Now()
+	g.StoreFailed(time.Now())
 	assert.Assert(t, g.Assigned(service, model, "a").Required)
 	n.updateServers(g.servers)
 	assert.Assert(t, !g.Assigned(service, model, "a").Required, "another entry reads the store")
--- a/entry/direct/origins/registry.go
+++ b/entry/direct/origins/registry.go
@@ -70,10 +70,6 @@
 	// OnUnsettled is called with the versions of each service that may not get streams yet,
 	// when they change. It must not block.
 	OnUnsettled func(map[string][]string)
-
-	// StoreFailingSince returns when the first read of the store began that failed since one of
-	// this entry succeeded, zero if the last one did.
-	StoreFailingSince func() time.Time
 }
 
 // Registry records and finds the software versions that began streams. It is safe
@@ -112,6 +108,7 @@
 	savedAgain   map[string]int64      // numbers of the splits, by service, for which all records are written anew
 	splitWaits   map[string]*waitState // changes of splits that are held up, by service
 	members      memberList
+	readFailedAt time.Time // when the last read of the list of servers that is known to have failed began
 	durability   durability
 }
 
@@ -120,9 +117,6 @@
 	if opts.OnUnsettled == nil {
 		opts.OnUnsettled = func(map[string][]string) {}
 	}
-	if opts.StoreFailingSince == nil {
-		opts.StoreFailingSince = func() time.Time { return time.Time{} }
-	}
 	return &Registry{
 		opts:         opts,
 		started:      time.Now(),
--- a/entry/direct/view/servers.go
+++ b/entry/direct/view/servers.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if err != nil {
-		w.recordStoreFailure(err, requestedAt)
+		w.readFailed(requestedAt, w.recordStoreFailure(err, requestedAt))
 		w.checkWaitAfterFailure(requestedAt)
 		return
 	}
@@ -62,15 +62,18 @@
 	}
 }
 
-// recordStoreFailure records a failed read that began at the given time.
-func (w *Watcher) recordStoreFailure(err error, requestedAt time.Time) {
+// recordStoreFailure records a failed read that began at the given time. It reports whether the read
+// before succeeded.
+func (w *Watcher) recordStoreFailure(err error, requestedAt time.Time) (first bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.failingSince.IsZero() {
+	first = w.failingSince.IsZero()
+	if first {
 		w.failingSince = requestedAt
 		w.log.Write(decisionlog.StoreLost{Call: "servers", Err: err})
 	}
 	w.reads.failed(requestedAt)
+	return first
 }
 
 // recordStoreAnswer records that the store answered a read of this entry that began at the
--- a/entry/direct/view/share_test.go
+++ b/entry/direct/view/share_test.go
@@ -226,3 +226,20 @@
 	assert.Equal(t, r.Current().Config.Version, int64(7))
 	assert.Assert(t, r.ApplyDocument(Document{Kind: "other"}) != nil)
 }
+
+// TestFailedReadIsNotTold has reads of the registrations fail. The other entries are told of the first
+// one of each series.
+func TestFailedReadIsNotTold(t *testing.T) {
+	r := newTestWatcher()
+	var firsts []bool
+	r.OnReadFailure(func(_ time.Time, first bool) { firsts = append(firsts, first) })
+	fail := func() {
+		r.store.err = errors.New("unavailable")
+		r.Refresh(context.Background())
+	}
+	fail()
+	fail()
+	r.refresh(t, 1, "a")
+	fail()
+	assert.DeepEqual(t, firsts, []bool{true, false, true})
+}
--- a/entry/direct/view/view.go
+++ b/entry/direct/view/view.go
@@ -49,6 +49,7 @@
 	share        func(Document)
 	leaving      leavingServers
 	shareLeaving func(Leaving)
+	readFailed   func(began time.Time, first bool)
 	wait         configWait
 	checks       errgroup.Group // calls of checkConfig
 }
@@ -57,6 +58,7 @@
 // to its region.
 func New(directory fleet.Directory, regions map[string]string, log *decisionlog.Log) *Watcher {
 	w := &Watcher{
+		readFailed: func(time.Time, bool) {},
 		started:    time.Now(),
 		directory:  directory,
 		regions:    regions,
@@ -87,13 +89,9 @@
 	return time.Since(w.started) - time.Duration(w.configReadAt.Load())
 }
 
-// StoreFailingSince returns when the read of the store began that was the first of this entry to fail
-// since one succeeded, zero if the last one succeeded.
-func (w *Watcher) StoreFailingSince() time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.failingSince
-}
+// OnReadFailure calls f after each read of the registrations that failed, with the time at which it
+// began. first is set if the one before succeeded. Call it before the watcher runs.
+func (w *Watcher) OnReadFailure(f func(began time.Time, first bool)) { w.readFailed = f }
 
 // OnChange adds a function that is called after each change of the view. It
 // must be called before the Run methods, and f must not block.
