--- a/entry/direct/origins/doc.go
+++ b/entry/direct/origins/doc.go
@@ -17,4 +17,10 @@
 //     announced.
 //   - An entry takes the only version that it knows for the only one in use while its list of
 //     servers is younger than freshFor, which is less than settleTime.
+//
+// While several versions are in use, a stream without a record began at the version that the
+// splits in the row of its service give to it: see Split. The first split is added with the
+// second version (firstsplit.go), later ones when all entries are ready (splits.go), and an
+// earlier one is dropped once all have adopted the later (adoption.go). A stream at another
+// version brings no event before its record is stored (durable.go).
 package origins
--- a/entry/direct/origins/splits.go
+++ b/entry/direct/origins/splits.go
@@ -1,7 +1,6 @@
 package origins
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -83,24 +82,6 @@
 	return append(slices.Clone(in.splits), Split{Number: in.nextNumber, Shares: in.shares}), splitWait{}
 }
 
-// firstSplit returns the split of a service whose second version is announced: it gives all streams
-// to the version of before, at which all have begun. Of versions that appear together, none of which
-// has got a stream, it takes that of most servers. If the only version leaves as another comes it covers nothing.
-func (in *splitInputs) firstSplit() Split {
-	split := Split{Number: in.nextNumber}
-	switch len(in.before) {
-	case 0:
-		split.Only = in.mostServers()
-	case 1:
-		for software, s := range in.before {
-			if s == stageSettled && in.stages[software] == stageSettled {
-				split.Only = software
-			}
-		}
-	}
-	return split
-}
-
 // splitsAfterLoss returns the newest split beside one that covers nothing, until all entries have
 // stored their records again.
 func (in *splitInputs) splitsAfterLoss(newest *Split) []Split {
@@ -109,22 +90,6 @@
 	return []Split{{}, again}
 }
 
-// mostServers returns the settled version of most servers.
-func (in *splitInputs) mostServers() string {
-	var settled []string
-	for software, s := range in.stages {
-		if s == stageSettled {
-			settled = append(settled, software)
-		}
-	}
-	if len(settled) == 0 {
-		return ""
-	}
-	return slices.MinFunc(settled, func(a, b string) int {
-		return cmp.Or(cmp.Compare(in.servers[b], in.servers[a]), cmp.Compare(a, b))
-	})
-}
-
 // wantsOther reports whether the servers call for another split than the newest.
 func (in *splitInputs) wantsOther(newest *Split) bool {
 	wanted := versionsOf(in.shares)
