--- a/review/standins-3/entry.go
+++ b/review/standins-3/entry.go
@@ -33,6 +33,7 @@
 	log      string // path
 	address  string // for clients
 	ready    string
+	metrics  string
 	control  string
 
 	mu      sync.Mutex
@@ -50,6 +51,7 @@
 		log:      filepath.Join(r.folder, name+".log"),
 		address:  ports[0],
 		ready:    ports[1],
+		metrics:  ports[2],
 		control:  ports[3],
 	}
 	raw, err := json.Marshal(map[string]any{
