--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -38,8 +38,8 @@
 		return answer{err: err}
 	}
 	req.Host = host
-	req.Header.Set("X-Peridotchute-Attempt-Id", id)
-	req.Header.Set("X-Peridotchute-Deadline-Ms", deadlineMS)
+	req.Header.Set(wire.ID, id)
+	req.Header.Set(wire.Deadline, deadlineMS)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
@@ -49,5 +49,5 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, stamp: resp.Header.Get("X-Peridotchute-Server-Stamp"), body: string(raw), err: err}
+	return answer{status: resp.StatusCode, stamp: resp.Header.Get(wire.Stamp), body: string(raw), err: err}
 }
--- a/review/standins-3/holder.go
+++ b/review/standins-3/holder.go
@@ -204,13 +204,13 @@
 		r.fail("%v", err)
 	}
 	req.Host = host
-	req.Header.Set("X-Peridotchute-Attempt-Id", id)
-	req.Header.Set("X-Peridotchute-Deadline-Ms", strconv.Itoa(briefTimeoutMS))
-	req.Header.Set("X-Peridotchute-Model", model)
-	req.Header.Set("X-Peridotchute-Token-Usage", "2890,50")
+	req.Header.Set(wire.ID, id)
+	req.Header.Set(wire.Deadline, strconv.Itoa(briefTimeoutMS))
+	req.Header.Set(wire.Model, model)
+	req.Header.Set(wire.Tokens, "2890,50")
 	if before != "" {
-		req.Header.Set("Last-Event-Id", before)
-		req.Header.Set("Resumes", s.first)
+		req.Header.Set(wire.LastEvent, before)
+		req.Header.Set(wire.Resumes, s.first)
 	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 	resp, err := client.Do(req)
--- a/review/standins-3/targets.go
+++ b/review/standins-3/targets.go
@@ -43,7 +43,7 @@
 	for _, t := range targets {
 		id := newID()
 		r.note("request %s: POST %s", id, t.sent)
-		a := sendRaw(e, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Peridotchute-Attempt-Id: %s\r\nX-Peridotchute-Deadline-Ms: 1800\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody", t.sent, host, id))
+		a := sendRaw(e, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 1800\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody", t.sent, host, wire.ID, id, wire.Deadline))
 		r.note("request %s: answer %v", id, a)
 		for _, p := range d.plain {
 			for _, q := range p.ByID(id) {
@@ -72,5 +72,5 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, stamp: resp.Header.Get("X-Peridotchute-Server-Stamp"), body: string(body), err: err}
+	return answer{status: resp.StatusCode, stamp: resp.Header.Get(wire.Stamp), body: string(body), err: err}
 }
