review: scripts end what they started also when they are stopped

The restart of the holder in case 12 is waited for, so that its process cannot begin after the others have been ended. The records say what servers ran and which orders they got.

--- a/review/standins-3/crashing.go
+++ b/review/standins-3/crashing.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
@@ -56,7 +55,7 @@
 	late := 0
 	for _, q := range arrivals {
 		after := q.Arrived.Sub(crashes[2])
-		r.note("request %s has reached a server %s after the third crash", q.ID, fmt.Sprintf("%.3f s", after.Seconds()))
+		r.note("request %s has reached a server %.3f s after the third crash, ran: %v", q.ID, after.Seconds(), q.Executed)
 		if after > stableWindow {
 			late++
 		}
--- a/review/standins-3/entry.go
+++ b/review/standins-3/entry.go
@@ -74,6 +74,12 @@
 
 // start starts the process and waits until the entry is ready.
 func (e *entry) start() {
+	e.launch()
+	e.r.waitFor(e.name+" is ready", 10*time.Second, e.isReady)
+}
+
+// launch starts the process.
+func (e *entry) launch() {
 	log, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		e.r.fail("%v", err)
@@ -92,7 +98,6 @@
 	e.mu.Lock()
 	e.process, e.ended = cmd, ended
 	e.mu.Unlock()
-	e.r.waitFor(e.name+" is ready", 10*time.Second, e.isReady)
 }
 
 func (e *entry) isReady() bool {
--- a/review/standins-3/holder.go
+++ b/review/standins-3/holder.go
@@ -70,12 +70,13 @@
 			others = append(others, e)
 		}
 	}
+	var restart sync.WaitGroup
 	if r.trouble && only != "crash" {
 		r.note("%s loses power", holder.name)
 		holder.kill()
-		time.AfterFunc(holderDark, func() {
-			defer func() { _ = recover() }()
-			holder.start()
+		restart.Go(func() {
+			time.Sleep(holderDark)
+			holder.launch()
 		})
 	}
 	owner.PauseBefore(3)
@@ -97,6 +98,8 @@
 	}
 	begun, asked := r.newStreams(others)
 	clients.Wait()
+	restart.Wait()
+	r.noteServers(d)
 	resumed, goOn := 0, 0
 	for i := range states {
 		s := &states[i]
@@ -112,6 +115,18 @@
 	return resumed >= minResumed && asked > 0 && float64(goOn)/float64(resumed) < float64(begun)/float64(asked)/2
 }
 
+// noteServers writes what the servers got and ran, and which orders they got.
+func (r *run) noteServers(d *deployment) {
+	for _, e := range d.engines {
+		for _, o := range e.Orders() {
+			r.note("server %s: order to %s %s, answered %d", e.ID(), o.Op, o.Model, o.Status)
+		}
+		for _, q := range e.Requests() {
+			r.note("server %s: request %s for %s, events after %q, ran it: %v", e.ID(), q.ID, q.Header.Get(wire.Model), q.Header.Get(wire.LastEvent), q.Executed)
+		}
+	}
+}
+
 // deployModels starts six model servers of one software version, each with as many models as it
 // has room for, and each model at one of them. The returned one has loaded model.
 func (r *run) deployModels() (*deployment, *platformtest.Engine) {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -12,11 +12,13 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -71,6 +73,14 @@
 		r.clean()
 		os.Exit(exitNotRun)
 	})
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		r.note("the case was stopped")
+		r.clean()
+		os.Exit(exitNotRun)
+	}()
 	defer func() {
 		if p := recover(); p != nil {
 			r.note("the case could not run: %v", p)
